--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+PYTHON ?= python3.11
+BIN := .venv/bin
+PACKAGES := $(sort $(wildcard libs/*) $(wildcard daemons/*))
+SOURCES := libs daemons tests bench
+
+.PHONY: setup demo test faults lint format bench-control bench-requests proto
+
+setup: .venv/.installed
+
+.venv/.installed: constraints.txt $(addsuffix /pyproject.toml,$(PACKAGES))
+	test -x $(BIN)/python || $(PYTHON) -m venv .venv
+	$(BIN)/pip install -q --disable-pip-version-check -r constraints.txt
+	$(BIN)/pip install -q --disable-pip-version-check --no-build-isolation \
+	  --no-deps $(addprefix -e ./,$(PACKAGES))
+	touch $@
+
+demo: setup
+	$(BIN)/python -m bench.demo
+
+test: setup
+	$(BIN)/python -m pytest -q tests
+
+lint: setup
+	$(BIN)/ruff format --check $(SOURCES)
+	$(BIN)/ruff check $(SOURCES)
+	$(BIN)/mypy $(SOURCES)
+
+format: setup
+	$(BIN)/ruff format $(SOURCES)
+	$(BIN)/ruff check --fix $(SOURCES)
+
+bench-control: setup
+	$(BIN)/python -m bench.control
+
+PEER_PROTO := libs/peers/src/coltsfootseam/peers/internal
+proto: setup
+	$(BIN)/python -m grpc_tools.protoc -I libs/peers/src \
+	  --python_out=libs/peers/src --pyi_out=libs/peers/src \
+	  --grpc_python_out=libs/peers/src \
+	  $(PEER_PROTO)/peer.proto
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Demo and measurements."""
--- /dev/null
+++ b/daemons/cli/src/coltsfootseam/cli/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line as a module."""
+
+from coltsfootseam.cli.main import main
+
+main()
--- /dev/null
+++ b/daemons/cli/src/coltsfootseam/cli/client.py
@@ -0,0 +1,115 @@
+"""Calls to the admin interface of entry hosts."""
+
+import asyncio
+import os
+from collections.abc import Coroutine
+from typing import Any, TypeVar
+
+import aiohttp
+import msgspec
+
+from coltsfootseam.results import (
+    Refusal,
+    ResultCode,
+    code_for_http_status,
+)
+
+ENTRIES_VARIABLE = "COLTSFOOTSEAM_ENTRIES"
+_TIMEOUT_S = 30.0
+
+T = TypeVar("T")
+
+
+class _RefusedReply(msgspec.Struct):
+    code: int
+    reason: str
+
+
+class AdminClient:
+    """Asks the first entry host that answers."""
+
+    __slots__ = ("_addresses",)
+
+    def __init__(self, addresses: list[str]) -> None:
+        self._addresses = addresses
+
+    async def get(self, path: str, kind: type[T]) -> T | Refusal:
+        """Reads a document from the first entry host that answers."""
+        return await self._ask("GET", path, None, kind)
+
+    async def post(self, path: str, body: Any, kind: type[T]) -> T | Refusal:
+        """Sends a command to the first entry host that answers.
+
+        The command is sent to the next entry host if the answer of one is
+        lost, so its record id has to make that safe.
+        """
+        return await self._ask("POST", path, msgspec.json.encode(body), kind)
+
+    async def _ask(
+        self, method: str, path: str, payload: bytes | None, kind: type[T]
+    ) -> T | Refusal:
+        failure = Refusal(ResultCode.UNREACHABLE, "no entry host was named")
+        answer_lost = False
+        async with aiohttp.ClientSession() as session:
+            for address in self._addresses:
+                answer = await _ask_one(
+                    session, address, method, path, payload, kind
+                )
+                if not isinstance(answer, Refusal):
+                    return answer
+                failure = answer
+                if answer.code is ResultCode.OUTCOME_UNKNOWN:
+                    answer_lost = True
+                elif answer.code is not ResultCode.UNREACHABLE:
+                    return answer
+        if answer_lost and method != "GET":
+            return Refusal(ResultCode.OUTCOME_PENDING, failure.reason)
+        return Refusal(ResultCode.UNREACHABLE, failure.reason)
+
+
+def connect(entries: str) -> AdminClient:
+    """Returns a client for the addresses that an operator gave."""
+    if isinstance(entries, (tuple, list)):
+        entries = ",".join(str(each) for each in entries)
+    text = str(entries) or os.environ.get(ENTRIES_VARIABLE, "")
+    return AdminClient([part.strip() for part in text.split(",") if part])
+
+
+def run(coroutine: Coroutine[Any, Any, T]) -> T:
+    """Runs a coroutine to its end."""
+    return asyncio.run(coroutine)
+
+
+async def _ask_one(
+    session: aiohttp.ClientSession,
+    address: str,
+    method: str,
+    path: str,
+    payload: bytes | None,
+    kind: type[T],
+) -> T | Refusal:
+    try:
+        async with session.request(
+            method,
+            f"http://{address}{path}",
+            data=payload,
+            timeout=aiohttp.ClientTimeout(total=_TIMEOUT_S),
+        ) as response:
+            return _read_answer(response.status, await response.read(), kind)
+    except (aiohttp.ClientConnectorError, aiohttp.InvalidURL) as error:
+        return Refusal(ResultCode.UNREACHABLE, f"{address}: {error}")
+    except (aiohttp.ClientError, TimeoutError) as error:
+        return Refusal(ResultCode.OUTCOME_UNKNOWN, f"{address}: {error!r}")
+
+
+def _read_answer(status: int, payload: bytes, kind: type[T]) -> T | Refusal:
+    try:
+        return msgspec.json.decode(payload, type=kind)
+    except msgspec.DecodeError:
+        pass
+    try:
+        refused = msgspec.json.decode(payload, type=_RefusedReply)
+        return Refusal(ResultCode(refused.code), refused.reason)
+    except (msgspec.DecodeError, ValueError):
+        text = payload.decode("utf-8", "replace").strip()
+        return Refusal(code_for_http_status(status), f"status {status}: {text}")
--- /dev/null
+++ b/daemons/entry/src/coltsfootseam/entry/admin.py
@@ -0,0 +1,181 @@
+"""The admin interface: for operators, the balancer and monitoring."""
+
+from typing import Any
+
+import msgspec
+from aiohttp import web
+
+from coltsfootseam.entry.commands import carry_out, conclude
+from coltsfootseam.entry.messages import (
+    CommandReply,
+    ContractCommand,
+    ContractView,
+    EntryStatus,
+    view_members,
+    view_pools,
+)
+from coltsfootseam.entry.node import Node
+from coltsfootseam.observe import Stamp
+from coltsfootseam.results import (
+    Refusal,
+    ResultCode,
+    http_status_for_code,
+)
+from coltsfootseam.state import digest_state
+
+_LARGEST_COMMAND_BYTES = 1024 * 1024
+
+
+class AdminInterface:
+    """Handlers of the admin interface of one entry host."""
+
+    __slots__ = ("_node",)
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+
+    def application(self) -> web.Application:
+        """Returns the HTTP application."""
+        app = web.Application(client_max_size=_LARGEST_COMMAND_BYTES)
+        app.add_routes(
+            [
+                web.get("/livez", self.answer_live),
+                web.get("/readyz", self.answer_ready),
+                web.get("/v1/status", self.answer_status),
+                web.get("/v1/events", self.answer_events),
+                web.get("/v1/contracts", self.answer_contracts),
+                web.get("/v1/contracts/{customer}", self.answer_contract),
+                web.get(
+                    "/v1/contracts/{customer}/history", self.answer_history
+                ),
+                web.post("/v1/contracts", self.accept_contract),
+                web.get("/v1/commands/{record_id}", self.answer_command),
+            ]
+        )
+        return app
+
+    async def answer_live(self, request: web.Request) -> web.Response:
+        """Tells that the process runs."""
+        del request
+        return web.Response(text="live\n")
+
+    async def answer_ready(self, request: web.Request) -> web.Response:
+        """Tells the balancer whether to send requests here."""
+        del request
+        refusal = self._node.readiness.find_reason_not_ready()
+        if refusal is None:
+            return web.Response(text="ready\n")
+        return web.Response(status=503, text=f"{refusal.reason}\n")
+
+    async def answer_status(self, request: web.Request) -> web.Response:
+        """Shows pools, hosts, budgets and members."""
+        del request
+        return _json(self._view_status())
+
+    async def answer_events(self, request: web.Request) -> web.Response:
+        """Shows the kept events, from a time on if one is given."""
+        text = request.query.get("since_ms", "0")
+        if not text.isascii() or not text.isdigit():
+            return _refuse(
+                Refusal(ResultCode.BAD_INPUT, f"since_ms {text!r} is no number")
+            )
+        events = self._node.core.observer.events.since(Stamp(int(text), 0))
+        return _json(events)
+
+    async def answer_contracts(self, request: web.Request) -> web.Response:
+        """Lists the contracts in force."""
+        del request
+        contracts = self._node.replication.replica.state.contracts_by_customer
+        return _json(
+            [ContractView.of(each) for _, each in sorted(contracts.items())]
+        )
+
+    async def answer_contract(self, request: web.Request) -> web.Response:
+        """Shows the contract in force for a customer."""
+        customer = request.match_info["customer"]
+        state = self._node.replication.replica.state
+        version = state.contracts_by_customer.get(customer)
+        if version is None:
+            return _refuse(_unknown_customer(customer))
+        return _json(ContractView.of(version))
+
+    async def answer_history(self, request: web.Request) -> web.Response:
+        """Shows the newest versions of a customer's contract."""
+        customer = request.match_info["customer"]
+        state = self._node.replication.replica.state
+        history = state.history_by_customer.get(customer)
+        if history is None:
+            return _refuse(_unknown_customer(customer))
+        return _json([ContractView.of(each) for each in history])
+
+    async def accept_contract(self, request: web.Request) -> web.Response:
+        """Publishes or amends a contract."""
+        payload = await request.read()
+        try:
+            command = msgspec.json.decode(payload, type=ContractCommand)
+        except msgspec.DecodeError as error:
+            return _refuse(Refusal(ResultCode.BAD_INPUT, f"command: {error}"))
+        return _reply(await carry_out(self._node, command))
+
+    async def answer_command(self, request: web.Request) -> web.Response:
+        """Tells how the command with a record id ended."""
+        record_id = request.match_info["record_id"]
+        state = self._node.replication.replica.state
+        outcome = state.outcomes_by_record_id.get(record_id)
+        if outcome is None:
+            pending = Refusal(
+                ResultCode.OUTCOME_PENDING,
+                f"record {record_id} has not been read back here",
+            )
+            return _reply(await conclude(self._node, record_id, pending))
+        return _reply(await conclude(self._node, record_id, outcome))
+
+    def _view_status(self) -> EntryStatus:
+        node = self._node
+        replication = node.replication
+        state = replication.replica.state
+        refusal = node.readiness.find_reason_not_ready()
+        return EntryStatus(
+            entry_id=node.core.settings.entry_id,
+            zone=node.core.settings.zone,
+            offset=state.offset,
+            digest=digest_state(state),
+            ready=refusal is None,
+            not_ready_reason="" if refusal is None else refusal.reason,
+            holds_lease=replication.lease.holds_lease(),
+            log_reachable=replication.connectivity.is_log_reachable(),
+            log_went_back=replication.follower.went_back,
+            in_progress=node.routing.frontend.in_progress,
+            planner=replication.planner.has_role(),
+            pools=view_pools(state),
+            members=view_members(state),
+            totals_by_counter=dict(node.core.observer.counters.totals_by_name),
+        )
+
+
+def _json(value: Any) -> web.Response:
+    return web.Response(
+        body=msgspec.json.encode(value), content_type="application/json"
+    )
+
+
+def _reply(reply: CommandReply) -> web.Response:
+    return web.Response(
+        status=http_status_for_code(ResultCode(reply.code)),
+        body=msgspec.json.encode(reply),
+        content_type="application/json",
+    )
+
+
+def _refuse(refusal: Refusal) -> web.Response:
+    return _reply(
+        CommandReply(
+            code=int(refusal.code), reason=refusal.reason, record_id=""
+        )
+    )
+
+
+def _unknown_customer(customer: str) -> Refusal:
+    return Refusal(
+        ResultCode.CONTRACT_UNKNOWN, f"customer {customer!r} has no contract"
+    )
--- /dev/null
+++ b/daemons/entry/src/coltsfootseam/entry/commands.py
@@ -0,0 +1,95 @@
+"""Commands of operators that change contracts."""
+
+import asyncio
+
+from coltsfootseam.contracts import parse_contract
+from coltsfootseam.entry.messages import CommandReply, ContractCommand
+from coltsfootseam.entry.node import MS_PER_S, Node
+from coltsfootseam.results import Refusal, ResultCode
+from coltsfootseam.state import (
+    ContractAmended,
+    ContractPublished,
+    Member,
+    Outcome,
+)
+
+_POLL_S = 0.1
+
+
+async def carry_out(node: Node, command: ContractCommand) -> CommandReply:
+    """Proposes a contract and waits until it is in force.
+
+    Returns:
+        The reply once the record was read back and every live entry host has
+        it in force, or the time for that is up.
+    """
+    contract = parse_contract(command.contract)
+    if isinstance(contract, Refusal):
+        return _refused(command.record_id, contract)
+    if not node.replication.lease.is_member():
+        refusal = Refusal(
+            ResultCode.LOG_UNAVAILABLE,
+            "nothing was accepted: this entry host is not a member",
+        )
+        return _refused(command.record_id, refusal)
+    body: ContractPublished | ContractAmended
+    if command.expected_version:
+        body = ContractAmended(contract, command.expected_version)
+    else:
+        body = ContractPublished(contract)
+    outcome = await node.replication.proposer.propose(body, command.record_id)
+    return await conclude(node, command.record_id, outcome)
+
+
+async def conclude(
+    node: Node, record_id: str, outcome: Outcome | Refusal
+) -> CommandReply:
+    """Turns an outcome into a reply, waiting until it is in force."""
+    if isinstance(outcome, Refusal):
+        return _refused(record_id, outcome)
+    if outcome.code is not ResultCode.OK:
+        return CommandReply(
+            code=int(outcome.code),
+            reason=outcome.reason,
+            record_id=record_id,
+            offset=outcome.offset,
+        )
+    in_force, live = await _wait_in_force(node, outcome.offset)
+    code = ResultCode.OK if in_force == live else ResultCode.NOT_IN_FORCE
+    reason = "" if code is ResultCode.OK else "accepted, not yet everywhere"
+    return CommandReply(
+        code=int(code),
+        reason=reason,
+        record_id=record_id,
+        offset=outcome.offset,
+        in_force=in_force,
+        live=live,
+    )
+
+
+async def _wait_in_force(node: Node, offset: int) -> tuple[int, int]:
+    timers = node.core.timers
+    limit_s = node.core.settings.timers.in_force_ms / MS_PER_S
+    deadline_s = timers.now_s() + limit_s
+    while True:
+        members = list(node.replication.replica.state.members_by_id.values())
+        reached = await asyncio.gather(
+            *(_has_in_force(node, member, offset) for member in members)
+        )
+        in_force = sum(reached)
+        if in_force == len(members) or timers.now_s() >= deadline_s:
+            return in_force, len(members)
+        await timers.sleep(_POLL_S)
+
+
+async def _has_in_force(node: Node, member: Member, offset: int) -> bool:
+    if member.member_id == node.core.settings.entry_id:
+        return node.replication.replica.state.offset >= offset
+    status = await node.core.peers.status(member.peers)
+    return not isinstance(status, Refusal) and status.offset >= offset
+
+
+def _refused(record_id: str, refusal: Refusal) -> CommandReply:
+    return CommandReply(
+        code=int(refusal.code), reason=refusal.reason, record_id=record_id
+    )
--- /dev/null
+++ b/daemons/entry/src/coltsfootseam/entry/daemon.py
@@ -0,0 +1,180 @@
+"""Running an entry host until it is told to stop."""
+
+import asyncio
+import contextlib
+import signal
+from collections.abc import AsyncIterator, Iterator
+
+import msgspec
+from aiohttp import web
+
+from coltsfootseam.entry.admin import AdminInterface
+from coltsfootseam.entry.node import MS_PER_S, Node, building_node
+from coltsfootseam.entry.peer_service import EntryPeerService
+from coltsfootseam.observe import configure_logs
+from coltsfootseam.peers import serving_peers
+from coltsfootseam.settings import EntrySettings
+from coltsfootseam.state import (
+    MemberRenewed,
+    Outcome,
+    Record,
+    SnapshotChunk,
+)
+from coltsfootseam.timers import Callback
+
+_LEASE_PERIOD_S = 0.2
+_EXPIRY_PERIOD_S = 0.5
+_SNAPSHOT_PERIOD_S = 1.0
+_STOP_POLL_S = 0.05
+_CALLER_KEEPALIVE_S = 75.0
+_SHUTDOWN_S = 1.0
+
+
+async def run_entry(settings: EntrySettings) -> None:
+    """Runs an entry host until SIGTERM or SIGINT.
+
+    The stop is graceful: the balancer is told, requests in progress are
+    answered, and the lease is given back.
+
+    Raises:
+        OSError: If an address cannot be listened on.
+        ValueError: If the settings name an unknown way of dispatch.
+    """
+    configure_logs(settings.entry_id, settings.log_level)
+    stop = _stop_on_signal()
+    async with (
+        building_node(settings) as node,
+        serving_peers(
+            settings.listen.peers,
+            EntryPeerService(node),
+            node.core.observer.clock,
+        ),
+        _serving_admin(node),
+        _serving_callers(node) as callers_site,
+    ):
+        with _running_parts(node):
+            node.core.observer.change("entry.started", settings.entry_id)
+            await stop.wait()
+            await _stop_gracefully(node, callers_site)
+            node.core.observer.change("entry.stopped", settings.entry_id)
+
+
+def _stop_on_signal() -> asyncio.Event:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    return stop
+
+
+@contextlib.asynccontextmanager
+async def _serving_admin(node: Node) -> AsyncIterator[None]:
+    app = AdminInterface(node).application()
+    runner = web.AppRunner(app, access_log=None)
+    await runner.setup()
+    try:
+        site = _make_site(runner, node.core.settings.listen.admin)
+        await site.start()
+        yield
+    finally:
+        await runner.cleanup()
+
+
+@contextlib.asynccontextmanager
+async def _serving_callers(node: Node) -> AsyncIterator[web.TCPSite]:
+    server = web.Server(
+        node.routing.frontend.handle,
+        access_log=None,
+        keepalive_timeout=_CALLER_KEEPALIVE_S,
+    )
+    runner = web.ServerRunner(server, shutdown_timeout=_SHUTDOWN_S)
+    await runner.setup()
+    try:
+        site = _make_site(runner, node.core.settings.listen.callers)
+        await site.start()
+        yield site
+    finally:
+        await runner.cleanup()
+
+
+def _make_site(
+    runner: web.AppRunner | web.ServerRunner, address: str
+) -> web.TCPSite:
+    host, _, port = address.partition(":")
+    return web.TCPSite(runner, host, int(port))
+
+
+@contextlib.contextmanager
+def _running_parts(node: Node) -> Iterator[None]:
+    """Runs what an entry host does by itself while the context is open."""
+    _follow_state(node)
+    following = asyncio.ensure_future(node.replication.follower.run())
+    subscriptions = [
+        node.core.timers.subscribe(task.period_s, task.callback)
+        for task in _periodic_tasks(node)
+    ]
+    try:
+        yield
+    finally:
+        following.cancel()
+        for subscription in subscriptions:
+            subscription.cancel()
+
+
+class _PeriodicTask(msgspec.Struct, frozen=True):
+    period_s: float
+    callback: Callback
+
+
+def _periodic_tasks(node: Node) -> list[_PeriodicTask]:
+    times = node.core.settings.timers
+    requests = node.core.settings.requests
+    replication = node.replication
+    return [
+        _PeriodicTask(_LEASE_PERIOD_S, replication.lease.tick),
+        _PeriodicTask(_EXPIRY_PERIOD_S, replication.expiry.tick),
+        _PeriodicTask(_SNAPSHOT_PERIOD_S, replication.snapshotter.tick),
+        _PeriodicTask(
+            times.peer_catch_up_ms / MS_PER_S, replication.catch_up.tick
+        ),
+        _PeriodicTask(times.plan_ms / MS_PER_S, replication.planner.tick),
+        _PeriodicTask(
+            requests.set_aside_ms / MS_PER_S, node.routing.prober.tick
+        ),
+    ]
+
+
+def _follow_state(node: Node) -> None:
+    """Keeps the endpoints in step with the folded state."""
+    replica = node.replication.replica
+
+    def on_restored() -> None:
+        node.routing.endpoints.rebuild(replica.state)
+        node.routing.dispatcher.refresh()
+
+    def on_folded(offset: int, record: Record, outcome: Outcome) -> None:
+        del offset, outcome
+        if not isinstance(record.body, MemberRenewed | SnapshotChunk):
+            on_restored()
+
+    replica.listen(on_folded)
+    replica.listen_to_restores(on_restored)
+
+
+async def _stop_gracefully(node: Node, callers_site: web.TCPSite) -> None:
+    times = node.core.settings.timers
+    node.core.observer.change("entry.stopping", node.core.settings.entry_id)
+    node.readiness.stopping = True
+    node.routing.frontend.closing = True
+    await node.core.timers.sleep(times.balancer_lag_ms / MS_PER_S)
+    await callers_site.stop()
+    node.readiness.stopped = True
+    await _wait_until_idle(node, times.stop_ms / MS_PER_S)
+    await node.replication.lease.leave()
+
+
+async def _wait_until_idle(node: Node, limit_s: float) -> None:
+    timers = node.core.timers
+    deadline_s = timers.now_s() + limit_s
+    while node.routing.frontend.busy() and timers.now_s() < deadline_s:
+        await timers.sleep(_STOP_POLL_S)
--- /dev/null
+++ b/daemons/entry/src/coltsfootseam/entry/peer_service.py
@@ -0,0 +1,56 @@
+"""What an entry host answers to its peers."""
+
+from coltsfootseam.entry.node import Node
+from coltsfootseam.peers import (
+    Answer,
+    FetchedState,
+    KeyReservation,
+    KeyVerdict,
+    PeerService,
+    PeerStatus,
+)
+
+
+class EntryPeerService(PeerService):
+    """Answers peers from the parts of a node."""
+
+    __slots__ = ("_node",)
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+
+    def fetch(self, from_offset: int) -> FetchedState:
+        """Returns records from an offset on, or a snapshot."""
+        replication = self._node.replication
+        return replication.replica.fetch(
+            from_offset, replication.connectivity.is_log_reachable()
+        )
+
+    def status(self, host_id: str) -> PeerStatus:
+        """Returns what is in force here."""
+        return PeerStatus(
+            entry_id=self._node.core.settings.entry_id,
+            offset=self._node.replication.replica.state.offset,
+            in_progress=self._node.routing.endpoints.in_progress_on(host_id),
+        )
+
+    def reserve_key(self, key: str, request_id: str) -> KeyReservation:
+        """Reserves a key for a request, or tells what is known of it."""
+        state = self._node.replication.replica.state
+        return self._node.routing.key_store.reserve(key, request_id, state)
+
+    def settle_key(
+        self,
+        key: str,
+        request_id: str,
+        verdict: KeyVerdict,
+        answer: Answer | None,
+    ) -> None:
+        """Records how the request of a key ended."""
+        self._node.routing.key_store.settle(key, request_id, verdict, answer)
+
+    def report_endpoint(
+        self, host_id: str, host_version: int, cause: str
+    ) -> None:
+        """Takes note that an endpoint is leaving or fails."""
+        self._node.routing.endpoints.take_report(host_id, host_version, cause)
--- /dev/null
+++ b/daemons/entry/src/coltsfootseam/entry/readiness.py
@@ -0,0 +1,75 @@
+"""Whether an entry host may run requests, and if not, why."""
+
+from coltsfootseam.replication import Connectivity, LeaseKeeper, Replica
+from coltsfootseam.results import Refusal, ResultCode
+from coltsfootseam.settings import EntrySettings
+
+_MS_PER_S = 1000
+
+
+class Readiness:
+    """Judges readiness for the balancer and for each request.
+
+    Attributes:
+        stopping: A planned stop has begun; the balancer is told.
+        stopped: The time in which the balancer may still send requests is
+            over.
+    """
+
+    __slots__ = (
+        "_connectivity",
+        "_lease",
+        "_limit_s",
+        "_own_id",
+        "_replica",
+        "stopped",
+        "stopping",
+    )
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        replica: Replica,
+        connectivity: Connectivity,
+        lease: LeaseKeeper,
+    ) -> None:
+        times = settings.timers
+        self._own_id = settings.entry_id
+        self._limit_s = (times.lease_ms - times.drift_margin_ms) / _MS_PER_S
+        self._replica = replica
+        self._connectivity = connectivity
+        self._lease = lease
+        self.stopping = False
+        self.stopped = False
+
+    def find_reason_not_to_run(self) -> Refusal | None:
+        """Returns why a request is not run here, ``None`` if it may run."""
+        if self.stopped:
+            return Refusal(
+                ResultCode.NOT_RUN_STOPPING, "the entry host has stopped"
+            )
+        if not self._lease.is_member():
+            return _not_ready("the entry host is not a member yet")
+        if self.is_isolated():
+            return _not_ready(
+                "neither the log nor most entry hosts can be reached"
+            )
+        return None
+
+    def find_reason_not_ready(self) -> Refusal | None:
+        """Returns why the balancer should send requests elsewhere."""
+        if self.stopping:
+            return Refusal(
+                ResultCode.NOT_RUN_STOPPING, "the entry host is stopping"
+            )
+        return self.find_reason_not_to_run()
+
+    def is_isolated(self) -> bool:
+        """Tells whether others may have decided without this entry host."""
+        return self._connectivity.is_isolated(
+            self._replica.state, self._own_id, self._limit_s
+        )
+
+
+def _not_ready(reason: str) -> Refusal:
+    return Refusal(ResultCode.NOT_RUN_NOT_READY, reason)
--- /dev/null
+++ b/libs/contracts/src/coltsfootseam/contracts/validation.py
@@ -0,0 +1,121 @@
+"""Checks that a contract can be met, alone and beside the others."""
+
+from collections import Counter
+from collections.abc import Iterable
+from typing import Any
+
+import msgspec
+
+from coltsfootseam.contracts.model import Contract, Pool
+from coltsfootseam.results import Refusal, ResultCode
+
+_WEIGHT_TOLERANCE = 1e-6
+
+
+def parse_contract(raw: Any) -> Contract | Refusal:
+    """Turns decoded YAML or JSON into a contract.
+
+    Args:
+        raw: Decoded document.
+
+    Returns:
+        A contract free of contradictions, or a refusal that says what is
+        wrong with it.
+    """
+    try:
+        contract = msgspec.convert(raw, Contract)
+    except msgspec.ValidationError as error:
+        return Refusal(ResultCode.CONTRACT_INVALID, f"contract: {error}")
+    problem = find_contradiction(contract)
+    return contract if problem is None else problem
+
+
+def find_contradiction(contract: Contract) -> Refusal | None:
+    """Returns why a contract can never be met, or ``None``."""
+    for pool in contract.pools:
+        problem = _find_pool_contradiction(pool)
+        if problem is not None:
+            return problem
+    repeated_pool = _first_repeated(pool.name for pool in contract.pools)
+    if repeated_pool:
+        return Refusal(
+            ResultCode.CONTRACT_INVALID, f"pool {repeated_pool!r} stands twice"
+        )
+    repeated_service = _first_repeated(pool.service for pool in contract.pools)
+    if repeated_service:
+        return Refusal(
+            ResultCode.SERVICE_IN_TWO_POOLS,
+            f"service {repeated_service!r} is served by two pools",
+        )
+    repeated_team = _first_repeated(
+        quota.team for quota in contract.team_quotas
+    )
+    if repeated_team:
+        return Refusal(
+            ResultCode.CONTRACT_INVALID, f"team {repeated_team!r} stands twice"
+        )
+    weight = contract.billing_weight
+    total = weight.waiting + weight.buffer_cost
+    if abs(total - 1) > _WEIGHT_TOLERANCE:
+        return Refusal(
+            ResultCode.CONTRACT_INVALID,
+            f"billing_weight adds up to {total}, must be 1",
+        )
+    return None
+
+
+def find_conflict(
+    contract: Contract, others: Iterable[Contract]
+) -> Refusal | None:
+    """Returns why a contract cannot stand beside others, or ``None``.
+
+    Args:
+        contract: The contract that is to be accepted.
+        others: Accepted contracts, the customer's own left out.
+    """
+    pool_names = {pool.name for pool in contract.pools}
+    services = {pool.service for pool in contract.pools}
+    for other in others:
+        for pool in other.pools:
+            if pool.name in pool_names:
+                return Refusal(
+                    ResultCode.POOL_IN_TWO_CONTRACTS,
+                    f"pool {pool.name!r} is in the contract of "
+                    f"{other.customer!r}",
+                )
+            if pool.service in services:
+                return Refusal(
+                    ResultCode.SERVICE_IN_TWO_POOLS,
+                    f"service {pool.service!r} is served by pool "
+                    f"{pool.name!r} of {other.customer!r}",
+                )
+    return None
+
+
+def _find_pool_contradiction(pool: Pool) -> Refusal | None:
+    if pool.headroom_hosts >= pool.hosts_at_most:
+        return Refusal(
+            ResultCode.HEADROOM_OVER_LIMIT,
+            f"pool {pool.name!r}: headroom_hosts {pool.headroom_hosts} must "
+            f"be below hosts_at_most {pool.hosts_at_most}",
+        )
+    if pool.max_down < 1:
+        return Refusal(
+            ResultCode.BUDGET_NEVER_DRAINS,
+            f"pool {pool.name!r}: max_down {pool.max_down} never lets a host "
+            f"be drained, must be at least 1",
+        )
+    if pool.max_down > pool.hosts_at_most:
+        return Refusal(
+            ResultCode.CONTRACT_INVALID,
+            f"pool {pool.name!r}: max_down {pool.max_down} must not be above "
+            f"hosts_at_most {pool.hosts_at_most}",
+        )
+    return None
+
+
+def _first_repeated(names: Iterable[str]) -> str:
+    for name, count in Counter(names).items():
+        if count > 1:
+            return name
+    return ""
--- /dev/null
+++ b/libs/fleet/src/coltsfootseam/fleet/__init__.py
@@ -0,0 +1,11 @@
+"""The planner: which host belongs to which pool."""
+
+from coltsfootseam.fleet.ownership import PlanInput, plan_ownership
+from coltsfootseam.fleet.planner import OwnershipPlanner, PlannerParts
+
+__all__ = [
+    "OwnershipPlanner",
+    "PlanInput",
+    "PlannerParts",
+    "plan_ownership",
+]
--- /dev/null
+++ b/libs/fleet/src/coltsfootseam/fleet/planner.py
@@ -0,0 +1,124 @@
+"""Running the plan on the member that has the role of planner."""
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+
+from coltsfootseam.fleet.ownership import PlanInput, plan_ownership
+from coltsfootseam.observe import Observer
+from coltsfootseam.peers import PeerClients
+from coltsfootseam.platform import HostListClient
+from coltsfootseam.replication import LeaseKeeper, Proposer, Replica
+from coltsfootseam.results import Refusal, ResultCode
+from coltsfootseam.state import Body, ClaimPhase, HostClaim, rank_members
+
+_PROPOSALS_AT_ONCE = 32
+
+
+class PlannerParts(msgspec.Struct, frozen=True):
+    """What the planner works with.
+
+    Attributes:
+        own_id: Name of this entry host.
+        host_list: The platform's host list.
+        replica: The folded state.
+        lease: This host's lease; without it nothing is proposed.
+        proposer: Appends proposals.
+        peers: Calls to other entry hosts.
+        observer: Events and counters.
+        in_progress_here: Returns this host's requests in progress on a host.
+    """
+
+    own_id: str
+    host_list: HostListClient
+    replica: Replica
+    lease: LeaseKeeper
+    proposer: Proposer
+    peers: PeerClients
+    observer: Observer
+    in_progress_here: Callable[[str], int]
+
+
+class OwnershipPlanner:
+    """Proposes changes of ownership while this host has the role."""
+
+    __slots__ = ("_parts",)
+
+    def __init__(self, parts: PlannerParts) -> None:
+        self._parts = parts
+
+    def has_role(self) -> bool:
+        """Tells whether this host is the planner and holds its lease."""
+        parts = self._parts
+        if not parts.lease.holds_lease():
+            return False
+        members = parts.replica.state.members_by_id
+        return rank_members(members, "planner")[:1] == [parts.own_id]
+
+    async def tick(self) -> None:
+        """Reads the host list and proposes what follows from it."""
+        if not self.has_role():
+            return
+        hosts = await self._parts.host_list.read()
+        if isinstance(hosts, Refusal):
+            self._parts.observer.count("host_list.failures")
+            return
+        plan_input = PlanInput(
+            state=self._parts.replica.state,
+            hosts_by_id={host.host_id: host for host in hosts},
+            idle_host_ids=await self._find_idle(),
+        )
+        bodies = plan_ownership(plan_input)
+        self._parts.observer.counters.set_gauge("planner.due", len(bodies))
+        await asyncio.gather(
+            *(self._propose(each) for each in bodies[:_PROPOSALS_AT_ONCE])
+        )
+
+    async def _propose(self, body: Body) -> None:
+        outcome = await self._parts.proposer.propose(body)
+        if outcome.code is not ResultCode.OK:
+            self._parts.observer.note(
+                "planner.refused",
+                type(body).__name__,
+                outcome.reason,
+                outcome.code,
+            )
+
+    async def _find_idle(self) -> frozenset[str]:
+        draining = [
+            claim
+            for claim in self._parts.replica.state.claims_by_host_id.values()
+            if claim.phase is ClaimPhase.DRAINING and not claim.down
+        ]
+        idle = await asyncio.gather(*(self._is_idle(each) for each in draining))
+        return frozenset(
+            claim.host_id
+            for claim, is_idle in zip(draining, idle, strict=True)
+            if is_idle
+        )
+
+    async def _is_idle(self, claim: HostClaim) -> bool:
+        """Asks every member whether it has finished on a draining host.
+
+        A member that has not folded the drain may still start work, and one
+        that cannot be reached may have work in progress; both keep the host
+        until they answer or their lease ends.
+        """
+        parts = self._parts
+        if parts.in_progress_here(claim.host_id):
+            return False
+        members = list(parts.replica.state.members_by_id.values())
+        statuses = await asyncio.gather(
+            *(
+                parts.peers.status(member.peers, claim.host_id)
+                for member in members
+                if member.member_id != parts.own_id
+            )
+        )
+        return all(
+            not isinstance(status, Refusal)
+            and status.offset >= claim.changed_offset
+            and status.in_progress == 0
+            for status in statuses
+        )
--- /dev/null
+++ b/libs/observe/src/coltsfootseam/observe/clock.py
@@ -0,0 +1,43 @@
+"""A hybrid logical clock that orders events of all processes.
+
+Source: Kulkarni et al., "Logical Physical Clocks", 2014.
+"""
+
+import msgspec
+
+from coltsfootseam.timers import TimerService
+
+
+class Stamp(msgspec.Struct, frozen=True, order=True, array_like=True):
+    """A point in the order of events.
+
+    Attributes:
+        wall_ms: Milliseconds since the epoch, never behind a cause.
+        count: Tells apart stamps of the same millisecond.
+    """
+
+    wall_ms: int = 0
+    count: int = 0
+
+
+class HybridClock:
+    """Gives stamps that are later than every stamp seen before."""
+
+    __slots__ = ("_last", "_timers")
+
+    def __init__(self, timers: TimerService) -> None:
+        self._timers = timers
+        self._last = Stamp()
+
+    def tick(self) -> Stamp:
+        """Returns a stamp for something that happens now."""
+        wall_ms = self._timers.wall_ms()
+        if wall_ms > self._last.wall_ms:
+            self._last = Stamp(wall_ms, 0)
+        else:
+            self._last = Stamp(self._last.wall_ms, self._last.count + 1)
+        return self._last
+
+    def merge(self, seen: Stamp) -> None:
+        """Takes note of a stamp that came from another process."""
+        self._last = max(self._last, seen)
--- /dev/null
+++ b/libs/observe/src/coltsfootseam/observe/observer.py
@@ -0,0 +1,46 @@
+"""One handle through which the parts of a process show what they do."""
+
+from loguru import logger
+
+from coltsfootseam.observe.clock import HybridClock
+from coltsfootseam.observe.counters import Counters
+from coltsfootseam.observe.events import EventRing
+from coltsfootseam.timers import TimerService
+
+_EVENT_CAPACITY = 4096
+
+
+class Observer:
+    """Clock, counters and events of one process."""
+
+    __slots__ = ("clock", "counters", "events")
+
+    def __init__(
+        self,
+        timers: TimerService,
+        process: str,
+        zone: str,
+        counters: Counters | None = None,
+        capacity: int = _EVENT_CAPACITY,
+    ) -> None:
+        self.clock = HybridClock(timers)
+        self.counters = Counters() if counters is None else counters
+        self.events = EventRing(self.clock, process, zone, capacity)
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Adds to a counter; no log line is written."""
+        self.counters.increment(name, amount)
+
+    def note(
+        self, kind: str, subject: str, cause: str = "", code: int = 0
+    ) -> None:
+        """Adds an event and counts it; no log line is written."""
+        self.counters.increment(f"events.{kind}")
+        self.events.add(kind, subject, cause, code)
+
+    def change(
+        self, kind: str, subject: str, cause: str = "", code: int = 0
+    ) -> None:
+        """Records a change of state: an event, a counter and a log line."""
+        self.note(kind, subject, cause, code)
+        logger.bind(subject=subject, cause=cause, code=code).info(kind)
--- /dev/null
+++ b/libs/peers/src/coltsfootseam/peers/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Generated code and the conversion of messages."""
--- /dev/null
+++ b/libs/peers/src/coltsfootseam/peers/server.py
@@ -0,0 +1,150 @@
+"""The serving side of the calls between entry hosts."""
+
+import abc
+import contextlib
+from collections.abc import AsyncIterator
+from typing import Any
+
+import grpc
+
+from coltsfootseam.observe import HybridClock
+from coltsfootseam.peers.internal import peer_pb2 as pb
+from coltsfootseam.peers.internal import peer_pb2_grpc
+from coltsfootseam.peers.internal.convert import (
+    answer_from_wire,
+    answer_to_wire,
+    stamp_from_wire,
+    stamp_to_wire,
+)
+from coltsfootseam.peers.messages import (
+    Answer,
+    FetchedState,
+    KeyReservation,
+    KeyVerdict,
+    PeerStatus,
+)
+from coltsfootseam.peers.options import SERVER_OPTIONS
+
+_STOP_GRACE_S = 1.0
+
+
+class PeerService(abc.ABC):
+    """What an entry host answers to its peers."""
+
+    __slots__ = ()
+
+    @abc.abstractmethod
+    def fetch(self, from_offset: int) -> FetchedState:
+        """Returns records from an offset on, or a snapshot."""
+
+    @abc.abstractmethod
+    def status(self, host_id: str) -> PeerStatus:
+        """Returns what is in force here."""
+
+    @abc.abstractmethod
+    def reserve_key(self, key: str, request_id: str) -> KeyReservation:
+        """Reserves a key for a request, or tells what is known of it."""
+
+    @abc.abstractmethod
+    def settle_key(
+        self,
+        key: str,
+        request_id: str,
+        verdict: KeyVerdict,
+        answer: Answer | None,
+    ) -> None:
+        """Records how the request of a key ended."""
+
+    @abc.abstractmethod
+    def report_endpoint(
+        self, host_id: str, host_version: int, cause: str
+    ) -> None:
+        """Takes note that an endpoint is leaving or fails."""
+
+
+class _Servicer(peer_pb2_grpc.PeerServicer):  # type: ignore[misc]
+    def __init__(self, service: PeerService, clock: HybridClock) -> None:
+        self._service = service
+        self._clock = clock
+
+    def _stamp(self, request: Any) -> Any:
+        self._clock.merge(stamp_from_wire(request.stamp))
+        return stamp_to_wire(self._clock.tick())
+
+    async def Fetch(self, request: Any, context: Any) -> Any:  # noqa: N802
+        """Answers a fetch."""
+        del context
+        fetched = self._service.fetch(request.from_offset)
+        return pb.FetchReply(
+            stamp=self._stamp(request),
+            next_offset=fetched.next_offset,
+            entries=[
+                pb.Entry(offset=entry.offset, text=entry.text)
+                for entry in fetched.entries
+            ],
+            snapshot=fetched.snapshot,
+            fresh=fetched.fresh,
+        )
+
+    async def Status(self, request: Any, context: Any) -> Any:  # noqa: N802
+        """Answers a question for the status."""
+        del context
+        status = self._service.status(request.host_id)
+        return pb.StatusReply(
+            stamp=self._stamp(request),
+            entry_id=status.entry_id,
+            offset=status.offset,
+            in_progress=status.in_progress,
+        )
+
+    async def ReserveKey(self, request: Any, context: Any) -> Any:  # noqa: N802
+        """Answers a reservation of a key."""
+        del context
+        reservation = self._service.reserve_key(request.key, request.request_id)
+        return pb.ReserveKeyReply(
+            stamp=self._stamp(request),
+            verdict=int(reservation.verdict),
+            answer=answer_to_wire(reservation.answer),
+        )
+
+    async def SettleKey(self, request: Any, context: Any) -> Any:  # noqa: N802
+        """Takes the end of a key's request."""
+        del context
+        self._service.settle_key(
+            request.key,
+            request.request_id,
+            KeyVerdict(request.verdict),
+            answer_from_wire(request),
+        )
+        return pb.SettleKeyReply(stamp=self._stamp(request))
+
+    async def ReportEndpoint(  # noqa: N802
+        self, request: Any, context: Any
+    ) -> Any:
+        """Takes a report of an endpoint."""
+        del context
+        self._service.report_endpoint(
+            request.host_id, request.host_version, request.cause
+        )
+        return pb.EndpointReportReply(stamp=self._stamp(request))
+
+
+@contextlib.asynccontextmanager
+async def serving_peers(
+    address: str, service: PeerService, clock: HybridClock
+) -> AsyncIterator[None]:
+    """Serves peers at ``address`` while the context is open.
+
+    Raises:
+        RuntimeError: If the address cannot be listened on.
+    """
+    server = grpc.aio.server(options=SERVER_OPTIONS)
+    peer_pb2_grpc.add_PeerServicer_to_server(  # type: ignore[no-untyped-call]
+        _Servicer(service, clock), server
+    )
+    server.add_insecure_port(address)
+    await server.start()
+    try:
+        yield
+    finally:
+        await server.stop(_STOP_GRACE_S)
--- /dev/null
+++ b/libs/platform/src/coltsfootseam/platform/hostlist.py
@@ -0,0 +1,78 @@
+"""Adapter to the platform's list of live and leaving hosts."""
+
+import enum
+
+import aiohttp
+import msgspec
+
+from coltsfootseam.results import Refusal, ResultCode
+
+
+class HostState(enum.Enum):
+    """What the platform says of a host, some time ago."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class ListedHost(msgspec.Struct, frozen=True):
+    """One host of the list.
+
+    Attributes:
+        host_id: Name of the host.
+        zone: Its availability zone.
+        rack: Its rack.
+        address: IP and port of its endpoint.
+        slots: Requests that its endpoint runs at once.
+        connections: Connections that its endpoint accepts at once.
+        state: Whether it is live or leaving.
+    """
+
+    host_id: str
+    zone: str
+    rack: str
+    address: str
+    slots: int
+    connections: int
+    state: HostState
+
+
+class HostListClient:
+    """Reads the host list; an unchanged list is not sent again."""
+
+    __slots__ = ("_etag", "_hosts", "_session", "_timeout_s", "_url")
+
+    def __init__(
+        self, session: aiohttp.ClientSession, url: str, timeout_s: float
+    ) -> None:
+        self._session = session
+        self._url = f"{url}/hosts"
+        self._timeout_s = timeout_s
+        self._etag = ""
+        self._hosts: list[ListedHost] = []
+
+    async def read(self) -> list[ListedHost] | Refusal:
+        """Returns the listed hosts, or a refusal if the list is down."""
+        headers = {"If-None-Match": self._etag} if self._etag else {}
+        timeout = aiohttp.ClientTimeout(total=self._timeout_s)
+        try:
+            async with self._session.get(
+                self._url, headers=headers, timeout=timeout
+            ) as response:
+                if response.status == 304:
+                    return self._hosts
+                if response.status != 200:
+                    return _unavailable(f"status {response.status}")
+                payload = await response.read()
+                hosts = msgspec.json.decode(payload, type=list[ListedHost])
+                self._hosts = hosts
+                self._etag = response.headers.get("ETag", "")
+                return hosts
+        except (aiohttp.ClientError, TimeoutError) as error:
+            return _unavailable(repr(error))
+        except msgspec.DecodeError as error:
+            return _unavailable(f"malformed list: {error}")
+
+
+def _unavailable(reason: str) -> Refusal:
+    return Refusal(ResultCode.UNREACHABLE, f"host list: {reason}")
--- /dev/null
+++ b/libs/platform/src/coltsfootseam/platform/log.py
@@ -0,0 +1,119 @@
+"""Adapter to the platform's append-only log."""
+
+import aiohttp
+import msgspec
+
+from coltsfootseam.results import Refusal, ResultCode
+
+_READ_LIMIT = 1000
+_MS_PER_S = 1000
+
+
+class Appended(msgspec.Struct, frozen=True):
+    """The log's answer to an append."""
+
+    offset: int
+
+
+class LogEntry(msgspec.Struct, frozen=True):
+    """One record of the log, not yet decoded."""
+
+    offset: int
+    text: str
+
+
+class LogPage(msgspec.Struct, frozen=True):
+    """Records read from an offset on.
+
+    Attributes:
+        first_offset: Offset of the oldest record that the log still keeps.
+        next_offset: Offset that the next appended record will get.
+        entries: Records from the offset asked for, oldest first. Empty if
+            that offset is older than ``first_offset``.
+    """
+
+    first_offset: int
+    next_offset: int
+    entries: list[LogEntry]
+
+
+class _AppendBody(msgspec.Struct):
+    text: str
+
+
+class LogClient:
+    """Appends to and reads from the platform's log.
+
+    A refusal with ``LOG_UNAVAILABLE`` means that nothing was appended. One
+    with ``OUTCOME_PENDING`` means that the record may have been appended.
+    """
+
+    __slots__ = ("_session", "_timeout_s", "_url")
+
+    def __init__(
+        self, session: aiohttp.ClientSession, url: str, timeout_s: float
+    ) -> None:
+        self._session = session
+        self._url = f"{url}/records"
+        self._timeout_s = timeout_s
+
+    async def append(self, text: str) -> Appended | Refusal:
+        """Appends one record."""
+        body = msgspec.json.encode(_AppendBody(text))
+        timeout = aiohttp.ClientTimeout(total=self._timeout_s)
+        try:
+            async with self._session.post(
+                self._url, data=body, timeout=timeout
+            ) as response:
+                payload = await response.read()
+                return _read_append_answer(response.status, payload)
+        except aiohttp.ClientConnectorError as error:
+            return _unavailable(str(error))
+        except (aiohttp.ClientError, TimeoutError) as error:
+            return _pending(repr(error))
+
+    async def read(self, from_offset: int, wait_s: float) -> LogPage | Refusal:
+        """Reads records, waiting for the first one if there is none yet.
+
+        Args:
+            from_offset: Offset of the first record wanted.
+            wait_s: How long the log may hold the read open.
+        """
+        parameters = {
+            "from": str(from_offset),
+            "limit": str(_READ_LIMIT),
+            "wait_ms": str(round(wait_s * _MS_PER_S)),
+        }
+        timeout = aiohttp.ClientTimeout(total=self._timeout_s + wait_s)
+        try:
+            async with self._session.get(
+                self._url, params=parameters, timeout=timeout
+            ) as response:
+                payload = await response.read()
+                if response.status != 200:
+                    return _unavailable(f"status {response.status}")
+                return msgspec.json.decode(payload, type=LogPage)
+        except (aiohttp.ClientError, TimeoutError) as err:
+            return _unavailable(repr(err))
+        except msgspec.DecodeError as error:
+            return _unavailable(f"malformed page: {error}")
+
+
+def _read_append_answer(status: int, payload: bytes) -> Appended | Refusal:
+    # The platform promises that these two statuses have no effect.
+    if status in (429, 503):
+        return _unavailable(f"status {status}")
+    if status != 200:
+        return _pending(f"status {status}")
+    try:
+        return msgspec.json.decode(payload, type=Appended)
+    except msgspec.DecodeError as error:
+        return _pending(f"malformed answer: {error}")
+
+
+def _unavailable(reason: str) -> Refusal:
+    return Refusal(ResultCode.LOG_UNAVAILABLE, f"log: {reason}")
+
+
+def _pending(reason: str) -> Refusal:
+    return Refusal(ResultCode.OUTCOME_PENDING, f"log: {reason}")
--- /dev/null
+++ b/libs/replication/src/coltsfootseam/replication/__init__.py
@@ -0,0 +1,23 @@
+"""The replica of the folded state on an entry host, and how it is kept."""
+
+from coltsfootseam.replication.catchup import PeerCatchUp
+from coltsfootseam.replication.connectivity import Connectivity
+from coltsfootseam.replication.expiry import MemberExpiry
+from coltsfootseam.replication.follower import FollowTimes, LogFollower
+from coltsfootseam.replication.lease import LeaseKeeper, MemberIdentity
+from coltsfootseam.replication.proposer import Proposer
+from coltsfootseam.replication.replica import Replica
+from coltsfootseam.replication.snapshotter import Snapshotter
+
+__all__ = [
+    "Connectivity",
+    "FollowTimes",
+    "LeaseKeeper",
+    "LogFollower",
+    "MemberExpiry",
+    "MemberIdentity",
+    "PeerCatchUp",
+    "Proposer",
+    "Replica",
+    "Snapshotter",
+]
--- /dev/null
+++ b/libs/replication/src/coltsfootseam/replication/connectivity.py
@@ -0,0 +1,83 @@
+"""What this entry host can reach at present."""
+
+import math
+
+from coltsfootseam.observe import Observer
+from coltsfootseam.state import FleetState
+from coltsfootseam.timers import TimerService
+
+
+class Connectivity:
+    """Keeps when the log and each peer last answered.
+
+    Attributes:
+        log_resumed_s: When the log answered again after it had not.
+    """
+
+    __slots__ = (
+        "_log_ok_s",
+        "_log_reachable",
+        "_observer",
+        "_peer_ok_s_by_address",
+        "_timers",
+        "log_resumed_s",
+    )
+
+    def __init__(self, timers: TimerService, observer: Observer) -> None:
+        self._timers = timers
+        self._observer = observer
+        self._log_ok_s = -math.inf
+        self._log_reachable = False
+        self._peer_ok_s_by_address: dict[str, float] = {}
+        self.log_resumed_s = -math.inf
+
+    def note_log_answered(self) -> None:
+        """Takes note that the log answered a read just now."""
+        self._log_ok_s = self._timers.now_s()
+        if not self._log_reachable:
+            self._log_reachable = True
+            self.log_resumed_s = self._log_ok_s
+            self._observer.change("log.reachable", "log")
+
+    def note_log_failed(self, cause: str) -> None:
+        """Takes note that a read of the log failed."""
+        self._observer.count("log.read_failures")
+        if self._log_reachable:
+            self._log_reachable = False
+            self._observer.change("log.unreachable", "log", cause)
+
+    def note_peer_answered(self, address: str) -> None:
+        """Takes note that a peer answered just now."""
+        self._peer_ok_s_by_address[address] = self._timers.now_s()
+
+    def is_log_reachable(self) -> bool:
+        """Tells whether the last read of the log succeeded."""
+        return self._log_reachable
+
+    def log_silence_s(self) -> float:
+        """Returns the seconds since the log last answered."""
+        return self._timers.now_s() - self._log_ok_s
+
+    def is_isolated(
+        self, state: FleetState, own_id: str, limit_s: float
+    ) -> bool:
+        """Tells whether others may have decided without this entry host.
+
+        Without the log, an entry host goes on only while it reaches more than
+        half of the members, itself included: what a member that reaches a
+        majority has seen decided, it then learns from one of them.
+        """
+        if self.log_silence_s() <= limit_s:
+            return False
+        members = state.members_by_id.values()
+        reached = sum(
+            1
+            for member in members
+            if member.member_id == own_id
+            or self._peer_silence_s(member.peers) <= limit_s
+        )
+        return 2 * reached <= len(members)
+
+    def _peer_silence_s(self, address: str) -> float:
+        ok_s = self._peer_ok_s_by_address.get(address, -math.inf)
+        return self._timers.now_s() - ok_s
--- /dev/null
+++ b/libs/replication/src/coltsfootseam/replication/expiry.py
@@ -0,0 +1,113 @@
+"""Ending the memberships of entry hosts whose lease has lapsed."""
+
+import msgspec
+
+from coltsfootseam.observe import Observer
+from coltsfootseam.replication.connectivity import Connectivity
+from coltsfootseam.replication.proposer import Proposer
+from coltsfootseam.replication.replica import Replica
+from coltsfootseam.state import Member, MemberExpired, rank_members
+from coltsfootseam.timers import TimerService
+
+_RANK_DELAY_S = 1.0
+_MS_PER_S = 1000
+
+
+class _Sighting(msgspec.Struct, frozen=True):
+    epoch: int
+    renewed_offset: int
+    seen_s: float
+
+
+class MemberExpiry:
+    """Watches the renewals of the other entry hosts."""
+
+    __slots__ = (
+        "_connectivity",
+        "_margin_s",
+        "_observer",
+        "_own_id",
+        "_proposer",
+        "_replica",
+        "_sightings_by_member_id",
+        "_timers",
+    )
+
+    def __init__(
+        self,
+        own_id: str,
+        proposer: Proposer,
+        replica: Replica,
+        connectivity: Connectivity,
+        timers: TimerService,
+        observer: Observer,
+        margin_s: float,
+    ) -> None:
+        self._own_id = own_id
+        self._proposer = proposer
+        self._replica = replica
+        self._connectivity = connectivity
+        self._timers = timers
+        self._observer = observer
+        self._margin_s = margin_s
+        self._sightings_by_member_id: dict[str, _Sighting] = {}
+
+    async def tick(self) -> None:
+        """Proposes to end each membership that has lapsed."""
+        self._look()
+        if not self._connectivity.is_log_reachable():
+            return
+        for member in list(self._replica.state.members_by_id.values()):
+            if member.member_id != self._own_id and self._has_lapsed(member):
+                await self._propose_end(member)
+
+    def _look(self) -> None:
+        members_by_id = self._replica.state.members_by_id
+        sightings: dict[str, _Sighting] = {}
+        for member_id, member in members_by_id.items():
+            known = self._sightings_by_member_id.get(member_id)
+            if known is None or not _is_same_renewal(known, member):
+                known = _Sighting(
+                    member.epoch, member.renewed_offset, self._timers.now_s()
+                )
+            sightings[member_id] = known
+        self._sightings_by_member_id = sightings
+
+    def _has_lapsed(self, member: Member) -> bool:
+        sighting = self._sightings_by_member_id[member.member_id]
+        # While the log was out nobody could renew, so time in an outage does
+        # not count.
+        since_s = max(sighting.seen_s, self._connectivity.log_resumed_s)
+        lease_s = member.lease_ms / _MS_PER_S + self._margin_s
+        delay_s = self._rank_for(member) * _RANK_DELAY_S
+        return self._timers.now_s() - since_s > lease_s + delay_s
+
+    def _rank_for(self, member: Member) -> int:
+        # One member proposes at once; the others only if it does not.
+        others = [
+            member_id
+            for member_id in self._replica.state.members_by_id
+            if member_id != member.member_id
+        ]
+        ranked = rank_members(others, f"expiry/{member.member_id}")
+        if self._own_id not in ranked:
+            return len(ranked)
+        return ranked.index(self._own_id)
+
+    async def _propose_end(self, member: Member) -> None:
+        body = MemberExpired(
+            member_id=member.member_id,
+            member_epoch=member.epoch,
+            renewed_offset=member.renewed_offset,
+        )
+        outcome = await self._proposer.propose(body)
+        self._observer.change(
+            "member.expired", member.member_id, outcome.reason, outcome.code
+        )
+
+
+def _is_same_renewal(sighting: _Sighting, member: Member) -> bool:
+    return (
+        sighting.epoch == member.epoch
+        and sighting.renewed_offset == member.renewed_offset
+    )
--- /dev/null
+++ b/libs/replication/src/coltsfootseam/replication/follower.py
@@ -0,0 +1,144 @@
+"""Follows the log and recovers from a snapshot in it."""
+
+import msgspec
+
+from coltsfootseam.observe import Observer
+from coltsfootseam.platform import LogClient, LogPage
+from coltsfootseam.replication.connectivity import Connectivity
+from coltsfootseam.replication.replica import Replica
+from coltsfootseam.results import Refusal
+from coltsfootseam.state import (
+    SnapshotAssembler,
+    SnapshotChunk,
+    WholeSnapshot,
+    decode_record,
+)
+from coltsfootseam.timers import TimerService
+
+_RETRY_S = 0.25
+
+
+class FollowTimes(msgspec.Struct, frozen=True):
+    """How long reads are held open, and the pause between two reads.
+
+    Attributes:
+        wait_s: How long the log may hold a read open.
+        pause_s: Pause after a read that brought records, so that a busy log
+            is read in pages and not record by record.
+    """
+
+    wait_s: float
+    pause_s: float = 0.05
+
+
+class LogFollower:
+    """Reads the log from where the replica stands, for as long as it runs."""
+
+    __slots__ = (
+        "_connectivity",
+        "_log",
+        "_observer",
+        "_replica",
+        "_timers",
+        "_times",
+        "caught_up",
+        "went_back",
+    )
+
+    def __init__(
+        self,
+        log: LogClient,
+        replica: Replica,
+        connectivity: Connectivity,
+        timers: TimerService,
+        observer: Observer,
+        times: FollowTimes,
+    ) -> None:
+        self._log = log
+        self._replica = replica
+        self._connectivity = connectivity
+        self._timers = timers
+        self._observer = observer
+        self._times = times
+        self.caught_up = False
+        self.went_back = False
+
+    async def run(self) -> None:
+        """Follows the log until it is cancelled."""
+        while True:
+            pause_s = await self.step()
+            if pause_s > 0:
+                await self._timers.sleep(pause_s)
+
+    async def step(self) -> float:
+        """Reads once and folds what came; returns the pause in seconds."""
+        wait_s = self._times.wait_s if self.caught_up else 0.0
+        next_offset = self._replica.next_offset()
+        page = await self._log.read(next_offset, wait_s)
+        if isinstance(page, Refusal):
+            self._connectivity.note_log_failed(page.reason)
+            return _RETRY_S
+        self._connectivity.note_log_answered()
+        if self._goes_back(page, next_offset):
+            return _RETRY_S
+        if page.first_offset > self._replica.next_offset():
+            return await self._recover(page)
+        for entry in page.entries:
+            self._replica.apply(entry.offset, entry.text)
+        self.caught_up = self._replica.next_offset() >= page.next_offset
+        return self._times.pause_s if self.caught_up else 0.0
+
+    def _goes_back(self, page: LogPage, read_from: int) -> bool:
+        # A peer may have moved the replica on while the read was under way,
+        # so the page is held against the offset that was asked for.
+        went_back = page.next_offset < read_from
+        if went_back and not self.went_back:
+            self._observer.change(
+                "log.went_back",
+                str(page.next_offset),
+                f"offset {read_from} was expected",
+            )
+        self.went_back = went_back
+        return went_back
+
+    async def _recover(self, page: LogPage) -> float:
+        self._observer.change(
+            "log.gap",
+            str(self._replica.next_offset()),
+            f"log begins at {page.first_offset}",
+        )
+        snapshot = await self._find_newest_snapshot(page.first_offset)
+        if snapshot is None:
+            self._observer.count("log.no_snapshot")
+            return _RETRY_S
+        self._replica.restore(snapshot.data, "snapshot in the log")
+        return 0.0
+
+    async def _find_newest_snapshot(
+        self, first_offset: int
+    ) -> WholeSnapshot | None:
+        assembler = SnapshotAssembler()
+        newest: WholeSnapshot | None = None
+        offset = first_offset
+        while True:
+            page = await self._log.read(offset, 0.0)
+            if isinstance(page, Refusal) or not page.entries:
+                return newest
+            for entry in page.entries:
+                whole = _add_chunk(assembler, entry.text)
+                if whole is not None and _is_newer(whole, newest):
+                    newest = whole
+            offset = page.entries[-1].offset + 1
+
+
+def _add_chunk(assembler: SnapshotAssembler, text: str) -> WholeSnapshot | None:
+    record = decode_record(text)
+    if isinstance(record, Refusal):
+        return None
+    if not isinstance(record.body, SnapshotChunk):
+        return None
+    return assembler.add(record.body)
+
+
+def _is_newer(one: WholeSnapshot, other: WholeSnapshot | None) -> bool:
+    return other is None or one.state_offset > other.state_offset
--- /dev/null
+++ b/libs/replication/src/coltsfootseam/replication/lease.py
@@ -0,0 +1,183 @@
+"""Keeping this entry host's membership lease."""
+
+import math
+import uuid
+
+import msgspec
+
+from coltsfootseam.observe import Observer
+from coltsfootseam.replication.proposer import Proposer
+from coltsfootseam.replication.replica import Replica
+from coltsfootseam.results import ResultCode
+from coltsfootseam.state import MemberLeft, MemberRenewed, Outcome, Record
+from coltsfootseam.timers import TimerService
+
+_RENEWALS_REMEMBERED = 64
+_JOIN_RETRY_S = 0.5
+_MS_PER_S = 1000
+
+
+class MemberIdentity(msgspec.Struct, frozen=True):
+    """Who this entry host is to the others.
+
+    Attributes:
+        member_id: Its name.
+        region: Its region.
+        zone: Its availability zone.
+        callers: Address for callers.
+        admin: Address for operators.
+        peers: Address for other entry hosts.
+        lease_ms: Length of its lease in milliseconds.
+        drift_margin_ms: How much earlier it stops than others expect.
+    """
+
+    member_id: str
+    region: str
+    zone: str
+    callers: str
+    admin: str
+    peers: str
+    lease_ms: int
+    drift_margin_ms: int
+
+
+class LeaseKeeper:
+    """Joins, renews and leaves.
+
+    The holder counts its lease from before it appended the renewal, while the
+    others count from when they read it, so the holder always stops first.
+    """
+
+    __slots__ = (
+        "_held",
+        "_identity",
+        "_incarnation",
+        "_last_sent_s",
+        "_leaving",
+        "_observer",
+        "_proposer",
+        "_renew_s",
+        "_replica",
+        "_sent_s_by_record_id",
+        "_timers",
+        "_until_s",
+    )
+
+    def __init__(
+        self,
+        identity: MemberIdentity,
+        proposer: Proposer,
+        replica: Replica,
+        timers: TimerService,
+        observer: Observer,
+        renew_s: float,
+    ) -> None:
+        self._identity = identity
+        self._renew_s = renew_s
+        self._last_sent_s = -math.inf
+        self._proposer = proposer
+        self._replica = replica
+        self._timers = timers
+        self._observer = observer
+        self._incarnation = uuid.uuid4().hex
+        self._sent_s_by_record_id: dict[str, float] = {}
+        self._until_s = -math.inf
+        self._held = False
+        self._leaving = False
+        replica.listen(self._on_folded)
+
+    def holds_lease(self) -> bool:
+        """Tells whether the lease is in force by this host's own count."""
+        return self._timers.now_s() < self._until_s
+
+    def remaining_s(self) -> float:
+        """Returns the seconds that the lease has left."""
+        return max(0.0, self._until_s - self._timers.now_s())
+
+    def is_member(self) -> bool:
+        """Tells whether this process's membership is folded and in force."""
+        member = self._replica.state.members_by_id.get(self._identity.member_id)
+        return member is not None and member.incarnation == self._incarnation
+
+    async def tick(self) -> None:
+        """Renews when it is time to, and joins as soon as possible."""
+        period_s = self._renew_s if self.is_member() else _JOIN_RETRY_S
+        if self._timers.now_s() - self._last_sent_s >= period_s:
+            await self.renew()
+
+    async def renew(self) -> None:
+        """Appends a renewal, or a request to join."""
+        if self._leaving:
+            return
+        self._last_sent_s = self._timers.now_s()
+        self._choose_epoch()
+        self._note_lapse()
+        body = MemberRenewed(
+            incarnation=self._incarnation,
+            region=self._identity.region,
+            zone=self._identity.zone,
+            callers=self._identity.callers,
+            admin=self._identity.admin,
+            peers=self._identity.peers,
+            lease_ms=self._identity.lease_ms,
+        )
+        record = self._proposer.make_record(body)
+        self._remember_sent(record)
+        await self._proposer.append_once(record)
+
+    async def leave(self) -> None:
+        """Ends the membership after the last request has been answered."""
+        self._leaving = True
+        if not self.is_member():
+            return
+        outcome = await self._proposer.propose(MemberLeft())
+        self._until_s = -math.inf
+        self._observer.change(
+            "lease.left", self._identity.member_id, outcome.reason
+        )
+
+    def _choose_epoch(self) -> None:
+        if self.is_member():
+            return
+        state = self._replica.state
+        member_id = self._identity.member_id
+        least = state.ended_epochs_by_member_id.get(member_id, 0)
+        current = state.members_by_id.get(member_id)
+        if current is not None:
+            least = max(least, current.epoch)
+        self._proposer.epoch = least + 1
+
+    def _note_lapse(self) -> None:
+        if self._held and not self.holds_lease():
+            self._held = False
+            self._observer.change("lease.lapsed", self._identity.member_id)
+
+    def _remember_sent(self, record: Record) -> None:
+        sent = self._sent_s_by_record_id
+        sent[record.record_id] = self._timers.now_s()
+        while len(sent) > _RENEWALS_REMEMBERED:
+            del sent[next(iter(sent))]
+
+    def _on_folded(self, offset: int, record: Record, outcome: Outcome) -> None:
+        del offset
+        sent_s = self._sent_s_by_record_id.pop(record.record_id, None)
+        if sent_s is None:
+            return
+        if outcome.code is not ResultCode.OK:
+            self._until_s = -math.inf
+            self._observer.change(
+                "lease.refused",
+                self._identity.member_id,
+                outcome.reason,
+                outcome.code,
+            )
+            return
+        length_ms = self._identity.lease_ms - self._identity.drift_margin_ms
+        self._until_s = max(self._until_s, sent_s + length_ms / _MS_PER_S)
+        if not self._held and self.holds_lease():
+            self._held = True
+            self._observer.change(
+                "lease.held",
+                self._identity.member_id,
+                f"epoch {record.epoch}",
+            )
--- /dev/null
+++ b/libs/replication/src/coltsfootseam/replication/proposer.py
@@ -0,0 +1,158 @@
+"""Proposing records and waiting until they are read back."""
+
+import asyncio
+import uuid
+
+from coltsfootseam.observe import Observer
+from coltsfootseam.platform import LogClient
+from coltsfootseam.replication.replica import Replica
+from coltsfootseam.results import Refusal, ResultCode
+from coltsfootseam.state import Body, Outcome, Record, encode_record
+from coltsfootseam.timers import TimerService
+
+_RETRY_S = 0.2
+
+
+class Proposer:
+    """Appends records under the lease epoch of this entry host.
+
+    Attributes:
+        epoch: Epoch under which records are appended; the lease keeper sets
+            it.
+    """
+
+    __slots__ = (
+        "_author",
+        "_limit_s",
+        "_log",
+        "_observer",
+        "_replica",
+        "_timers",
+        "epoch",
+    )
+
+    def __init__(
+        self,
+        author: str,
+        log: LogClient,
+        replica: Replica,
+        timers: TimerService,
+        observer: Observer,
+        limit_s: float,
+    ) -> None:
+        self._author = author
+        self._log = log
+        self._replica = replica
+        self._timers = timers
+        self._observer = observer
+        self._limit_s = limit_s
+        self.epoch = 0
+
+    def make_record(self, body: Body, record_id: str = "") -> Record:
+        """Returns a record of this entry host, made now."""
+        return Record(
+            record_id=record_id or uuid.uuid4().hex,
+            author=self._author,
+            epoch=self.epoch,
+            stamp=self._observer.clock.tick(),
+            body=body,
+        )
+
+    async def append_once(self, record: Record) -> Refusal | None:
+        """Appends a record and does not wait until it is read back."""
+        self._observer.count("log.appends")
+        appended = await self._log.append(encode_record(record))
+        return appended if isinstance(appended, Refusal) else None
+
+    async def propose(
+        self, body: Body, record_id: str = ""
+    ) -> Outcome | Refusal:
+        """Proposes a record and waits for its outcome.
+
+        An append whose answer was lost is tried again under the same record
+        id; the fold ignores the second copy.
+
+        Args:
+            body: What is proposed.
+            record_id: Id of the record; a proposal made again under the same
+                id has one outcome.
+
+        Returns:
+            The outcome once the record has been read back. A refusal with
+            ``LOG_UNAVAILABLE`` means that nothing was accepted, one with
+            ``OUTCOME_PENDING`` that the record may yet be accepted.
+        """
+        record = self.make_record(body, record_id)
+        deadline_s = self._timers.now_s() + self._limit_s
+        outcome = self._replica.expect_outcome(record.record_id)
+        appending = asyncio.ensure_future(self._append(record, deadline_s))
+        try:
+            await self._wait_for_either(outcome, appending)
+            if outcome.done():
+                return outcome.result()
+            failure = appending.result()
+            if failure is not None:
+                return failure
+            return await self._wait_for_outcome(outcome, record, deadline_s)
+        finally:
+            appending.cancel()
+            outcome.cancel()
+
+    async def _wait_for_either(
+        self,
+        outcome: "asyncio.Future[Outcome]",
+        appending: "asyncio.Future[Refusal | None]",
+    ) -> None:
+        await asyncio.wait(
+            (outcome, appending), return_when=asyncio.FIRST_COMPLETED
+        )
+
+    async def _append(
+        self, record: Record, deadline_s: float
+    ) -> Refusal | None:
+        may_have_effect = False
+        while True:
+            refusal = await self.append_once(record)
+            if refusal is None:
+                return None
+            self._observer.count("log.append_failures")
+            if refusal.code is ResultCode.OUTCOME_PENDING:
+                may_have_effect = True
+            if self._timers.now_s() >= deadline_s:
+                return _give_up(record, refusal, may_have_effect)
+            await self._timers.sleep(_RETRY_S)
+
+    async def _wait_for_outcome(
+        self,
+        outcome: "asyncio.Future[Outcome]",
+        record: Record,
+        deadline_s: float,
+    ) -> Outcome | Refusal:
+        remaining_s = deadline_s - self._timers.now_s()
+        limit = asyncio.ensure_future(self._timers.sleep(remaining_s))
+        try:
+            await asyncio.wait(
+                (outcome, limit), return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            limit.cancel()
+        if outcome.done():
+            return outcome.result()
+        return _pending(record, "it was not read back in time")
+
+
+def _give_up(
+    record: Record, refusal: Refusal, may_have_effect: bool
+) -> Refusal:
+    if may_have_effect:
+        return _pending(record, refusal.reason)
+    return Refusal(
+        ResultCode.LOG_UNAVAILABLE, f"nothing was accepted: {refusal.reason}"
+    )
+
+
+def _pending(record: Record, cause: str) -> Refusal:
+    return Refusal(
+        ResultCode.OUTCOME_PENDING,
+        f"record {record.record_id} may yet be accepted: {cause}",
+    )
--- /dev/null
+++ b/libs/replication/src/coltsfootseam/replication/replica.py
@@ -0,0 +1,189 @@
+"""The folded state and the newest records, held in memory."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+
+from coltsfootseam.observe import Observer
+from coltsfootseam.peers import FetchedEntry, FetchedState
+from coltsfootseam.results import Refusal
+from coltsfootseam.state import (
+    FleetState,
+    Outcome,
+    Record,
+    SnapshotAssembler,
+    SnapshotChunk,
+    WholeSnapshot,
+    decode_record,
+    decode_state,
+    encode_state,
+    fold_record,
+)
+
+_RECENT_RECORDS = 2000
+_QUIET_KINDS = ("MemberRenewed", "SnapshotChunk")
+
+Listener = Callable[[int, Record, Outcome], None]
+RestoreListener = Callable[[], None]
+
+
+class Replica:
+    """Folds records in order and never goes back.
+
+    Attributes:
+        state: The state in force on this entry host.
+        snapshot_offset: State offset of the newest whole snapshot that has
+            been seen in the log, -1 if none.
+    """
+
+    __slots__ = (
+        "_assembler",
+        "_listeners",
+        "_observer",
+        "_recent",
+        "_restore_listeners",
+        "_waiters_by_record_id",
+        "snapshot_offset",
+        "state",
+    )
+
+    def __init__(self, observer: Observer) -> None:
+        self._observer = observer
+        self.state = FleetState()
+        self.snapshot_offset = -1
+        self._assembler = SnapshotAssembler()
+        self._recent: deque[FetchedEntry] = deque(maxlen=_RECENT_RECORDS)
+        self._listeners: list[Listener] = []
+        self._restore_listeners: list[RestoreListener] = []
+        self._waiters_by_record_id: dict[
+            str, list[asyncio.Future[Outcome]]
+        ] = {}
+
+    def next_offset(self) -> int:
+        """Returns the offset of the next record to fold."""
+        return self.state.offset + 1
+
+    def listen(self, listener: Listener) -> None:
+        """Calls ``listener`` with offset, record and outcome of each fold."""
+        self._listeners.append(listener)
+
+    def listen_to_restores(self, listener: RestoreListener) -> None:
+        """Calls ``listener`` after a snapshot has replaced the state."""
+        self._restore_listeners.append(listener)
+
+    def apply(self, offset: int, text: str) -> bool:
+        """Folds one record.
+
+        Records that are in force already are passed over.
+
+        Returns:
+            False if a record before this one is missing.
+        """
+        if offset < self.next_offset():
+            return True
+        if offset > self.next_offset():
+            return False
+        self._recent.append(FetchedEntry(offset, text))
+        record = decode_record(text)
+        if isinstance(record, Refusal):
+            self._observer.note("record.malformed", str(offset), record.reason)
+            self.state.offset = offset
+            return True
+        self._observer.clock.merge(record.stamp)
+        outcome = fold_record(self.state, offset, record)
+        self._publish(offset, record, outcome)
+        return True
+
+    def restore(self, data: bytes, origin: str) -> bool:
+        """Takes over an encoded state if it is ahead of the one in force.
+
+        Args:
+            data: The encoded state.
+            origin: Where it came from, for the event.
+
+        Returns:
+            Whether it was taken over.
+        """
+        state = decode_state(data)
+        if isinstance(state, Refusal):
+            self._observer.note("snapshot.malformed", origin, state.reason)
+            return False
+        if state.offset <= self.state.offset:
+            return False
+        self.state = state
+        self._recent.clear()
+        self._observer.change(
+            "state.restored", str(state.offset), f"from {origin}"
+        )
+        self._settle_waiters_from_state()
+        for listener in self._restore_listeners:
+            listener()
+        return True
+
+    def fetch(self, from_offset: int, fresh: bool) -> FetchedState:
+        """Returns what a peer that stands at an offset is missing."""
+        if from_offset >= self.next_offset():
+            return FetchedState(self.next_offset(), [], b"", fresh)
+        if self._recent and self._recent[0].offset <= from_offset:
+            entries = [
+                entry for entry in self._recent if entry.offset >= from_offset
+            ]
+            return FetchedState(self.next_offset(), entries, b"", fresh)
+        snapshot = encode_state(self.state)
+        return FetchedState(self.next_offset(), [], snapshot, fresh)
+
+    def expect_outcome(self, record_id: str) -> asyncio.Future[Outcome]:
+        """Returns a future for the outcome of a record."""
+        future = asyncio.get_running_loop().create_future()
+        known = self.state.outcomes_by_record_id.get(record_id)
+        if known is not None:
+            future.set_result(known)
+            return future
+        waiters = self._waiters_by_record_id.setdefault(record_id, [])
+        waiters.append(future)
+        future.add_done_callback(
+            lambda done: self._drop_waiter(record_id, done)
+        )
+        return future
+
+    def _drop_waiter(
+        self, record_id: str, future: asyncio.Future[Outcome]
+    ) -> None:
+        waiters = self._waiters_by_record_id.get(record_id, [])
+        if future in waiters:
+            waiters.remove(future)
+        if not waiters:
+            self._waiters_by_record_id.pop(record_id, None)
+
+    def _publish(self, offset: int, record: Record, outcome: Outcome) -> None:
+        kind = type(record.body).__name__
+        if kind in _QUIET_KINDS:
+            self._observer.count(f"folded.{kind}")
+        else:
+            self._observer.note(
+                f"folded.{kind}",
+                record.record_id,
+                outcome.reason or f"offset {offset}",
+                outcome.code,
+            )
+        if isinstance(record.body, SnapshotChunk):
+            self._collect(record.body)
+        for future in self._waiters_by_record_id.pop(record.record_id, []):
+            if not future.done():
+                future.set_result(outcome)
+        for listener in self._listeners:
+            listener(offset, record, outcome)
+
+    def _collect(self, chunk: SnapshotChunk) -> None:
+        whole: WholeSnapshot | None = self._assembler.add(chunk)
+        if whole is not None:
+            self.snapshot_offset = max(self.snapshot_offset, whole.state_offset)
+
+    def _settle_waiters_from_state(self) -> None:
+        for record_id in list(self._waiters_by_record_id):
+            outcome = self.state.outcomes_by_record_id.get(record_id)
+            if outcome is None:
+                continue
+            for future in self._waiters_by_record_id.pop(record_id):
+                if not future.done():
+                    future.set_result(outcome)
--- /dev/null
+++ b/libs/results/src/coltsfootseam/results/__init__.py
@@ -0,0 +1,18 @@
+"""Numbered result codes and the sentinel value that carries a reason."""
+
+from coltsfootseam.results.codes import (
+    ResultCode,
+    code_for_http_status,
+    http_status_for_code,
+    is_not_run,
+)
+from coltsfootseam.results.refusal import OK, Refusal
+
+__all__ = [
+    "OK",
+    "Refusal",
+    "ResultCode",
+    "code_for_http_status",
+    "http_status_for_code",
+    "is_not_run",
+]
--- /dev/null
+++ b/libs/routing/src/coltsfootseam/routing/__init__.py
@@ -0,0 +1,46 @@
+"""The request path: admission, dispatch, relay and idempotency keys."""
+
+from coltsfootseam.routing.attempts import AttemptRunner
+from coltsfootseam.routing.dispatch import (
+    DispatchContext,
+    Dispatcher,
+    Grant,
+    find_dispatcher,
+    registered_dispatchers,
+)
+from coltsfootseam.routing.endpoints import (
+    Endpoint,
+    EndpointTable,
+    SetAsideCause,
+)
+from coltsfootseam.routing.frontend import Frontend, RoutingSettings
+from coltsfootseam.routing.keys import KeyGuard, KeyStore
+from coltsfootseam.routing.prober import Prober
+from coltsfootseam.routing.relay import Relay, relaying
+from coltsfootseam.routing.request import (
+    DeadlineLimits,
+    RequestHead,
+    parse_request_head,
+)
+
+__all__ = [
+    "AttemptRunner",
+    "DeadlineLimits",
+    "DispatchContext",
+    "Dispatcher",
+    "Endpoint",
+    "EndpointTable",
+    "Frontend",
+    "Grant",
+    "KeyGuard",
+    "KeyStore",
+    "Prober",
+    "Relay",
+    "RequestHead",
+    "RoutingSettings",
+    "SetAsideCause",
+    "find_dispatcher",
+    "parse_request_head",
+    "registered_dispatchers",
+    "relaying",
+]
--- /dev/null
+++ b/libs/routing/src/coltsfootseam/routing/attempts.py
@@ -0,0 +1,178 @@
+"""Running a request: attempts, retries and what they lead to."""
+
+import asyncio
+
+from aiohttp import web
+
+from coltsfootseam.observe import Observer
+from coltsfootseam.results import OK, Refusal, ResultCode
+from coltsfootseam.routing.body import RequestBody
+from coltsfootseam.routing.budget import RetryBudget
+from coltsfootseam.routing.dispatch import Dispatcher, Grant
+from coltsfootseam.routing.prober import Prober
+from coltsfootseam.routing.relay import Attempt, Ending, Relay
+from coltsfootseam.routing.request import RequestHead
+from coltsfootseam.routing.sink import AnswerSink, SinkState
+from coltsfootseam.timers import TimerService
+
+_READY_FOR_S = 2.0
+_ABANDONED_S = 30.0
+
+
+class AttemptRunner:
+    """Runs requests on endpoints, each in a task of its own.
+
+    A request goes on after its caller's deadline, so that its slot stays
+    counted and its answer can be kept under its key.
+    """
+
+    __slots__ = (
+        "_budgets_by_service",
+        "_dispatcher",
+        "_observer",
+        "_prober",
+        "_relay",
+        "_retry_ratio",
+        "_tasks",
+        "_timers",
+    )
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        relay: Relay,
+        prober: Prober,
+        timers: TimerService,
+        observer: Observer,
+        retry_ratio: float,
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._relay = relay
+        self._prober = prober
+        self._timers = timers
+        self._observer = observer
+        self._retry_ratio = retry_ratio
+        self._budgets_by_service: dict[str, RetryBudget] = {}
+        self._tasks: set[asyncio.Task[Refusal]] = set()
+
+    def running(self) -> int:
+        """Returns the requests that run, those given up by callers too."""
+        return len(self._tasks)
+
+    def start(
+        self,
+        head: RequestHead,
+        caller: web.BaseRequest,
+        body: RequestBody,
+        sink: AnswerSink,
+    ) -> "asyncio.Task[Refusal]":
+        """Starts a request; the task's result is ``OK`` or says why not."""
+        task = asyncio.ensure_future(self._run(head, caller, body, sink))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def _run(
+        self,
+        head: RequestHead,
+        caller: web.BaseRequest,
+        body: RequestBody,
+        sink: AnswerSink,
+    ) -> Refusal:
+        budget = self._budget_for(head.service)
+        budget.note_request()
+        may_have_run = False
+        while True:
+            grant = await self._dispatcher.acquire(head)
+            if isinstance(grant, Refusal):
+                return _conclude_refused(grant, may_have_run)
+            if not await self._is_ready(grant):
+                self._dispatcher.release(grant, None)
+                continue
+            attempt = await self._attempt(grant, caller, body, sink)
+            may_have_run |= attempt.ending is Ending.UNKNOWN
+            if not self._may_retry(head, attempt, body, sink, budget):
+                return _conclude(attempt, may_have_run)
+            self._observer.count("requests.retried")
+
+    async def _attempt(
+        self,
+        grant: Grant,
+        caller: web.BaseRequest,
+        body: RequestBody,
+        sink: AnswerSink,
+    ) -> Attempt:
+        began_s = self._timers.now_s()
+        left_s = grant.request.deadline_s - began_s + _ABANDONED_S
+        attempt = Attempt(Ending.UNKNOWN, "cancelled")
+        try:
+            async with asyncio.timeout(left_s):
+                attempt = await self._relay.attempt(grant, caller, body, sink)
+        except TimeoutError:
+            attempt = Attempt(Ending.UNKNOWN, "no answer", failing=True)
+        finally:
+            ran_s = self._timers.now_s() - began_s
+            ran = attempt.ending is not Ending.NOT_RUN
+            self._dispatcher.release(grant, ran_s if ran else None)
+        self._observer.count(f"attempts.{attempt.ending.name}")
+        if attempt.ending is Ending.ANSWERED:
+            grant.endpoint.ready_s = self._timers.now_s()
+        if attempt.ending is Ending.CUT:
+            sink.detach()
+        self._prober.judge(grant.endpoint, attempt)
+        return attempt
+
+    async def _is_ready(self, grant: Grant) -> bool:
+        """Probes an endpoint that has not been heard of for a while.
+
+        It may have begun to leave meanwhile, and the host list lags.
+        """
+        endpoint = grant.endpoint
+        if self._timers.now_s() - endpoint.ready_s <= _READY_FOR_S:
+            return True
+        if await self._relay.probe(grant.address):
+            endpoint.ready_s = self._timers.now_s()
+            return True
+        self._prober.note_not_ready(endpoint)
+        return False
+
+    def _may_retry(
+        self,
+        head: RequestHead,
+        attempt: Attempt,
+        body: RequestBody,
+        sink: AnswerSink,
+        budget: RetryBudget,
+    ) -> bool:
+        if attempt.ending in (Ending.ANSWERED, Ending.CUT):
+            return False
+        if attempt.ending is Ending.UNKNOWN and not head.is_repeatable():
+            return False
+        if sink.state is not SinkState.EMPTY or not body.can_be_sent():
+            return False
+        if self._timers.now_s() >= head.deadline_s:
+            return False
+        return budget.take()
+
+    def _budget_for(self, service: str) -> RetryBudget:
+        budget = self._budgets_by_service.get(service)
+        if budget is None:
+            budget = RetryBudget(self._retry_ratio)
+            self._budgets_by_service[service] = budget
+        return budget
+
+
+def _conclude(attempt: Attempt, may_have_run: bool) -> Refusal:
+    if attempt.ending is Ending.ANSWERED:
+        return OK
+    if attempt.ending is Ending.CUT:
+        return Refusal(ResultCode.ANSWER_CUT, attempt.reason)
+    refusal = Refusal(ResultCode.NOT_RUN_REFUSED, attempt.reason)
+    return _conclude_refused(refusal, may_have_run)
+
+
+def _conclude_refused(refusal: Refusal, may_have_run: bool) -> Refusal:
+    # Only a request none of whose attempts may have run was not run.
+    if may_have_run:
+        return Refusal(ResultCode.OUTCOME_UNKNOWN, refusal.reason)
+    return refusal
--- /dev/null
+++ b/libs/routing/src/coltsfootseam/routing/budget.py
@@ -0,0 +1,24 @@
+"""Retry budgets: retries are a share of requests, not a count for each."""
+
+_MOST_SAVED = 20.0
+
+
+class RetryBudget:
+    """Lets at most a share of requests be retried, plus a small reserve."""
+
+    __slots__ = ("_ratio", "_saved")
+
+    def __init__(self, ratio: float) -> None:
+        self._ratio = ratio
+        self._saved = _MOST_SAVED
+
+    def note_request(self) -> None:
+        """Adds the share that one request earns."""
+        self._saved = min(_MOST_SAVED, self._saved + self._ratio)
+
+    def take(self) -> bool:
+        """Takes one retry; returns False if none is left."""
+        if self._saved < 1:
+            return False
+        self._saved -= 1
+        return True
--- /dev/null
+++ b/libs/routing/src/coltsfootseam/routing/dispatch.py
@@ -0,0 +1,125 @@
+"""Ways of dispatch: how a request gets a slot of an endpoint.
+
+A way of dispatch registers itself by name; the settings choose one.
+"""
+
+import abc
+import random
+from collections.abc import Callable
+from typing import TypeVar
+
+import msgspec
+
+from coltsfootseam.observe import Observer
+from coltsfootseam.peers import PeerClients
+from coltsfootseam.results import Refusal
+from coltsfootseam.routing.endpoints import Endpoint, EndpointTable
+from coltsfootseam.routing.request import RequestHead
+from coltsfootseam.state import FleetState
+from coltsfootseam.timers import TimerService
+
+
+class Grant(msgspec.Struct, frozen=True, eq=False):
+    """The right to run one request on one endpoint.
+
+    Attributes:
+        request: The request that it was made for.
+        endpoint: The endpoint.
+        address: Where the endpoint was when the grant was made.
+        pool: The pool that the host belonged to.
+        host_version: Version of the host's claim.
+    """
+
+    request: RequestHead
+    endpoint: Endpoint
+    address: str
+    pool: str
+    host_version: int
+
+
+class DispatchContext(msgspec.Struct, frozen=True):
+    """What a way of dispatch works with.
+
+    Attributes:
+        own_id: Name of this entry host.
+        state: Returns the folded state in force.
+        endpoints: The endpoints of each service.
+        peers: Calls to other entry hosts.
+        timers: The time.
+        observer: Events and counters.
+        queue_limit: Most requests that wait for one service.
+        rng: Source of random choices.
+    """
+
+    own_id: str
+    state: Callable[[], FleetState]
+    endpoints: EndpointTable
+    peers: PeerClients
+    timers: TimerService
+    observer: Observer
+    queue_limit: int
+    rng: random.Random
+
+
+class Dispatcher(abc.ABC):
+    """Gives requests slots of endpoints."""
+
+    __slots__ = ()
+
+    @abc.abstractmethod
+    async def acquire(self, request: RequestHead) -> Grant | Refusal:
+        """Waits for a slot until the request's deadline.
+
+        Returns:
+            A grant, or a refusal of the ``NOT_RUN`` kind.
+        """
+
+    @abc.abstractmethod
+    def release(self, grant: Grant, ran_s: float | None) -> None:
+        """Gives a slot back.
+
+        Args:
+            grant: What ``acquire`` returned.
+            ran_s: How long the request ran, ``None`` if it did not run.
+        """
+
+    @abc.abstractmethod
+    def refresh(self) -> None:
+        """Looks again at what waits, after endpoints or members changed."""
+
+
+DispatcherFactory = Callable[[DispatchContext], Dispatcher]
+Factory = TypeVar("Factory", bound=DispatcherFactory)
+
+_factories_by_name: dict[str, DispatcherFactory] = {}
+
+
+def dispatcher(name: str) -> Callable[[Factory], Factory]:
+    """Registers a way of dispatch under a name."""
+
+    def register(factory: Factory) -> Factory:
+        assert name not in _factories_by_name, name
+        _factories_by_name[name] = factory
+        return factory
+
+    return register
+
+
+def registered_dispatchers() -> list[str]:
+    """Returns the names of all ways of dispatch."""
+    _load_registered_modules()
+    return sorted(_factories_by_name)
+
+
+def find_dispatcher(name: str) -> DispatcherFactory | None:
+    """Returns the way of dispatch with a name, ``None`` if there is none."""
+    _load_registered_modules()
+    return _factories_by_name.get(name)
+
+
+def _load_registered_modules() -> None:
+    # The modules register themselves when they are imported, and they import
+    # this one.
+    from coltsfootseam.routing.internal import local
+
+    assert local is not None
--- /dev/null
+++ b/libs/routing/src/coltsfootseam/routing/endpoints.py
@@ -0,0 +1,165 @@
+"""The endpoints of each service as this entry host sees them."""
+
+import enum
+
+import msgspec
+
+from coltsfootseam.observe import Observer
+from coltsfootseam.state import FleetState, HostClaim
+
+
+class SetAsideCause(enum.Enum):
+    """Why an endpoint is given no new work for now."""
+
+    LEAVING = "leaving"
+    FAILING = "failing"
+
+
+class Endpoint(msgspec.Struct):
+    """An endpoint of a pool and this entry host's use of it.
+
+    Attributes:
+        host_id: Its host.
+        pool: The pool that the host belongs to.
+        host_version: Version of the host's claim.
+        address: IP and port.
+        slots: Requests that it runs at once, over all entry hosts.
+        connections: Connections that it accepts, over all entry hosts.
+        in_use: Requests of this entry host in progress on it.
+        set_aside: Why it gets no new work for now, if it does not.
+        closes_while_ready: It was seen to close connections though ready.
+        ready_s: When it last answered or was found ready, monotonic seconds.
+    """
+
+    host_id: str
+    pool: str
+    host_version: int
+    address: str
+    slots: int
+    connections: int
+    in_use: int = 0
+    set_aside: SetAsideCause | None = None
+    closes_while_ready: bool = False
+    ready_s: float = 0.0
+
+
+class EndpointTable:
+    """Endpoints by service, rebuilt when the folded state changes."""
+
+    __slots__ = ("_endpoints_by_host_id", "_endpoints_by_service", "_observer")
+
+    def __init__(self, observer: Observer) -> None:
+        self._observer = observer
+        self._endpoints_by_host_id: dict[str, Endpoint] = {}
+        self._endpoints_by_service: dict[str, list[Endpoint]] = {}
+
+    def rebuild(self, state: FleetState) -> None:
+        """Takes over the claims and contracts in force."""
+        by_service: dict[str, list[Endpoint]] = {}
+        for named in state.pools_by_name().values():
+            by_service[named.pool.service] = [
+                self._refresh(claim)
+                for claim in state.claims_of_pool(named.pool.name)
+                if claim.is_available()
+            ]
+        self._endpoints_by_service = by_service
+        self._forget_unclaimed(state)
+
+    def services(self) -> list[str]:
+        """Returns the services that contracts name."""
+        return list(self._endpoints_by_service)
+
+    def endpoints_of(self, service: str) -> list[Endpoint] | None:
+        """Returns endpoints that may take work, ``None`` if unknown service.
+
+        Endpoints that were set aside as failing are left out, unless nothing
+        else is left: a whole pool is never set aside. A leaving endpoint is
+        left out in any case.
+        """
+        endpoints = self._endpoints_by_service.get(service)
+        if endpoints is None:
+            return None
+        usable = [each for each in endpoints if each.set_aside is None]
+        if usable:
+            return usable
+        return [
+            each
+            for each in endpoints
+            if each.set_aside is SetAsideCause.FAILING
+        ]
+
+    def find(self, host_id: str) -> Endpoint | None:
+        """Returns the endpoint on a host, if the host is known."""
+        return self._endpoints_by_host_id.get(host_id)
+
+    def all_set_aside(self) -> list[Endpoint]:
+        """Returns the endpoints that are set aside now."""
+        return [
+            endpoint
+            for endpoint in self._endpoints_by_host_id.values()
+            if endpoint.set_aside is not None
+        ]
+
+    def in_progress_on(self, host_id: str) -> int:
+        """Returns this entry host's requests in progress on a host."""
+        endpoint = self._endpoints_by_host_id.get(host_id)
+        return 0 if endpoint is None else endpoint.in_use
+
+    def set_aside(
+        self, endpoint: Endpoint, cause: SetAsideCause, detail: str
+    ) -> None:
+        """Gives an endpoint no new work until a probe finds it ready."""
+        if endpoint.set_aside is cause:
+            return
+        endpoint.set_aside = cause
+        self._observer.change(
+            "endpoint.set_aside", endpoint.host_id, f"{cause.value}: {detail}"
+        )
+
+    def take_report(self, host_id: str, version: int, cause: str) -> None:
+        """Takes a peer's word that an endpoint is leaving."""
+        endpoint = self._endpoints_by_host_id.get(host_id)
+        if endpoint is None or endpoint.host_version != version:
+            return
+        if endpoint.set_aside is None:
+            endpoint.set_aside = SetAsideCause.LEAVING
+            self._observer.change(
+                "endpoint.set_aside", host_id, f"reported by a peer: {cause}"
+            )
+
+    def take_back(self, endpoint: Endpoint) -> None:
+        """Gives an endpoint new work again."""
+        if endpoint.set_aside is None:
+            return
+        endpoint.set_aside = None
+        self._observer.change("endpoint.taken_back", endpoint.host_id)
+
+    def _refresh(self, claim: HostClaim) -> Endpoint:
+        endpoint = self._endpoints_by_host_id.get(claim.host_id)
+        if endpoint is None:
+            endpoint = Endpoint(
+                host_id=claim.host_id,
+                pool=claim.pool,
+                host_version=claim.version,
+                address=claim.address,
+                slots=claim.slots,
+                connections=claim.connections,
+            )
+            self._endpoints_by_host_id[claim.host_id] = endpoint
+            return endpoint
+        if endpoint.host_version != claim.version:
+            endpoint.set_aside = None
+            endpoint.closes_while_ready = False
+            endpoint.ready_s = 0.0
+        endpoint.pool = claim.pool
+        endpoint.host_version = claim.version
+        endpoint.address = claim.address
+        endpoint.slots = claim.slots
+        endpoint.connections = claim.connections
+        return endpoint
+
+    def _forget_unclaimed(self, state: FleetState) -> None:
+        for host_id in list(self._endpoints_by_host_id):
+            endpoint = self._endpoints_by_host_id[host_id]
+            if host_id not in state.claims_by_host_id and not endpoint.in_use:
+                del self._endpoints_by_host_id[host_id]
--- /dev/null
+++ b/libs/routing/src/coltsfootseam/routing/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Ways of dispatch and the machinery of the relay."""
--- /dev/null
+++ b/libs/routing/src/coltsfootseam/routing/internal/local.py
@@ -0,0 +1,167 @@
+"""Ways of dispatch in which each entry host decides alone."""
+
+import abc
+import asyncio
+
+from coltsfootseam.results import Refusal, ResultCode
+from coltsfootseam.routing.dispatch import (
+    DispatchContext,
+    Dispatcher,
+    Grant,
+    dispatcher,
+)
+from coltsfootseam.routing.endpoints import Endpoint
+from coltsfootseam.routing.internal.queue import Waiter, WaitQueue
+from coltsfootseam.routing.request import RequestHead
+from coltsfootseam.state import rank_members
+
+_CHOICES = 2
+
+
+class LocalDispatcher(Dispatcher, abc.ABC):
+    """Queues requests on this entry host and picks among free endpoints."""
+
+    __slots__ = ("_context", "_queues_by_service")
+
+    def __init__(self, context: DispatchContext) -> None:
+        self._context = context
+        self._queues_by_service: dict[str, WaitQueue] = {}
+
+    @abc.abstractmethod
+    def limit_for(self, endpoint: Endpoint) -> int:
+        """Returns how many requests this host may run on an endpoint."""
+
+    async def acquire(self, request: RequestHead) -> Grant | Refusal:
+        """Waits for a slot until the request's deadline."""
+        refusal = self._refuse_at_once(request)
+        if refusal is not None:
+            return refusal
+        queue = self._queues_by_service.setdefault(request.service, WaitQueue())
+        future: asyncio.Future[Grant | Refusal] = (
+            asyncio.get_running_loop().create_future()
+        )
+        waiter = Waiter(request, future)
+        queue.add(waiter)
+        self._serve(request.service)
+        expiry = self._context.timers.call_after(
+            request.deadline_s - self._context.timers.now_s(),
+            lambda: _expire(waiter),
+        )
+        try:
+            return await future
+        except asyncio.CancelledError:
+            self._give_back_if_granted(future)
+            raise
+        finally:
+            expiry.cancel()
+            queue.remove(waiter)
+
+    def release(self, grant: Grant, ran_s: float | None) -> None:
+        """Gives a slot back and serves the next request."""
+        del ran_s
+        grant.endpoint.in_use -= 1
+        assert grant.endpoint.in_use >= 0, grant
+        self._serve(grant.request.service)
+
+    def refresh(self) -> None:
+        """Serves every queue again."""
+        for service in self._queues_by_service:
+            self._serve(service)
+
+    def _refuse_at_once(self, request: RequestHead) -> Refusal | None:
+        if self._context.endpoints.endpoints_of(request.service) is None:
+            return Refusal(
+                ResultCode.NOT_RUN_UNKNOWN_SERVICE,
+                f"no contract names service {request.service!r}",
+            )
+        queue = self._queues_by_service.get(request.service)
+        if queue is not None and len(queue) >= self._context.queue_limit:
+            return Refusal(
+                ResultCode.NOT_RUN_OVERLOADED,
+                f"{len(queue)} requests wait for {request.service!r}",
+            )
+        return None
+
+    def _serve(self, service: str) -> None:
+        queue = self._queues_by_service.get(service)
+        while queue is not None and len(queue):
+            endpoint = self._pick(service)
+            if endpoint is None:
+                return
+            waiter = queue.take()
+            if waiter is None:
+                return
+            endpoint.in_use += 1
+            waiter.future.set_result(_make_grant(waiter.request, endpoint))
+
+    def _pick(self, service: str) -> Endpoint | None:
+        endpoints = self._context.endpoints.endpoints_of(service) or []
+        free = [
+            each for each in endpoints if each.in_use < self.limit_for(each)
+        ]
+        if not free:
+            return None
+        choices = self._context.rng.sample(free, min(_CHOICES, len(free)))
+        return min(choices, key=lambda each: each.in_use / each.slots)
+
+    def _give_back_if_granted(
+        self, future: "asyncio.Future[Grant | Refusal]"
+    ) -> None:
+        if future.done() and not future.cancelled():
+            result = future.result()
+            if isinstance(result, Grant):
+                self.release(result, None)
+
+
+@dispatcher("alone")
+class AloneDispatcher(LocalDispatcher):
+    """Each entry host uses all slots as if it were the only one."""
+
+    __slots__ = ()
+
+    def limit_for(self, endpoint: Endpoint) -> int:
+        """Returns every slot of the endpoint."""
+        return endpoint.slots
+
+
+@dispatcher("shares")
+class SharesDispatcher(LocalDispatcher):
+    """Each endpoint's slots are divided among the members."""
+
+    __slots__ = ()
+
+    def limit_for(self, endpoint: Endpoint) -> int:
+        """Returns this host's share of the slots.
+
+        Slots that do not divide evenly go to the members that rank first for
+        the endpoint's host, so that every member gets some of them.
+        """
+        members = self._context.state().members_by_id
+        own_id = self._context.own_id
+        if own_id not in members:
+            return 0
+        share, left_over = divmod(endpoint.slots, len(members))
+        if not left_over:
+            return share
+        rank = rank_members(members, endpoint.host_id).index(own_id)
+        return share + 1 if rank < left_over else share
+
+
+def _make_grant(request: RequestHead, endpoint: Endpoint) -> Grant:
+    return Grant(
+        request=request,
+        endpoint=endpoint,
+        address=endpoint.address,
+        pool=endpoint.pool,
+        host_version=endpoint.host_version,
+    )
+
+
+def _expire(waiter: Waiter) -> None:
+    if not waiter.future.done():
+        waiter.future.set_result(
+            Refusal(
+                ResultCode.NOT_RUN_DEADLINE,
+                f"no slot of {waiter.request.service!r} before the deadline",
+            )
+        )
--- /dev/null
+++ b/libs/routing/src/coltsfootseam/routing/prober.py
@@ -0,0 +1,101 @@
+"""Finding out whether an endpoint that looked bad can be used."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from coltsfootseam.peers import PeerClients
+from coltsfootseam.routing.endpoints import (
+    Endpoint,
+    EndpointTable,
+    SetAsideCause,
+)
+from coltsfootseam.routing.relay import Attempt, Relay
+from coltsfootseam.state import FleetState
+
+
+class Prober:
+    """Judges endpoints by attempts and probes, and tells the peers."""
+
+    __slots__ = (
+        "_endpoints",
+        "_own_id",
+        "_peers",
+        "_relay",
+        "_state",
+        "_tasks",
+    )
+
+    def __init__(
+        self,
+        own_id: str,
+        endpoints: EndpointTable,
+        relay: Relay,
+        peers: PeerClients,
+        state: Callable[[], FleetState],
+    ) -> None:
+        self._own_id = own_id
+        self._endpoints = endpoints
+        self._relay = relay
+        self._peers = peers
+        self._state = state
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def judge(self, endpoint: Endpoint, attempt: Attempt) -> None:
+        """Draws the conclusion from an attempt.
+
+        An endpoint that closes its connection may be leaving, or may do so
+        after every answer; only a probe tells.
+        """
+        if attempt.failing:
+            self._endpoints.set_aside(
+                endpoint, SetAsideCause.FAILING, attempt.reason
+            )
+        elif attempt.closes and not endpoint.closes_while_ready:
+            self._endpoints.set_aside(
+                endpoint, SetAsideCause.LEAVING, "closes its connection"
+            )
+            self._start(self._confirm_leaving(endpoint))
+
+    def note_not_ready(self, endpoint: Endpoint) -> None:
+        """Sets aside an endpoint that a probe found not to be ready."""
+        self._endpoints.set_aside(
+            endpoint, SetAsideCause.LEAVING, "is not ready"
+        )
+        self._start(self._tell_peers(endpoint))
+
+    async def tick(self) -> None:
+        """Probes every endpoint that is set aside."""
+        await asyncio.gather(
+            *(self._probe(each) for each in self._endpoints.all_set_aside())
+        )
+
+    async def _probe(self, endpoint: Endpoint) -> None:
+        if await self._relay.probe(endpoint.address):
+            self._endpoints.take_back(endpoint)
+
+    async def _confirm_leaving(self, endpoint: Endpoint) -> None:
+        if await self._relay.probe(endpoint.address):
+            endpoint.closes_while_ready = True
+            self._endpoints.take_back(endpoint)
+            return
+        await self._tell_peers(endpoint)
+
+    async def _tell_peers(self, endpoint: Endpoint) -> None:
+        await asyncio.gather(
+            *(
+                self._peers.report_endpoint(
+                    member.peers,
+                    endpoint.host_id,
+                    endpoint.host_version,
+                    f"seen leaving by {self._own_id}",
+                )
+                for member in list(self._state().members_by_id.values())
+                if member.member_id != self._own_id
+            )
+        )
+
+    def _start(self, coroutine: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/libs/routing/src/coltsfootseam/routing/relay.py
@@ -0,0 +1,200 @@
+"""One attempt to have an endpoint run a request."""
+
+import contextlib
+import enum
+import socket
+from collections.abc import AsyncIterator
+
+import aiohttp
+import msgspec
+from aiohttp import web
+from multidict import CIMultiDict
+from yarl import URL
+
+from coltsfootseam.routing.body import RequestBody
+from coltsfootseam.routing.dispatch import Grant
+from coltsfootseam.routing.headers import pass_through
+from coltsfootseam.routing.request import (
+    HOST_VERSION_HEADER,
+    NOT_RUN_HEADER,
+    POOL_HEADER,
+    REQUEST_ID_HEADER,
+)
+from coltsfootseam.routing.sink import AnswerSink
+
+_CHUNK_BYTES = 64 * 1024
+_REPEATABLE_IDLE_S = 15.0
+_UNREPEATABLE_IDLE_S = 1.0
+_KEEPALIVE_IDLE_S = 5
+_KEEPALIVE_INTERVAL_S = 2
+_KEEPALIVE_PROBES = 3
+_PROBE_PATH = "/readyz"
+_SERVER_ERROR = 500
+
+
+class Ending(enum.Enum):
+    """How an attempt ended.
+
+    ``ANSWERED``: the whole answer went to the sink.
+    ``NOT_RUN``: the endpoint did not run the request.
+    ``UNKNOWN``: it may have run; no part of an answer came.
+    ``CUT``: an answer began and was cut short.
+    """
+
+    ANSWERED = 1
+    NOT_RUN = 2
+    UNKNOWN = 3
+    CUT = 4
+
+
+class Attempt(msgspec.Struct, frozen=True):
+    """The end of an attempt and what it says of the endpoint.
+
+    Attributes:
+        ending: How it ended.
+        reason: Why, for anything but ``ANSWERED``.
+        closes: The endpoint closes its connection after this answer.
+        failing: The endpoint did not connect, broke off or was not ready.
+    """
+
+    ending: Ending
+    reason: str = ""
+    closes: bool = False
+    failing: bool = False
+
+
+class Relay:
+    """Sends requests to endpoints and streams answers back.
+
+    Two pools of connections are kept. Work that may not be repeated uses a
+    pooled connection only shortly after its last use, since one that has been
+    idle may have been closed or lost at the other end.
+    """
+
+    __slots__ = ("_connect_s", "_repeatable", "_unrepeatable")
+
+    def __init__(
+        self,
+        repeatable: aiohttp.ClientSession,
+        unrepeatable: aiohttp.ClientSession,
+        connect_s: float,
+    ) -> None:
+        self._repeatable = repeatable
+        self._unrepeatable = unrepeatable
+        self._connect_s = connect_s
+
+    async def attempt(
+        self,
+        grant: Grant,
+        caller: web.BaseRequest,
+        body: RequestBody,
+        sink: AnswerSink,
+    ) -> Attempt:
+        """Runs one attempt to its end."""
+        session = self._unrepeatable
+        if grant.request.is_repeatable():
+            session = self._repeatable
+        request = session.request(
+            grant.request.method,
+            URL(f"http://{grant.address}{grant.request.target}", encoded=True),
+            headers=_request_headers(grant, caller),
+            data=body.to_send(),
+            allow_redirects=False,
+            timeout=aiohttp.ClientTimeout(sock_connect=self._connect_s),
+        )
+        begun = False
+        try:
+            async with request as response:
+                if response.headers.get(NOT_RUN_HEADER):
+                    return _refused(response)
+                begun = True
+                await _stream(response, sink)
+                return Attempt(Ending.ANSWERED, closes=_closes(response))
+        except (
+            aiohttp.ClientConnectorError,
+            aiohttp.ConnectionTimeoutError,
+        ) as error:
+            return Attempt(Ending.NOT_RUN, repr(error), failing=True)
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            ending = Ending.CUT if begun else Ending.UNKNOWN
+            return Attempt(ending, repr(error), failing=True)
+
+    async def probe(self, address: str) -> bool:
+        """Asks an endpoint on a connection of its own whether it is ready.
+
+        An endpoint without a readiness path counts as ready if it answers.
+        """
+        timeout = aiohttp.ClientTimeout(total=self._connect_s)
+        url = URL(f"http://{address}{_PROBE_PATH}", encoded=True)
+        try:
+            async with self._unrepeatable.get(
+                url, timeout=timeout, allow_redirects=False
+            ) as response:
+                await response.read()
+                return response.status < _SERVER_ERROR
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return False
+
+
+@contextlib.asynccontextmanager
+async def relaying(connect_s: float) -> AsyncIterator[Relay]:
+    """Yields a relay whose connections are closed with the context."""
+    async with (
+        _session(_REPEATABLE_IDLE_S) as repeatable,
+        _session(_UNREPEATABLE_IDLE_S) as unrepeatable,
+    ):
+        yield Relay(repeatable, unrepeatable, connect_s)
+
+
+def _session(idle_s: float) -> aiohttp.ClientSession:
+    connector = aiohttp.TCPConnector(
+        limit=0,
+        keepalive_timeout=idle_s,
+        socket_factory=_open_socket,
+    )
+    return aiohttp.ClientSession(
+        connector=connector,
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        timeout=aiohttp.ClientTimeout(),
+        skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+    )
+
+
+def _open_socket(addr_info: aiohttp.AddrInfoType) -> socket.socket:
+    family, kind, protocol, _, _ = addr_info
+    sock = socket.socket(family=family, type=kind, proto=protocol)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S)
+    sock.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S
+    )
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES)
+    return sock
+
+
+def _request_headers(grant: Grant, caller: web.BaseRequest) -> CIMultiDict[str]:
+    headers = pass_through(caller.headers)
+    headers[REQUEST_ID_HEADER] = grant.request.request_id
+    headers[POOL_HEADER] = grant.pool
+    headers[HOST_VERSION_HEADER] = str(grant.host_version)
+    return headers
+
+
+async def _stream(response: aiohttp.ClientResponse, sink: AnswerSink) -> None:
+    await sink.begin(response.status, pass_through(response.headers))
+    async for chunk in response.content.iter_chunked(_CHUNK_BYTES):
+        await sink.write(chunk)
+    await sink.finish()
+
+
+def _refused(response: aiohttp.ClientResponse) -> Attempt:
+    return Attempt(
+        Ending.NOT_RUN,
+        f"endpoint refused with status {response.status}",
+        closes=_closes(response),
+    )
+
+
+def _closes(response: aiohttp.ClientResponse) -> bool:
+    return response.headers.get("Connection", "").lower() == "close"
--- /dev/null
+++ b/libs/routing/src/coltsfootseam/routing/request.py
@@ -0,0 +1,118 @@
+"""What the request path knows of a caller's request before its body."""
+
+import re
+import uuid
+from collections.abc import Mapping
+
+import msgspec
+
+from coltsfootseam.results import Refusal, ResultCode
+
+SERVICE_PATH = re.compile(r"^/(?P<service>[a-z0-9][a-z0-9-]{0,62})(?:[/?]|$)")
+DEADLINE_HEADER = "X-Deadline-Ms"
+KEY_HEADER = "Idempotency-Key"
+CODE_HEADER = "X-Result-Code"
+REASON_HEADER = "X-Result-Reason"
+REQUEST_ID_HEADER = "X-Request-Id"
+POOL_HEADER = "X-Pool"
+HOST_VERSION_HEADER = "X-Host-Version"
+NOT_RUN_HEADER = "X-Not-Run"
+
+_REPEATABLE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
+_LONGEST_KEY = 200
+_MS_PER_S = 1000
+
+
+class RequestHead(msgspec.Struct, frozen=True):
+    """A request as far as routing is concerned.
+
+    Attributes:
+        request_id: Unique id, begins with the entry host's name.
+        service: Service that the first segment of the path names.
+        method: HTTP method.
+        target: Path and query, passed on unchanged.
+        key: Idempotency key, empty if the caller sent none.
+        arrived_s: When it arrived, monotonic seconds.
+        deadline_s: When its caller stops waiting, monotonic seconds.
+    """
+
+    request_id: str
+    service: str
+    method: str
+    target: str
+    key: str
+    arrived_s: float
+    deadline_s: float
+
+    def is_repeatable(self) -> bool:
+        """Tells whether the request may be sent to endpoints twice."""
+        return self.method in _REPEATABLE_METHODS
+
+    def scoped_key(self) -> str:
+        """Returns the key within its service, empty if there is none."""
+        return f"{self.service}/{self.key}" if self.key else ""
+
+
+class DeadlineLimits(msgspec.Struct, frozen=True):
+    """Deadlines that callers may ask for, in milliseconds."""
+
+    default_ms: int
+    longest_ms: int
+
+
+def parse_request_head(
+    entry_id: str,
+    method: str,
+    target: str,
+    headers: Mapping[str, str],
+    now_s: float,
+    limits: DeadlineLimits,
+) -> RequestHead | Refusal:
+    """Reads service, key and deadline of a request.
+
+    Returns:
+        The head, or a refusal that names the header or path at fault.
+    """
+    match = SERVICE_PATH.match(target)
+    if match is None:
+        return _bad_request(f"path {target!r} does not begin with a service")
+    key = headers.get(KEY_HEADER, "")
+    if len(key) > _LONGEST_KEY:
+        return _bad_request(
+            f"{KEY_HEADER} has {len(key)} characters, at most {_LONGEST_KEY}"
+        )
+    deadline_ms = _parse_deadline_ms(headers, limits)
+    if isinstance(deadline_ms, Refusal):
+        return deadline_ms
+    return RequestHead(
+        request_id=f"{entry_id}/{uuid.uuid4().hex}",
+        service=match["service"],
+        method=method,
+        target=target,
+        key=key,
+        arrived_s=now_s,
+        deadline_s=now_s + deadline_ms / _MS_PER_S,
+    )
+
+
+def _parse_deadline_ms(
+    headers: Mapping[str, str], limits: DeadlineLimits
+) -> int | Refusal:
+    text = headers.get(DEADLINE_HEADER)
+    if text is None:
+        return limits.default_ms
+    if not text.isascii() or not text.isdigit():
+        return _bad_request(
+            f"{DEADLINE_HEADER} {text!r} is not a whole number of milliseconds"
+        )
+    deadline_ms = int(text)
+    if not 1 <= deadline_ms <= limits.longest_ms:
+        return _bad_request(
+            f"{DEADLINE_HEADER} {text!r} is not between 1 and "
+            f"{limits.longest_ms}"
+        )
+    return deadline_ms
+
+
+def _bad_request(reason: str) -> Refusal:
+    return Refusal(ResultCode.NOT_RUN_BAD_REQUEST, reason)
--- /dev/null
+++ b/libs/routing/src/coltsfootseam/routing/sink.py
@@ -0,0 +1,115 @@
+"""Where the answer to one request goes."""
+
+import enum
+
+from aiohttp import web
+from multidict import CIMultiDict
+
+from coltsfootseam.peers import Answer
+from coltsfootseam.routing.headers import to_kept
+
+
+class SinkState(enum.Enum):
+    """How far the answer to the caller has come."""
+
+    EMPTY = 1
+    BEGUN = 2
+    WHOLE = 3
+    DETACHED = 4
+
+
+class AnswerSink:
+    """Passes one answer on to its caller and keeps a copy if it is small.
+
+    A sink belongs to one request from beginning to end, so an answer cannot
+    reach another caller. After ``detach`` nothing reaches the caller any
+    more, while the copy is still completed.
+    """
+
+    __slots__ = (
+        "_caller",
+        "_kept",
+        "_kept_headers",
+        "_kept_limit",
+        "_kept_status",
+        "_response",
+        "caller_gone",
+        "state",
+    )
+
+    def __init__(self, caller: web.BaseRequest, kept_limit: int) -> None:
+        self._caller = caller
+        self._response: web.StreamResponse | None = None
+        self._kept: bytearray | None = bytearray() if kept_limit else None
+        self._kept_limit = kept_limit
+        self._kept_status = 0
+        self._kept_headers: CIMultiDict[str] = CIMultiDict()
+        self.state = SinkState.EMPTY
+        self.caller_gone = False
+
+    async def begin(self, status: int, headers: CIMultiDict[str]) -> None:
+        """Sends status and headers."""
+        self._kept_status = status
+        self._kept_headers = headers
+        if self.state is not SinkState.EMPTY:
+            return
+        self.state = SinkState.BEGUN
+        self._response = web.StreamResponse(status=status, headers=headers)
+        try:
+            await self._response.prepare(self._caller)
+        except (ConnectionError, OSError):
+            self.caller_gone = True
+
+    async def write(self, chunk: bytes) -> None:
+        """Sends a part of the body; waits while the caller reads slowly."""
+        self._keep(chunk)
+        if self.state is not SinkState.BEGUN or self.caller_gone:
+            return
+        assert self._response is not None
+        try:
+            await self._response.write(chunk)
+        except (ConnectionError, OSError):
+            self.caller_gone = True
+
+    async def finish(self) -> None:
+        """Ends the body; the caller now has the whole answer."""
+        if self.state is not SinkState.BEGUN:
+            return
+        self.state = SinkState.WHOLE
+        assert self._response is not None
+        if self.caller_gone:
+            return
+        try:
+            await self._response.write_eof()
+        except (ConnectionError, OSError):
+            self.caller_gone = True
+
+    def detach(self) -> None:
+        """Lets nothing more of the answer reach the caller.
+
+        If a part of it went out, the connection is cut, so that the caller
+        does not take the part for the whole.
+        """
+        if self.state is SinkState.BEGUN and self._caller.transport is not None:
+            self._caller.transport.abort()
+        self.state = SinkState.DETACHED
+
+    def response(self) -> web.StreamResponse | None:
+        """Returns the response that was sent, ``None`` if none began."""
+        return self._response
+
+    def kept_answer(self) -> Answer | None:
+        """Returns the whole answer if it was small enough to keep."""
+        if self._kept is None:
+            return None
+        return Answer(
+            self._kept_status, to_kept(self._kept_headers), bytes(self._kept)
+        )
+
+    def _keep(self, chunk: bytes) -> None:
+        if self._kept is None:
+            return
+        if len(self._kept) + len(chunk) > self._kept_limit:
+            self._kept = None
+            return
+        self._kept += chunk
--- /dev/null
+++ b/libs/settings/src/coltsfootseam/settings/__init__.py
@@ -0,0 +1,20 @@
+"""Settings of a process: one YAML file, validated before the start."""
+
+from coltsfootseam.settings.loading import load_entry_settings, load_yaml_as
+from coltsfootseam.settings.model import (
+    Addresses,
+    EntrySettings,
+    RequestSettings,
+    StatsdSettings,
+    TimerSettings,
+)
+
+__all__ = [
+    "Addresses",
+    "EntrySettings",
+    "RequestSettings",
+    "StatsdSettings",
+    "TimerSettings",
+    "load_entry_settings",
+    "load_yaml_as",
+]
--- /dev/null
+++ b/libs/standins/src/coltsfootseam/standins/endpoint.py
@@ -0,0 +1,200 @@
+"""Stand-in of an endpoint: runs requests in slots and keeps a tally.
+
+A request says in headers how long it runs (``X-Run-Ms``) and how large its
+answer is (``X-Answer-Bytes``). ``X-Operation`` names what it does, so that the
+tally shows whether something ran twice.
+"""
+
+import argparse
+import asyncio
+import hashlib
+import time
+from collections import Counter
+
+import msgspec
+from aiohttp import web
+
+from coltsfootseam.standins.serving import json_response, serve_forever
+
+_MS_PER_S = 1000
+_CHUNK_BYTES = 16 * 1024
+_LEAVING_GRACE_S = 3.0
+
+
+class EndpointFaults(msgspec.Struct):
+    """What is wrong with the endpoint.
+
+    Attributes:
+        leaving: Not ready, closes connections after each answer, still runs
+            what comes.
+        refusing: Refuses every request without running it.
+        failing: Cuts the connection after having run the request.
+        cutting: Cuts the connection in the middle of the answer.
+        hanging: Does not answer until this is over.
+    """
+
+    leaving: bool = False
+    refusing: bool = False
+    failing: bool = False
+    cutting: bool = False
+    hanging: bool = False
+
+
+class EndpointTally(msgspec.Struct):
+    """What the endpoint saw.
+
+    Attributes:
+        name: Its name.
+        runs_by_operation: How often each operation ran.
+        most_at_once: Most requests in progress at once.
+        over_slots: Requests that came while all slots were taken.
+        over_connections: Requests over connections beyond the limit.
+        work_after_leaving: Requests that came later than the grace after it
+            began to leave.
+        version_went_back: Requests under an older host version than seen.
+        two_pools: Requests of a pool that came while another's were in
+            progress.
+        interrupted: Requests whose connection broke before the answer.
+        busy_s: Seconds of work done, over all slots.
+    """
+
+    name: str
+    runs_by_operation: dict[str, int] = {}
+    most_at_once: int = 0
+    over_slots: int = 0
+    over_connections: int = 0
+    work_after_leaving: int = 0
+    version_went_back: int = 0
+    two_pools: int = 0
+    interrupted: int = 0
+    busy_s: float = 0.0
+
+
+class EndpointStandIn:
+    """Runs requests and counts what must never happen."""
+
+    def __init__(self, name: str, slots: int, connections: int) -> None:
+        self.faults = EndpointFaults()
+        self.tally = EndpointTally(name)
+        self._slots = asyncio.Semaphore(slots)
+        self._slot_count = slots
+        self._connection_count = connections
+        self._in_progress_by_pool: Counter[str] = Counter()
+        self._newest_version = 0
+        self._left_s = 0.0
+        self._unhung = asyncio.Event()
+        self._unhung.set()
+
+    async def set_faults(self, request: web.Request) -> web.Response:
+        """Replaces the faults."""
+        was_leaving = self.faults.leaving
+        self.faults = msgspec.json.decode(
+            await request.read(), type=EndpointFaults
+        )
+        if self.faults.leaving and not was_leaving:
+            self._left_s = time.monotonic()
+        if self.faults.hanging:
+            self._unhung.clear()
+        else:
+            self._unhung.set()
+        return json_response(self.faults)
+
+    async def show_tally(self, request: web.Request) -> web.Response:
+        """Answers with the tally."""
+        del request
+        return json_response(self.tally)
+
+    async def answer_ready(self, request: web.Request) -> web.Response:
+        """Tells whether new work should come."""
+        del request
+        await self._unhung.wait()
+        ready = not (self.faults.leaving or self.faults.refusing)
+        return web.Response(status=200 if ready else 503)
+
+    async def run(self, request: web.Request) -> web.StreamResponse:
+        """Runs one request."""
+        if self.faults.refusing:
+            return web.Response(status=503, headers={"X-Not-Run": "1"})
+        pool = request.headers.get("X-Pool", "")
+        self._check_arrival(request, pool)
+        self._in_progress_by_pool[pool] += 1
+        try:
+            body = await request.read()
+            async with self._slots:
+                await self._work(request)
+            await self._unhung.wait()
+            return await self._answer(request, body)
+        except ConnectionError:
+            self.tally.interrupted += 1
+            raise
+        finally:
+            self._in_progress_by_pool[pool] -= 1
+
+    def _check_arrival(self, request: web.Request, pool: str) -> None:
+        in_progress = self._in_progress_by_pool.total()
+        tally = self.tally
+        tally.most_at_once = max(tally.most_at_once, in_progress + 1)
+        tally.over_slots += in_progress >= self._slot_count
+        tally.over_connections += in_progress >= self._connection_count
+        tally.two_pools += self._in_progress_by_pool[pool] != in_progress
+        version = int(request.headers.get("X-Host-Version", "0"))
+        tally.version_went_back += version < self._newest_version
+        self._newest_version = max(self._newest_version, version)
+        if self.faults.leaving:
+            late = time.monotonic() - self._left_s > _LEAVING_GRACE_S
+            tally.work_after_leaving += late
+
+    async def _work(self, request: web.Request) -> None:
+        operation = request.headers.get("X-Operation", "")
+        if operation:
+            runs = self.tally.runs_by_operation
+            runs[operation] = runs.get(operation, 0) + 1
+        run_s = int(request.headers.get("X-Run-Ms", "0")) / _MS_PER_S
+        await asyncio.sleep(run_s)
+        self.tally.busy_s += run_s
+
+    async def _answer(
+        self, request: web.Request, body: bytes
+    ) -> web.StreamResponse:
+        if self.faults.failing:
+            assert request.transport is not None
+            request.transport.abort()
+        size = int(request.headers.get("X-Answer-Bytes", "64"))
+        operation = request.headers.get("X-Operation", "")
+        content = make_answer(operation, body, size)
+        headers = {"Content-Length": str(size)}
+        if self.faults.leaving:
+            headers["Connection"] = "close"
+        response = web.StreamResponse(headers=headers)
+        await response.prepare(request)
+        for start in range(0, size, _CHUNK_BYTES):
+            if self.faults.cutting and start >= size // 2:
+                assert request.transport is not None
+                request.transport.abort()
+            await response.write(content[start : start + _CHUNK_BYTES])
+        await response.write_eof()
+        return response
+
+
+def make_answer(operation: str, body: bytes, size: int) -> bytes:
+    """Returns the one right answer to a request, ``size`` bytes long."""
+    seed = hashlib.sha256(operation.encode() + b"\x00" + body).hexdigest()
+    repeats = size // len(seed) + 1
+    return (seed * repeats)[:size].encode()
+
+
+async def serve_endpoint(arguments: argparse.Namespace) -> None:
+    """Serves an endpoint until it is cancelled."""
+    endpoint = EndpointStandIn(
+        arguments.name, arguments.slots, arguments.connections
+    )
+    app = web.Application(client_max_size=1024 * 1024 * 1024)
+    app.add_routes(
+        [
+            web.get("/readyz", endpoint.answer_ready),
+            web.get("/standin/tally", endpoint.show_tally),
+            web.post("/standin/faults", endpoint.set_faults),
+            web.route("*", "/{path:.*}", endpoint.run),
+        ]
+    )
+    await serve_forever(app, arguments.listen)
--- /dev/null
+++ b/libs/state/src/coltsfootseam/state/__init__.py
@@ -0,0 +1,68 @@
+"""Records of the platform's log and the state they fold into."""
+
+from coltsfootseam.state.bodies import (
+    Body,
+    ContractAmended,
+    ContractPublished,
+    HostClaimed,
+    HostDownSet,
+    HostDrainReserved,
+    HostReleased,
+    MemberExpired,
+    MemberLeft,
+    MemberRenewed,
+    SnapshotChunk,
+)
+from coltsfootseam.state.fold import fold_record
+from coltsfootseam.state.model import (
+    ClaimPhase,
+    ContractVersion,
+    FleetState,
+    HostClaim,
+    Member,
+    Outcome,
+    ServicePool,
+)
+from coltsfootseam.state.records import Record, decode_record, encode_record
+from coltsfootseam.state.rendezvous import rank_members, score
+from coltsfootseam.state.snapshot import (
+    SnapshotAssembler,
+    WholeSnapshot,
+    decode_state,
+    digest_state,
+    encode_state,
+    split_snapshot,
+)
+
+__all__ = [
+    "Body",
+    "ClaimPhase",
+    "ContractAmended",
+    "ContractPublished",
+    "ContractVersion",
+    "FleetState",
+    "HostClaim",
+    "HostClaimed",
+    "HostDownSet",
+    "HostDrainReserved",
+    "HostReleased",
+    "Member",
+    "MemberExpired",
+    "MemberLeft",
+    "MemberRenewed",
+    "Outcome",
+    "Record",
+    "ServicePool",
+    "SnapshotAssembler",
+    "SnapshotChunk",
+    "WholeSnapshot",
+    "decode_record",
+    "decode_state",
+    "digest_state",
+    "encode_record",
+    "encode_state",
+    "fold_record",
+    "rank_members",
+    "score",
+    "split_snapshot",
+]
--- /dev/null
+++ b/libs/state/src/coltsfootseam/state/fold.py
@@ -0,0 +1,69 @@
+"""The fold: every entry host applies it to the same records in the same order.
+
+It reads neither a clock nor anything outside its arguments, so that all entry
+hosts agree without talking to each other.
+"""
+
+from coltsfootseam.results import Refusal, ResultCode
+from coltsfootseam.state.bodies import MemberRenewed, SnapshotChunk
+from coltsfootseam.state.internal import contracts, hosts, members
+from coltsfootseam.state.internal.registry import handlers_by_kind
+from coltsfootseam.state.model import FleetState, Outcome
+from coltsfootseam.state.records import Record
+
+# Importing a module of handlers registers what it holds.
+HANDLER_MODULES = (contracts, hosts, members)
+
+_OUTCOMES_KEPT = 4096
+
+
+def fold_record(state: FleetState, offset: int, record: Record) -> Outcome:
+    """Applies one record to the state.
+
+    Args:
+        state: Changed in place.
+        offset: Offset of the record, above ``state.offset``.
+        record: The record.
+
+    Returns:
+        The outcome; for a second copy of a command, that of the first copy.
+    """
+    assert offset > state.offset, (offset, state.offset)
+    state.offset = offset
+    if isinstance(record.body, SnapshotChunk):
+        return Outcome(ResultCode.OK, "", offset)
+    if isinstance(record.body, MemberRenewed):
+        return _decide(state, offset, record)
+    earlier = state.outcomes_by_record_id.get(record.record_id)
+    if earlier is not None:
+        return earlier
+    outcome = _decide(state, offset, record)
+    _remember(state, record.record_id, outcome)
+    return outcome
+
+
+def _decide(state: FleetState, offset: int, record: Record) -> Outcome:
+    refusal = _refuse_stale_epoch(state, record)
+    if refusal is None:
+        handler = handlers_by_kind[type(record.body)]
+        refusal = handler(state, offset, record, record.body)
+    return Outcome(refusal.code, refusal.reason, offset)
+
+
+def _refuse_stale_epoch(state: FleetState, record: Record) -> Refusal | None:
+    if isinstance(record.body, MemberRenewed):
+        return None
+    member = state.members_by_id.get(record.author)
+    if member is not None and member.epoch == record.epoch:
+        return None
+    return Refusal(
+        ResultCode.STALE_EPOCH,
+        f"{record.author!r} does not hold a lease with epoch {record.epoch}",
+    )
+
+
+def _remember(state: FleetState, record_id: str, outcome: Outcome) -> None:
+    outcomes = state.outcomes_by_record_id
+    outcomes[record_id] = outcome
+    while len(outcomes) > _OUTCOMES_KEPT:
+        del outcomes[next(iter(outcomes))]
--- /dev/null
+++ b/libs/state/src/coltsfootseam/state/internal/members.py
@@ -0,0 +1,92 @@
+"""Folding of the membership of entry hosts.
+
+A lease has an epoch. Once an epoch has ended, no record made under it is
+accepted, so a process that was paused past its lease is fenced off.
+"""
+
+from coltsfootseam.results import OK, Refusal, ResultCode
+from coltsfootseam.state.bodies import (
+    MemberExpired,
+    MemberLeft,
+    MemberRenewed,
+)
+from coltsfootseam.state.internal.registry import folds
+from coltsfootseam.state.model import FleetState, Member
+from coltsfootseam.state.records import Record
+
+
+@folds(MemberRenewed)
+def fold_member_renewed(
+    state: FleetState, offset: int, record: Record, body: MemberRenewed
+) -> Refusal:
+    """Starts a membership with a new epoch or renews the one in force."""
+    member_id = record.author
+    ended = state.ended_epochs_by_member_id.get(member_id, 0)
+    current = state.members_by_id.get(member_id)
+    if record.epoch <= ended:
+        return _stale(record, ended + 1)
+    if current is not None and record.epoch < current.epoch:
+        return _stale(record, current.epoch)
+    if current is not None and record.epoch == current.epoch:
+        if current.incarnation != body.incarnation:
+            return _stale(record, current.epoch + 1)
+        current.renewed_offset = offset
+        return OK
+    state.members_by_id[member_id] = Member(
+        member_id=member_id,
+        epoch=record.epoch,
+        incarnation=body.incarnation,
+        region=body.region,
+        zone=body.zone,
+        callers=body.callers,
+        admin=body.admin,
+        peers=body.peers,
+        lease_ms=body.lease_ms,
+        renewed_offset=offset,
+    )
+    return OK
+
+
+@folds(MemberLeft)
+def fold_member_left(
+    state: FleetState, offset: int, record: Record, body: MemberLeft
+) -> Refusal:
+    """Ends the membership of an entry host that stops as planned."""
+    del offset, body
+    _end_membership(state, record.author)
+    return OK
+
+
+@folds(MemberExpired)
+def fold_member_expired(
+    state: FleetState, offset: int, record: Record, body: MemberExpired
+) -> Refusal:
+    """Ends a membership unless it was renewed since the author last read."""
+    del offset, record
+    member = state.members_by_id.get(body.member_id)
+    if member is None or member.epoch != body.member_epoch:
+        return Refusal(
+            ResultCode.STALE_EPOCH,
+            f"{body.member_id!r} has no lease with epoch {body.member_epoch}",
+        )
+    if member.renewed_offset != body.renewed_offset:
+        return Refusal(
+            ResultCode.MEMBER_RENEWED,
+            f"{body.member_id!r} renewed its lease at offset "
+            f"{member.renewed_offset}",
+        )
+    _end_membership(state, body.member_id)
+    return OK
+
+
+def _end_membership(state: FleetState, member_id: str) -> None:
+    member = state.members_by_id.pop(member_id)
+    state.ended_epochs_by_member_id[member_id] = member.epoch
+
+
+def _stale(record: Record, least_epoch: int) -> Refusal:
+    return Refusal(
+        ResultCode.STALE_EPOCH,
+        f"{record.author!r} needs an epoch of at least {least_epoch}, "
+        f"not {record.epoch}",
+    )
--- /dev/null
+++ b/libs/timers/src/coltsfootseam/timers/__init__.py
@@ -0,0 +1,17 @@
+"""A timer service that the parts of a process subscribe to."""
+
+from coltsfootseam.timers.loop import LoopTimers
+from coltsfootseam.timers.service import (
+    Callback,
+    Subscription,
+    TimerService,
+)
+from coltsfootseam.timers.virtual import VirtualTimers
+
+__all__ = [
+    "Callback",
+    "LoopTimers",
+    "Subscription",
+    "TimerService",
+    "VirtualTimers",
+]
--- /dev/null
+++ b/libs/timers/src/coltsfootseam/timers/loop.py
@@ -0,0 +1,38 @@
+"""Timers on the running event loop."""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+from coltsfootseam.timers.service import Cancellable, TimerService
+
+
+class _LoopHandle(Cancellable):
+    __slots__ = ("_handle",)
+
+    def __init__(self, handle: asyncio.TimerHandle) -> None:
+        self._handle = handle
+
+    def cancel(self) -> None:
+        self._handle.cancel()
+
+
+class LoopTimers(TimerService):
+    """Real time, kept by the event loop of the process."""
+
+    __slots__ = ()
+
+    def now_s(self) -> float:
+        """Returns monotonic time in seconds."""
+        return time.monotonic()
+
+    def wall_ms(self) -> int:
+        """Returns wall-clock time in milliseconds since the epoch."""
+        return time.time_ns() // 1_000_000
+
+    def schedule(
+        self, delay_s: float, callback: Callable[[], None]
+    ) -> Cancellable:
+        """Calls ``callback`` once after ``delay_s`` seconds."""
+        loop = asyncio.get_running_loop()
+        return _LoopHandle(loop.call_later(delay_s, callback))
--- /dev/null
+++ b/libs/timers/src/coltsfootseam/timers/virtual.py
@@ -0,0 +1,66 @@
+"""Timers whose time moves only when a test says so."""
+
+import asyncio
+import heapq
+import itertools
+from collections.abc import Callable
+
+from coltsfootseam.timers.service import Cancellable, TimerService
+
+_LOOP_TURNS_PER_STEP = 10
+
+
+class _VirtualHandle(Cancellable):
+    __slots__ = ("callback", "cancelled")
+
+    def __init__(self, callback: Callable[[], None]) -> None:
+        self.callback = callback
+        self.cancelled = False
+
+    def cancel(self) -> None:
+        self.cancelled = True
+
+
+class VirtualTimers(TimerService):
+    """Virtual time for decision logic, the same on every run."""
+
+    __slots__ = ("_due", "_now_s", "_sequence", "_wall_ms_at_start")
+
+    def __init__(self, wall_ms: int = 1_000_000) -> None:
+        self._now_s = 0.0
+        self._wall_ms_at_start = wall_ms
+        self._sequence = itertools.count()
+        self._due: list[tuple[float, int, _VirtualHandle]] = []
+
+    def now_s(self) -> float:
+        """Returns virtual monotonic time in seconds."""
+        return self._now_s
+
+    def wall_ms(self) -> int:
+        """Returns virtual wall-clock time in milliseconds."""
+        return self._wall_ms_at_start + round(self._now_s * 1000)
+
+    def schedule(
+        self, delay_s: float, callback: Callable[[], None]
+    ) -> Cancellable:
+        """Calls ``callback`` once after ``delay_s`` virtual seconds."""
+        handle = _VirtualHandle(callback)
+        due_s = self._now_s + max(0.0, delay_s)
+        heapq.heappush(self._due, (due_s, next(self._sequence), handle))
+        return handle
+
+    async def advance(self, duration_s: float) -> None:
+        """Moves time forward and runs everything that falls due."""
+        end_s = self._now_s + duration_s
+        await self._let_tasks_run()
+        while self._due and self._due[0][0] <= end_s:
+            due_s, _, handle = heapq.heappop(self._due)
+            self._now_s = max(self._now_s, due_s)
+            if not handle.cancelled:
+                handle.callback()
+                await self._let_tasks_run()
+        self._now_s = end_s
+
+    async def _let_tasks_run(self) -> None:
+        for _ in range(_LOOP_TURNS_PER_STEP):
+            await asyncio.sleep(0)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of coltsfootseam."""
--- /dev/null
+++ b/tests/common/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers that the tests share."""
--- /dev/null
+++ b/tests/cover/__init__.py
@@ -0,0 +1,1 @@
+"""Quick tests of decision logic, without processes."""
--- /dev/null
+++ b/tests/nocover/__init__.py
@@ -0,0 +1,1 @@
+"""Slow tests with real processes."""
