--- a/libs/testbed/src/coltsfootseam/testbed/load.py
+++ b/libs/testbed/src/coltsfootseam/testbed/load.py
@@ -96,23 +96,24 @@
 class Callers:
     """Sends requests through a balancer that follows readiness late."""
 
-    def __init__(
-        self, cluster: Cluster, session: aiohttp.ClientSession
-    ) -> None:
+    def __init__(self, cluster: Cluster) -> None:
         self._cluster = cluster
-        self._session = session
+        self._session: aiohttp.ClientSession
         self._ready: list[str] = list(cluster.entries_by_id)
         self._turn = 0
         self._began_s = time.monotonic()
 
     async def run(self, requests: Iterable[LoadRequest]) -> list[CallerResult]:
         """Sends requests at their times and returns all results."""
-        self._began_s = time.monotonic()
         balancing = asyncio.ensure_future(self._follow_readiness())
+        connector = aiohttp.TCPConnector(limit=0)
         try:
-            groups = await asyncio.gather(
-                *(self._send_at_its_time(each) for each in requests)
-            )
+            async with aiohttp.ClientSession(connector=connector) as session:
+                self._session = session
+                self._began_s = time.monotonic()
+                groups = await asyncio.gather(
+                    *(self._send_at_its_time(each) for each in requests)
+                )
         finally:
             balancing.cancel()
         return [result for group in groups for result in group]
--- /dev/null
+++ b/libs/testbed/src/coltsfootseam/testbed/replay.py
@@ -0,0 +1,105 @@
+"""Reads the whole log afterwards and checks what was decided in it.
+
+The fold tells which records were accepted. Ownership and budgets are counted
+here once more, in another way than the fold does.
+"""
+
+import msgspec
+
+from coltsfootseam.platform import LogPage
+from coltsfootseam.results import Refusal, ResultCode
+from coltsfootseam.state import (
+    FleetState,
+    HostClaimed,
+    HostDownSet,
+    HostDrainReserved,
+    HostReleased,
+    Record,
+    decode_record,
+    fold_record,
+)
+from coltsfootseam.testbed.cluster import Cluster
+
+
+class ReplayFindings(msgspec.Struct):
+    """What a replay of the log found.
+
+    Attributes:
+        records: Records read.
+        host_in_two_pools: Claims accepted for a host that had an owner.
+        budget_breaches: Drains accepted beyond a pool's budget.
+        moves: Hosts that were claimed after having been released.
+    """
+
+    records: int = 0
+    host_in_two_pools: int = 0
+    budget_breaches: int = 0
+    moves: int = 0
+
+
+class LogReplay:
+    """Folds records and keeps books of its own."""
+
+    __slots__ = ("_away", "_owner_by_host_id", "_released", "findings", "state")
+
+    def __init__(self) -> None:
+        self.state = FleetState()
+        self.findings = ReplayFindings()
+        self._owner_by_host_id: dict[str, str] = {}
+        self._away: set[str] = set()
+        self._released: set[str] = set()
+
+    def add(self, offset: int, record: Record) -> None:
+        """Takes the next record of the log."""
+        copies = record.record_id in self.state.outcomes_by_record_id
+        outcome = fold_record(self.state, offset, record)
+        self.findings.records += 1
+        if outcome.code is ResultCode.OK and not copies:
+            self._keep_books(record)
+
+    def _keep_books(self, record: Record) -> None:
+        body = record.body
+        if isinstance(body, HostClaimed):
+            owned = body.host_id in self._owner_by_host_id
+            self.findings.host_in_two_pools += owned
+            self.findings.moves += body.host_id in self._released
+            self._owner_by_host_id[body.host_id] = body.pool
+        elif isinstance(body, HostReleased):
+            del self._owner_by_host_id[body.host_id]
+            self._away.discard(body.host_id)
+            self._released.add(body.host_id)
+        elif isinstance(body, HostDownSet) and body.down:
+            self._away.add(body.host_id)
+        elif isinstance(body, HostDownSet):
+            self._away.discard(body.host_id)
+        elif isinstance(body, HostDrainReserved):
+            self._check_drain(body.host_id)
+
+    def _check_drain(self, host_id: str) -> None:
+        was_away = host_id in self._away
+        self._away.add(host_id)
+        pool = self._owner_by_host_id[host_id]
+        away = [
+            each
+            for each in self._away
+            if self._owner_by_host_id.get(each) == pool
+        ]
+        named = self.state.pools_by_name().get(pool)
+        if named is not None and not was_away:
+            self.findings.budget_breaches += len(away) > named.pool.max_down
+
+
+async def replay_log(cluster: Cluster) -> LogReplay:
+    """Replays everything that the log of a cluster holds."""
+    replay = LogReplay()
+    next_offset = 0
+    while True:
+        path = f"/records?from={next_offset}&limit=1000&wait_ms=0"
+        page = await cluster.control.get(cluster.log_address(), path, LogPage)
+        if not page.entries:
+            return replay
+        for entry in page.entries:
+            record = decode_record(entry.text)
+            if not isinstance(record, Refusal):
+                replay.add(entry.offset, record)
+            next_offset = entry.offset + 1
