Test the fold, leases, proposals, keys, dispatch and the planner

Cause: the thin path had tests of the fold and of contracts only. Change: cover tests in virtual time with a fake log and fake peers; the log and the host list are used through protocols, so that fakes fit. Conclusion: decision logic is held; real processes under faults are next.

--- a/libs/fleet/src/coltsfootseam/fleet/planner.py
+++ b/libs/fleet/src/coltsfootseam/fleet/planner.py
@@ -8,7 +8,7 @@
 from coltsfootseam.fleet.ownership import PlanInput, plan_ownership
 from coltsfootseam.observe import Observer
 from coltsfootseam.peers import PeerClients
-from coltsfootseam.platform import HostListClient
+from coltsfootseam.platform import HostList
 from coltsfootseam.replication import LeaseKeeper, Proposer, Replica
 from coltsfootseam.results import Refusal, ResultCode
 from coltsfootseam.state import Body, ClaimPhase, HostClaim, rank_members
@@ -31,7 +31,7 @@
     """
 
     own_id: str
-    host_list: HostListClient
+    host_list: HostList
     replica: Replica
     lease: LeaseKeeper
     proposer: Proposer
--- a/libs/platform/src/coltsfootseam/platform/__init__.py
+++ b/libs/platform/src/coltsfootseam/platform/__init__.py
@@ -4,12 +4,14 @@
 """
 
 from coltsfootseam.platform.hostlist import (
+    HostList,
     HostListClient,
     HostState,
     ListedHost,
 )
 from coltsfootseam.platform.log import (
     Appended,
+    Log,
     LogClient,
     LogEntry,
     LogPage,
@@ -17,9 +19,11 @@
 
 __all__ = [
     "Appended",
+    "HostList",
     "HostListClient",
     "HostState",
     "ListedHost",
+    "Log",
     "LogClient",
     "LogEntry",
     "LogPage",
--- a/libs/platform/src/coltsfootseam/platform/hostlist.py
+++ b/libs/platform/src/coltsfootseam/platform/hostlist.py
@@ -1,6 +1,7 @@
 """Adapter to the platform's list of live and leaving hosts."""
 
 import enum
+from typing import Protocol
 
 import aiohttp
 import msgspec
@@ -37,6 +38,13 @@
     state: HostState
 
 
+class HostList(Protocol):
+    """The narrow interface through which the host list is used."""
+
+    async def read(self) -> list[ListedHost] | Refusal:
+        """Returns the listed hosts, or a refusal if the list is down."""
+
+
 class HostListClient:
     """Reads the host list; an unchanged list is not sent again."""
 
--- a/libs/platform/src/coltsfootseam/platform/log.py
+++ b/libs/platform/src/coltsfootseam/platform/log.py
@@ -1,5 +1,7 @@
 """Adapter to the platform's append-only log."""
 
+from typing import Protocol
+
 import aiohttp
 import msgspec
 
@@ -41,6 +43,16 @@
     text: str
 
 
+class Log(Protocol):
+    """The narrow interface through which the log is used."""
+
+    async def append(self, text: str) -> Appended | Refusal:
+        """Appends one record."""
+
+    async def read(self, from_offset: int, wait_s: float) -> LogPage | Refusal:
+        """Reads records from an offset on."""
+
+
 class LogClient:
     """Appends to and reads from the platform's log.
 
--- a/libs/replication/src/coltsfootseam/replication/follower.py
+++ b/libs/replication/src/coltsfootseam/replication/follower.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from coltsfootseam.observe import Observer
-from coltsfootseam.platform import LogClient, LogPage
+from coltsfootseam.platform import Log, LogPage
 from coltsfootseam.replication.connectivity import Connectivity
 from coltsfootseam.replication.replica import Replica
 from coltsfootseam.results import Refusal
@@ -47,7 +47,7 @@
 
     def __init__(
         self,
-        log: LogClient,
+        log: Log,
         replica: Replica,
         connectivity: Connectivity,
         timers: TimerService,
--- a/libs/replication/src/coltsfootseam/replication/proposer.py
+++ b/libs/replication/src/coltsfootseam/replication/proposer.py
@@ -4,7 +4,7 @@
 import uuid
 
 from coltsfootseam.observe import Observer
-from coltsfootseam.platform import LogClient
+from coltsfootseam.platform import Log
 from coltsfootseam.replication.replica import Replica
 from coltsfootseam.results import Refusal, ResultCode
 from coltsfootseam.state import Body, Outcome, Record, encode_record
@@ -34,7 +34,7 @@
     def __init__(
         self,
         author: str,
-        log: LogClient,
+        log: Log,
         replica: Replica,
         timers: TimerService,
         observer: Observer,
--- a/libs/routing/src/coltsfootseam/routing/keys.py
+++ b/libs/routing/src/coltsfootseam/routing/keys.py
@@ -165,10 +165,11 @@
         self, request: RequestHead, verdict: KeyVerdict, answer: Answer | None
     ) -> None:
         """Tells the holders how the request ended."""
-        for member in self._holders(request.scoped_key()):
+        for member in self.holders(request.scoped_key()):
             await self._settle_at(member, request, verdict, answer)
 
-    def _holders(self, key: str) -> list[Member]:
+    def holders(self, key: str) -> list[Member]:
+        """Returns the members that hold a key, in order of reservation."""
         members_by_id = self._state().members_by_id
         ranked = rank_members(members_by_id, f"key/{key}")
         return [members_by_id[member_id] for member_id in ranked[:HOLDERS]]
@@ -176,7 +177,7 @@
     async def _try_reserve(
         self, request: RequestHead
     ) -> KeyReservation | Refusal:
-        holders = self._holders(request.scoped_key())
+        holders = self.holders(request.scoped_key())
         if not holders:
             return Refusal(
                 ResultCode.NOT_RUN_KEY_UNGUARDED, "no entry host is a member"
--- /dev/null
+++ b/tests/common/fakes.py
@@ -0,0 +1,92 @@
+"""Small fakes of the platform, in virtual time."""
+
+import random
+
+from coltsfootseam.observe import Observer
+from coltsfootseam.platform import Appended, LogEntry, LogPage
+from coltsfootseam.replication import Connectivity, Proposer, Replica
+from coltsfootseam.results import Refusal, ResultCode
+from coltsfootseam.timers import VirtualTimers
+
+
+class FakeLog:
+    """A log in memory whose answers can be lost.
+
+    Attributes:
+        entries: What it keeps.
+        first_offset: Offset of the oldest kept record.
+        down: Whether it refuses everything, with no effect.
+        lose_answers: How many of the next appends take effect and are
+            answered as if they had not been.
+        appends: How many appends took effect.
+    """
+
+    def __init__(self) -> None:
+        self.entries: list[LogEntry] = []
+        self.first_offset = 0
+        self.down = False
+        self.lose_answers = 0
+        self.appends = 0
+
+    async def append(self, text: str) -> Appended | Refusal:
+        """Appends one record."""
+        if self.down:
+            return Refusal(ResultCode.LOG_UNAVAILABLE, "down")
+        offset = self.next_offset()
+        self.entries.append(LogEntry(offset, text))
+        self.appends += 1
+        if self.lose_answers:
+            self.lose_answers -= 1
+            return Refusal(ResultCode.OUTCOME_PENDING, "answer lost")
+        return Appended(offset)
+
+    async def read(self, from_offset: int, wait_s: float) -> LogPage | Refusal:
+        """Reads what there is; never waits."""
+        del wait_s
+        if self.down:
+            return Refusal(ResultCode.LOG_UNAVAILABLE, "down")
+        entries: list[LogEntry] = []
+        if from_offset >= self.first_offset:
+            entries = [
+                entry for entry in self.entries if entry.offset >= from_offset
+            ]
+        return LogPage(self.first_offset, self.next_offset(), entries)
+
+    def next_offset(self) -> int:
+        """Returns the offset that the next record gets."""
+        return self.entries[-1].offset + 1 if self.entries else 0
+
+    def expire_before(self, offset: int) -> None:
+        """Forgets records as retention does."""
+        self.first_offset = offset
+        self.entries = [each for each in self.entries if each.offset >= offset]
+
+
+class FakeEntry:
+    """The replication parts of one entry host, without a network."""
+
+    def __init__(
+        self, entry_id: str, log: FakeLog, timers: VirtualTimers
+    ) -> None:
+        self.entry_id = entry_id
+        self.log = log
+        self.timers = timers
+        self.observer = Observer(timers, entry_id, "zone-a")
+        self.replica = Replica(self.observer)
+        self.connectivity = Connectivity(timers, self.observer)
+        self.proposer = Proposer(
+            entry_id, log, self.replica, timers, self.observer, limit_s=8.0
+        )
+
+    async def read_log(self) -> None:
+        """Folds everything that the log holds."""
+        page = await self.log.read(self.replica.next_offset(), 0.0)
+        assert isinstance(page, LogPage)
+        self.connectivity.note_log_answered()
+        for entry in page.entries:
+            self.replica.apply(entry.offset, entry.text)
+
+
+def make_rng() -> random.Random:
+    """Returns a source of random choices with a fixed seed."""
+    return random.Random(20261204)
--- /dev/null
+++ b/tests/cover/test_membership.py
@@ -0,0 +1,158 @@
+"""Membership leases: a paused holder stops first and is fenced."""
+
+from coltsfootseam.replication import (
+    LeaseKeeper,
+    MemberExpiry,
+    MemberIdentity,
+)
+from coltsfootseam.timers import VirtualTimers
+from tests.common.fakes import FakeEntry, FakeLog
+from tests.common.states import make_state
+
+LEASE_S = 6.0
+MARGIN_S = 0.5
+
+
+class Host(FakeEntry):
+    """A fake entry host that keeps a lease and watches the others."""
+
+    def __init__(
+        self, number: int, log: FakeLog, timers: VirtualTimers
+    ) -> None:
+        super().__init__(f"entry-{number}", log, timers)
+        identity = MemberIdentity(
+            member_id=self.entry_id,
+            region="region-1",
+            zone="zone-a",
+            callers=f"127.0.0.{number + 1}:8000",
+            admin=f"127.0.0.{number + 1}:8001",
+            peers=f"127.0.0.{number + 1}:8002",
+            lease_ms=round(LEASE_S * 1000),
+            drift_margin_ms=round(MARGIN_S * 1000),
+        )
+        self.lease = LeaseKeeper(
+            identity,
+            self.proposer,
+            self.replica,
+            timers,
+            self.observer,
+            renew_s=2.0,
+        )
+        self.expiry = MemberExpiry(
+            self.entry_id,
+            self.proposer,
+            self.replica,
+            self.connectivity,
+            timers,
+            self.observer,
+            MARGIN_S,
+        )
+        self.paused = False
+
+    async def turn(self) -> None:
+        """Does what the daemon does by itself, unless it is paused."""
+        if self.paused:
+            return
+        if not self.log.down:
+            await self.read_log()
+        else:
+            self.connectivity.note_log_failed("down")
+        await self.lease.tick()
+        self.timers.call_after(0.0, self.expiry.tick)
+
+
+async def let_time_pass(hosts: list[Host], duration_s: float) -> None:
+    for _ in range(round(duration_s / 0.2)):
+        for host in hosts:
+            await host.turn()
+        await hosts[0].timers.advance(0.2)
+
+
+def make_hosts(count: int) -> list[Host]:
+    log = FakeLog()
+    timers = VirtualTimers()
+    return [Host(number, log, timers) for number in range(count)]
+
+
+def member_ids(host: Host) -> list[str]:
+    return sorted(host.replica.state.members_by_id)
+
+
+async def test_entry_hosts_join_and_keep_their_leases() -> None:
+    hosts = make_hosts(3)
+    await let_time_pass(hosts, 30.0)
+    assert all(host.lease.holds_lease() for host in hosts)
+    assert member_ids(hosts[0]) == ["entry-0", "entry-1", "entry-2"]
+    assert all(
+        member.epoch == 1
+        for member in hosts[0].replica.state.members_by_id.values()
+    )
+
+
+async def test_a_dead_entry_host_is_ended_after_its_lease() -> None:
+    hosts = make_hosts(3)
+    await let_time_pass(hosts, 5.0)
+    hosts[2].paused = True
+    await let_time_pass(hosts, LEASE_S - 2.5)
+    assert "entry-2" in member_ids(hosts[0])
+    await let_time_pass(hosts, 6.0)
+    assert member_ids(hosts[0]) == ["entry-0", "entry-1"]
+
+
+async def test_a_paused_holder_has_stopped_before_the_others_end_it() -> None:
+    hosts = make_hosts(3)
+    await let_time_pass(hosts, 5.0)
+    hosts[2].paused = True
+    while "entry-2" in member_ids(hosts[0]):
+        await let_time_pass(hosts, 0.2)
+        if not hosts[2].lease.holds_lease():
+            break
+    assert "entry-2" in member_ids(hosts[0])
+    assert not hosts[2].lease.holds_lease()
+
+
+async def test_a_paused_holder_rejoins_with_a_new_epoch() -> None:
+    hosts = make_hosts(3)
+    await let_time_pass(hosts, 5.0)
+    hosts[2].paused = True
+    await let_time_pass(hosts, 15.0)
+    hosts[2].paused = False
+    await let_time_pass(hosts, 3.0)
+    assert hosts[2].lease.holds_lease()
+    assert hosts[0].replica.state.members_by_id["entry-2"].epoch == 2
+
+
+async def test_nobody_is_ended_for_the_time_of_a_log_outage() -> None:
+    hosts = make_hosts(3)
+    await let_time_pass(hosts, 5.0)
+    hosts[0].log.down = True
+    await let_time_pass(hosts, 60.0)
+    assert not any(host.lease.holds_lease() for host in hosts)
+    assert all(host.lease.is_member() for host in hosts)
+    hosts[0].log.down = False
+    await let_time_pass(hosts, 5.0)
+    assert all(host.lease.holds_lease() for host in hosts)
+    epochs = [
+        member.epoch for member in hosts[0].replica.state.members_by_id.values()
+    ]
+    assert epochs == [1, 1, 1]
+
+
+async def test_a_planned_stop_ends_the_membership_at_once() -> None:
+    hosts = make_hosts(2)
+    await let_time_pass(hosts, 5.0)
+    hosts[1].timers.call_after(0.0, hosts[1].lease.leave)
+    await let_time_pass(hosts, 1.0)
+    assert member_ids(hosts[0]) == ["entry-0"]
+
+
+async def test_an_entry_host_cut_off_from_everyone_is_isolated() -> None:
+    timers = VirtualTimers()
+    host = Host(0, FakeLog(), timers)
+    state = make_state(members=3)
+    host.connectivity.note_log_answered()
+    assert not host.connectivity.is_isolated(state, "entry-0", 5.5)
+    await timers.advance(6.0)
+    assert host.connectivity.is_isolated(state, "entry-0", 5.5)
+    host.connectivity.note_peer_answered("127.0.0.2:8002")
+    assert not host.connectivity.is_isolated(state, "entry-0", 5.5)
--- /dev/null
+++ b/tests/cover/test_requests.py
@@ -0,0 +1,76 @@
+"""Heads of requests, headers and retry budgets."""
+
+import pytest
+from multidict import CIMultiDict
+
+from coltsfootseam.results import Refusal, ResultCode
+from coltsfootseam.routing import DeadlineLimits, parse_request_head
+from coltsfootseam.routing.budget import RetryBudget
+from coltsfootseam.routing.headers import pass_through
+
+LIMITS = DeadlineLimits(default_ms=30_000, longest_ms=60_000)
+
+
+def test_service_key_and_deadline_are_read() -> None:
+    head = parse_request_head(
+        "entry-0",
+        "POST",
+        "/entries/shows/7?x=1",
+        {"Idempotency-Key": "k", "X-Deadline-Ms": "1500"},
+        100.0,
+        LIMITS,
+    )
+    assert not isinstance(head, Refusal)
+    assert head.service == "entries"
+    assert head.scoped_key() == "entries/k"
+    assert head.deadline_s == 101.5
+    assert head.request_id.startswith("entry-0/")
+
+
+@pytest.mark.parametrize(
+    ("target", "headers", "named"),
+    [
+        ("/", {}, "'/'"),
+        ("/UPPER/x", {}, "'/UPPER/x'"),
+        ("/a", {"X-Deadline-Ms": "soon"}, "'soon'"),
+        ("/a", {"X-Deadline-Ms": "0"}, "between 1 and 60000"),
+        ("/a", {"X-Deadline-Ms": "60001"}, "between 1 and 60000"),
+        ("/a", {"Idempotency-Key": "k" * 201}, "201 characters"),
+    ],
+)
+def test_a_bad_request_is_refused_and_says_what_is_wrong(
+    target: str, headers: dict[str, str], named: str
+) -> None:
+    refusal = parse_request_head(
+        "entry-0", "POST", target, headers, 0.0, LIMITS
+    )
+    assert isinstance(refusal, Refusal)
+    assert refusal.code is ResultCode.NOT_RUN_BAD_REQUEST
+    assert named in refusal.reason
+
+
+def test_hop_by_hop_headers_and_those_listed_end_here() -> None:
+    headers = CIMultiDict(
+        [
+            ("Connection", "close, X-Hop"),
+            ("X-Hop", "1"),
+            ("Transfer-Encoding", "chunked"),
+            ("Set-Cookie", "a=1"),
+            ("Set-Cookie", "b=2"),
+            ("X-Pool", "forged"),
+        ]
+    )
+    assert list(pass_through(headers).items()) == [
+        ("Set-Cookie", "a=1"),
+        ("Set-Cookie", "b=2"),
+    ]
+
+
+def test_retries_are_a_share_of_requests_beyond_a_reserve() -> None:
+    budget = RetryBudget(0.1)
+    reserve = sum(budget.take() for _ in range(100))
+    for _ in range(100):
+        budget.note_request()
+    earned = sum(budget.take() for _ in range(100))
+    assert reserve == 20
+    assert earned in (9, 10)
