--- a/libs/routing/src/coltsfootseam/routing/frontend.py
+++ b/libs/routing/src/coltsfootseam/routing/frontend.py
@@ -100,10 +100,13 @@
             response = await self._answer(caller)
         finally:
             self.in_progress -= 1
-        if self.closing:
+        if self.closing and not response.prepared:
             response.force_close()
         return response
 
+    def _is_closing(self) -> bool:
+        return self.closing
+
     async def _answer(self, caller: web.BaseRequest) -> web.StreamResponse:
         head = parse_request_head(
             self._settings.entry_id,
@@ -127,7 +130,7 @@
             )
         if head.key:
             return await self._answer_keyed(head, caller, body)
-        sink = AnswerSink(caller, 0)
+        sink = AnswerSink(caller, 0, self._is_closing)
         return await self._run(head, caller, body, sink)
 
     async def _read_body(self, caller: web.BaseRequest) -> RequestBody:
@@ -148,7 +151,9 @@
         if reservation.verdict is not KeyVerdict.NEW:
             self._observer.count("requests.repeated_key")
             return self._answer_repeated(head, reservation)
-        sink = AnswerSink(caller, self._settings.kept_answer_bytes)
+        sink = AnswerSink(
+            caller, self._settings.kept_answer_bytes, self._is_closing
+        )
         return await self._run(head, caller, body, sink)
 
     async def _run(
--- a/libs/routing/src/coltsfootseam/routing/sink.py
+++ b/libs/routing/src/coltsfootseam/routing/sink.py
@@ -1,6 +1,7 @@
 """Where the answer to one request goes."""
 
 import enum
+from collections.abc import Callable
 
 from aiohttp import web
 from multidict import CIMultiDict
@@ -28,6 +29,7 @@
 
     __slots__ = (
         "_caller",
+        "_is_closing",
         "_kept",
         "_kept_headers",
         "_kept_limit",
@@ -37,8 +39,14 @@
         "state",
     )
 
-    def __init__(self, caller: web.BaseRequest, kept_limit: int) -> None:
+    def __init__(
+        self,
+        caller: web.BaseRequest,
+        kept_limit: int,
+        is_closing: Callable[[], bool],
+    ) -> None:
         self._caller = caller
+        self._is_closing = is_closing
         self._response: web.StreamResponse | None = None
         self._kept: bytearray | None = bytearray() if kept_limit else None
         self._kept_limit = kept_limit
@@ -55,6 +63,10 @@
             return
         self.state = SinkState.BEGUN
         self._response = web.StreamResponse(status=status, headers=headers)
+        # Closing a connection without having said so in the headers would
+        # break the next request that its caller sends on it.
+        if self._is_closing():
+            self._response.force_close()
         try:
             await self._response.prepare(self._caller)
         except (ConnectionError, OSError):
