Dispatch each service through one dispatcher that grants slots

Ruled out: larger shares (they over-grant) and smaller ones for stopping hosts (they refuse what the balancer still sends). Change: 'granted' is the default way of dispatch.

--- a/daemons/entry/src/coltsfootseam/entry/daemon.py
+++ b/daemons/entry/src/coltsfootseam/entry/daemon.py
@@ -23,6 +23,7 @@
 from coltsfootseam.timers import Callback
 
 _LEASE_PERIOD_S = 0.2
+_DISPATCH_PERIOD_S = 0.2
 _EXPIRY_PERIOD_S = 0.5
 _SNAPSHOT_PERIOD_S = 1.0
 _STOP_POLL_S = 0.05
@@ -138,6 +139,7 @@
             times.peer_catch_up_ms / MS_PER_S, replication.catch_up.tick
         ),
         _PeriodicTask(times.plan_ms / MS_PER_S, replication.planner.tick),
+        _PeriodicTask(_DISPATCH_PERIOD_S, node.routing.dispatcher.tick),
         _PeriodicTask(
             requests.set_aside_ms / MS_PER_S, node.routing.prober.tick
         ),
@@ -152,9 +154,14 @@
         node.routing.endpoints.rebuild(replica.state)
         node.routing.dispatcher.refresh()
 
+    members_offset = replica.state.members_offset
+
     def on_folded(offset: int, record: Record, outcome: Outcome) -> None:
+        nonlocal members_offset
         del offset, outcome
-        if not isinstance(record.body, MemberRenewed | SnapshotChunk):
+        is_change = not isinstance(record.body, MemberRenewed | SnapshotChunk)
+        if is_change or replica.state.members_offset != members_offset:
+            members_offset = replica.state.members_offset
             on_restored()
 
     replica.listen(on_folded)
--- a/daemons/entry/src/coltsfootseam/entry/node.py
+++ b/daemons/entry/src/coltsfootseam/entry/node.py
@@ -123,7 +123,10 @@
             replication.lease,
         )
         routing = _build_routing(core, replication, endpoints, relay, readiness)
-        yield Node(core, replication, routing, readiness)
+        try:
+            yield Node(core, replication, routing, readiness)
+        finally:
+            await routing.dispatcher.close()
 
 
 def _make_counters(settings: EntrySettings) -> Counters:
--- a/daemons/entry/src/coltsfootseam/entry/peer_service.py
+++ b/daemons/entry/src/coltsfootseam/entry/peer_service.py
@@ -2,7 +2,11 @@
 
 from coltsfootseam.entry.node import Node
 from coltsfootseam.peers import (
+    AdoptReply,
+    AdoptRequest,
     Answer,
+    DispatchSession,
+    DispatchUpdate,
     FetchedState,
     KeyReservation,
     KeyVerdict,
@@ -54,3 +58,17 @@
     ) -> None:
         """Takes note that an endpoint is leaving or fails."""
         self._node.routing.endpoints.take_report(host_id, host_version, cause)
+
+    def take_dispatch_update(
+        self, session: DispatchSession, update: DispatchUpdate
+    ) -> None:
+        """Takes what an entry host tells this dispatcher."""
+        self._node.routing.dispatcher.take_dispatch_update(session, update)
+
+    def end_dispatch_session(self, session: DispatchSession) -> None:
+        """Takes note that a stream has ended."""
+        self._node.routing.dispatcher.end_dispatch_session(session)
+
+    def adopt(self, request: AdoptRequest) -> AdoptReply:
+        """Moves to a term of a service's dispatcher."""
+        return self._node.routing.dispatcher.adopt(request)
--- a/libs/peers/src/coltsfootseam/peers/__init__.py
+++ b/libs/peers/src/coltsfootseam/peers/__init__.py
@@ -1,6 +1,21 @@
 """gRPC between entry hosts."""
 
 from coltsfootseam.peers.client import PeerClients, calling_peers
+from coltsfootseam.peers.dispatch import (
+    Acquire,
+    AdoptReply,
+    AdoptRequest,
+    DispatchReply,
+    DispatchSession,
+    DispatchUpdate,
+    Finding,
+    Holding,
+    NewerTerm,
+    Release,
+    SlotGrant,
+    SlotRefusal,
+    Term,
+)
 from coltsfootseam.peers.messages import (
     Answer,
     FetchedEntry,
@@ -10,18 +25,33 @@
     KeyVerdict,
     PeerStatus,
 )
+from coltsfootseam.peers.outbox import Outbox
 from coltsfootseam.peers.server import PeerService, serving_peers
 
 __all__ = [
+    "Acquire",
+    "AdoptReply",
+    "AdoptRequest",
     "Answer",
+    "DispatchReply",
+    "DispatchSession",
+    "DispatchUpdate",
     "FetchedEntry",
     "FetchedState",
+    "Finding",
     "Header",
+    "Holding",
     "KeyReservation",
     "KeyVerdict",
+    "NewerTerm",
+    "Outbox",
     "PeerClients",
     "PeerService",
     "PeerStatus",
+    "Release",
+    "SlotGrant",
+    "SlotRefusal",
+    "Term",
     "calling_peers",
     "serving_peers",
 ]
--- a/libs/peers/src/coltsfootseam/peers/client.py
+++ b/libs/peers/src/coltsfootseam/peers/client.py
@@ -1,12 +1,20 @@
 """The calling side of the calls between entry hosts."""
 
+import asyncio
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 import grpc
+import msgspec
 
 from coltsfootseam.observe import HybridClock
+from coltsfootseam.peers.dispatch import (
+    AdoptReply,
+    AdoptRequest,
+    DispatchReply,
+    DispatchUpdate,
+)
 from coltsfootseam.peers.internal import peer_pb2 as pb
 from coltsfootseam.peers.internal import peer_pb2_grpc
 from coltsfootseam.peers.internal.convert import (
@@ -24,6 +32,7 @@
     PeerStatus,
 )
 from coltsfootseam.peers.options import CLIENT_OPTIONS
+from coltsfootseam.peers.outbox import Outbox
 from coltsfootseam.results import Refusal, ResultCode
 
 
@@ -118,6 +127,53 @@
         reply = await self._call(address, "ReportEndpoint", request)
         return reply if isinstance(reply, Refusal) else None
 
+    async def adopt(
+        self, address: str, body: AdoptRequest
+    ) -> AdoptReply | Refusal:
+        """Asks a member to move to a term of a service's dispatcher."""
+        request = pb.Packet(body=msgspec.msgpack.encode(body))
+        reply = await self._call(address, "Adopt", request)
+        if isinstance(reply, Refusal):
+            return reply
+        return msgspec.msgpack.decode(reply.body, type=AdoptReply)
+
+    async def exchange(
+        self,
+        address: str,
+        outbox: Outbox[DispatchUpdate],
+        take: Callable[[DispatchReply], None],
+    ) -> None:
+        """Carries a stream to a dispatcher until it ends or is cancelled.
+
+        Args:
+            address: The dispatcher's address for peers.
+            outbox: Where messages to send are collected.
+            take: Called with each reply.
+        """
+        connection = _Connection(address)
+        call = connection.stub.Dispatch()
+
+        async def write(update: DispatchUpdate) -> None:
+            stamp = stamp_to_wire(self._clock.tick())
+            body = msgspec.msgpack.encode(update)
+            await call.write(pb.Packet(stamp=stamp, body=body))
+
+        writing = asyncio.ensure_future(outbox.write_all(write))
+        # A write that fails ends the stream, which the reading side sees.
+        writing.add_done_callback(
+            lambda task: task.cancelled() or task.exception()
+        )
+        try:
+            async for packet in call:
+                self._clock.merge(stamp_from_wire(packet.stamp))
+                take(msgspec.msgpack.decode(packet.body, type=DispatchReply))
+        except grpc.aio.AioRpcError:
+            return
+        finally:
+            writing.cancel()
+            call.cancel()
+            await connection.channel.close()
+
     async def close(self) -> None:
         """Closes every connection."""
         connections = list(self._connections_by_address.values())
--- a/libs/peers/src/coltsfootseam/peers/server.py
+++ b/libs/peers/src/coltsfootseam/peers/server.py
@@ -1,13 +1,25 @@
 """The serving side of the calls between entry hosts."""
 
 import abc
+import asyncio
 import contextlib
 from collections.abc import AsyncIterator
 from typing import Any
 
 import grpc
+import msgspec
 
 from coltsfootseam.observe import HybridClock
+from coltsfootseam.peers.dispatch import (
+    AdoptReply,
+    AdoptRequest,
+    DispatchReply,
+    DispatchSession,
+    DispatchUpdate,
+    NewerTerm,
+    SlotGrant,
+    SlotRefusal,
+)
 from coltsfootseam.peers.internal import peer_pb2 as pb
 from coltsfootseam.peers.internal import peer_pb2_grpc
 from coltsfootseam.peers.internal.convert import (
@@ -24,6 +36,7 @@
     PeerStatus,
 )
 from coltsfootseam.peers.options import SERVER_OPTIONS
+from coltsfootseam.peers.outbox import Outbox
 
 _STOP_GRACE_S = 1.0
 
@@ -61,6 +74,44 @@
     ) -> None:
         """Takes note that an endpoint is leaving or fails."""
 
+    @abc.abstractmethod
+    def take_dispatch_update(
+        self, session: DispatchSession, update: DispatchUpdate
+    ) -> None:
+        """Takes what an entry host tells this dispatcher."""
+
+    @abc.abstractmethod
+    def end_dispatch_session(self, session: DispatchSession) -> None:
+        """Takes note that a stream has ended."""
+
+    @abc.abstractmethod
+    def adopt(self, request: AdoptRequest) -> AdoptReply:
+        """Moves to a term of a service's dispatcher."""
+
+
+class _Session(DispatchSession):
+    """Batches replies; what gathers during a write goes out in the next."""
+
+    __slots__ = ("outbox",)
+
+    def __init__(self) -> None:
+        self.outbox = Outbox(DispatchReply)
+
+    def send_grant(self, grant: SlotGrant) -> None:
+        self.outbox.batch.grants.append(grant)
+        self.outbox.mark_changed()
+
+    def send_refusal(self, refusal: SlotRefusal) -> None:
+        self.outbox.batch.refusals.append(refusal)
+        self.outbox.mark_changed()
+
+    def send_term(self, newer: NewerTerm) -> None:
+        self.outbox.batch.terms.append(newer)
+        self.outbox.mark_changed()
+
+    def send_pong(self) -> None:
+        self.outbox.mark_changed()
+
 
 class _Servicer(peer_pb2_grpc.PeerServicer):  # type: ignore[misc]
     def __init__(self, service: PeerService, clock: HybridClock) -> None:
@@ -128,6 +179,36 @@
         )
         return pb.EndpointReportReply(stamp=self._stamp(request))
 
+    async def Adopt(self, request: Any, context: Any) -> Any:  # noqa: N802
+        """Answers a dispatcher that begins a term."""
+        del context
+        body = msgspec.msgpack.decode(request.body, type=AdoptRequest)
+        reply = self._service.adopt(body)
+        return pb.Packet(
+            stamp=self._stamp(request), body=msgspec.msgpack.encode(reply)
+        )
+
+    async def Dispatch(self, requests: Any, context: Any) -> None:  # noqa: N802
+        """Serves the stream of one entry host."""
+        session = _Session()
+
+        async def write(reply: DispatchReply) -> None:
+            stamp = stamp_to_wire(self._clock.tick())
+            body = msgspec.msgpack.encode(reply)
+            await context.write(pb.Packet(stamp=stamp, body=body))
+
+        writing = asyncio.ensure_future(session.outbox.write_all(write))
+        try:
+            async for request in requests:
+                self._clock.merge(stamp_from_wire(request.stamp))
+                update = msgspec.msgpack.decode(
+                    request.body, type=DispatchUpdate
+                )
+                self._service.take_dispatch_update(session, update)
+        finally:
+            writing.cancel()
+            self._service.end_dispatch_session(session)
+
 
 @contextlib.asynccontextmanager
 async def serving_peers(
--- a/libs/routing/src/coltsfootseam/routing/__init__.py
+++ b/libs/routing/src/coltsfootseam/routing/__init__.py
@@ -5,6 +5,7 @@
     DispatchContext,
     Dispatcher,
     Grant,
+    SlotUse,
     find_dispatcher,
     registered_dispatchers,
 )
@@ -39,6 +40,7 @@
     "RequestHead",
     "RoutingSettings",
     "SetAsideCause",
+    "SlotUse",
     "find_dispatcher",
     "parse_request_head",
     "registered_dispatchers",
--- a/libs/routing/src/coltsfootseam/routing/attempts.py
+++ b/libs/routing/src/coltsfootseam/routing/attempts.py
@@ -5,10 +5,11 @@
 from aiohttp import web
 
 from coltsfootseam.observe import Observer
+from coltsfootseam.peers import Finding
 from coltsfootseam.results import OK, Refusal, ResultCode
 from coltsfootseam.routing.body import RequestBody
 from coltsfootseam.routing.budget import RetryBudget
-from coltsfootseam.routing.dispatch import Dispatcher, Grant
+from coltsfootseam.routing.dispatch import Dispatcher, Grant, SlotUse
 from coltsfootseam.routing.prober import Prober
 from coltsfootseam.routing.relay import Attempt, Ending, Relay
 from coltsfootseam.routing.request import RequestHead
@@ -87,7 +88,7 @@
             if isinstance(grant, Refusal):
                 return _conclude_refused(grant, may_have_run)
             if not await self._is_ready(grant):
-                self._dispatcher.release(grant, None)
+                self._dispatcher.release(grant, SlotUse())
                 continue
             attempt = await self._attempt(grant, caller, body, sink)
             may_have_run |= attempt.ending is Ending.UNKNOWN
@@ -111,9 +112,8 @@
         except TimeoutError:
             attempt = Attempt(Ending.UNKNOWN, "no answer", failing=True)
         finally:
-            ran_s = self._timers.now_s() - began_s
-            ran = attempt.ending is not Ending.NOT_RUN
-            self._dispatcher.release(grant, ran_s if ran else None)
+            use = _judge_use(attempt, self._timers.now_s() - began_s)
+            self._dispatcher.release(grant, use)
         self._observer.count(f"attempts.{attempt.ending.name}")
         if attempt.ending is Ending.ANSWERED:
             grant.endpoint.ready_s = self._timers.now_s()
@@ -162,6 +162,12 @@
         return budget
 
 
+def _judge_use(attempt: Attempt, took_s: float) -> SlotUse:
+    finding = Finding.FAILING if attempt.failing else Finding.NONE
+    ran = attempt.ending is not Ending.NOT_RUN
+    return SlotUse(took_s if ran else None, finding)
+
+
 def _conclude(attempt: Attempt, may_have_run: bool) -> Refusal:
     if attempt.ending is Ending.ANSWERED:
         return OK
--- a/libs/routing/src/coltsfootseam/routing/dispatch.py
+++ b/libs/routing/src/coltsfootseam/routing/dispatch.py
@@ -11,7 +11,14 @@
 import msgspec
 
 from coltsfootseam.observe import Observer
-from coltsfootseam.peers import PeerClients
+from coltsfootseam.peers import (
+    AdoptReply,
+    AdoptRequest,
+    DispatchSession,
+    DispatchUpdate,
+    Finding,
+    PeerClients,
+)
 from coltsfootseam.results import Refusal
 from coltsfootseam.routing.endpoints import Endpoint, EndpointTable
 from coltsfootseam.routing.request import RequestHead
@@ -37,6 +44,18 @@
     host_version: int
 
 
+class SlotUse(msgspec.Struct, frozen=True):
+    """How a slot was used.
+
+    Attributes:
+        ran_s: How long the request ran, ``None`` if it did not run.
+        finding: What was found out about the endpoint.
+    """
+
+    ran_s: float | None = None
+    finding: Finding = Finding.NONE
+
+
 class DispatchContext(msgspec.Struct, frozen=True):
     """What a way of dispatch works with.
 
@@ -75,18 +94,33 @@
         """
 
     @abc.abstractmethod
-    def release(self, grant: Grant, ran_s: float | None) -> None:
-        """Gives a slot back.
-
-        Args:
-            grant: What ``acquire`` returned.
-            ran_s: How long the request ran, ``None`` if it did not run.
-        """
+    def release(self, grant: Grant, use: SlotUse) -> None:
+        """Gives a slot back and tells how it was used."""
 
     @abc.abstractmethod
     def refresh(self) -> None:
         """Looks again at what waits, after endpoints or members changed."""
 
+    def tick(self) -> None:  # noqa: B027
+        """Looks after what waits too long; called several times a second."""
+
+    def take_dispatch_update(  # noqa: B027
+        self, session: DispatchSession, update: DispatchUpdate
+    ) -> None:
+        """Takes a message of another entry host."""
+
+    def end_dispatch_session(  # noqa: B027
+        self, session: DispatchSession
+    ) -> None:
+        """Takes note that the stream of another entry host has ended."""
+
+    def adopt(self, request: AdoptRequest) -> AdoptReply:
+        """Answers a dispatcher that begins a term."""
+        return AdoptReply(request.term, [])
+
+    async def close(self) -> None:  # noqa: B027
+        """Ends what runs in the background."""
+
 
 DispatcherFactory = Callable[[DispatchContext], Dispatcher]
 Factory = TypeVar("Factory", bound=DispatcherFactory)
@@ -120,6 +154,7 @@
 def _load_registered_modules() -> None:
     # The modules register themselves when they are imported, and they import
     # this one.
-    from coltsfootseam.routing.internal import local
+    from coltsfootseam.routing.internal import granted, local
 
+    assert granted is not None
     assert local is not None
--- /dev/null
+++ b/libs/routing/src/coltsfootseam/routing/internal/link.py
@@ -0,0 +1,125 @@
+"""The stream from this entry host to one dispatcher."""
+
+import asyncio
+import math
+from collections.abc import Callable
+
+from coltsfootseam.peers import (
+    Acquire,
+    DispatchReply,
+    DispatchUpdate,
+    Outbox,
+    PeerClients,
+    Release,
+)
+from coltsfootseam.state import Member
+from coltsfootseam.timers import TimerService
+
+_REOPEN_S = 0.3
+_PING_AFTER_S = 0.4
+_SILENT_AFTER_S = 1.0
+
+
+class DispatchLink:
+    """Sends requests for slots to one dispatcher and takes its replies.
+
+    Each new stream opens with all that is held and waits, so nothing that was
+    lost with an earlier stream matters.
+    """
+
+    __slots__ = (
+        "_asked_s",
+        "_describe",
+        "_member",
+        "_on_failed",
+        "_outbox",
+        "_own_id",
+        "_peers",
+        "_pinged",
+        "_take",
+        "_task",
+        "_timers",
+    )
+
+    def __init__(
+        self,
+        own_id: str,
+        member: Member,
+        peers: PeerClients,
+        timers: TimerService,
+        describe: Callable[[str], DispatchUpdate],
+        take: Callable[[str, DispatchReply], None],
+        on_failed: Callable[[str], None],
+    ) -> None:
+        self._own_id = own_id
+        self._member = member
+        self._peers = peers
+        self._timers = timers
+        self._describe = describe
+        self._take = take
+        self._on_failed = on_failed
+        self._asked_s = math.inf
+        self._pinged = False
+        self._outbox = self._make_outbox()
+        self._task = asyncio.ensure_future(self._run())
+
+    def is_to(self, member: Member) -> bool:
+        """Tells whether the link goes to this very process of a member."""
+        return self._member.incarnation == member.incarnation
+
+    def acquire(self, acquire: Acquire) -> None:
+        """Asks for a slot."""
+        self._outbox.batch.acquires.append(acquire)
+        self._outbox.mark_changed()
+        self._expect_reply()
+
+    def release(self, release: Release) -> None:
+        """Gives a slot back."""
+        self._outbox.batch.releases.append(release)
+        self._outbox.mark_changed()
+
+    def check(self, waits: bool) -> bool:
+        """Pings a dispatcher that has been silent while requests wait.
+
+        Returns:
+            False if the dispatcher has been silent for too long.
+        """
+        if not waits:
+            self._asked_s = math.inf
+            return True
+        self._expect_reply()
+        silent_s = self._timers.now_s() - self._asked_s
+        if silent_s >= _SILENT_AFTER_S:
+            return False
+        if silent_s >= _PING_AFTER_S and not self._pinged:
+            self._pinged = True
+            self._outbox.batch.ping = True
+            self._outbox.mark_changed()
+        return True
+
+    def close(self) -> None:
+        """Ends the link."""
+        self._task.cancel()
+
+    def _expect_reply(self) -> None:
+        if math.isinf(self._asked_s):
+            self._asked_s = self._timers.now_s()
+
+    async def _run(self) -> None:
+        while True:
+            self._outbox = self._make_outbox()
+            self._outbox.batch = self._describe(self._member.member_id)
+            self._outbox.mark_changed()
+            await self._peers.exchange(
+                self._member.peers, self._outbox, self._take_reply
+            )
+            self._on_failed(self._member.member_id)
+            await self._timers.sleep(_REOPEN_S)
+
+    def _take_reply(self, reply: DispatchReply) -> None:
+        self._asked_s = math.inf
+        self._pinged = False
+        self._take(self._member.member_id, reply)
+
+    def _make_outbox(self) -> Outbox[DispatchUpdate]:
+        return Outbox(lambda: DispatchUpdate(self._own_id))
--- a/libs/routing/src/coltsfootseam/routing/internal/local.py
+++ b/libs/routing/src/coltsfootseam/routing/internal/local.py
@@ -8,6 +8,7 @@
     DispatchContext,
     Dispatcher,
     Grant,
+    SlotUse,
     dispatcher,
 )
 from coltsfootseam.routing.endpoints import Endpoint
@@ -56,9 +57,9 @@
             expiry.cancel()
             queue.remove(waiter)
 
-    def release(self, grant: Grant, ran_s: float | None) -> None:
+    def release(self, grant: Grant, use: SlotUse) -> None:
         """Gives a slot back and serves the next request."""
-        del ran_s
+        del use
         grant.endpoint.in_use -= 1
         assert grant.endpoint.in_use >= 0, grant
         self._serve(grant.request.service)
@@ -110,7 +111,7 @@
         if future.done() and not future.cancelled():
             result = future.result()
             if isinstance(result, Grant):
-                self.release(result, None)
+                self.release(result, SlotUse())
 
 
 @dispatcher("alone")
--- /dev/null
+++ b/libs/routing/src/coltsfootseam/routing/internal/terms.py
@@ -0,0 +1,77 @@
+"""Which entry host dispatches a service, term after term."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from coltsfootseam.peers import Term
+from coltsfootseam.state import FleetState, Member, rank_members
+
+
+class _Promise(msgspec.Struct, frozen=True):
+    term: Term
+    dispatcher_id: str
+
+
+class TermKeeper:
+    """The term of each service that this entry host is in.
+
+    A term begins with every change of membership and whenever an entry host
+    suspects the dispatcher. Terms only grow. Within a term this host takes
+    grants from one dispatcher.
+    """
+
+    __slots__ = ("_promises_by_service", "_state")
+
+    def __init__(self, state: Callable[[], FleetState]) -> None:
+        self._state = state
+        self._promises_by_service: dict[str, _Promise] = {}
+
+    def current(self, service: str) -> Term:
+        """Returns the term of a service."""
+        base = Term(self._state().members_offset, 0)
+        promise = self._promises_by_service.get(service)
+        return base if promise is None else max(base, promise.term)
+
+    def dispatcher_of(self, service: str) -> Member | None:
+        """Returns the dispatcher of the current term."""
+        state = self._state()
+        term = self.current(service)
+        promise = self._promises_by_service.get(service)
+        if promise is not None and promise.term == term:
+            member = state.members_by_id.get(promise.dispatcher_id)
+            if member is not None:
+                return member
+        if not state.members_by_id:
+            return None
+        ranked = rank_members(state.members_by_id, f"dispatch/{service}")
+        return state.members_by_id[ranked[term.takeovers % len(ranked)]]
+
+    def promise(self, service: str, term: Term, dispatcher_id: str) -> bool:
+        """Moves to a term under a dispatcher, if that is still possible.
+
+        Returns:
+            Whether this host is now in that term under that dispatcher.
+        """
+        current = self.current(service)
+        if term < current:
+            return False
+        known = self._promises_by_service.get(service)
+        if known is not None and known.term == term:
+            return known.dispatcher_id == dispatcher_id
+        self._promises_by_service[service] = _Promise(term, dispatcher_id)
+        return True
+
+    def note_later(self, service: str, term: Term) -> bool:
+        """Moves to a later term whose dispatcher follows from the ranking."""
+        if term <= self.current(service):
+            return False
+        self._promises_by_service[service] = _Promise(term, "")
+        return True
+
+    def take_over(self, service: str) -> Term:
+        """Begins the next term, since the dispatcher does not answer."""
+        current = self.current(service)
+        term = Term(current.members_offset, current.takeovers + 1)
+        self.note_later(service, term)
+        return term
--- /dev/null
+++ b/libs/routing/src/coltsfootseam/routing/internal/waiting.py
@@ -0,0 +1,101 @@
+"""Requests that wait at a dispatcher: short ones before long ones."""
+
+from collections import deque
+
+import msgspec
+
+from coltsfootseam.peers import DispatchSession
+
+
+class WaitingRequest(msgspec.Struct, eq=False):
+    """A request that waits for a slot.
+
+    Attributes:
+        entry_id: Entry host that asked.
+        session: Where the grant is sent.
+        request_id: The request.
+        kind: Its kind.
+        is_long: Whether its kind runs much longer than usual.
+        arrived_s: When it arrived at its entry host.
+        deadline_s: When its caller stops waiting.
+        gone: Whether it has been granted, given up or refused.
+    """
+
+    entry_id: str
+    session: DispatchSession
+    request_id: str
+    kind: str
+    is_long: bool
+    arrived_s: float
+    deadline_s: float
+    gone: bool = False
+
+
+class WaitingLine:
+    """Two queues, each in order of arrival; removal is lazy."""
+
+    __slots__ = ("_long", "_requests_by_id", "_short")
+
+    def __init__(self) -> None:
+        self._requests_by_id: dict[str, WaitingRequest] = {}
+        self._short: deque[WaitingRequest] = deque()
+        self._long: deque[WaitingRequest] = deque()
+
+    def __len__(self) -> int:
+        return len(self._requests_by_id)
+
+    def add(self, request: WaitingRequest) -> None:
+        """Adds a request; one that waits already keeps its place."""
+        known = self._requests_by_id.get(request.request_id)
+        if known is not None:
+            known.session = request.session
+            return
+        self._requests_by_id[request.request_id] = request
+        queue = self._long if request.is_long else self._short
+        # Requests that were sent again after a change of dispatcher go back
+        # to where they stood.
+        place = len(queue)
+        while place and queue[place - 1].arrived_s > request.arrived_s:
+            place -= 1
+        queue.insert(place, request)
+
+    def remove(self, request_id: str) -> WaitingRequest | None:
+        """Removes a request that gave up."""
+        request = self._requests_by_id.pop(request_id, None)
+        if request is not None:
+            request.gone = True
+        return request
+
+    def remove_session(self, session: DispatchSession) -> None:
+        """Removes what came by a stream that has ended."""
+        for request in list(self._requests_by_id.values()):
+            if request.session is session:
+                self.remove(request.request_id)
+
+    def take_all(self) -> list[WaitingRequest]:
+        """Removes and returns everything that waits."""
+        requests = list(self._requests_by_id.values())
+        for request in requests:
+            request.gone = True
+        self._requests_by_id.clear()
+        self._short.clear()
+        self._long.clear()
+        return requests
+
+    def first_short(self) -> WaitingRequest | None:
+        """Returns the short request that has waited longest."""
+        return _first(self._short)
+
+    def first_long(self) -> WaitingRequest | None:
+        """Returns the long request that has waited longest."""
+        return _first(self._long)
+
+    def short_count(self) -> int:
+        """Returns how many short requests wait, at most."""
+        return len(self._short)
+
+
+def _first(queue: "deque[WaitingRequest]") -> WaitingRequest | None:
+    while queue and queue[0].gone:
+        queue.popleft()
+    return queue[0] if queue else None
--- a/libs/routing/src/coltsfootseam/routing/request.py
+++ b/libs/routing/src/coltsfootseam/routing/request.py
@@ -20,6 +20,9 @@
 
 _REPEATABLE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 _LONGEST_KEY = 200
+_LONGEST_KIND = 100
+_KIND_PARTS = 4
+_DIGIT = re.compile(r"\d")
 _MS_PER_S = 1000
 
 
@@ -48,6 +51,17 @@
         """Tells whether the request may be sent to endpoints twice."""
         return self.method in _REPEATABLE_METHODS
 
+    def kind(self) -> str:
+        """Returns the kind of request, whose run times are learned together.
+
+        Parts of the path that hold digits name single things and are left
+        out, and so is the query.
+        """
+        path = self.target.partition("?")[0]
+        parts = path.split("/")[1 : 1 + _KIND_PARTS]
+        named = [part if not _DIGIT.search(part) else "*" for part in parts]
+        return f"{self.method} /{'/'.join(named)}"[:_LONGEST_KIND]
+
     def scoped_key(self) -> str:
         """Returns the key within its service, empty if there is none."""
         return f"{self.service}/{self.key}" if self.key else ""
--- a/libs/settings/src/coltsfootseam/settings/model.py
+++ b/libs/settings/src/coltsfootseam/settings/model.py
@@ -97,7 +97,7 @@
         set_aside_ms: Period of probes to an endpoint that was set aside.
     """
 
-    dispatch: str = "shares"
+    dispatch: str = "granted"
     queue_limit: Count = 512
     default_deadline_ms: Milliseconds = 30_000
     longest_deadline_ms: Milliseconds = 3_600_000
--- a/libs/state/src/coltsfootseam/state/internal/members.py
+++ b/libs/state/src/coltsfootseam/state/internal/members.py
@@ -32,6 +32,7 @@
             return _stale(record, current.epoch + 1)
         current.renewed_offset = offset
         return OK
+    state.members_offset = offset
     state.members_by_id[member_id] = Member(
         member_id=member_id,
         epoch=record.epoch,
@@ -52,8 +53,8 @@
     state: FleetState, offset: int, record: Record, body: MemberLeft
 ) -> Refusal:
     """Ends the membership of an entry host that stops as planned."""
-    del offset, body
-    _end_membership(state, record.author)
+    del body
+    _end_membership(state, offset, record.author)
     return OK
 
 
@@ -62,7 +63,7 @@
     state: FleetState, offset: int, record: Record, body: MemberExpired
 ) -> Refusal:
     """Ends a membership unless it was renewed since the author last read."""
-    del offset, record
+    del record
     member = state.members_by_id.get(body.member_id)
     if member is None or member.epoch != body.member_epoch:
         return Refusal(
@@ -75,11 +76,12 @@
             f"{body.member_id!r} renewed its lease at offset "
             f"{member.renewed_offset}",
         )
-    _end_membership(state, body.member_id)
+    _end_membership(state, offset, body.member_id)
     return OK
 
 
-def _end_membership(state: FleetState, member_id: str) -> None:
+def _end_membership(state: FleetState, offset: int, member_id: str) -> None:
+    state.members_offset = offset
     member = state.members_by_id.pop(member_id)
     state.ended_epochs_by_member_id[member_id] = member.epoch
 
--- a/libs/state/src/coltsfootseam/state/model.py
+++ b/libs/state/src/coltsfootseam/state/model.py
@@ -129,6 +129,7 @@
         contracts_by_customer: The contract in force for each customer.
         history_by_customer: Newest versions of each contract, oldest first.
         members_by_id: Entry hosts whose membership is in force.
+        members_offset: Offset of the newest change of membership.
         ended_epochs_by_member_id: Highest lease epoch that has ended.
         claims_by_host_id: The hosts that belong to pools.
         versions_by_host_id: Last version of each host ever claimed.
@@ -139,6 +140,7 @@
     contracts_by_customer: dict[str, ContractVersion] = {}
     history_by_customer: dict[str, list[ContractVersion]] = {}
     members_by_id: dict[str, Member] = {}
+    members_offset: int = NO_OFFSET
     ended_epochs_by_member_id: dict[str, int] = {}
     claims_by_host_id: dict[str, HostClaim] = {}
     versions_by_host_id: dict[str, int] = {}
--- a/tests/cover/test_dispatch.py
+++ b/tests/cover/test_dispatch.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from coltsfootseam.results import Refusal, ResultCode
-from coltsfootseam.routing import Grant, SetAsideCause
+from coltsfootseam.routing import Grant, SetAsideCause, SlotUse
 from coltsfootseam.state import FleetState, HostDownSet, HostDrainReserved
 from coltsfootseam.timers import VirtualTimers
 from tests.common.routes import Route, make_head
@@ -52,7 +52,7 @@
     assert not waiting.done()
     first = grants[0]
     assert isinstance(first, Grant)
-    route.dispatcher.release(first, 1.0)
+    route.dispatcher.release(first, SlotUse(1.0))
     await route.timers.advance(0.0)
     assert isinstance(waiting.result(), Grant)
 
@@ -91,7 +91,7 @@
     await route.timers.advance(0.1)
     first = grants[0]
     assert isinstance(first, Grant)
-    route.dispatcher.release(first, 1.0)
+    route.dispatcher.release(first, SlotUse(1.0))
     await route.timers.advance(0.0)
     granted = last.result()
     assert isinstance(granted, Grant)
@@ -138,7 +138,7 @@
     assert route.endpoints.in_progress_on("host-0") == 3
     for grant in grants:
         assert isinstance(grant, Grant)
-        route.dispatcher.release(grant, 1.0)
+        route.dispatcher.release(grant, SlotUse(1.0))
     assert route.endpoints.in_progress_on("host-0") == 0
 
 
