Open a new stream to a silent dispatcher before suspecting it

Cause: test_silent_connections_between_peers_are_given_up ended with requests not run: the stream to a dispatcher that had gone silent was kept, so every takeover met another silent stream. A second fault showed in virtual time: a term known from another entry host counted as promised to nobody, the dispatcher refused it and was asked again without end. Ruled out: gRPC keepalive (it ends a silent stream after 7 s, longer than deadlines allow). Change: after 0.7 s without a reply a new stream on a new connection is tried, after 1.2 s the dispatcher is suspected. A known term without a dispatcher can be promised to any; a refusal of the same term begins the next one.

--- a/daemons/entry/src/coltsfootseam/entry/messages.py
+++ b/daemons/entry/src/coltsfootseam/entry/messages.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from coltsfootseam.contracts import Contract
-from coltsfootseam.state import ContractVersion, FleetState
+from coltsfootseam.state import ContractVersion, FleetState, HostClaim
 
 
 class ContractCommand(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -139,6 +139,7 @@
 
 def view_pools(state: FleetState) -> list[PoolView]:
     """Returns the pools of a state, by name."""
+    claims_by_pool = state.claims_by_pool()
     return [
         PoolView(
             pool=name,
@@ -148,10 +149,10 @@
             max_down=named.pool.max_down,
             down=sum(
                 1
-                for claim in state.claims_of_pool(name)
+                for claim in claims_by_pool.get(name, [])
                 if not claim.is_available()
             ),
-            hosts=_view_hosts(state, name),
+            hosts=_view_hosts(claims_by_pool.get(name, [])),
         )
         for name, named in sorted(state.pools_by_name().items())
     ]
@@ -173,7 +174,7 @@
     ]
 
 
-def _view_hosts(state: FleetState, pool: str) -> list[HostView]:
+def _view_hosts(claims: list[HostClaim]) -> list[HostView]:
     return [
         HostView(
             host_id=claim.host_id,
@@ -183,5 +184,5 @@
             down=claim.down,
             cause=claim.cause,
         )
-        for claim in state.claims_of_pool(pool)
+        for claim in claims
     ]
--- a/libs/fleet/src/coltsfootseam/fleet/ownership.py
+++ b/libs/fleet/src/coltsfootseam/fleet/ownership.py
@@ -69,10 +69,8 @@
     """Drains hosts of pools that hold more than their contract allows."""
     bodies: list[Body] = []
     pools_by_name = state.pools_by_name()
-    names = {claim.pool for claim in state.claims_by_host_id.values()}
-    for name in sorted(names):
+    for name, claims in sorted(state.claims_by_pool().items()):
         named = pools_by_name.get(name)
-        claims = state.claims_of_pool(name)
         limit = named.pool.hosts_at_most if named is not None else 0
         held = [each for each in claims if each.phase is ClaimPhase.HELD]
         surplus = len(held) - limit
--- a/libs/routing/src/coltsfootseam/routing/endpoints.py
+++ b/libs/routing/src/coltsfootseam/routing/endpoints.py
@@ -56,10 +56,11 @@
     def rebuild(self, state: FleetState) -> None:
         """Takes over the claims and contracts in force."""
         by_service: dict[str, list[Endpoint]] = {}
+        claims_by_pool = state.claims_by_pool()
         for named in state.pools_by_name().values():
             by_service[named.pool.service] = [
                 self._refresh(claim)
-                for claim in state.claims_of_pool(named.pool.name)
+                for claim in claims_by_pool.get(named.pool.name, [])
                 if claim.is_available()
             ]
         self._endpoints_by_service = by_service
--- a/libs/routing/src/coltsfootseam/routing/internal/granted.py
+++ b/libs/routing/src/coltsfootseam/routing/internal/granted.py
@@ -184,9 +184,7 @@
     def take_reply(self, dispatcher_id: str, reply: DispatchReply) -> None:
         """Takes what a dispatcher tells."""
         for newer in reply.terms:
-            self._terms.note_later(newer.service, newer.term)
-            self._server.step_down_if_older(newer.service)
-            self._ask_all(self._waiters_of(newer.service))
+            self._follow_term(newer)
         for refusal in reply.refusals:
             waiter = self._waiters_by_request_id.get(refusal.request_id)
             if waiter is not None and not waiter.future.done():
@@ -195,6 +193,23 @@
         for grant in reply.grants:
             self._take_grant(dispatcher_id, grant)
 
+    def _follow_term(self, newer: NewerTerm) -> None:
+        service = newer.service
+        if self._terms.note_later(service, newer.term):
+            self._server.step_down_if_older(service)
+            self._ask_all(self._waiters_of(service))
+            return
+        if newer.term < self._terms.current(service):
+            return
+        # The dispatcher has promised this term to another one, so only the
+        # next term can bring both together.
+        self._terms.take_over(service)
+        self._server.step_down_if_older(service)
+        waiters = self._waiters_of(service)
+        self._context.timers.call_after(
+            _ASK_AGAIN_S, lambda: self._ask_all(waiters)
+        )
+
     def _take_grant(self, dispatcher_id: str, grant: SlotGrant) -> None:
         member = self._terms.dispatcher_of(grant.service)
         if grant.term != self._terms.current(grant.service):
--- a/libs/routing/src/coltsfootseam/routing/internal/link.py
+++ b/libs/routing/src/coltsfootseam/routing/internal/link.py
@@ -17,7 +17,8 @@
 
 _REOPEN_S = 0.3
 _PING_AFTER_S = 0.4
-_SILENT_AFTER_S = 1.0
+_NEW_STREAM_AFTER_S = 0.7
+_SILENT_AFTER_S = 1.2
 
 
 class DispatchLink:
@@ -30,12 +31,14 @@
     __slots__ = (
         "_asked_s",
         "_describe",
+        "_exchange",
         "_member",
         "_on_failed",
         "_outbox",
         "_own_id",
         "_peers",
         "_pinged",
+        "_reopened",
         "_take",
         "_task",
         "_timers",
@@ -60,6 +63,8 @@
         self._on_failed = on_failed
         self._asked_s = math.inf
         self._pinged = False
+        self._reopened = False
+        self._exchange: asyncio.Future[None] | None = None
         self._outbox = self._make_outbox()
         self._task = asyncio.ensure_future(self._run())
 
@@ -79,7 +84,10 @@
         self._outbox.mark_changed()
 
     def check(self, waits: bool) -> bool:
-        """Pings a dispatcher that has been silent while requests wait.
+        """Looks after a dispatcher that is silent while requests wait.
+
+        It is pinged first. Then a new stream on a new connection is tried,
+        for a connection can go silent while new ones work.
 
         Returns:
             False if the dispatcher has been silent for too long.
@@ -90,7 +98,11 @@
         self._expect_reply()
         silent_s = self._timers.now_s() - self._asked_s
         if silent_s >= _SILENT_AFTER_S:
+            self._asked_s = math.inf
             return False
+        if silent_s >= _NEW_STREAM_AFTER_S and not self._reopened:
+            self._reopened = True
+            self._reopen()
         if silent_s >= _PING_AFTER_S and not self._pinged:
             self._pinged = True
             self._outbox.batch.ping = True
@@ -100,25 +112,38 @@
     def close(self) -> None:
         """Ends the link."""
         self._task.cancel()
+        if self._exchange is not None:
+            self._exchange.cancel()
+
+    def _reopen(self) -> None:
+        if self._exchange is not None:
+            self._exchange.cancel()
 
     def _expect_reply(self) -> None:
         if math.isinf(self._asked_s):
             self._asked_s = self._timers.now_s()
+            self._pinged = False
+            self._reopened = False
 
     async def _run(self) -> None:
         while True:
             self._outbox = self._make_outbox()
             self._outbox.batch = self._describe(self._member.member_id)
             self._outbox.mark_changed()
-            await self._peers.exchange(
-                self._member.peers, self._outbox, self._take_reply
+            exchange = asyncio.ensure_future(
+                self._peers.exchange(
+                    self._member.peers, self._outbox, self._take_reply
+                )
             )
+            self._exchange = exchange
+            await asyncio.wait((exchange,))
+            if exchange.cancelled():
+                continue
             self._on_failed(self._member.member_id)
             await self._timers.sleep(_REOPEN_S)
 
     def _take_reply(self, reply: DispatchReply) -> None:
         self._asked_s = math.inf
-        self._pinged = False
         self._take(self._member.member_id, reply)
 
     def _make_outbox(self) -> Outbox[DispatchUpdate]:
--- a/libs/routing/src/coltsfootseam/routing/internal/terms.py
+++ b/libs/routing/src/coltsfootseam/routing/internal/terms.py
@@ -9,6 +9,8 @@
 
 
 class _Promise(msgspec.Struct, frozen=True):
+    # The dispatcher is empty while the term is known but nobody has asked for
+    # a promise yet.
     term: Term
     dispatcher_id: str
 
@@ -57,7 +59,7 @@
         if term < current:
             return False
         known = self._promises_by_service.get(service)
-        if known is not None and known.term == term:
+        if known is not None and known.term == term and known.dispatcher_id:
             return known.dispatcher_id == dispatcher_id
         self._promises_by_service[service] = _Promise(term, dispatcher_id)
         return True
--- a/libs/state/src/coltsfootseam/state/model.py
+++ b/libs/state/src/coltsfootseam/state/model.py
@@ -154,6 +154,13 @@
             for pool in version.contract.pools
         }
 
+    def claims_by_pool(self) -> dict[str, list[HostClaim]]:
+        """Returns the claims of every pool that holds hosts, by host id."""
+        claims_by_pool: dict[str, list[HostClaim]] = {}
+        for _, claim in sorted(self.claims_by_host_id.items()):
+            claims_by_pool.setdefault(claim.pool, []).append(claim)
+        return claims_by_pool
+
     def claims_of_pool(self, pool: str) -> list[HostClaim]:
         """Returns the claims of a pool's hosts, by host id."""
         claims = [
--- a/libs/testbed/src/coltsfootseam/testbed/cluster.py
+++ b/libs/testbed/src/coltsfootseam/testbed/cluster.py
@@ -46,7 +46,8 @@
         slots: Slots of each endpoint.
         connections: Connections of each endpoint.
         settings: Settings of entry hosts, beyond names and addresses.
-        log_proxies: Whether each entry host reaches the log through a proxy.
+        log_proxies: Whether each entry host reaches the log and the host list
+            through proxies.
         peer_proxies: Whether each entry host's peers reach it through one.
         endpoint_proxies: Whether endpoints are reached through proxies.
     """
@@ -266,15 +267,17 @@
     async def _write_settings(self, entry_id: str) -> pathlib.Path:
         index = _index_of(entry_id)
         log = self.log_address()
+        host_list = self.host_list_address()
         if self.plan.log_proxies:
             log = await self._ensure_proxy(f"log-{entry_id}", log)
+            host_list = await self._ensure_proxy(f"hosts-{entry_id}", host_list)
         settings = {
             "entry_id": entry_id,
             "region": "region-1",
             "zone": self.plan.zones[index % len(self.plan.zones)],
             "listen": self._listen(entry_id),
             "log": f"http://{log}",
-            "host_list": f"http://{self.host_list_address()}",
+            "host_list": f"http://{host_list}",
             "peers": [
                 self._entry_address(f"entry-{seed}", PEERS_PORT)
                 for seed in range(min(3, self.plan.entry_hosts))
--- /dev/null
+++ b/tests/cover/test_granted.py
@@ -0,0 +1,261 @@
+"""Slots are granted by one dispatcher, and never twice when it is replaced."""
+
+import contextlib
+from collections.abc import AsyncIterator
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from coltsfootseam.results import ResultCode
+from coltsfootseam.state import HostDrainReserved, MemberExpired
+from tests.common.dispatchers import DispatchFleet, DispatchHost
+from tests.common.states import (
+    claim_hosts,
+    fold_body,
+    make_contract,
+    make_pool,
+    make_state,
+)
+
+SLOTS = 8
+
+
+@contextlib.asynccontextmanager
+async def running_fleet(
+    members: int = 4, hosts: int = 3
+) -> AsyncIterator[DispatchFleet]:
+    pool = make_pool(hosts_at_most=8)
+    state = make_state(members, make_contract("customer", pool))
+    claim_hosts(state, "pool-a", hosts)
+    fleet = DispatchFleet(state)
+    try:
+        yield fleet
+    finally:
+        await fleet.close()
+
+
+def ask_everywhere(fleet: DispatchFleet, count: int, prefix: str) -> None:
+    for host in fleet.hosts:
+        for number in range(count):
+            host.ask(f"{prefix}-{number}")
+
+
+def other_hosts(fleet: DispatchFleet) -> list[DispatchHost]:
+    return [
+        host for host in fleet.hosts if host.own_id != fleet.dispatcher_id()
+    ]
+
+
+def assert_no_slot_is_granted_twice(fleet: DispatchFleet) -> None:
+    held = fleet.held_by_host()
+    assert not held or max(held.values()) <= SLOTS, held
+
+
+async def test_all_slots_are_granted_and_none_twice() -> None:
+    async with running_fleet() as fleet:
+        ask_everywhere(fleet, 10, "r")
+        await fleet.timers.advance(1.0)
+        assert fleet.all_grants() == 3 * SLOTS
+        assert_no_slot_is_granted_twice(fleet)
+
+
+async def test_slots_follow_the_entry_host_that_has_the_callers() -> None:
+    async with running_fleet() as fleet:
+        busy = other_hosts(fleet)[0]
+        for number in range(30):
+            busy.ask(f"r-{number}")
+        await fleet.timers.advance(1.0)
+        # One entry host holds at most twice an even share of each endpoint.
+        assert len(busy.grants) == 3 * 4
+
+
+async def test_a_released_slot_goes_to_the_request_that_waits_longest() -> None:
+    async with running_fleet() as fleet:
+        ask_everywhere(fleet, 6, "first")
+        await fleet.timers.advance(1.0)
+        one, other = other_hosts(fleet)[:2]
+        one.ask("second")
+        await fleet.timers.advance(0.1)
+        other.ask("third")
+        await fleet.timers.advance(0.1)
+        other.finish(other.grants[0])
+        await fleet.timers.advance(0.1)
+        assert one.grants[-1].request.request_id == f"{one.own_id}/second"
+
+
+async def test_a_dead_dispatcher_is_replaced_and_grants_go_on() -> None:
+    async with running_fleet() as fleet:
+        ask_everywhere(fleet, 2, "before")
+        await fleet.timers.advance(1.0)
+        before = sum(len(host.grants) for host in other_hosts(fleet))
+        fleet.network.dead.add(fleet.dispatcher_id())
+        ask_everywhere(fleet, 4, "after")
+        await fleet.timers.advance(2.0)
+        after = sum(len(host.grants) for host in other_hosts(fleet))
+        assert after > before
+        assert_no_slot_is_granted_twice(fleet)
+
+
+async def test_slots_of_a_dead_entry_host_come_back_later() -> None:
+    async with running_fleet() as fleet:
+        ask_everywhere(fleet, 10, "r")
+        await fleet.timers.advance(1.0)
+        lost = fleet.dispatcher_id()
+        fleet.network.dead.add(lost)
+        await fleet.timers.advance(3.0)
+        assert_no_slot_is_granted_twice(fleet)
+        state = fleet.network.state
+        member = state.members_by_id[lost]
+        expiry = MemberExpired(lost, member.epoch, member.renewed_offset)
+        fold_body(state, expiry, author=fleet.hosts[0].own_id)
+        fleet.network.hosts_by_id[lost].grants.clear()
+        fleet.refresh()
+        await fleet.timers.advance(2.0)
+        assert fleet.all_grants() == 3 * SLOTS
+        assert_no_slot_is_granted_twice(fleet)
+
+
+async def test_a_dispatcher_paused_for_ten_seconds_over_grants_nothing() -> (
+    None
+):
+    async with running_fleet() as fleet:
+        ask_everywhere(fleet, 5, "before")
+        await fleet.timers.advance(1.0)
+        paused = fleet.dispatcher_id()
+        fleet.network.silent.add(paused)
+        for host in other_hosts(fleet):
+            for number in range(10):
+                host.ask(f"after-{number}")
+        for _ in range(10):
+            await fleet.timers.advance(1.0)
+            for host in other_hosts(fleet):
+                for grant in host.grants[:2]:
+                    host.finish(grant)
+            await fleet.timers.advance(0.5)
+            assert_no_slot_is_granted_twice(fleet)
+        fleet.network.silent.discard(paused)
+        for _ in range(10):
+            await fleet.timers.advance(0.5)
+            assert_no_slot_is_granted_twice(fleet)
+        fleet.network.hosts_by_id[paused].ask("resumed")
+        await fleet.timers.advance(2.0)
+        assert_no_slot_is_granted_twice(fleet)
+
+
+async def test_a_drained_host_is_not_used_by_hosts_that_know_of_it() -> None:
+    async with running_fleet() as fleet:
+        ask_everywhere(fleet, 1, "before")
+        await fleet.timers.advance(1.0)
+        state = fleet.network.state
+        fold_body(state, HostDrainReserved("host-0", 1, "test"))
+        # Only the entry hosts that ask have folded the drain.
+        for host in other_hosts(fleet):
+            host.endpoints.rebuild(state)
+            host.grants.clear()
+        for host in other_hosts(fleet):
+            host.ask("after")
+        await fleet.timers.advance(1.0)
+        used = {
+            grant.endpoint.host_id
+            for host in other_hosts(fleet)
+            for grant in host.grants
+        }
+        assert "host-0" not in used
+
+
+async def test_a_request_that_gives_up_leaves_no_slot_behind() -> None:
+    async with running_fleet(members=2, hosts=1) as fleet:
+        host = other_hosts(fleet)[0]
+        for number in range(SLOTS):
+            host.ask(f"r-{number}")
+        host.ask("late", deadline_s=2.0)
+        await fleet.timers.advance(3.0)
+        assert [each.code for each in host.refusals] == [
+            ResultCode.NOT_RUN_DEADLINE
+        ]
+        for grant in list(host.grants):
+            host.finish(grant)
+        for number in range(SLOTS + 1):
+            host.ask(f"again-{number}")
+        await fleet.timers.advance(1.0)
+        assert len(host.grants) == SLOTS
+
+
+async def test_long_work_leaves_slots_and_is_not_starved() -> None:
+    async with running_fleet(members=2, hosts=2) as fleet:
+        host = other_hosts(fleet)[0]
+        for number in range(20):
+            host.ask(f"learn-{number}", "/service-a/short")
+            await fleet.timers.advance(0.1)
+            host.finish(host.grants[0], ran_s=0.1)
+        host.ask("learn-long", "/service-a/long")
+        await fleet.timers.advance(0.1)
+        host.finish(host.grants[0], ran_s=10.0)
+        for number in range(30):
+            host.ask(f"long-{number}", "/service-a/long", deadline_s=600.0)
+        await fleet.timers.advance(1.0)
+        assert len(host.grants) == 2 * SLOTS // 4
+        for number in range(40):
+            host.ask(f"short-{number}", "/service-a/short")
+        await fleet.timers.advance(0.1)
+        assert fleet.all_grants() == 2 * SLOTS
+        for grant in [
+            g for g in host.grants if "long-" in g.request.request_id
+        ]:
+            host.finish(grant, ran_s=10.0)
+        await fleet.timers.advance(0.1)
+        running_long = [
+            g for g in host.grants if "long-" in g.request.request_id
+        ]
+        assert len(running_long) == 2 * SLOTS // 8
+
+
+async def test_a_request_that_cannot_be_served_in_time_is_refused() -> None:
+    async with running_fleet(members=2, hosts=1) as fleet:
+        host = other_hosts(fleet)[0]
+        for number in range(10):
+            host.ask(f"learn-{number}")
+            await fleet.timers.advance(0.1)
+            host.finish(host.grants[0], ran_s=4.0)
+        for number in range(SLOTS * 3):
+            host.ask(f"fill-{number}", deadline_s=100.0)
+        await fleet.timers.advance(0.1)
+        host.ask("hopeless", deadline_s=5.0)
+        await fleet.timers.advance(0.1)
+        assert [each.code for each in host.refusals] == [
+            ResultCode.NOT_RUN_OVERLOADED
+        ]
+
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["ask", "finish", "silence", "speak", "wait", "kill"]),
+        st.integers(min_value=0, max_value=3),
+    ),
+    min_size=10,
+    max_size=60,
+)
+
+
+@settings(derandomize=True, deadline=None, max_examples=60)
+@given(steps=STEPS)
+async def test_no_slot_is_granted_twice_whatever_fails(
+    steps: list[tuple[str, int]],
+) -> None:
+    async with running_fleet(members=4, hosts=1) as fleet:
+        ids = list(fleet.network.hosts_by_id)
+        for number, (step, index) in enumerate(steps):
+            host = fleet.network.hosts_by_id[ids[index]]
+            if step == "ask":
+                for each in range(3):
+                    host.ask(f"{number}-{each}")
+            elif step == "finish" and host.grants:
+                host.finish(host.grants[0])
+            elif step == "silence" and not fleet.network.silent:
+                fleet.network.silent.add(ids[index])
+            elif step == "speak":
+                fleet.network.silent.clear()
+            elif step == "kill" and not fleet.network.dead:
+                fleet.network.dead.add(ids[index])
+            await fleet.timers.advance(0.7 if step == "wait" else 0.1)
+            assert_no_slot_is_granted_twice(fleet)
