Hand idempotency keys over, and know which may have been lost

Cause: two holders keep a key; when members changed one after the other, or a host stopped as planned, the new holder did not get it and a late retry could have run again. Ruled out: intent records in the log (a log latency for each request, nothing runs in an outage). Change: holders copy keys to members that became holders; a planned stop does so before it leaves. Losses of members stand in the folded state; a key whose holders were all lost within 15 s is answered OUTCOME_UNKNOWN while keys are kept. A holder that reserved a key which the other one knows is told to let go. Before: test_keys_are_handed_over_to_the_new_holder got NEW for a key that had run.

--- /dev/null
+++ b/bench/requests.py
@@ -0,0 +1,321 @@
+"""The request path under load at Chile's size, with real processes.
+
+Seven entry hosts, five services of eight endpoints with eight slots each. The
+queues burst in turn, with a few stragglers among short work. Each way of
+dispatch runs the same trace.
+"""
+
+import asyncio
+import itertools
+import time
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from bench.figures import answered, percentile, wait_s
+from bench.ideal import ideal_waits_s
+from bench.results import Row, make_row, print_rows, write_rows
+from bench.traces import BurstShape, make_burst_trace
+from coltsfootseam.contracts import BillingWeight, Contract, Pool
+from coltsfootseam.entry import ContractCommand
+from coltsfootseam.state import rank_members
+from coltsfootseam.testbed import (
+    CallerResult,
+    Callers,
+    Cluster,
+    ClusterPlan,
+    LoadRequest,
+    ResultKind,
+    count_violations,
+    launching,
+)
+
+RESULT_PATH = "bench/results/requests.json"
+SEED = 11
+ENTRY_HOSTS = 7
+SERVICES = ("entries", "classes", "pedigrees", "results", "spare")
+HOSTS_OF_A_SERVICE = 8
+SLOTS = 8
+SLOTS_OF_A_SERVICE = HOSTS_OF_A_SERVICE * SLOTS
+BASELINE = "round-robin"
+WAYS = (BASELINE, "alone", "shares", "granted")
+STRAGGLER_PATH = "catalogue"
+SETTLE_S = 1.0
+DIRECT_REQUESTS = 2000
+DIRECT_AT_ONCE = 16
+
+SHAPE = BurstShape(
+    services=SERVICES,
+    mean_per_s=80.0,
+    burst_s=5.0,
+    run_ms=200,
+    straggler_share=0.005,
+    straggler_factor=20,
+    deadline_ms=15_000,
+)
+
+
+def make_plan(dispatch: str) -> ClusterPlan:
+    """Returns the plan of a cluster that dispatches in one way."""
+    settings: dict[str, Any] = {
+        "requests": {"dispatch": dispatch, "queue_limit": 2000}
+    }
+    return ClusterPlan(
+        name=f"requests-{dispatch}",
+        entry_hosts=ENTRY_HOSTS,
+        endpoints=HOSTS_OF_A_SERVICE * len(SERVICES),
+        zones=("zone-a", "zone-b", "zone-c", "zone-d"),
+        slots=SLOTS,
+        settings=settings,
+    )
+
+
+async def publish(cluster: Cluster) -> None:
+    """Publishes one contract with all five services."""
+    contract = Contract(
+        customer="asociacion",
+        pools=[
+            Pool(name, name, hosts_at_most=HOSTS_OF_A_SERVICE, max_down=1)
+            for name in SERVICES
+        ],
+        billing_weight=BillingWeight(0.75, 0.25),
+    )
+    command = ContractCommand("publish", msgspec.to_builtins(contract))
+    reply = await cluster.send_contract("entry-0", command)
+    assert reply.code == 0, reply
+    sizes = dict.fromkeys(SERVICES, HOSTS_OF_A_SERVICE)
+    await cluster.wait_pool_sizes(sizes)
+    await asyncio.sleep(SETTLE_S)
+
+
+def _cpu_s(cluster: Cluster) -> float:
+    return sum(
+        process.usage().cpu_s for process in cluster.entries_by_id.values()
+    )
+
+
+async def run_way(dispatch: str) -> list[Row]:
+    """Runs the trace with one way of dispatch."""
+    trace = make_burst_trace(SHAPE, SEED)
+    async with launching(make_plan(dispatch)) as cluster:
+        await publish(cluster)
+        quiet_cpu_s = await _measure_quiet(cluster)
+        before_s = _cpu_s(cluster)
+        results = await Callers(cluster).run(trace)
+        burst_cpu_s = _cpu_s(cluster) - before_s
+        violations = count_violations(results, await cluster.tallies())
+        tallies = await cluster.tallies()
+        over_slots = sum(tally.over_slots for tally in tallies)
+        rss = max(
+            process.usage().rss_bytes
+            for process in cluster.entries_by_id.values()
+        )
+    rows = _wait_rows(dispatch, trace, results)
+    seconds = SHAPE.length_s() * ENTRY_HOSTS
+    rows += [
+        make_row(dispatch, "goodput in a burst", "share", _goodput(results)),
+        make_row(dispatch, "requests over slots", "count", over_slots),
+        make_row(dispatch, "violations", "count", violations.total()),
+        make_row(dispatch, "not answered", "count", _not_answered(results)),
+        make_row(dispatch, "cpu quiet", "core", quiet_cpu_s / ENTRY_HOSTS),
+        make_row(dispatch, "cpu under load", "core", burst_cpu_s / seconds),
+        make_row(dispatch, "rss", "MB", rss / 2**20),
+    ]
+    return rows
+
+
+async def _measure_quiet(cluster: Cluster) -> float:
+    before_s = _cpu_s(cluster)
+    began_s = time.monotonic()
+    await asyncio.sleep(4.0)
+    return (_cpu_s(cluster) - before_s) / (time.monotonic() - began_s)
+
+
+def _not_answered(results: list[CallerResult]) -> int:
+    ends = {result.request.operation: result.kind for result in results}
+    return sum(1 for kind in ends.values() if kind is not ResultKind.ANSWERED)
+
+
+def _is_short(request: LoadRequest) -> bool:
+    return request.path != STRAGGLER_PATH
+
+
+def _wait_rows(
+    dispatch: str, trace: list[LoadRequest], results: list[CallerResult]
+) -> list[Row]:
+    ideal_s: dict[str, float] = {}
+    for service in SERVICES:
+        of_service = [each for each in trace if each.service == service]
+        ideal_s.update(ideal_waits_s(of_service, SLOTS_OF_A_SERVICE))
+    short = [each for each in answered(results) if _is_short(each.request)]
+    long = [each for each in answered(results) if not _is_short(each.request)]
+    waits_s = [wait_s(result) for result in short]
+    ideal = [ideal_s[each.operation] for each in trace if _is_short(each)]
+    slowdowns = [
+        result.took_s / (result.request.run_ms / 1000) for result in long
+    ]
+    rows = [
+        make_row(
+            dispatch,
+            f"short wait p{share}, by ideal",
+            "s",
+            percentile(waits_s, share / 100),
+            percentile(ideal, share / 100),
+        )
+        for share in (50, 95, 99)
+    ]
+    rows.append(make_row(dispatch, "long slowdown, worst", "x", max(slowdowns)))
+    return rows
+
+
+def _goodput(results: list[CallerResult]) -> float:
+    """Returns the share of slot time used while a queue was overloaded."""
+    used_s = 0.0
+    offered_s = 0.0
+    for index, service in enumerate(SERVICES):
+        begin_s = index * SHAPE.burst_s + SETTLE_S
+        end_s = (index + 1) * SHAPE.burst_s
+        offered_s += SLOTS_OF_A_SERVICE * (end_s - begin_s)
+        for result in answered(results):
+            if result.request.service == service:
+                finish_s = result.sent_s + result.took_s
+                start_s = finish_s - result.request.run_ms / 1000
+                overlap_s = min(finish_s, end_s) - max(start_s, begin_s)
+                used_s += max(0.0, overlap_s)
+    return used_s / offered_s
+
+
+def _compare_with_baseline(rows: list[Row]) -> list[Row]:
+    metric = "short wait p99, by ideal"
+    values = {row.case: row.value for row in rows if row.metric == metric}
+    return [
+        make_row(
+            way, "short wait p99, by baseline", "s", value, values[BASELINE]
+        )
+        for way, value in values.items()
+    ]
+
+
+async def run_dispatcher_loss(kind: str) -> list[Row]:
+    """Kills or pauses a service's dispatcher under load."""
+    service = SERVICES[0]
+    load = [
+        LoadRequest(
+            operation=f"{kind}-{number}",
+            service=service,
+            at_s=number / 150,
+            run_ms=100,
+            deadline_ms=8000,
+            tries=3,
+        )
+        for number in range(150 * 16)
+    ]
+    async with launching(make_plan("granted")) as cluster:
+        await publish(cluster)
+        lost = rank_members(cluster.entries_by_id, f"dispatch/{service}")[0]
+        process = cluster.entries_by_id[lost]
+        lost_at_s = 3.0
+
+        async def lose() -> None:
+            await asyncio.sleep(lost_at_s)
+            if kind == "kill":
+                process.kill()
+                return
+            process.pause()
+            await asyncio.sleep(10.0)
+            process.resume()
+
+        results, _ = await asyncio.gather(Callers(cluster).run(load), lose())
+        tallies = await cluster.tallies()
+    starts_s = sorted(
+        result.sent_s + result.took_s - result.request.run_ms / 1000
+        for result in answered(results)
+    )
+    gaps_s = [
+        after - before
+        for before, after in itertools.pairwise(starts_s)
+        if after > lost_at_s
+    ]
+    violations = count_violations(results, tallies)
+    violations.interrupted = 0
+    case = f"dispatcher {kind}"
+    over_slots = sum(tally.over_slots for tally in tallies)
+    return [
+        make_row(case, "longest time without a grant", "s", max(gaps_s), 2.0),
+        make_row(case, "requests over slots", "count", over_slots),
+        make_row(case, "violations", "count", violations.total()),
+        make_row(case, "not answered", "count", _not_answered(results)),
+    ]
+
+
+async def run_direct() -> list[Row]:
+    """Holds one entry host against calling the endpoint itself."""
+    plan = ClusterPlan(name="requests-direct", entry_hosts=1, endpoints=4)
+    async with launching(plan) as cluster:
+        contract = Contract(
+            customer="one",
+            pools=[Pool("entries", "entries", hosts_at_most=4, max_down=1)],
+            billing_weight=BillingWeight(0.5, 0.5),
+        )
+        await cluster.send_contract(
+            "entry-0", ContractCommand("one", msgspec.to_builtins(contract))
+        )
+        await cluster.wait_pool_sizes({"entries": 4})
+        direct = await _hammer(cluster.endpoint_address("host-0"))
+        through = await _hammer(cluster.callers_address("entry-0"))
+        before_s = _cpu_s(cluster)
+        await _hammer(cluster.callers_address("entry-0"))
+        cpu_ms = (_cpu_s(cluster) - before_s) / DIRECT_REQUESTS * 1000
+    return [
+        make_row(
+            "one entry host", "requests a second", "1/s", through[0], direct[0]
+        ),
+        make_row("one entry host", "latency p50", "ms", through[1], direct[1]),
+        make_row("one entry host", "cpu for each request", "ms", cpu_ms),
+    ]
+
+
+async def _hammer(address: str) -> tuple[float, float]:
+    """Returns requests a second and the median latency in milliseconds."""
+    took_ms: list[float] = []
+    url = f"http://{address}/entries/entry"
+
+    async def send_some(session: aiohttp.ClientSession) -> None:
+        for _ in range(DIRECT_REQUESTS // DIRECT_AT_ONCE):
+            began_s = time.monotonic()
+            async with session.get(url) as response:
+                await response.read()
+            took_ms.append((time.monotonic() - began_s) * 1000)
+
+    async with aiohttp.ClientSession() as session:
+        began_s = time.monotonic()
+        await asyncio.gather(
+            *(send_some(session) for _ in range(DIRECT_AT_ONCE))
+        )
+        elapsed_s = time.monotonic() - began_s
+    return len(took_ms) / elapsed_s, percentile(took_ms, 0.5)
+
+
+async def run_all() -> list[Row]:
+    """Runs every part and returns all rows."""
+    rows: list[Row] = []
+    for dispatch in WAYS:
+        rows.extend(await run_way(dispatch))
+        print(f"{dispatch} done", flush=True)
+    rows.extend(_compare_with_baseline(rows))
+    for kind in ("kill", "pause"):
+        rows.extend(await run_dispatcher_loss(kind))
+    rows.extend(await run_direct())
+    return rows
+
+
+def main() -> None:
+    """Runs the bench and writes its rows."""
+    rows = asyncio.run(run_all())
+    write_rows(RESULT_PATH, rows)
+    print_rows(rows)
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/traces.py
+++ b/bench/traces.py
@@ -74,7 +74,9 @@
     straggles = rng.random() < shape.straggler_share
     run_ms = round(shape.run_ms * rng.uniform(0.5, 1.5))
     deadline_ms = shape.deadline_ms
+    path = "entry"
     if straggles:
+        path = "catalogue"
         run_ms *= shape.straggler_factor
         deadline_ms += 2 * run_ms
     return LoadRequest(
@@ -86,4 +88,5 @@
         deadline_ms=deadline_ms,
         answer_bytes=rng.choice((64, 1024, 8192)),
         tries=3,
+        path=path,
     )
--- a/daemons/entry/src/coltsfootseam/entry/daemon.py
+++ b/daemons/entry/src/coltsfootseam/entry/daemon.py
@@ -153,6 +153,7 @@
     def on_restored() -> None:
         node.routing.endpoints.rebuild(replica.state)
         node.routing.dispatcher.refresh()
+        node.routing.handover.follow_members()
 
     members_offset = replica.state.members_offset
 
@@ -177,6 +178,7 @@
     await callers_site.stop()
     node.readiness.stopped = True
     await _wait_until_idle(node, times.stop_ms / MS_PER_S)
+    await node.routing.handover.hand_over_all()
     await node.replication.lease.leave()
 
 
--- a/daemons/entry/src/coltsfootseam/entry/node.py
+++ b/daemons/entry/src/coltsfootseam/entry/node.py
@@ -32,6 +32,7 @@
     EndpointTable,
     Frontend,
     KeyGuard,
+    KeyHandover,
     KeyStore,
     Prober,
     Relay,
@@ -84,6 +85,7 @@
     dispatcher: Dispatcher
     prober: Prober
     key_store: KeyStore
+    handover: KeyHandover
     frontend: Frontend
 
 
@@ -297,7 +299,17 @@
         core.observer,
         readiness.find_reason_not_to_run,
     )
-    return RoutingParts(endpoints, dispatcher, prober, key_store, frontend)
+    handover = KeyHandover(
+        settings.entry_id,
+        key_store,
+        core.peers,
+        lambda: replication.replica.state,
+        core.timers,
+        core.observer,
+    )
+    return RoutingParts(
+        endpoints, dispatcher, prober, key_store, handover, frontend
+    )
 
 
 def _build_dispatcher(
--- a/daemons/entry/src/coltsfootseam/entry/peer_service.py
+++ b/daemons/entry/src/coltsfootseam/entry/peer_service.py
@@ -8,6 +8,7 @@
     DispatchSession,
     DispatchUpdate,
     FetchedState,
+    KeyCopy,
     KeyReservation,
     KeyVerdict,
     PeerService,
@@ -53,6 +54,10 @@
         """Records how the request of a key ended."""
         self._node.routing.key_store.settle(key, request_id, verdict, answer)
 
+    def copy_keys(self, copies: list[KeyCopy]) -> None:
+        """Takes over records of keys."""
+        self._node.routing.key_store.take_copies(copies)
+
     def report_endpoint(
         self, host_id: str, host_version: int, cause: str
     ) -> None:
--- a/libs/peers/src/coltsfootseam/peers/client.py
+++ b/libs/peers/src/coltsfootseam/peers/client.py
@@ -27,6 +27,7 @@
     Answer,
     FetchedEntry,
     FetchedState,
+    KeyCopy,
     KeyReservation,
     KeyVerdict,
     PeerStatus,
@@ -117,6 +118,14 @@
         reply = await self._call(address, "SettleKey", request)
         return reply if isinstance(reply, Refusal) else None
 
+    async def copy_keys(
+        self, address: str, copies: list[KeyCopy]
+    ) -> Refusal | None:
+        """Hands records of keys over to a peer."""
+        request = pb.Packet(body=msgspec.msgpack.encode(copies))
+        reply = await self._call(address, "CopyKeys", request)
+        return reply if isinstance(reply, Refusal) else None
+
     async def report_endpoint(
         self, address: str, host_id: str, host_version: int, cause: str
     ) -> Refusal | None:
--- a/libs/peers/src/coltsfootseam/peers/messages.py
+++ b/libs/peers/src/coltsfootseam/peers/messages.py
@@ -44,6 +44,15 @@
     answer: Answer | None = None
 
 
+class KeyCopy(msgspec.Struct, frozen=True, array_like=True):
+    """The record of a key, handed over to a new holder."""
+
+    key: str
+    request_id: str
+    verdict: KeyVerdict
+    answer: Answer | None
+
+
 class FetchedEntry(msgspec.Struct, frozen=True):
     """One record as it stands in the log."""
 
--- a/libs/peers/src/coltsfootseam/peers/server.py
+++ b/libs/peers/src/coltsfootseam/peers/server.py
@@ -31,6 +31,7 @@
 from coltsfootseam.peers.messages import (
     Answer,
     FetchedState,
+    KeyCopy,
     KeyReservation,
     KeyVerdict,
     PeerStatus,
@@ -68,6 +69,10 @@
     ) -> None:
         """Records how the request of a key ended."""
 
+    @abc.abstractmethod
+    def copy_keys(self, copies: list[KeyCopy]) -> None:
+        """Takes over records of keys."""
+
     @abc.abstractmethod
     def report_endpoint(
         self, host_id: str, host_version: int, cause: str
@@ -169,6 +174,13 @@
         )
         return pb.SettleKeyReply(stamp=self._stamp(request))
 
+    async def CopyKeys(self, request: Any, context: Any) -> Any:  # noqa: N802
+        """Takes over records of keys."""
+        del context
+        copies = msgspec.msgpack.decode(request.body, type=list[KeyCopy])
+        self._service.copy_keys(copies)
+        return pb.SettleKeyReply(stamp=self._stamp(request))
+
     async def ReportEndpoint(  # noqa: N802
         self, request: Any, context: Any
     ) -> Any:
--- a/libs/routing/src/coltsfootseam/routing/__init__.py
+++ b/libs/routing/src/coltsfootseam/routing/__init__.py
@@ -15,7 +15,9 @@
     SetAsideCause,
 )
 from coltsfootseam.routing.frontend import Frontend, RoutingSettings
-from coltsfootseam.routing.keys import KeyGuard, KeyStore
+from coltsfootseam.routing.handover import KeyHandover
+from coltsfootseam.routing.keys import KeyGuard
+from coltsfootseam.routing.keystore import KeyStore
 from coltsfootseam.routing.prober import Prober
 from coltsfootseam.routing.relay import Relay, relaying
 from coltsfootseam.routing.request import (
@@ -34,6 +36,7 @@
     "Frontend",
     "Grant",
     "KeyGuard",
+    "KeyHandover",
     "KeyStore",
     "Prober",
     "Relay",
--- a/libs/routing/src/coltsfootseam/routing/internal/local.py
+++ b/libs/routing/src/coltsfootseam/routing/internal/local.py
@@ -102,6 +102,9 @@
         ]
         if not free:
             return None
+        return self._choose(free)
+
+    def _choose(self, free: list[Endpoint]) -> Endpoint:
         choices = self._context.rng.sample(free, min(_CHOICES, len(free)))
         return min(choices, key=lambda each: each.in_use / each.slots)
 
@@ -125,6 +128,30 @@
         return endpoint.slots
 
 
+@dispatcher("round-robin")
+class RoundRobinDispatcher(LocalDispatcher):
+    """Each entry host sends to its endpoints in turn, first come first served.
+
+    The baseline of the bench. Slots are not looked at: requests wait at the
+    endpoints, as far as connections go.
+    """
+
+    __slots__ = ("_turn",)
+
+    def __init__(self, context: DispatchContext) -> None:
+        super().__init__(context)
+        self._turn = 0
+
+    def limit_for(self, endpoint: Endpoint) -> int:
+        """Returns an even share of the endpoint's connections."""
+        members = max(1, len(self._context.state().members_by_id))
+        return max(1, endpoint.connections // members)
+
+    def _choose(self, free: list[Endpoint]) -> Endpoint:
+        self._turn += 1
+        return free[self._turn % len(free)]
+
+
 @dispatcher("shares")
 class SharesDispatcher(LocalDispatcher):
     """Each endpoint's slots are divided among the members."""
--- a/libs/routing/src/coltsfootseam/routing/keys.py
+++ b/libs/routing/src/coltsfootseam/routing/keys.py
@@ -1,10 +1,7 @@
 """Idempotency keys: at most one run of each, whichever entry host is asked."""
 
-from collections import OrderedDict
 from collections.abc import Callable
 
-import msgspec
-
 from coltsfootseam.observe import Observer
 from coltsfootseam.peers import (
     Answer,
@@ -13,104 +10,16 @@
     PeerClients,
 )
 from coltsfootseam.results import Refusal, ResultCode
+from coltsfootseam.routing.keystore import KeyStore
+from coltsfootseam.routing.losses import key_holders
 from coltsfootseam.routing.request import RequestHead
-from coltsfootseam.state import FleetState, Member, rank_members
+from coltsfootseam.state import FleetState, Member
 from coltsfootseam.timers import TimerService
 
-HOLDERS = 2
 _RETRY_S = 0.2
 _SETTLE_TRIES = 5
 
 
-class _KeyRecord(msgspec.Struct):
-    request_id: str
-    verdict: KeyVerdict
-    answer: Answer | None
-    since_s: float
-
-
-class KeyStore:
-    """The keys that this entry host holds for all of them."""
-
-    __slots__ = ("_kept_s", "_limit", "_records_by_key", "_timers")
-
-    def __init__(self, timers: TimerService, kept_s: float, limit: int) -> None:
-        self._timers = timers
-        self._kept_s = kept_s
-        self._limit = limit
-        self._records_by_key: OrderedDict[str, _KeyRecord] = OrderedDict()
-
-    def __len__(self) -> int:
-        return len(self._records_by_key)
-
-    def reserve(
-        self, key: str, request_id: str, state: FleetState
-    ) -> KeyReservation:
-        """Reserves a key unless an earlier request holds it.
-
-        Asking again for the same request gives the same reply, so a lost
-        reply is settled by asking again.
-        """
-        self._forget_old(state)
-        record = self._records_by_key.get(key)
-        if record is None:
-            return self._reserve_new(key, request_id)
-        if record.request_id == request_id:
-            return _judge_own(record)
-        if record.verdict is KeyVerdict.NOT_RUN:
-            self._put(key, request_id, KeyVerdict.RUNNING, None)
-            return KeyReservation(KeyVerdict.NEW)
-        if record.verdict is KeyVerdict.RUNNING:
-            return KeyReservation(_judge_running(record, state))
-        return KeyReservation(record.verdict, record.answer)
-
-    def settle(
-        self,
-        key: str,
-        request_id: str,
-        verdict: KeyVerdict,
-        answer: Answer | None,
-    ) -> None:
-        """Records how the request that reserved a key ended."""
-        record = self._records_by_key.get(key)
-        if record is not None and record.request_id != request_id:
-            return
-        self._put(key, request_id, verdict, answer)
-
-    def _put(
-        self,
-        key: str,
-        request_id: str,
-        verdict: KeyVerdict,
-        answer: Answer | None,
-    ) -> None:
-        now_s = self._timers.now_s()
-        self._records_by_key[key] = _KeyRecord(
-            request_id, verdict, answer, now_s
-        )
-        self._records_by_key.move_to_end(key)
-
-    def _reserve_new(self, key: str, request_id: str) -> KeyReservation:
-        # Dropping a key before its time would let its request run twice, so
-        # a full store takes no new ones.
-        if len(self._records_by_key) >= self._limit:
-            return KeyReservation(KeyVerdict.FULL)
-        self._put(key, request_id, KeyVerdict.RUNNING, None)
-        return KeyReservation(KeyVerdict.NEW)
-
-    def _forget_old(self, state: FleetState) -> None:
-        oldest_s = self._timers.now_s() - self._kept_s
-        records = self._records_by_key
-        while records:
-            key, record = next(iter(records.items()))
-            if record.since_s >= oldest_s:
-                return
-            if _judge_running(record, state) is KeyVerdict.RUNNING:
-                self._put(key, record.request_id, KeyVerdict.RUNNING, None)
-            else:
-                del records[key]
-
-
 class KeyGuard:
     """Reserves keys at the two entry hosts that hold them.
 
@@ -171,13 +80,16 @@
     def holders(self, key: str) -> list[Member]:
         """Returns the members that hold a key, in order of reservation."""
         members_by_id = self._state().members_by_id
-        ranked = rank_members(members_by_id, f"key/{key}")
-        return [members_by_id[member_id] for member_id in ranked[:HOLDERS]]
+        return [
+            members_by_id[member_id]
+            for member_id in key_holders(members_by_id, key)
+        ]
 
     async def _try_reserve(
         self, request: RequestHead
     ) -> KeyReservation | Refusal:
         holders = self.holders(request.scoped_key())
+        reserved: list[Member] = []
         if not holders:
             return Refusal(
                 ResultCode.NOT_RUN_KEY_UNGUARDED, "no entry host is a member"
@@ -193,9 +105,18 @@
                     f"{member.member_id} holds as many keys as it may",
                 )
             if result.verdict is not KeyVerdict.NEW:
+                await self._withdraw(reserved, request)
                 return result
+            reserved.append(member)
         return KeyReservation(KeyVerdict.NEW)
 
+    async def _withdraw(
+        self, members: list[Member], request: RequestHead
+    ) -> None:
+        # A holder that joined late reserved a key that the other one knows.
+        for member in members:
+            await self._settle_at(member, request, KeyVerdict.NOT_RUN, None)
+
     async def _reserve_at(
         self, member: Member, request: RequestHead
     ) -> KeyReservation | Refusal:
@@ -225,21 +146,3 @@
                 return
             await self._timers.sleep(_RETRY_S)
         self._observer.count("keys.settle_failures")
-
-
-def _judge_own(record: _KeyRecord) -> KeyReservation:
-    # A reservation that arrives after its request was given up comes late.
-    if record.verdict is KeyVerdict.NOT_RUN:
-        return KeyReservation(KeyVerdict.NOT_RUN)
-    return KeyReservation(KeyVerdict.NEW)
-
-
-def _judge_running(record: _KeyRecord, state: FleetState) -> KeyVerdict:
-    if record.verdict is not KeyVerdict.RUNNING:
-        return record.verdict
-    # The request id begins with the name of the entry host that runs it. If
-    # that is gone, nobody will ever tell how the request ended.
-    runner = record.request_id.partition("/")[0]
-    if runner in state.members_by_id:
-        return KeyVerdict.RUNNING
-    return KeyVerdict.UNKNOWN
--- a/libs/state/src/coltsfootseam/state/__init__.py
+++ b/libs/state/src/coltsfootseam/state/__init__.py
@@ -21,6 +21,7 @@
     FleetState,
     HostClaim,
     Member,
+    MemberLoss,
     Outcome,
     ServicePool,
 )
@@ -52,6 +53,7 @@
     "MemberExpired",
     "MemberJoined",
     "MemberLeft",
+    "MemberLoss",
     "Outcome",
     "Record",
     "ServicePool",
--- a/libs/state/src/coltsfootseam/state/internal/members.py
+++ b/libs/state/src/coltsfootseam/state/internal/members.py
@@ -12,9 +12,11 @@
     MemberLeft,
 )
 from coltsfootseam.state.internal.registry import folds
-from coltsfootseam.state.model import FleetState, Member
+from coltsfootseam.state.model import FleetState, Member, MemberLoss
 from coltsfootseam.state.records import Record
 
+_LOSSES_KEPT = 64
+
 
 @folds(MemberJoined)
 def fold_member_joined(
@@ -33,6 +35,8 @@
             return _stale(record, current.epoch + 1)
         current.renewed_offset = offset
         return OK
+    if current is not None:
+        _note_loss(state, record, member_id)
     state.members_offset = offset
     state.members_by_id[member_id] = Member(
         member_id=member_id,
@@ -74,7 +78,6 @@
     state: FleetState, offset: int, record: Record, body: MemberExpired
 ) -> Refusal:
     """Ends a membership unless it was renewed since the author last read."""
-    del record
     member = state.members_by_id.get(body.member_id)
     if member is None or member.epoch != body.member_epoch:
         return Refusal(
@@ -87,10 +90,19 @@
             f"{body.member_id!r} renewed its lease at offset "
             f"{member.renewed_offset}",
         )
+    _note_loss(state, record, body.member_id)
     _end_membership(state, offset, body.member_id)
     return OK
 
 
+def _note_loss(state: FleetState, record: Record, member_id: str) -> None:
+    loss = MemberLoss(
+        member_id, record.stamp.wall_ms, sorted(state.members_by_id)
+    )
+    state.losses.append(loss)
+    del state.losses[:-_LOSSES_KEPT]
+
+
 def _end_membership(state: FleetState, offset: int, member_id: str) -> None:
     state.members_offset = offset
     member = state.members_by_id.pop(member_id)
--- a/libs/state/src/coltsfootseam/state/model.py
+++ b/libs/state/src/coltsfootseam/state/model.py
@@ -46,6 +46,20 @@
     renewed_offset: int
 
 
+class MemberLoss(msgspec.Struct, frozen=True):
+    """A member that ended without having handed over what it held.
+
+    Attributes:
+        member_id: The entry host.
+        wall_ms: When the record that tells of it was made.
+        members_before: The members until then, itself included.
+    """
+
+    member_id: str
+    wall_ms: int
+    members_before: list[str]
+
+
 class HostClaim(msgspec.Struct):
     """A host's place in the one pool that it belongs to.
 
@@ -130,6 +144,7 @@
         history_by_customer: Newest versions of each contract, oldest first.
         members_by_id: Entry hosts whose membership is in force.
         members_offset: Offset of the newest change of membership.
+        losses: The newest losses of members, oldest first.
         ended_epochs_by_member_id: Highest lease epoch that has ended.
         claims_by_host_id: The hosts that belong to pools.
         versions_by_host_id: Last version of each host ever claimed.
@@ -141,6 +156,7 @@
     history_by_customer: dict[str, list[ContractVersion]] = {}
     members_by_id: dict[str, Member] = {}
     members_offset: int = NO_OFFSET
+    losses: list[MemberLoss] = []
     ended_epochs_by_member_id: dict[str, int] = {}
     claims_by_host_id: dict[str, HostClaim] = {}
     versions_by_host_id: dict[str, int] = {}
--- a/libs/testbed/src/coltsfootseam/testbed/cluster.py
+++ b/libs/testbed/src/coltsfootseam/testbed/cluster.py
@@ -1,6 +1,7 @@
 """A whole system on loopback addresses: entry hosts and stand-ins."""
 
 import contextlib
+import itertools
 import os
 import pathlib
 import shutil
@@ -28,6 +29,8 @@
 HOSTS_IN_A_RACK = 4
 
 _ENTRY_MODULE = "coltsfootseam.testbed.switched_entry"
+_NETWORKS = 250
+_NETWORKS_A_PROCESS = 7
 _LOG_GROUP = 1
 _HOST_LIST_GROUP = 2
 _PROXY_GROUP = 3
@@ -36,6 +39,9 @@
 _GROUP_SIZE = 200
 
 
+_cluster_numbers = itertools.count()
+
+
 class ClusterPlan(msgspec.Struct, frozen=True):
     """How large a cluster is and how it is set.
 
@@ -85,7 +91,8 @@
         self._proxies_by_name: dict[str, str] = {}
         # Processes of clusters that run at the same time must not share
         # addresses, so each launcher has a loopback network of its own.
-        self._network = f"127.{1 + os.getpid() % 250}"
+        number = os.getpid() * _NETWORKS_A_PROCESS + next(_cluster_numbers)
+        self._network = f"127.{1 + number % _NETWORKS}"
         self.directory = pathlib.Path("build") / plan.name
         shutil.rmtree(self.directory, ignore_errors=True)
         self.directory.mkdir(parents=True)
--- a/libs/testbed/src/coltsfootseam/testbed/load.py
+++ b/libs/testbed/src/coltsfootseam/testbed/load.py
@@ -46,6 +46,7 @@
         answer_bytes: Size of its answer.
         body_bytes: Size of its body, for POST.
         tries: How often the caller tries while the end is not known.
+        path: Path below the service; names the kind of request.
     """
 
     operation: str
@@ -58,6 +59,7 @@
     answer_bytes: int = 256
     body_bytes: int = 128
     tries: int = 1
+    path: str = "work"
 
 
 class CallerResult(msgspec.Struct, frozen=True):
@@ -209,7 +211,7 @@
         limit_s = request.deadline_ms / _MS_PER_S + _TIMEOUT_SLACK_S
         async with self._session.request(
             "GET" if request.repeatable else "POST",
-            f"http://{address}/{request.service}/work",
+            f"http://{address}/{request.service}/{request.path}",
             headers=headers,
             data=body or None,
             timeout=aiohttp.ClientTimeout(total=limit_s),
--- a/tests/cover/test_keys.py
+++ b/tests/cover/test_keys.py
@@ -3,11 +3,17 @@
 import asyncio
 from typing import Any
 
-from coltsfootseam.observe import Observer
-from coltsfootseam.peers import Answer, KeyReservation, KeyVerdict
+from coltsfootseam.observe import Observer, Stamp
+from coltsfootseam.peers import Answer, KeyCopy, KeyReservation, KeyVerdict
 from coltsfootseam.results import Refusal, ResultCode
-from coltsfootseam.routing import KeyGuard, KeyStore
-from coltsfootseam.state import FleetState
+from coltsfootseam.routing import KeyGuard, KeyHandover, KeyStore
+from coltsfootseam.routing.losses import key_holders, may_have_been_lost
+from coltsfootseam.state import (
+    FleetState,
+    MemberExpired,
+    Record,
+    fold_record,
+)
 from coltsfootseam.timers import VirtualTimers
 from tests.common.routes import make_head
 from tests.common.states import make_state
@@ -47,6 +53,44 @@
         store.settle(key, request_id, verdict, answer)
         return None
 
+    async def copy_keys(
+        self, address: str, copies: list[KeyCopy]
+    ) -> Refusal | None:
+        """Copies to the store with an address."""
+        if address in self.cut_off:
+            return Refusal(ResultCode.UNREACHABLE, address)
+        self.stores_by_address[address].take_copies(copies)
+        return None
+
+    def handover_of(self, own_id: str) -> KeyHandover:
+        """Returns the hand-over of one entry host."""
+        member = self.state.members_by_id[own_id]
+        peers: Any = self
+        return KeyHandover(
+            own_id,
+            self.stores_by_address[member.peers],
+            peers,
+            lambda: self.state,
+            self.timers,
+            Observer(self.timers, own_id, "zone-a"),
+        )
+
+    def end(self, member_id: str) -> None:
+        """Ends a membership whose lease has lapsed."""
+        member = self.state.members_by_id[member_id]
+        other = next(
+            each for each in self.state.members_by_id if each != member_id
+        )
+        body = MemberExpired(member_id, member.epoch, member.renewed_offset)
+        record = Record(
+            f"end-{member_id}",
+            other,
+            1,
+            Stamp(self.timers.wall_ms(), 0),
+            body,
+        )
+        fold_record(self.state, self.state.offset + 1, record)
+
     def guard_of(self, own_id: str) -> KeyGuard:
         """Returns the guard of one entry host."""
         member = self.state.members_by_id[own_id]
@@ -193,3 +237,115 @@
     refusal = reserving.result()
     assert isinstance(refusal, Refusal)
     assert refusal.code is ResultCode.NOT_RUN_KEY_UNGUARDED
+
+
+KEPT_MS = round(KEPT_S * 1000)
+
+
+def some_keys(peers: FakePeers, holders: set[str]) -> list[str]:
+    """Returns keys that just these entry hosts hold."""
+    members = peers.state.members_by_id
+    keys = [f"service-a/{number}" for number in range(500)]
+    return [key for key in keys if set(key_holders(members, key)) == holders]
+
+
+async def test_keys_are_handed_over_to_the_new_holder() -> None:
+    timers = VirtualTimers()
+    peers = FakePeers(5, timers)
+    handovers = {
+        own_id: peers.handover_of(own_id)
+        for own_id in peers.state.members_by_id
+    }
+    for handover in handovers.values():
+        handover.follow_members()
+    heads = [make_head(timers, f"entry-0/{n}", key=str(n)) for n in range(40)]
+    guard = peers.guard_of("entry-0")
+    for head in heads:
+        await guard.reserve(head)
+        await guard.settle(head, KeyVerdict.DONE, ANSWER)
+    # One after the other is lost, with time for a hand-over in between.
+    for lost in ("entry-1", "entry-2", "entry-3"):
+        peers.end(lost)
+        del handovers[lost]
+        for handover in handovers.values():
+            handover.follow_members()
+        await timers.advance(20.0)
+    survivor = peers.guard_of("entry-4")
+    for head in heads:
+        again = make_head(timers, f"entry-4/{head.key}", key=head.key)
+        reservation = await survivor.reserve(again)
+        assert reservation == KeyReservation(KeyVerdict.DONE, ANSWER)
+
+
+async def test_a_planned_stop_hands_its_keys_over_first() -> None:
+    timers = VirtualTimers()
+    peers = FakePeers(3, timers)
+    keys = some_keys(peers, {"entry-0", "entry-1"})
+    head = make_head(timers, "entry-2/1", key=keys[0].partition("/")[2])
+    guard = peers.guard_of("entry-2")
+    await guard.reserve(head)
+    await guard.settle(head, KeyVerdict.DONE, ANSWER)
+    for leaving in ("entry-0", "entry-1"):
+        await peers.handover_of(leaving).hand_over_all()
+        del peers.state.members_by_id[leaving]
+    again = make_head(timers, "entry-2/2", key=head.key)
+    reservation = await peers.guard_of("entry-2").reserve(again)
+    assert reservation == KeyReservation(KeyVerdict.DONE, ANSWER)
+
+
+async def test_keys_whose_holders_were_both_lost_have_unknown_outcomes() -> (
+    None
+):
+    timers = VirtualTimers()
+    peers = FakePeers(5, timers)
+    lost = {"entry-1", "entry-2"}
+    keys_of_both = some_keys(peers, lost)
+    keys_of_one = some_keys(peers, {"entry-1", "entry-3"})
+    peers.end("entry-1")
+    await timers.advance(2.0)
+    peers.end("entry-2")
+
+    def is_lost(key: str) -> bool:
+        return may_have_been_lost(peers.state, key, timers.wall_ms(), KEPT_MS)
+
+    assert keys_of_both
+    assert all(is_lost(key) for key in keys_of_both)
+    assert not any(is_lost(key) for key in keys_of_one)
+    store = peers.stores_by_address["127.0.0.5:8002"]
+    reservation = store.reserve(keys_of_both[0], "entry-4/1", peers.state)
+    assert reservation.verdict is KeyVerdict.UNKNOWN
+    await timers.advance(KEPT_S + 20)
+    assert not any(is_lost(key) for key in keys_of_both)
+
+
+async def test_losses_far_apart_lose_no_keys() -> None:
+    timers = VirtualTimers()
+    peers = FakePeers(5, timers)
+    keys = some_keys(peers, {"entry-1", "entry-2"})
+    peers.end("entry-1")
+    await timers.advance(20.0)
+    peers.end("entry-2")
+    assert not any(
+        may_have_been_lost(peers.state, key, timers.wall_ms(), KEPT_MS)
+        for key in keys
+    )
+
+
+async def test_a_late_holder_does_not_keep_a_key_that_the_other_knows() -> None:
+    timers = VirtualTimers()
+    peers = FakePeers(3, timers)
+    head = make_head(timers, "entry-0/1", key="one")
+    guard = peers.guard_of("entry-0")
+    first, second = guard.holders(head.scoped_key())
+    peers.stores_by_address[second.peers].reserve(
+        head.scoped_key(), "entry-1/9", peers.state
+    )
+    reservation = await guard.reserve(head)
+    assert isinstance(reservation, KeyReservation)
+    assert reservation.verdict is KeyVerdict.RUNNING
+    copy = KeyCopy(head.scoped_key(), "entry-1/9", KeyVerdict.DONE, ANSWER)
+    peers.stores_by_address[first.peers].take_copies([copy])
+    again = peers.stores_by_address[first.peers].reserve(
+        head.scoped_key(), "entry-2/5", peers.state
+    )
+    assert again == KeyReservation(KeyVerdict.DONE, ANSWER)
