--- a/Makefile
+++ b/Makefile
@@ -32,6 +32,12 @@
 bench-control: setup
 	$(BIN)/python -m bench.control
 
+faults: setup
+	$(BIN)/python -m bench.faults $(SEED)
+
+bench-requests: setup
+	$(BIN)/python -m bench.requests
+
 proofs: setup
 	$(BIN)/python -m bench.prove
 
