Tell a silent endpoint from a leaving one, and pace a pool that is gone

A probe that timed out set an endpoint aside as leaving, so a slow pool could have been set aside whole; a pool whose endpoints refuse connections was probed in a tight loop until each request's deadline, and such a request was answered OUTCOME_UNKNOWN though no byte of it had been sent. Change: probes tell not ready from silent; pauses grow from 0 to 1 s; a request that was never sent is answered NOT_RUN_DEADLINE. The entry host's parts are built in two modules; commands return typed values.

--- a/daemons/entry/src/coltsfootseam/entry/commands.py
+++ b/daemons/entry/src/coltsfootseam/entry/commands.py
@@ -2,9 +2,12 @@
 
 import asyncio
 
+import msgspec
+
 from coltsfootseam.contracts import parse_contract
+from coltsfootseam.entry.core import MS_PER_S
 from coltsfootseam.entry.messages import CommandReply, ContractCommand
-from coltsfootseam.entry.node import MS_PER_S, Node
+from coltsfootseam.entry.node import Node
 from coltsfootseam.results import Refusal, ResultCode
 from coltsfootseam.state import (
     ContractAmended,
@@ -54,20 +57,27 @@
             record_id=record_id,
             offset=outcome.offset,
         )
-    in_force, live = await _wait_in_force(node, outcome.offset)
-    code = ResultCode.OK if in_force == live else ResultCode.NOT_IN_FORCE
+    reach = await _wait_in_force(node, outcome.offset)
+    code = ResultCode.NOT_IN_FORCE
+    if reach.in_force == reach.live:
+        code = ResultCode.OK
     reason = "" if code is ResultCode.OK else "accepted, not yet everywhere"
     return CommandReply(
         code=int(code),
         reason=reason,
         record_id=record_id,
         offset=outcome.offset,
-        in_force=in_force,
-        live=live,
+        in_force=reach.in_force,
+        live=reach.live,
     )
 
 
-async def _wait_in_force(node: Node, offset: int) -> tuple[int, int]:
+class _Reach(msgspec.Struct, frozen=True):
+    in_force: int
+    live: int
+
+
+async def _wait_in_force(node: Node, offset: int) -> _Reach:
     timers = node.core.timers
     limit_s = node.core.settings.timers.in_force_ms / MS_PER_S
     deadline_s = timers.now_s() + limit_s
@@ -78,7 +88,7 @@
         )
         in_force = sum(reached)
         if in_force == len(members) or timers.now_s() >= deadline_s:
-            return in_force, len(members)
+            return _Reach(in_force, len(members))
         await timers.sleep(_POLL_S)
 
 
--- a/daemons/entry/src/coltsfootseam/entry/daemon.py
+++ b/daemons/entry/src/coltsfootseam/entry/daemon.py
@@ -9,7 +9,8 @@
 from aiohttp import web
 
 from coltsfootseam.entry.admin import AdminInterface
-from coltsfootseam.entry.node import MS_PER_S, Node, building_node
+from coltsfootseam.entry.core import MS_PER_S
+from coltsfootseam.entry.node import Node, building_node
 from coltsfootseam.entry.peer_service import EntryPeerService
 from coltsfootseam.observe import configure_logs
 from coltsfootseam.peers import serving_peers
--- /dev/null
+++ b/daemons/entry/src/coltsfootseam/entry/routing_parts.py
@@ -0,0 +1,144 @@
+"""Building the parts of the request path."""
+
+import random
+from collections.abc import Callable
+
+import msgspec
+
+from coltsfootseam.entry.core import MS_PER_S, Core
+from coltsfootseam.entry.readiness import Readiness
+from coltsfootseam.routing import (
+    AttemptRunner,
+    DeadlineLimits,
+    DispatchContext,
+    Dispatcher,
+    EndpointTable,
+    Frontend,
+    KeyGuard,
+    KeyHandover,
+    KeyStore,
+    Prober,
+    Relay,
+    RoutingSettings,
+    find_dispatcher,
+)
+from coltsfootseam.state import FleetState
+
+StateGetter = Callable[[], FleetState]
+
+
+class RoutingParts(msgspec.Struct, frozen=True):
+    """The parts of the request path."""
+
+    endpoints: EndpointTable
+    dispatcher: Dispatcher
+    prober: Prober
+    key_store: KeyStore
+    handover: KeyHandover
+    frontend: Frontend
+
+
+def build_routing(
+    core: Core,
+    state: StateGetter,
+    endpoints: EndpointTable,
+    relay: Relay,
+    readiness: Readiness,
+) -> RoutingParts:
+    """Builds the parts.
+
+    Raises:
+        ValueError: If the settings name a way of dispatch that is not there.
+    """
+    limits = core.settings.requests
+    dispatcher = _build_dispatcher(core, state, endpoints)
+    prober = Prober(core.settings.entry_id, endpoints, relay, core.peers, state)
+    attempts = AttemptRunner(
+        dispatcher,
+        relay,
+        prober,
+        core.timers,
+        core.observer,
+        limits.retry_ratio,
+    )
+    key_store = KeyStore(
+        core.timers, limits.keys_kept_ms / MS_PER_S, limits.keys_limit
+    )
+    return RoutingParts(
+        endpoints=endpoints,
+        dispatcher=dispatcher,
+        prober=prober,
+        key_store=key_store,
+        handover=_build_handover(core, key_store, state),
+        frontend=_build_frontend(core, attempts, key_store, state, readiness),
+    )
+
+
+def _build_handover(
+    core: Core, key_store: KeyStore, state: StateGetter
+) -> KeyHandover:
+    return KeyHandover(
+        core.settings.entry_id,
+        key_store,
+        core.peers,
+        state,
+        core.timers,
+        core.observer,
+    )
+
+
+def _build_frontend(
+    core: Core,
+    attempts: AttemptRunner,
+    key_store: KeyStore,
+    state: StateGetter,
+    readiness: Readiness,
+) -> Frontend:
+    limits = core.settings.requests
+    key_guard = KeyGuard(
+        core.settings.entry_id,
+        key_store,
+        core.peers,
+        state,
+        core.timers,
+        core.observer,
+    )
+    settings = RoutingSettings(
+        entry_id=core.settings.entry_id,
+        deadlines=DeadlineLimits(
+            limits.default_deadline_ms, limits.longest_deadline_ms
+        ),
+        buffered_body_bytes=limits.buffered_body_bytes,
+        kept_answer_bytes=limits.kept_answer_bytes,
+    )
+    return Frontend(
+        settings,
+        attempts,
+        key_guard,
+        core.timers,
+        core.observer,
+        readiness.find_reason_not_to_run,
+    )
+
+
+def _build_dispatcher(
+    core: Core, state: StateGetter, endpoints: EndpointTable
+) -> Dispatcher:
+    limits = core.settings.requests
+    factory = find_dispatcher(limits.dispatch)
+    if factory is None:
+        raise ValueError(
+            f"requests.dispatch {limits.dispatch!r} is not registered"
+        )
+    return factory(
+        DispatchContext(
+            own_id=core.settings.entry_id,
+            state=state,
+            endpoints=endpoints,
+            peers=core.peers,
+            timers=core.timers,
+            observer=core.observer,
+            queue_limit=limits.queue_limit,
+            rng=random.Random(core.settings.entry_id),
+        )
+    )
--- a/libs/routing/src/coltsfootseam/routing/attempts.py
+++ b/libs/routing/src/coltsfootseam/routing/attempts.py
@@ -11,13 +11,18 @@
 from coltsfootseam.routing.budget import RetryBudget
 from coltsfootseam.routing.dispatch import Dispatcher, Grant, SlotUse
 from coltsfootseam.routing.prober import Prober
-from coltsfootseam.routing.relay import Attempt, Ending, Relay
+from coltsfootseam.routing.relay import Attempt, Ending, Readiness, Relay
 from coltsfootseam.routing.request import RequestHead
 from coltsfootseam.routing.sink import AnswerSink, SinkState
 from coltsfootseam.timers import TimerService
 
 _READY_FOR_S = 2.0
 _ABANDONED_S = 30.0
+_FIRST_PAUSE_S = 0.05
+_LONGEST_PAUSE_S = 1.0
+_TOO_LATE = Refusal(
+    ResultCode.NOT_RUN_DEADLINE, "no endpoint was ready before the deadline"
+)
 
 
 class AttemptRunner:
@@ -83,13 +88,21 @@
         budget = self._budget_for(head.service)
         budget.note_request()
         may_have_run = False
+        not_ready = 0
         while True:
             grant = await self._dispatcher.acquire(head)
             if isinstance(grant, Refusal):
                 return _conclude_refused(grant, may_have_run)
             if not await self._is_ready(grant):
                 self._dispatcher.release(grant, SlotUse())
+                left_s = head.deadline_s - self._timers.now_s()
+                await self._timers.sleep(min(_pause_s(not_ready), left_s))
+                not_ready += 1
                 continue
+            if sink.state is SinkState.DETACHED:
+                self._dispatcher.release(grant, SlotUse())
+                return _conclude_refused(_TOO_LATE, may_have_run)
+            sink.request_sent = True
             attempt = await self._attempt(grant, caller, body, sink)
             may_have_run |= attempt.ending is Ending.UNKNOWN
             if not self._may_retry(head, attempt, body, sink, budget):
@@ -130,10 +143,12 @@
         endpoint = grant.endpoint
         if self._timers.now_s() - endpoint.ready_s <= _READY_FOR_S:
             return True
-        if await self._relay.probe(grant.address):
+        readiness = await self._relay.probe(grant.address)
+        if readiness is Readiness.READY:
             endpoint.ready_s = self._timers.now_s()
             return True
-        self._prober.note_not_ready(endpoint)
+        self._observer.count("requests.probed_not_ready")
+        self._prober.note_not_ready(endpoint, readiness)
         return False
 
     def _may_retry(
@@ -162,6 +177,17 @@
         return budget
 
 
+def _pause_s(not_ready: int) -> float:
+    """Returns how long to wait after some endpoints were not ready.
+
+    Another endpoint is tried at once; a whole pool that is not ready is not
+    asked again and again.
+    """
+    if not_ready == 0:
+        return 0.0
+    return min(_LONGEST_PAUSE_S, _FIRST_PAUSE_S * (1 << min(not_ready - 1, 10)))
+
+
 def _judge_use(attempt: Attempt, took_s: float) -> SlotUse:
     finding = Finding.FAILING if attempt.failing else Finding.NONE
     ran = attempt.ending is not Ending.NOT_RUN
--- a/libs/routing/src/coltsfootseam/routing/frontend.py
+++ b/libs/routing/src/coltsfootseam/routing/frontend.py
@@ -31,6 +31,12 @@
 
 _REASON_LENGTH = 200
 _GRACE_S = 0.05
+_LATE_ANSWER = Refusal(
+    ResultCode.OUTCOME_UNKNOWN, "no answer before the deadline"
+)
+_NOT_SENT = Refusal(
+    ResultCode.NOT_RUN_DEADLINE, "no endpoint was ready before the deadline"
+)
 
 
 class RoutingSettings(msgspec.Struct, frozen=True):
@@ -178,11 +184,10 @@
             limit.cancel()
         if not outcome.done():
             sink.detach()
+            # After this, the request is not sent any more if it was not yet.
             return self._refuse(
                 head.request_id,
-                Refusal(
-                    ResultCode.OUTCOME_UNKNOWN, "no answer before the deadline"
-                ),
+                _LATE_ANSWER if sink.request_sent else _NOT_SENT,
             )
         result = outcome.result()
         response = sink.response()
--- a/libs/routing/src/coltsfootseam/routing/prober.py
+++ b/libs/routing/src/coltsfootseam/routing/prober.py
@@ -10,7 +10,7 @@
     EndpointTable,
     SetAsideCause,
 )
-from coltsfootseam.routing.relay import Attempt, Relay
+from coltsfootseam.routing.relay import Attempt, Readiness, Relay
 from coltsfootseam.state import FleetState
 
 
@@ -57,8 +57,17 @@
             )
             self._start(self._confirm_leaving(endpoint))
 
-    def note_not_ready(self, endpoint: Endpoint) -> None:
-        """Sets aside an endpoint that a probe found not to be ready."""
+    def note_not_ready(self, endpoint: Endpoint, readiness: Readiness) -> None:
+        """Sets aside an endpoint that a probe found not to be ready.
+
+        Only one that says so is leaving. One that is silent may be slow, and
+        a whole pool may be slow at once.
+        """
+        if readiness is Readiness.SILENT:
+            self._endpoints.set_aside(
+                endpoint, SetAsideCause.FAILING, "does not answer"
+            )
+            return
         self._endpoints.set_aside(
             endpoint, SetAsideCause.LEAVING, "is not ready"
         )
@@ -71,11 +80,11 @@
         )
 
     async def _probe(self, endpoint: Endpoint) -> None:
-        if await self._relay.probe(endpoint.address):
+        if await self._relay.probe(endpoint.address) is Readiness.READY:
             self._endpoints.take_back(endpoint)
 
     async def _confirm_leaving(self, endpoint: Endpoint) -> None:
-        if await self._relay.probe(endpoint.address):
+        if await self._relay.probe(endpoint.address) is Readiness.READY:
             endpoint.closes_while_ready = True
             self._endpoints.take_back(endpoint)
             return
--- a/libs/routing/src/coltsfootseam/routing/relay.py
+++ b/libs/routing/src/coltsfootseam/routing/relay.py
@@ -47,6 +47,14 @@
     CUT = 4
 
 
+class Readiness(enum.Enum):
+    """What an endpoint said when it was asked whether it is ready."""
+
+    READY = 1
+    NOT_READY = 2
+    SILENT = 3
+
+
 class Attempt(msgspec.Struct, frozen=True):
     """The end of an attempt and what it says of the endpoint.
 
@@ -119,8 +127,8 @@
             ending = Ending.CUT if begun else Ending.UNKNOWN
             return Attempt(ending, repr(error), failing=True)
 
-    async def probe(self, address: str) -> bool:
-        """Asks an endpoint on a connection of its own whether it is ready.
+    async def probe(self, address: str) -> Readiness:
+        """Asks an endpoint whether it is ready.
 
         An endpoint without a readiness path counts as ready if it answers.
         """
@@ -131,9 +139,11 @@
                 url, timeout=timeout, allow_redirects=False
             ) as response:
                 await response.read()
-                return response.status < _SERVER_ERROR
+                if response.status < _SERVER_ERROR:
+                    return Readiness.READY
+                return Readiness.NOT_READY
         except (aiohttp.ClientError, TimeoutError, OSError):
-            return False
+            return Readiness.SILENT
 
 
 @contextlib.asynccontextmanager
--- a/libs/routing/src/coltsfootseam/routing/sink.py
+++ b/libs/routing/src/coltsfootseam/routing/sink.py
@@ -25,6 +25,11 @@
     A sink belongs to one request from beginning to end, so an answer cannot
     reach another caller. After ``detach`` nothing reaches the caller any
     more, while the copy is still completed.
+
+    Attributes:
+        state: How far the answer has come.
+        caller_gone: Whether the caller's connection has ended.
+        request_sent: Whether the request was sent to an endpoint at all.
     """
 
     __slots__ = (
@@ -36,6 +41,7 @@
         "_kept_status",
         "_response",
         "caller_gone",
+        "request_sent",
         "state",
     )
 
@@ -54,6 +60,7 @@
         self._kept_headers: CIMultiDict[str] = CIMultiDict()
         self.state = SinkState.EMPTY
         self.caller_gone = False
+        self.request_sent = False
 
     async def begin(self, status: int, headers: CIMultiDict[str]) -> None:
         """Sends status and headers."""
--- a/tests/nocover/test_endpoint_faults.py
+++ b/tests/nocover/test_endpoint_faults.py
@@ -142,3 +142,20 @@
             retried += totals.get("requests.retried", 0)
         # The reserve of each service and entry host, and a tenth of requests.
         assert retried <= 2 * 3 * 20 + 0.1 * len(load)
+
+
+async def test_a_pool_that_is_gone_is_not_asked_without_end() -> None:
+    async with launching(make_plan("gone")) as cluster:
+        await publish_small_contract(cluster)
+        for process in cluster.endpoints_by_id.values():
+            process.kill()
+        load = steady_load(40, per_s=40, deadline_ms=3000)
+        results = await load_during(cluster, load)
+        assert kinds_of(results) == {ResultKind.NOT_RUN}
+        set_aside = 0
+        for entry_id in cluster.entries_by_id:
+            totals = (await cluster.status(entry_id)).totals_by_counter
+            set_aside += totals.get("requests.probed_not_ready", 0)
+        # A request waits 0, 0.05, 0.1 ... 1 s between endpoints that are not
+        # ready, so at most ten fit into its 3 s.
+        assert set_aside <= 10 * len(load)
