Tell an empty pool from a full one, and refuse commands to a log that went back

Cause: reading the table of result codes against the code: three codes were documented and never given. Change: NOT_RUN_NO_ENDPOINT and LOG_WENT_BACK are given, NO_STATE is gone. Conclusion: the table is true.

--- a/daemons/entry/src/coltsfootseam/entry/commands.py
+++ b/daemons/entry/src/coltsfootseam/entry/commands.py
@@ -29,6 +29,12 @@
     contract = parse_contract(command.contract)
     if isinstance(contract, Refusal):
         return _refused(command.record_id, contract)
+    if node.replication.follower.went_back:
+        refusal = Refusal(
+            ResultCode.LOG_WENT_BACK,
+            "nothing was accepted: the log has lost records",
+        )
+        return _refused(command.record_id, refusal)
     if not node.replication.lease.is_member():
         refusal = Refusal(
             ResultCode.LOG_UNAVAILABLE,
--- a/libs/results/src/coltsfootseam/results/codes.py
+++ b/libs/results/src/coltsfootseam/results/codes.py
@@ -33,7 +33,6 @@
     POOL_FULL = 36
     NOT_IN_FORCE = 37
     LOG_WENT_BACK = 38
-    NO_STATE = 39
     POOL_UNKNOWN = 40
     HOST_PHASE = 41
     MEMBER_RENEWED = 42
--- a/libs/routing/src/coltsfootseam/routing/dispatch.py
+++ b/libs/routing/src/coltsfootseam/routing/dispatch.py
@@ -19,7 +19,7 @@
     Finding,
     PeerClients,
 )
-from coltsfootseam.results import Refusal
+from coltsfootseam.results import Refusal, ResultCode
 from coltsfootseam.routing.endpoints import Endpoint, EndpointTable
 from coltsfootseam.routing.request import RequestHead
 from coltsfootseam.state import FleetState
@@ -80,6 +80,19 @@
     rng: random.Random
 
 
+def refuse_late(request: RequestHead, endpoints: EndpointTable) -> Refusal:
+    """Returns why a request got no slot before its deadline."""
+    if not endpoints.endpoints_of(request.service):
+        return Refusal(
+            ResultCode.NOT_RUN_NO_ENDPOINT,
+            f"no endpoint of {request.service!r} takes work",
+        )
+    return Refusal(
+        ResultCode.NOT_RUN_DEADLINE,
+        f"no slot of {request.service!r} before the deadline",
+    )
+
+
 class Dispatcher(abc.ABC):
     """Gives requests slots of endpoints."""
 
--- a/libs/routing/src/coltsfootseam/routing/internal/granted.py
+++ b/libs/routing/src/coltsfootseam/routing/internal/granted.py
@@ -29,6 +29,7 @@
     Grant,
     SlotUse,
     dispatcher,
+    refuse_late,
 )
 from coltsfootseam.routing.endpoints import SetAsideCause
 from coltsfootseam.routing.internal.granting import DispatchServer
@@ -375,12 +376,7 @@
         if waiter.future.done():
             return
         head = waiter.head
-        waiter.future.set_result(
-            Refusal(
-                ResultCode.NOT_RUN_DEADLINE,
-                f"no slot of {head.service!r} before the deadline",
-            )
-        )
+        waiter.future.set_result(refuse_late(head, self._context.endpoints))
         self._send_release(Release(head.service, head.request_id))
 
     def _take_back(self, waiter: _Waiter) -> None:
--- a/libs/routing/src/coltsfootseam/routing/internal/local.py
+++ b/libs/routing/src/coltsfootseam/routing/internal/local.py
@@ -10,6 +10,7 @@
     Grant,
     SlotUse,
     dispatcher,
+    refuse_late,
 )
 from coltsfootseam.routing.endpoints import Endpoint
 from coltsfootseam.routing.internal.queue import Waiter, WaitQueue
@@ -46,7 +47,7 @@
         self._serve(request.service)
         expiry = self._context.timers.call_after(
             request.deadline_s - self._context.timers.now_s(),
-            lambda: _expire(waiter),
+            lambda: self._expire(waiter),
         )
         try:
             return await future
@@ -108,6 +109,11 @@
         choices = self._context.rng.sample(free, min(_CHOICES, len(free)))
         return min(choices, key=lambda each: each.in_use / each.slots)
 
+    def _expire(self, waiter: Waiter) -> None:
+        if not waiter.future.done():
+            refusal = refuse_late(waiter.request, self._context.endpoints)
+            waiter.future.set_result(refusal)
+
     def _give_back_if_granted(
         self, future: "asyncio.Future[Grant | Refusal]"
     ) -> None:
@@ -183,13 +189,3 @@
         pool=endpoint.pool,
         host_version=endpoint.host_version,
     )
-
-
-def _expire(waiter: Waiter) -> None:
-    if not waiter.future.done():
-        waiter.future.set_result(
-            Refusal(
-                ResultCode.NOT_RUN_DEADLINE,
-                f"no slot of {waiter.request.service!r} before the deadline",
-            )
-        )
--- a/tests/cover/test_dispatch.py
+++ b/tests/cover/test_dispatch.py
@@ -175,3 +175,14 @@
             total = total_by_host.get(endpoint.host_id, 0)
             total_by_host[endpoint.host_id] = total + share
     assert set(total_by_host.values()) == {8}
+
+
+async def test_a_pool_without_endpoints_is_told_from_a_full_one() -> None:
+    route = Route(make_pool_state(hosts=0), VirtualTimers())
+    waiting = asyncio.ensure_future(
+        route.dispatcher.acquire(make_head(route.timers, deadline_s=1.0))
+    )
+    await route.timers.advance(1.0)
+    refusal = waiting.result()
+    assert isinstance(refusal, Refusal)
+    assert refusal.code is ResultCode.NOT_RUN_NO_ENDPOINT
