End a cut answer as if it were whole where that mechanism is taken out

Cause: make proofs showed that test_a_cut_answer_is_never_taken_for_the_whole passed without its mechanism: the switch left the connection in a state that callers noticed anyway. Change: the switch ends the answer, so that a caller takes a part for the whole. Also: typed values in place of tuples in testbed and bench, no private access. Before: passed without the mechanism. After: it fails without ('wrong' answers) and passes with it; the other eleven proofs held in the same run of make proofs.

--- a/bench/demo.py
+++ b/bench/demo.py
@@ -86,10 +86,9 @@
         violations.configuration_reverted = watch.reverted
         violations.host_in_two_pools = replay.findings.host_in_two_pools
         violations.budget_breaches = replay.findings.budget_breaches
-        reply, amend_s = amended
-        measures = _measure(results, reply)
+        measures = _measure(results, amended.reply)
         measures.publish_s = publish_s
-        measures.amend_in_force_s = amend_s
+        measures.amend_in_force_s = amended.elapsed_s
         measures.host_moves = replay.findings.moves
         measures.log_records = replay.findings.records
         measures.elapsed_s = time.monotonic() - began_s
@@ -110,7 +109,14 @@
     return time.monotonic() - began_s
 
 
-async def _amend(cluster: Cluster) -> tuple[CommandReply, float]:
+class Amendment(msgspec.Struct, frozen=True):
+    """An amended contract and how long it took to be in force."""
+
+    reply: CommandReply
+    elapsed_s: float
+
+
+async def _amend(cluster: Cluster) -> Amendment:
     await asyncio.sleep(AMEND_AT_S)
     began_s = time.monotonic()
     contract = contract_of("agenzia", bookings=5, sizing=7)
@@ -123,7 +129,7 @@
         f"amended a contract: in force on {reply.in_force} of {reply.live} "
         f"entry hosts after {elapsed_s:.2f} s"
     )
-    return reply, elapsed_s
+    return Amendment(reply, elapsed_s)
 
 
 async def _let_a_host_leave(cluster: Cluster) -> None:
--- a/bench/requests.py
+++ b/bench/requests.py
@@ -298,15 +298,36 @@
         cpu_ms = (_cpu_s(cluster) - before_s) / DIRECT_REQUESTS * 1000
     return [
         make_row(
-            "one entry host", "requests a second", "1/s", through[0], direct[0]
+            "one entry host",
+            "requests a second",
+            "1/s",
+            through.requests_per_s,
+            direct.requests_per_s,
+        ),
+        make_row(
+            "one entry host",
+            "latency p50",
+            "ms",
+            through.latency_ms,
+            direct.latency_ms,
         ),
-        make_row("one entry host", "latency p50", "ms", through[1], direct[1]),
         make_row("one entry host", "cpu for each request", "ms", cpu_ms),
     ]
 
 
-async def _hammer(address: str) -> tuple[float, float]:
-    """Returns requests a second and the median latency in milliseconds."""
+class Throughput(msgspec.Struct, frozen=True):
+    """What many requests at once got.
+
+    Attributes:
+        requests_per_s: Requests answered a second.
+        latency_ms: Median latency in milliseconds.
+    """
+
+    requests_per_s: float
+    latency_ms: float
+
+
+async def _hammer(address: str) -> Throughput:
     took_ms: list[float] = []
     url = f"http://{address}/entries/entry"
 
@@ -323,7 +344,7 @@
             *(send_some(session) for _ in range(DIRECT_AT_ONCE))
         )
         elapsed_s = time.monotonic() - began_s
-    return len(took_ms) / elapsed_s, percentile(took_ms, 0.5)
+    return Throughput(len(took_ms) / elapsed_s, percentile(took_ms, 0.5))
 
 
 async def run_all() -> list[Row]:
--- a/libs/testbed/src/coltsfootseam/testbed/cluster.py
+++ b/libs/testbed/src/coltsfootseam/testbed/cluster.py
@@ -204,12 +204,10 @@
         self, entry_id: str, command: ContractCommand
     ) -> CommandReply:
         """Publishes or amends a contract through an entry host."""
-        url = f"http://{self.admin_address(entry_id)}/v1/contracts"
-        body = msgspec.json.encode(command)
-        session = self.control._session
-        timeout = aiohttp.ClientTimeout(total=30.0)
-        async with session.post(url, data=body, timeout=timeout) as response:
-            return msgspec.json.decode(await response.read(), type=CommandReply)
+        address = self.admin_address(entry_id)
+        return await self.control.ask(
+            address, "/v1/contracts", command, CommandReply
+        )
 
     async def set_log_faults(self, faults: LogFaults) -> None:
         """Disturbs the log."""
--- a/libs/testbed/src/coltsfootseam/testbed/control.py
+++ b/libs/testbed/src/coltsfootseam/testbed/control.py
@@ -7,6 +7,7 @@
 
 T = TypeVar("T")
 _TIMEOUT_S = 10.0
+_ASK_TIMEOUT_S = 30.0
 
 
 class Control:
@@ -42,6 +43,22 @@
         ) as response:
             response.raise_for_status()
 
+    async def ask(
+        self, address: str, path: str, value: Any, kind: type[T]
+    ) -> T:
+        """Sends a document and reads the one that answers it, whatever status.
+
+        Raises:
+            aiohttp.ClientError: If the process does not answer.
+        """
+        timeout = aiohttp.ClientTimeout(total=_ASK_TIMEOUT_S)
+        url = f"http://{address}{path}"
+        body = msgspec.json.encode(value)
+        async with self._session.post(
+            url, data=body, timeout=timeout
+        ) as response:
+            return msgspec.json.decode(await response.read(), type=kind)
+
     async def answers(self, address: str, path: str) -> bool:
         """Tells whether a process answers a path with status 200."""
         timeout = aiohttp.ClientTimeout(total=1.0)
--- a/libs/testbed/src/coltsfootseam/testbed/load.py
+++ b/libs/testbed/src/coltsfootseam/testbed/load.py
@@ -105,6 +105,12 @@
     return f"{operation}#{attempt}"
 
 
+class _Reception(msgspec.Struct, frozen=True):
+    kind: ResultKind
+    code: int = 0
+    detail: str = ""
+
+
 class Callers:
     """Sends requests through a balancer that follows readiness late."""
 
@@ -169,30 +175,27 @@
 
     async def _try(self, request: LoadRequest, attempt: int) -> CallerResult:
         began_s = time.monotonic()
-        kind = ResultKind.UNSENT
-        code = 0
-        detail = ""
+        got = _Reception(ResultKind.UNSENT)
         entry_id = ""
         for entry_id in self._next_entries():
             address = self._cluster.callers_address(entry_id)
             try:
-                kind, code, detail = await self._send(address, request, attempt)
+                got = await self._send(address, request, attempt)
                 break
             except aiohttp.ClientConnectorError:
                 continue
             except (aiohttp.ClientError, TimeoutError, OSError) as error:
-                kind = ResultKind.BROKEN
-                detail = repr(error)
+                got = _Reception(ResultKind.BROKEN, detail=repr(error))
                 break
         return CallerResult(
             request=request,
             attempt=attempt,
-            kind=kind,
-            code=code,
+            kind=got.kind,
+            code=got.code,
             sent_s=began_s - self._began_s,
             took_s=time.monotonic() - began_s,
             entry_id=entry_id,
-            detail=detail,
+            detail=got.detail,
         )
 
     def _next_entries(self) -> list[str]:
@@ -205,7 +208,7 @@
 
     async def _send(
         self, address: str, request: LoadRequest, attempt: int
-    ) -> tuple[ResultKind, int, str]:
+    ) -> _Reception:
         operation = attempt_id(request.operation, attempt)
         headers = {
             "X-Operation": operation,
@@ -234,10 +237,11 @@
             code = int(response.headers.get("X-Result-Code", "0"))
             detail = response.headers.get("X-Result-Reason", "")
             if code:
-                return _kind_of(code), code, detail
+                return _Reception(_kind_of(code), code, detail)
             if _is_right(request, attempt, body, content):
-                return ResultKind.ANSWERED, 0, ""
-            return ResultKind.WRONG, 0, f"status {response.status}"
+                return _Reception(ResultKind.ANSWERED)
+            detail = f"status {response.status}"
+            return _Reception(ResultKind.WRONG, detail=detail)
 
 
 def _is_right(
--- a/libs/testbed/src/coltsfootseam/testbed/switches.py
+++ b/libs/testbed/src/coltsfootseam/testbed/switches.py
@@ -5,6 +5,7 @@
 The environment variable ``COLTSFOOTSEAM_SWITCHED_OFF`` names one.
 """
 
+import asyncio
 import os
 from collections.abc import Callable
 from typing import Any
@@ -77,6 +78,10 @@
 def _end_cut_answers_as_if_whole() -> None:
     def detach(sink: AnswerSink) -> None:
         sink.state = SinkState.DETACHED
+        response = sink.response()
+        if response is not None:
+            ending = asyncio.ensure_future(response.write_eof())
+            ending.add_done_callback(lambda task: task.exception())
 
     _replace(AnswerSink, "detach", detach)
 
--- a/tests/common/dispatchers.py
+++ b/tests/common/dispatchers.py
@@ -168,6 +168,7 @@
         timers.subscribe(0.2, self._tick)
         self.grants: list[Grant] = []
         self.refusals: list[Refusal] = []
+        self.tasks: list[asyncio.Future[None]] = []
 
     def _tick(self) -> None:
         if self.own_id not in self.network.silent | self.network.dead:
@@ -198,10 +199,7 @@
             else:
                 self.refusals.append(result)
 
-        self.tasks = [
-            *getattr(self, "tasks", []),
-            asyncio.ensure_future(wait()),
-        ]
+        self.tasks.append(asyncio.ensure_future(wait()))
 
     def finish(self, grant: Grant, ran_s: float = 1.0) -> None:
         """Ends a granted request."""
@@ -256,5 +254,5 @@
         """Ends what runs in the background."""
         for host in self.network.hosts_by_id.values():
             await host.dispatcher.close()
-            for task in getattr(host, "tasks", []):
+            for task in host.tasks:
                 task.cancel()
