--- a/libs/routing/src/coltsfootseam/routing/attempts.py
+++ b/libs/routing/src/coltsfootseam/routing/attempts.py
@@ -21,9 +21,11 @@
 _ABANDONED_S = 30.0
 _FIRST_PAUSE_S = 0.05
 _LONGEST_PAUSE_S = 1.0
-_TOO_LATE = Refusal(
+
+NOT_SENT_IN_TIME = Refusal(
     ResultCode.NOT_RUN_DEADLINE, "no endpoint was ready before the deadline"
 )
+"""The outcome of a request that was never sent to an endpoint."""
 
 
 class AttemptRunner:
@@ -116,7 +118,7 @@
 
     def _find_reason_not_to_send(self, sink: AnswerSink) -> Refusal | None:
         if sink.state is SinkState.DETACHED:
-            return _TOO_LATE
+            return NOT_SENT_IN_TIME
         return self._check_sending()
 
     async def _attempt(
--- a/libs/routing/src/coltsfootseam/routing/frontend.py
+++ b/libs/routing/src/coltsfootseam/routing/frontend.py
@@ -15,7 +15,7 @@
     ResultCode,
     http_status_for_code,
 )
-from coltsfootseam.routing.attempts import AttemptRunner
+from coltsfootseam.routing.attempts import NOT_SENT_IN_TIME, AttemptRunner
 from coltsfootseam.routing.body import RequestBody, read_request_body
 from coltsfootseam.routing.keys import KeyGuard
 from coltsfootseam.routing.request import (
@@ -34,9 +34,6 @@
 _LATE_ANSWER = Refusal(
     ResultCode.OUTCOME_UNKNOWN, "no answer before the deadline"
 )
-_NOT_SENT = Refusal(
-    ResultCode.NOT_RUN_DEADLINE, "no endpoint was ready before the deadline"
-)
 
 
 class RoutingSettings(msgspec.Struct, frozen=True):
@@ -187,7 +184,7 @@
             # After this, the request is not sent any more if it was not yet.
             return self._refuse(
                 head.request_id,
-                _LATE_ANSWER if sink.request_sent else _NOT_SENT,
+                _LATE_ANSWER if sink.request_sent else NOT_SENT_IN_TIME,
             )
         result = outcome.result()
         response = sink.response()
