Make record ids that the command line does not read as numbers

Cause: the command line's parser reads 32 hexadecimal digits that happen to look like a number as one, so 'contract outcome ID' would ask for another id. Change: made ids begin with a letter.

--- a/daemons/cli/src/coltsfootseam/cli/contract.py
+++ b/daemons/cli/src/coltsfootseam/cli/contract.py
@@ -132,6 +132,11 @@
         _finish_command(run(connect(entries).get(path, CommandReply)), json)
 
 
+def make_record_id() -> str:
+    """Returns a new record id that no parser takes for a number."""
+    return f"r-{uuid.uuid4().hex}"
+
+
 def _load_contract(file: str) -> Contract:
     raw = load_yaml_as(str(file), Any, ResultCode.CONTRACT_INVALID)
     contract = raw if isinstance(raw, Refusal) else parse_contract(raw)
@@ -148,7 +153,7 @@
     json: bool,
 ) -> None:
     command = ContractCommand(
-        record_id=record_id or uuid.uuid4().hex,
+        record_id=str(record_id) or make_record_id(),
         contract=msgspec.to_builtins(contract),
         expected_version=expected_version,
     )
