--- a/daemons/entry/src/coltsfootseam/entry/admin.py
+++ b/daemons/entry/src/coltsfootseam/entry/admin.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 
 from coltsfootseam.entry.commands import carry_out, conclude
+from coltsfootseam.entry.entry_host import EntryHost
 from coltsfootseam.entry.messages import (
     CommandReply,
     ContractCommand,
@@ -14,7 +15,6 @@
     view_members,
     view_pools,
 )
-from coltsfootseam.entry.node import Node
 from coltsfootseam.observe import Stamp
 from coltsfootseam.results import (
     Refusal,
@@ -29,10 +29,10 @@
 class AdminInterface:
     """Handlers of the admin interface of one entry host."""
 
-    __slots__ = ("_node",)
+    __slots__ = ("_entry_host",)
 
-    def __init__(self, node: Node) -> None:
-        self._node = node
+    def __init__(self, entry_host: EntryHost) -> None:
+        self._entry_host = entry_host
 
     def application(self) -> web.Application:
         """Returns the HTTP application."""
@@ -62,7 +62,7 @@
     async def answer_ready(self, request: web.Request) -> web.Response:
         """Tells the balancer whether to send requests here."""
         del request
-        refusal = self._node.readiness.find_reason_not_ready()
+        refusal = self._entry_host.readiness.find_reason_not_ready()
         if refusal is None:
             return web.Response(text="ready\n")
         return web.Response(status=503, text=f"{refusal.reason}\n")
@@ -79,13 +79,17 @@
             return _refuse(
                 Refusal(ResultCode.BAD_INPUT, f"since_ms {text!r} is no number")
             )
-        events = self._node.core.observer.events.since(Stamp(int(text), 0))
+        events = self._entry_host.core.observer.events.since(
+            Stamp(int(text), 0)
+        )
         return _json(events)
 
     async def answer_contracts(self, request: web.Request) -> web.Response:
         """Lists the contracts in force."""
         del request
-        contracts = self._node.replication.replica.state.contracts_by_customer
+        contracts = (
+            self._entry_host.replication.replica.state.contracts_by_customer
+        )
         return _json(
             [ContractView.of(each) for _, each in sorted(contracts.items())]
         )
@@ -93,7 +97,7 @@
     async def answer_contract(self, request: web.Request) -> web.Response:
         """Shows the contract in force for a customer."""
         customer = request.match_info["customer"]
-        state = self._node.replication.replica.state
+        state = self._entry_host.replication.replica.state
         version = state.contracts_by_customer.get(customer)
         if version is None:
             return _refuse(_unknown_customer(customer))
@@ -102,7 +106,7 @@
     async def answer_history(self, request: web.Request) -> web.Response:
         """Shows the newest versions of a customer's contract."""
         customer = request.match_info["customer"]
-        state = self._node.replication.replica.state
+        state = self._entry_host.replication.replica.state
         history = state.history_by_customer.get(customer)
         if history is None:
             return _refuse(_unknown_customer(customer))
@@ -115,29 +119,29 @@
             command = msgspec.json.decode(payload, type=ContractCommand)
         except msgspec.DecodeError as error:
             return _refuse(Refusal(ResultCode.BAD_INPUT, f"command: {error}"))
-        return _reply(await carry_out(self._node, command))
+        return _reply(await carry_out(self._entry_host, command))
 
     async def answer_command(self, request: web.Request) -> web.Response:
         """Tells how the command with a record id ended."""
         record_id = request.match_info["record_id"]
-        state = self._node.replication.replica.state
+        state = self._entry_host.replication.replica.state
         outcome = state.outcomes_by_record_id.get(record_id)
         if outcome is None:
             pending = Refusal(
                 ResultCode.OUTCOME_PENDING,
                 f"record {record_id} has not been read back here",
             )
-            return _reply(await conclude(self._node, record_id, pending))
-        return _reply(await conclude(self._node, record_id, outcome))
+            return _reply(await conclude(self._entry_host, record_id, pending))
+        return _reply(await conclude(self._entry_host, record_id, outcome))
 
     def _view_status(self) -> EntryStatus:
-        node = self._node
-        replication = node.replication
+        entry_host = self._entry_host
+        replication = entry_host.replication
         state = replication.replica.state
-        refusal = node.readiness.find_reason_not_ready()
+        refusal = entry_host.readiness.find_reason_not_ready()
         return EntryStatus(
-            entry_id=node.core.settings.entry_id,
-            zone=node.core.settings.zone,
+            entry_id=entry_host.core.settings.entry_id,
+            zone=entry_host.core.settings.zone,
             offset=state.offset,
             digest=digest_state(state),
             ready=refusal is None,
@@ -145,11 +149,13 @@
             holds_lease=replication.lease.holds_lease(),
             log_reachable=replication.connectivity.is_log_reachable(),
             log_went_back=replication.follower.went_back,
-            in_progress=node.routing.frontend.in_progress,
+            in_progress=entry_host.routing.frontend.in_progress,
             planner=replication.planner.has_role(),
             pools=view_pools(state),
             members=view_members(state),
-            totals_by_counter=dict(node.core.observer.counters.totals_by_name),
+            totals_by_counter=dict(
+                entry_host.core.observer.counters.totals_by_name
+            ),
         )
 
 
--- a/daemons/entry/src/coltsfootseam/entry/commands.py
+++ b/daemons/entry/src/coltsfootseam/entry/commands.py
@@ -6,8 +6,8 @@
 
 from coltsfootseam.contracts import parse_contract
 from coltsfootseam.entry.core import MS_PER_S
+from coltsfootseam.entry.entry_host import EntryHost
 from coltsfootseam.entry.messages import CommandReply, ContractCommand
-from coltsfootseam.entry.node import Node
 from coltsfootseam.results import Refusal, ResultCode
 from coltsfootseam.state import (
     ContractAmended,
@@ -19,7 +19,9 @@
 _POLL_S = 0.1
 
 
-async def carry_out(node: Node, command: ContractCommand) -> CommandReply:
+async def carry_out(
+    entry_host: EntryHost, command: ContractCommand
+) -> CommandReply:
     """Proposes a contract and waits until it is in force.
 
     Returns:
@@ -29,13 +31,13 @@
     contract = parse_contract(command.contract)
     if isinstance(contract, Refusal):
         return _refused(command.record_id, contract)
-    if node.replication.follower.went_back:
+    if entry_host.replication.follower.went_back:
         refusal = Refusal(
             ResultCode.LOG_WENT_BACK,
             "nothing was accepted: the log has lost records",
         )
         return _refused(command.record_id, refusal)
-    if not node.replication.lease.is_member():
+    if not entry_host.replication.lease.is_member():
         refusal = Refusal(
             ResultCode.LOG_UNAVAILABLE,
             "nothing was accepted: this entry host is not a member",
@@ -46,12 +48,14 @@
         body = ContractAmended(contract, command.expected_version)
     else:
         body = ContractPublished(contract)
-    outcome = await node.replication.proposer.propose(body, command.record_id)
-    return await conclude(node, command.record_id, outcome)
+    outcome = await entry_host.replication.proposer.propose(
+        body, command.record_id
+    )
+    return await conclude(entry_host, command.record_id, outcome)
 
 
 async def conclude(
-    node: Node, record_id: str, outcome: Outcome | Refusal
+    entry_host: EntryHost, record_id: str, outcome: Outcome | Refusal
 ) -> CommandReply:
     """Turns an outcome into a reply, waiting until it is in force."""
     if isinstance(outcome, Refusal):
@@ -63,7 +67,7 @@
             record_id=record_id,
             offset=outcome.offset,
         )
-    reach = await _wait_in_force(node, outcome.offset)
+    reach = await _wait_in_force(entry_host, outcome.offset)
     code = ResultCode.NOT_IN_FORCE
     if reach.in_force == reach.live:
         code = ResultCode.OK
@@ -83,14 +87,16 @@
     live: int
 
 
-async def _wait_in_force(node: Node, offset: int) -> _Reach:
-    timers = node.core.timers
-    limit_s = node.core.settings.timers.in_force_ms / MS_PER_S
+async def _wait_in_force(entry_host: EntryHost, offset: int) -> _Reach:
+    timers = entry_host.core.timers
+    limit_s = entry_host.core.settings.timers.in_force_ms / MS_PER_S
     deadline_s = timers.now_s() + limit_s
     while True:
-        members = list(node.replication.replica.state.members_by_id.values())
+        members = list(
+            entry_host.replication.replica.state.members_by_id.values()
+        )
         reached = await asyncio.gather(
-            *(_has_in_force(node, member, offset) for member in members)
+            *(_has_in_force(entry_host, member, offset) for member in members)
         )
         in_force = sum(reached)
         if in_force == len(members) or timers.now_s() >= deadline_s:
@@ -98,10 +104,12 @@
         await timers.sleep(_POLL_S)
 
 
-async def _has_in_force(node: Node, member: Member, offset: int) -> bool:
-    if member.member_id == node.core.settings.entry_id:
-        return node.replication.replica.state.offset >= offset
-    status = await node.core.peers.status(member.peers)
+async def _has_in_force(
+    entry_host: EntryHost, member: Member, offset: int
+) -> bool:
+    if member.member_id == entry_host.core.settings.entry_id:
+        return entry_host.replication.replica.state.offset >= offset
+    status = await entry_host.core.peers.status(member.peers)
     return not isinstance(status, Refusal) and status.offset >= offset
 
 
--- a/daemons/entry/src/coltsfootseam/entry/daemon.py
+++ b/daemons/entry/src/coltsfootseam/entry/daemon.py
@@ -10,7 +10,7 @@
 
 from coltsfootseam.entry.admin import AdminInterface
 from coltsfootseam.entry.core import MS_PER_S
-from coltsfootseam.entry.node import Node, building_node
+from coltsfootseam.entry.entry_host import EntryHost, building_entry_host
 from coltsfootseam.entry.peer_service import EntryPeerService
 from coltsfootseam.observe import configure_logs
 from coltsfootseam.peers import serving_peers
@@ -45,20 +45,20 @@
     configure_logs(settings.entry_id, settings.log_level)
     stop = _stop_on_signal()
     async with (
-        building_node(settings) as node,
+        building_entry_host(settings) as entry_host,
         serving_peers(
             settings.listen.peers,
-            EntryPeerService(node),
-            node.core.observer.clock,
+            EntryPeerService(entry_host),
+            entry_host.core.observer.clock,
         ),
-        _serving_admin(node),
-        _serving_callers(node) as callers_site,
+        _serving_admin(entry_host),
+        _serving_callers(entry_host) as callers_site,
     ):
-        with _running_parts(node):
-            node.core.observer.change("entry.started", settings.entry_id)
+        with _running_parts(entry_host):
+            entry_host.core.observer.change("entry.started", settings.entry_id)
             await stop.wait()
-            await _stop_gracefully(node, callers_site)
-            node.core.observer.change("entry.stopped", settings.entry_id)
+            await _stop_gracefully(entry_host, callers_site)
+            entry_host.core.observer.change("entry.stopped", settings.entry_id)
 
 
 def _stop_on_signal() -> asyncio.Event:
@@ -70,12 +70,12 @@
 
 
 @contextlib.asynccontextmanager
-async def _serving_admin(node: Node) -> AsyncIterator[None]:
-    app = AdminInterface(node).application()
+async def _serving_admin(entry_host: EntryHost) -> AsyncIterator[None]:
+    app = AdminInterface(entry_host).application()
     runner = web.AppRunner(app, access_log=None)
     await runner.setup()
     try:
-        site = _make_site(runner, node.core.settings.listen.admin)
+        site = _make_site(runner, entry_host.core.settings.listen.admin)
         await site.start()
         yield
     finally:
@@ -83,16 +83,16 @@
 
 
 @contextlib.asynccontextmanager
-async def _serving_callers(node: Node) -> AsyncIterator[web.TCPSite]:
+async def _serving_callers(entry_host: EntryHost) -> AsyncIterator[web.TCPSite]:
     server = web.Server(
-        node.routing.frontend.handle,
+        entry_host.routing.frontend.handle,
         access_log=None,
         keepalive_timeout=_CALLER_KEEPALIVE_S,
     )
     runner = web.ServerRunner(server, shutdown_timeout=_SHUTDOWN_S)
     await runner.setup()
     try:
-        site = _make_site(runner, node.core.settings.listen.callers)
+        site = _make_site(runner, entry_host.core.settings.listen.callers)
         await site.start()
         yield site
     finally:
@@ -107,13 +107,13 @@
 
 
 @contextlib.contextmanager
-def _running_parts(node: Node) -> Iterator[None]:
+def _running_parts(entry_host: EntryHost) -> Iterator[None]:
     """Runs what an entry host does by itself while the context is open."""
-    _follow_state(node)
-    following = asyncio.ensure_future(node.replication.follower.run())
+    _follow_state(entry_host)
+    following = asyncio.ensure_future(entry_host.replication.follower.run())
     subscriptions = [
-        node.core.timers.subscribe(task.period_s, task.callback)
-        for task in _periodic_tasks(node)
+        entry_host.core.timers.subscribe(task.period_s, task.callback)
+        for task in _periodic_tasks(entry_host)
     ]
     try:
         yield
@@ -128,10 +128,10 @@
     callback: Callback
 
 
-def _periodic_tasks(node: Node) -> list[_PeriodicTask]:
-    times = node.core.settings.timers
-    requests = node.core.settings.requests
-    replication = node.replication
+def _periodic_tasks(entry_host: EntryHost) -> list[_PeriodicTask]:
+    times = entry_host.core.settings.timers
+    requests = entry_host.core.settings.requests
+    replication = entry_host.replication
     return [
         _PeriodicTask(_LEASE_PERIOD_S, replication.lease.tick),
         _PeriodicTask(_EXPIRY_PERIOD_S, replication.expiry.tick),
@@ -140,21 +140,21 @@
             times.peer_catch_up_ms / MS_PER_S, replication.catch_up.tick
         ),
         _PeriodicTask(times.plan_ms / MS_PER_S, replication.planner.tick),
-        _PeriodicTask(_DISPATCH_PERIOD_S, node.routing.dispatcher.tick),
+        _PeriodicTask(_DISPATCH_PERIOD_S, entry_host.routing.dispatcher.tick),
         _PeriodicTask(
-            requests.set_aside_ms / MS_PER_S, node.routing.prober.tick
+            requests.set_aside_ms / MS_PER_S, entry_host.routing.prober.tick
         ),
     ]
 
 
-def _follow_state(node: Node) -> None:
+def _follow_state(entry_host: EntryHost) -> None:
     """Keeps the endpoints in step with the folded state."""
-    replica = node.replication.replica
+    replica = entry_host.replication.replica
 
     def on_restored() -> None:
-        node.routing.endpoints.rebuild(replica.state)
-        node.routing.dispatcher.refresh()
-        node.routing.handover.follow_members()
+        entry_host.routing.endpoints.rebuild(replica.state)
+        entry_host.routing.dispatcher.refresh()
+        entry_host.routing.handover.follow_members()
 
     members_offset = replica.state.members_offset
 
@@ -170,21 +170,25 @@
     replica.listen_to_restores(on_restored)
 
 
-async def _stop_gracefully(node: Node, callers_site: web.TCPSite) -> None:
-    times = node.core.settings.timers
-    node.core.observer.change("entry.stopping", node.core.settings.entry_id)
-    node.readiness.stopping = True
-    node.routing.frontend.closing = True
-    await node.core.timers.sleep(times.balancer_lag_ms / MS_PER_S)
+async def _stop_gracefully(
+    entry_host: EntryHost, callers_site: web.TCPSite
+) -> None:
+    times = entry_host.core.settings.timers
+    entry_host.core.observer.change(
+        "entry.stopping", entry_host.core.settings.entry_id
+    )
+    entry_host.readiness.stopping = True
+    entry_host.routing.frontend.closing = True
+    await entry_host.core.timers.sleep(times.balancer_lag_ms / MS_PER_S)
     await callers_site.stop()
-    node.readiness.stopped = True
-    await _wait_until_idle(node, times.stop_ms / MS_PER_S)
-    await node.routing.handover.hand_over_all()
-    await node.replication.lease.leave()
+    entry_host.readiness.stopped = True
+    await _wait_until_idle(entry_host, times.stop_ms / MS_PER_S)
+    await entry_host.routing.handover.hand_over_all()
+    await entry_host.replication.lease.leave()
 
 
-async def _wait_until_idle(node: Node, limit_s: float) -> None:
-    timers = node.core.timers
+async def _wait_until_idle(entry_host: EntryHost, limit_s: float) -> None:
+    timers = entry_host.core.timers
     deadline_s = timers.now_s() + limit_s
-    while node.routing.frontend.busy() and timers.now_s() < deadline_s:
+    while entry_host.routing.frontend.busy() and timers.now_s() < deadline_s:
         await timers.sleep(_STOP_POLL_S)
--- a/daemons/entry/src/coltsfootseam/entry/node.py
+++ b/daemons/entry/src/coltsfootseam/entry/entry_host.py
@@ -20,7 +20,7 @@
 from coltsfootseam.timers import LoopTimers
 
 
-class Node(msgspec.Struct, frozen=True):
+class EntryHost(msgspec.Struct, frozen=True):
     """An entry host."""
 
     core: Core
@@ -30,7 +30,9 @@
 
 
 @contextlib.asynccontextmanager
-async def building_node(settings: EntrySettings) -> AsyncIterator[Node]:
+async def building_entry_host(
+    settings: EntrySettings,
+) -> AsyncIterator[EntryHost]:
     """Yields an entry host whose connections are closed with the context.
 
     Raises:
@@ -63,7 +65,7 @@
             readiness,
         )
         try:
-            yield Node(core, replication, routing, readiness)
+            yield EntryHost(core, replication, routing, readiness)
         finally:
             await routing.dispatcher.close()
 
--- a/daemons/entry/src/coltsfootseam/entry/peer_service.py
+++ b/daemons/entry/src/coltsfootseam/entry/peer_service.py
@@ -1,6 +1,6 @@
 """What an entry host answers to its peers."""
 
-from coltsfootseam.entry.node import Node
+from coltsfootseam.entry.entry_host import EntryHost
 from coltsfootseam.peers import (
     AdoptReply,
     AdoptRequest,
@@ -15,16 +15,16 @@
 
 
 class EntryPeerService(PeerService):
-    """Answers peers from the parts of a node."""
+    """Answers peers from the parts of an entry host."""
 
-    __slots__ = ("_node",)
+    __slots__ = ("_entry_host",)
 
-    def __init__(self, node: Node) -> None:
-        self._node = node
+    def __init__(self, entry_host: EntryHost) -> None:
+        self._entry_host = entry_host
 
     def fetch(self, from_offset: int) -> FetchedState:
         """Returns records from an offset on, or a snapshot."""
-        replication = self._node.replication
+        replication = self._entry_host.replication
         return replication.replica.fetch(
             from_offset, replication.connectivity.is_log_reachable()
         )
@@ -32,36 +32,44 @@
     def status(self, host_id: str) -> PeerStatus:
         """Returns what is in force here."""
         return PeerStatus(
-            entry_id=self._node.core.settings.entry_id,
-            offset=self._node.replication.replica.state.offset,
-            in_progress=self._node.routing.endpoints.in_progress_on(host_id),
+            entry_id=self._entry_host.core.settings.entry_id,
+            offset=self._entry_host.replication.replica.state.offset,
+            in_progress=self._entry_host.routing.endpoints.in_progress_on(
+                host_id
+            ),
         )
 
     def reserve_key(self, key: str, request_id: str) -> KeyReservation:
         """Reserves a key for a request, or tells what is known of it."""
-        state = self._node.replication.replica.state
-        return self._node.routing.key_store.reserve(key, request_id, state)
+        state = self._entry_host.replication.replica.state
+        return self._entry_host.routing.key_store.reserve(
+            key, request_id, state
+        )
 
     def copy_keys(self, copies: list[KeyCopy]) -> None:
         """Takes over records of keys."""
-        self._node.routing.key_store.take_copies(copies)
+        self._entry_host.routing.key_store.take_copies(copies)
 
     def report_endpoint(
         self, host_id: str, host_version: int, cause: str
     ) -> None:
         """Takes note that an endpoint is leaving or fails."""
-        self._node.routing.endpoints.take_report(host_id, host_version, cause)
+        self._entry_host.routing.endpoints.take_report(
+            host_id, host_version, cause
+        )
 
     def take_dispatch_update(
         self, session: DispatchSession, update: DispatchUpdate
     ) -> None:
         """Takes what an entry host tells this dispatcher."""
-        self._node.routing.dispatcher.take_dispatch_update(session, update)
+        self._entry_host.routing.dispatcher.take_dispatch_update(
+            session, update
+        )
 
     def end_dispatch_session(self, session: DispatchSession) -> None:
         """Takes note that a stream has ended."""
-        self._node.routing.dispatcher.end_dispatch_session(session)
+        self._entry_host.routing.dispatcher.end_dispatch_session(session)
 
     def adopt(self, request: AdoptRequest) -> AdoptReply:
         """Moves to a term of a service's dispatcher."""
-        return self._node.routing.dispatcher.adopt(request)
+        return self._entry_host.routing.dispatcher.adopt(request)
--- a/libs/testbed/src/coltsfootseam/testbed/switches.py
+++ b/libs/testbed/src/coltsfootseam/testbed/switches.py
@@ -116,7 +116,7 @@
 
 @switch("graceful-stop")
 def _stop_at_once() -> None:
-    async def stop(node: Any, callers_site: Any) -> None:
+    async def stop(entry_host: Any, callers_site: Any) -> None:
         await callers_site.stop()
 
     _replace(daemon, "_stop_gracefully", stop)
