Do not let a closed connection between peers cancel a caller's request

A call that ran into its deadline closes its channel; the library then ends the channel's other calls with CancelledError, which ended the caller's handler without an answer. Change: such an end is an unreachable peer, unless the task itself is cancelled. Before: test_a_connection_given_up_elsewhere_cancels_no_request failed. After: 143 passed (tests/cover).

--- a/libs/peers/src/coltsfootseam/peers/client.py
+++ b/libs/peers/src/coltsfootseam/peers/client.py
@@ -179,6 +179,16 @@
         try:
             call = getattr(connection.stub, method)
             reply = await call(request, timeout=self._timeout_s)
+        except asyncio.CancelledError:
+            # The library cancels the calls of a channel that is closed. Only
+            # a cancellation of the task itself concerns the caller.
+            task = asyncio.current_task()
+            if task is not None and task.cancelling():
+                raise
+            return Refusal(
+                ResultCode.UNREACHABLE,
+                f"peer {address}: {method}: the connection was given up",
+            )
         except grpc.aio.AioRpcError as error:
             if error.code() is grpc.StatusCode.DEADLINE_EXCEEDED:
                 await self._forget(address, connection)
--- /dev/null
+++ b/tests/cover/test_peer_clients.py
@@ -0,0 +1,30 @@
+"""A call that ends with its connection ends like any call that failed."""
+
+import asyncio
+from typing import Any
+
+from coltsfootseam.observe import HybridClock
+from coltsfootseam.peers import PeerClients
+from coltsfootseam.results import Refusal, ResultCode
+from coltsfootseam.timers import VirtualTimers
+
+
+class _CancellingStub:
+    """Ends a call as the library does when its channel is closed."""
+
+    async def Status(self, request: Any, timeout: float) -> None:  # noqa: N802
+        del request, timeout
+        raise asyncio.CancelledError
+
+
+class _ClosedConnection:
+    stub = _CancellingStub()
+
+
+async def test_a_connection_given_up_elsewhere_cancels_no_request() -> None:
+    clients = PeerClients(HybridClock(VirtualTimers()), 1.0)
+    connections: Any = clients._connections_by_address
+    connections["127.0.0.1:1"] = _ClosedConnection()
+    reply = await clients.status("127.0.0.1:1")
+    assert isinstance(reply, Refusal)
+    assert reply.code is ResultCode.UNREACHABLE
