Keep background tasks in one place

Cause: the same three lines that hold a task until it ends stood seven times in the request path; one test for NOT_RUN codes was written a second time beside is_not_run; a comment claimed that endpoints are counted once, which they are not; a count of waiting requests was never asked for. Change: BackgroundTasks holds tasks, is_not_run is called, the untrue comment and the dead method are gone. Behaviour is as before; no test was touched. Left: the dispatcher lists and adds up a service's endpoints anew for each grant, in the hot path.

--- a/libs/routing/src/coltsfootseam/routing/attempts.py
+++ b/libs/routing/src/coltsfootseam/routing/attempts.py
@@ -8,6 +8,7 @@
 from coltsfootseam.observe import Observer
 from coltsfootseam.peers import Finding
 from coltsfootseam.results import OK, Refusal, ResultCode
+from coltsfootseam.routing.background import BackgroundTasks
 from coltsfootseam.routing.body import RequestBody
 from coltsfootseam.routing.budget import RetryBudget
 from coltsfootseam.routing.dispatch import Dispatcher, Grant, SlotUse
@@ -65,7 +66,7 @@
         self._retry_ratio = retry_ratio
         self._check_sending = check_sending
         self._budgets_by_service: dict[str, RetryBudget] = {}
-        self._tasks: set[asyncio.Task[Refusal]] = set()
+        self._tasks: BackgroundTasks[Refusal] = BackgroundTasks()
 
     def running(self) -> int:
         """Returns the requests that run, those given up by callers too."""
@@ -79,10 +80,7 @@
         sink: AnswerSink,
     ) -> "asyncio.Task[Refusal]":
         """Starts a request; the task's result is ``OK`` or says why not."""
-        task = asyncio.ensure_future(self._run(head, caller, body, sink))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
+        return self._tasks.start(self._run(head, caller, body, sink))
 
     async def _run(
         self,
--- a/libs/routing/src/coltsfootseam/routing/frontend.py
+++ b/libs/routing/src/coltsfootseam/routing/frontend.py
@@ -14,8 +14,10 @@
     Refusal,
     ResultCode,
     http_status_for_code,
+    is_not_run,
 )
 from coltsfootseam.routing.attempts import NOT_SENT_IN_TIME, AttemptRunner
+from coltsfootseam.routing.background import BackgroundTasks
 from coltsfootseam.routing.body import RequestBody, read_request_body
 from coltsfootseam.routing.keys import KeyGuard
 from coltsfootseam.routing.request import (
@@ -87,7 +89,7 @@
         self._timers = timers
         self._observer = observer
         self._check_ready = check_ready
-        self._settling: set[asyncio.Task[None]] = set()
+        self._settling: BackgroundTasks[None] = BackgroundTasks()
         self.in_progress = 0
         self.closing = False
 
@@ -207,9 +209,7 @@
                 answer = sink.kept_answer()
             await self._keys.settle(head, verdict, answer)
 
-        task = asyncio.ensure_future(settle())
-        self._settling.add(task)
-        task.add_done_callback(self._settling.discard)
+        self._settling.start(settle())
 
     def _answer_repeated(
         self, head: RequestHead, reservation: KeyReservation
@@ -256,7 +256,7 @@
 def _verdict_of(code: ResultCode) -> KeyVerdict:
     if code is ResultCode.OK:
         return KeyVerdict.DONE
-    if code.name.startswith("NOT_RUN_"):
+    if is_not_run(code):
         return KeyVerdict.NOT_RUN
     return KeyVerdict.UNKNOWN
 
--- a/libs/routing/src/coltsfootseam/routing/handover.py
+++ b/libs/routing/src/coltsfootseam/routing/handover.py
@@ -5,6 +5,7 @@
 
 from coltsfootseam.observe import Observer
 from coltsfootseam.peers import KeyCopy, KeyVerdict, PeerClients
+from coltsfootseam.routing.background import BackgroundTasks
 from coltsfootseam.routing.keystore import KeyStore
 from coltsfootseam.routing.losses import key_holders
 from coltsfootseam.state import FleetState, Member
@@ -46,7 +47,7 @@
         self._timers = timers
         self._observer = observer
         self._members: dict[str, str] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: BackgroundTasks[None] = BackgroundTasks()
 
     def follow_members(self) -> None:
         """Hands keys over if the members have changed."""
@@ -56,9 +57,7 @@
         before = self._members
         self._members = members
         if self._own_id in before and len(self._store):
-            task = asyncio.ensure_future(self._hand_over(before, members))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            self._tasks.start(self._hand_over(before, members))
 
     async def hand_over_all(self) -> None:
         """Hands every key over, before this host leaves as planned."""
--- a/libs/routing/src/coltsfootseam/routing/internal/granting.py
+++ b/libs/routing/src/coltsfootseam/routing/internal/granting.py
@@ -16,6 +16,7 @@
     Term,
 )
 from coltsfootseam.results import Refusal
+from coltsfootseam.routing.background import BackgroundTasks
 from coltsfootseam.routing.dispatch import DispatchContext
 from coltsfootseam.routing.endpoints import SetAsideCause
 from coltsfootseam.routing.internal.service import ServiceDispatcher
@@ -48,7 +49,7 @@
         self._own_holdings = own_holdings
         self._dispatchers_by_service: dict[str, ServiceDispatcher] = {}
         self._entry_by_session: dict[DispatchSession, str] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: BackgroundTasks[None] = BackgroundTasks()
 
     def take_update(
         self, session: DispatchSession, update: DispatchUpdate
@@ -99,8 +100,7 @@
 
     def close(self) -> None:
         """Ends what runs in the background."""
-        for task in list(self._tasks):
-            task.cancel()
+        self._tasks.cancel_all()
 
     def _take_opening(self, update: DispatchUpdate) -> list[str]:
         """Replaces what an entry host was known to hold."""
@@ -177,9 +177,7 @@
     def _start_adoption(
         self, service: str, dispatcher: ServiceDispatcher
     ) -> None:
-        task = asyncio.ensure_future(self._adopt_all(service, dispatcher))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks.start(self._adopt_all(service, dispatcher))
 
     async def _adopt_all(
         self, service: str, dispatcher: ServiceDispatcher
--- a/libs/routing/src/coltsfootseam/routing/internal/service.py
+++ b/libs/routing/src/coltsfootseam/routing/internal/service.py
@@ -62,10 +62,6 @@
         self.book = SlotBook(term)
         self.active = False
 
-    def waiting(self) -> int:
-        """Returns how many requests wait."""
-        return len(self._line) + len(self._early)
-
     def begin_term(self, term: Term) -> None:
         """Forgets who holds what, until the entry hosts report again."""
         self.book = SlotBook(term)
@@ -137,7 +133,6 @@
         """Grants slots while there are both free ones and requests."""
         if not self.active:
             return
-        # The endpoints are counted once and kept up to date by each grant.
         while (request := self._next_request()) is not None:
             endpoint = self._pick(request.entry_id)
             if endpoint is None:
--- a/libs/routing/src/coltsfootseam/routing/keys.py
+++ b/libs/routing/src/coltsfootseam/routing/keys.py
@@ -1,8 +1,7 @@
 """Idempotency keys: at most one run of each, whichever entry host is asked."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
-from typing import Any
+from collections.abc import Callable
 
 from coltsfootseam.observe import Observer
 from coltsfootseam.peers import (
@@ -13,6 +12,7 @@
     PeerClients,
 )
 from coltsfootseam.results import Refusal, ResultCode
+from coltsfootseam.routing.background import BackgroundTasks
 from coltsfootseam.routing.keystore import KeyStore
 from coltsfootseam.routing.losses import key_holders
 from coltsfootseam.routing.request import RequestHead
@@ -58,7 +58,7 @@
         self._state = state
         self._timers = timers
         self._observer = observer
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: BackgroundTasks[None] = BackgroundTasks()
         self._settler = KeySettler(peers, timers, observer)
         self._reserved_by_request_id: dict[str, list[Member]] = {}
 
@@ -76,7 +76,9 @@
             left_s = request.deadline_s - self._timers.now_s()
             if left_s <= _RETRY_S:
                 # The caller is not kept waiting for holders that are silent.
-                self._start(self.settle(request, KeyVerdict.NOT_RUN, None))
+                self._tasks.start(
+                    self.settle(request, KeyVerdict.NOT_RUN, None)
+                )
                 return result
             await self._timers.sleep(_RETRY_S)
 
@@ -129,7 +131,7 @@
                     f"{member.member_id} holds as many keys as it may",
                 )
             if result.verdict is not KeyVerdict.NEW:
-                self._start(self._withdraw(reserved, request))
+                self._tasks.start(self._withdraw(reserved, request))
                 return result
             reserved.append(member)
         self._reserved_by_request_id[request.request_id] = reserved
@@ -142,11 +144,6 @@
         for member in members:
             await self._settle_at(member, request, KeyVerdict.NOT_RUN, None)
 
-    def _start(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.ensure_future(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     async def _reserve_at(
         self, member: Member, request: RequestHead
     ) -> KeyReservation | Refusal:
--- a/libs/routing/src/coltsfootseam/routing/prober.py
+++ b/libs/routing/src/coltsfootseam/routing/prober.py
@@ -1,10 +1,10 @@
 """Finding out whether an endpoint that looked bad can be used."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
-from typing import Any
+from collections.abc import Callable
 
 from coltsfootseam.peers import PeerClients
+from coltsfootseam.routing.background import BackgroundTasks
 from coltsfootseam.routing.endpoints import (
     Endpoint,
     EndpointTable,
@@ -39,7 +39,7 @@
         self._relay = relay
         self._peers = peers
         self._state = state
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: BackgroundTasks[None] = BackgroundTasks()
 
     def judge(self, endpoint: Endpoint, attempt: Attempt) -> None:
         """Draws the conclusion from an attempt.
@@ -55,7 +55,7 @@
             self._endpoints.set_aside(
                 endpoint, SetAsideCause.LEAVING, "closes its connection"
             )
-            self._start(self._confirm_leaving(endpoint))
+            self._tasks.start(self._confirm_leaving(endpoint))
 
     def note_not_ready(self, endpoint: Endpoint, readiness: Readiness) -> None:
         """Sets aside an endpoint that a probe found not to be ready.
@@ -71,7 +71,7 @@
         self._endpoints.set_aside(
             endpoint, SetAsideCause.LEAVING, "is not ready"
         )
-        self._start(self._tell_peers(endpoint))
+        self._tasks.start(self._tell_peers(endpoint))
 
     async def tick(self) -> None:
         """Probes every endpoint that is set aside."""
@@ -103,8 +103,3 @@
                 if member.member_id != self._own_id
             )
         )
-
-    def _start(self, coroutine: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.ensure_future(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
--- a/libs/routing/src/coltsfootseam/routing/settling.py
+++ b/libs/routing/src/coltsfootseam/routing/settling.py
@@ -6,6 +6,7 @@
 
 from coltsfootseam.observe import Observer
 from coltsfootseam.peers import KeyCopy, PeerClients
+from coltsfootseam.routing.background import BackgroundTasks
 from coltsfootseam.timers import TimerService
 
 _GATHER_S = 0.05
@@ -40,7 +41,7 @@
         self._timers = timers
         self._observer = observer
         self._batches_by_address: dict[str, _Batch] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: BackgroundTasks[None] = BackgroundTasks()
 
     async def settle(self, address: str, copy: KeyCopy) -> None:
         """Tells a holder how a request ended; returns when it was told."""
@@ -53,9 +54,7 @@
     def _begin_batch(self, address: str) -> _Batch:
         batch = _Batch([], asyncio.get_running_loop().create_future())
         self._batches_by_address[address] = batch
-        task = asyncio.ensure_future(self._send(address, batch))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks.start(self._send(address, batch))
         return batch
 
     async def _send(self, address: str, batch: _Batch) -> None:
