--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3.11
 BIN := .venv/bin
-PACKAGES := $(sort $(wildcard libs/*) $(wildcard daemons/*))
-SOURCES := libs daemons tests bench
+PACKAGES := $(sort $(wildcard libs/*) $(wildcard daemons/*) platform)
+SOURCES := libs daemons platform deploy tests bench
 
 .PHONY: setup demo test faults lint format bench-control bench-requests proofs proto
 
--- /dev/null
+++ b/daemons/manager/src/coltsfootseam/manager/context.py
@@ -0,0 +1,138 @@
+"""What the parts of a manager share."""
+
+from collections.abc import Callable
+from typing import Protocol
+
+import msgspec
+
+from coltsfootseam.calls import CallClients
+from coltsfootseam.jobs import Configuration, Wave
+from coltsfootseam.observe import Counters, DecisionLog
+from coltsfootseam.store import (
+    KeyedRecord,
+    Partition,
+    Store,
+    StoredRecord,
+)
+from coltsfootseam.timers import TimerService
+from coltsfootseam.workers import (
+    AdviceCalls,
+    MachineCalls,
+    WorkerCalls,
+    WorkerEntry,
+)
+
+
+class Feeds(Protocol):
+    """The partitions that others write, and how their records are read."""
+
+    operator: Partition
+    workers: Partition
+    status: Partition
+
+    def read_operator(
+        self, record: StoredRecord
+    ) -> Configuration | Wave | None:
+        """Decodes what the operator wrote, ``None`` for anything else."""
+
+    def read_worker(self, record: StoredRecord) -> WorkerEntry | None:
+        """Decodes a worker's entry, ``None`` if it names no usable one."""
+
+    def write_wave(self, wave: Wave, is_complete: bool) -> KeyedRecord:
+        """Encodes how far a wave is, for the operator."""
+
+
+class Times(msgspec.Struct, frozen=True):
+    """Lengths and periods, in seconds.
+
+    Attributes:
+        lease_s: Lease that a worker gets with each hold.
+        longest_lease_s: Longest lease that a worker accepts.
+        hold_wait_s: How long a hold waits for an end.
+        isolation_s: Silence of the store after which an owner asks its peers
+            whether it alone is cut off.
+        keep_ended_s: How long a final state is kept.
+        stop_s: Time within which a worker ends a run.
+        move_s: Time that a machine takes to change its pool.
+        maintenance_s: Time that a machine's maintenance takes.
+        machine_lease_s: Time between orders of two holders for a machine.
+        notice_s: Time for which a lasting task counts as away after it was.
+        early_s: How much earlier than due an occurrence may start.
+        pace_s: Time after which a change of speed takes effect.
+        remote_factor: How much slower a task is away from its data.
+        checkpoint_s: Work after which a task saves its progress.
+        stop_grace_s: Time from the request to stop to the forced end.
+        balancer_s: Time for which new connections may still come after the
+            host reports that it is not ready.
+    """
+
+    lease_s: float = 5.0
+    longest_lease_s: float = 10.0
+    hold_wait_s: float = 1.0
+    isolation_s: float = 3.0
+    keep_ended_s: float = 120.0
+    stop_s: float = 0.2
+    move_s: float = 1.5
+    maintenance_s: float = 2.0
+    machine_lease_s: float = 3.0
+    notice_s: float = 4.5
+    early_s: float = 0.0
+    pace_s: float = 0.1
+    remote_factor: float = 2.0
+    checkpoint_s: float = 2.0
+    stop_grace_s: float = 6.0
+    balancer_s: float = 2.5
+
+
+class Ports(msgspec.Struct):
+    """The manager's interfaces to the outside."""
+
+    store: Store
+    workers: WorkerCalls
+    machines: MachineCalls
+    advice: AdviceCalls
+    feeds: Feeds
+
+
+class Context(msgspec.Struct):
+    """Handed to every part of a manager.
+
+    Attributes:
+        host_id: Name of this entry host.
+        incarnation: Name of this start of the process, unique.
+        address: Where peers call this process.
+        duty_slots: Number of partitions that duties are dealt by.
+        timers: Time.
+        ports: Interfaces to the outside.
+        peers: Calls to other entry hosts.
+        log: Lines of decisions.
+        counters: Counters.
+        times: Lengths and periods.
+    """
+
+    host_id: str
+    incarnation: str
+    address: str
+    duty_slots: int
+    timers: TimerService
+    ports: Ports
+    peers: CallClients
+    log: DecisionLog
+    counters: Counters
+    times: Times
+
+
+def inbox_of(pool: str) -> Partition:
+    """Returns the partition of a pool's requests and cancels."""
+    return Partition(f"pool.{pool}", 0)
+
+
+def journal_of(pool: str) -> Partition:
+    """Returns the partition that only the owner of a pool appends to."""
+    return Partition(f"pool.{pool}", 1)
+
+
+FLEET_JOURNAL = Partition("fleet", 1)
+"""The partition that only the owner of the fleet's machines appends to."""
+
+Clock = Callable[[], float]
--- /dev/null
+++ b/daemons/manager/src/coltsfootseam/manager/fleet_owner.py
@@ -0,0 +1,50 @@
+"""Owning the fleet: who orders machines to move and to be maintained."""
+
+import asyncio
+
+from coltsfootseam.manager.context import FLEET_JOURNAL, Context
+from coltsfootseam.manager.duties import Directory
+from coltsfootseam.manager.knowledge import Knowledge
+from coltsfootseam.manager.machine_rounds import MachineRounds
+from coltsfootseam.store import Claim, Journal, claim_journal
+
+_RETRY_S = 0.2
+
+
+class FleetOwner:
+    """Owns the fleet's machines until cancelled or the journal is lost."""
+
+    __slots__ = ("_context", "_directory", "_knowledge")
+
+    def __init__(
+        self, context: Context, knowledge: Knowledge, directory: Directory
+    ) -> None:
+        self._context = context
+        self._knowledge = knowledge
+        self._directory = directory
+
+    async def run(self) -> None:
+        """Claims the fleet and plans its machines."""
+        journal = await self._claim()
+        # The last holder's orders must be over before this one gives any.
+        await self._context.timers.sleep(self._context.times.machine_lease_s)
+        rounds = MachineRounds(
+            self._context, self._knowledge, self._directory, journal
+        )
+        await rounds.run()
+
+    async def _claim(self) -> Journal:
+        claim = Claim(self._context.incarnation, self._context.address)
+        while True:
+            journal = await claim_journal(
+                self._context.ports.store,
+                self._context.timers,
+                FLEET_JOURNAL,
+                "fleet",
+                claim,
+            )
+            if isinstance(journal, Journal):
+                self._context.log.write("fleet.claimed", epoch=journal.epoch)
+                return journal
+            await asyncio.sleep(0)
+            await self._context.timers.sleep(_RETRY_S)
--- /dev/null
+++ b/daemons/manager/src/coltsfootseam/manager/job_service.py
@@ -0,0 +1,346 @@
+"""What an entry host answers to callers, whichever host owns the pool."""
+
+import asyncio
+
+import msgspec
+
+from coltsfootseam.calls import (
+    ASK_JOB,
+    ASK_PENDING,
+    RELAY,
+    JobQuestion,
+    JobReply,
+    PendingQuestion,
+    PendingReply,
+    RelayReply,
+    RelayRequest,
+)
+from coltsfootseam.jobs import (
+    JobRequest,
+    JobState,
+    Queue,
+    cancel_key,
+    decode_progress,
+    encode_request,
+    request_key,
+)
+from coltsfootseam.manager.context import Context, inbox_of, journal_of
+from coltsfootseam.manager.duties import Directory, pool_duty
+from coltsfootseam.manager.knowledge import Knowledge
+from coltsfootseam.results import OK, Refusal, ResultCode
+from coltsfootseam.store import Appended, KeyedRecord
+
+_ASK_TIMEOUT_S = 0.4
+_RETRY_S = 0.1
+_RELAY_TIMEOUT_S = 0.8
+_RELAY_PEERS = 2
+_LEAST_TIME_S = 0.3
+_ACCEPTED_S = 10.0
+_FINAL_KEPT = 4000
+_PENDING_AGE_S = 1.0
+
+
+class _Pending(msgspec.Struct):
+    count: int
+    read_s: float
+
+
+class JobService:
+    """Takes jobs and cancels, and tells how far jobs are."""
+
+    __slots__ = (
+        "_accepted_s_by_id",
+        "_context",
+        "_directory",
+        "_final_by_id",
+        "_knowledge",
+        "_pending_by_queue",
+    )
+
+    def __init__(
+        self, context: Context, knowledge: Knowledge, directory: Directory
+    ) -> None:
+        self._context = context
+        self._knowledge = knowledge
+        self._directory = directory
+        self._accepted_s_by_id: dict[str, float] = {}
+        self._final_by_id: dict[str, JobState] = {}
+        self._pending_by_queue: dict[str, _Pending] = {}
+
+    def find_queue(self, host: str, path: str) -> Queue | Refusal:
+        """Returns the queue of a request.
+
+        Returns:
+            The queue, or a refusal: ``NOT_RUN_NOT_READY`` before the first
+            configuration, ``NOT_RUN_UNKNOWN_SERVICE`` if there is no such.
+        """
+        index = self._knowledge.index
+        if index is None:
+            return Refusal(ResultCode.NOT_RUN_NOT_READY, "no configuration yet")
+        queue = index.find(host, path)
+        if queue is None:
+            return Refusal(
+                ResultCode.NOT_RUN_UNKNOWN_SERVICE, f"no queue at {path}"
+            )
+        return queue
+
+    async def submit(
+        self, queue: Queue, job_id: str, request: JobRequest, deadline_s: float
+    ) -> Refusal:
+        """Stores a job.
+
+        Args:
+            queue: The job's queue.
+            job_id: The caller's id; a repeat of it is the same job.
+            request: What to run.
+            deadline_s: When the caller stops waiting, monotonic.
+
+        Returns:
+            ``OK`` once it is stored, ``NOT_RUN_OVERLOADED`` if it is not and
+            never will be, ``OUTCOME_UNKNOWN`` if it may yet be.
+        """
+        if job_id in self._accepted_s_by_id:
+            return OK
+        pool = await self._pool_for(queue, job_id)
+        if pool is None:
+            return Refusal(
+                ResultCode.OUTCOME_UNKNOWN, "its queue has just been moved"
+            )
+        outcome = await self._store(
+            pool, request_key(job_id), encode_request(request), deadline_s
+        )
+        if outcome is OK:
+            self._note_accepted(job_id)
+        self._context.log.write(
+            "job.submitted",
+            job=job_id,
+            queue=queue.name,
+            pool=pool,
+            outcome=outcome.code.name,
+            why=outcome.reason,
+        )
+        self._context.counters.increment(f"submit.{outcome.code.name.lower()}")
+        return outcome
+
+    async def cancel(
+        self, queue: Queue, job_id: str, deadline_s: float
+    ) -> Refusal:
+        """Cancels a job.
+
+        Returns:
+            ``OK`` once the cancel is stored, ``JOB_UNKNOWN`` if there is no
+            such job, otherwise what kept it from being stored.
+        """
+        state = await self.state_of(queue, job_id, deadline_s)
+        if isinstance(state, Refusal) and state.code is ResultCode.JOB_UNKNOWN:
+            return state
+        if isinstance(state, JobState) and state is JobState.CANCELLED:
+            return OK
+        outcome = OK
+        for pool in self._pools_of(queue):
+            stored = await self._store(
+                pool, cancel_key(job_id), b"1", deadline_s
+            )
+            outcome = stored if outcome is OK else outcome
+        self._context.log.write(
+            "job.cancel_asked", job=job_id, outcome=outcome.code.name
+        )
+        return outcome
+
+    async def state_of(
+        self, queue: Queue, job_id: str, deadline_s: float
+    ) -> JobState | Refusal:
+        """Tells how far a job is.
+
+        Returns:
+            Its state, ``JOB_UNKNOWN`` if no such job was ever accepted, or
+            ``UNREACHABLE`` if that can't be told now.
+        """
+        final = self._final_by_id.get(job_id)
+        if final is not None:
+            return final
+        while True:
+            state = await self._ask_owners(queue, job_id)
+            if state is None:
+                state = await self._read_state(queue, job_id)
+            if state is not None:
+                break
+            if not self._has_time(deadline_s):
+                return Refusal(ResultCode.UNREACHABLE, "no owner answers")
+            await self._context.timers.sleep(_RETRY_S)
+        if isinstance(state, JobState) and state.is_final:
+            self._keep_final(job_id, state)
+        return state
+
+    async def pending(self, queue: Queue) -> int | Refusal:
+        """Returns how many jobs of a queue haven't begun."""
+        known = self._pending_by_queue.get(queue.name)
+        now_s = self._context.timers.now_s()
+        if known is not None and now_s - known.read_s < _PENDING_AGE_S:
+            return known.count
+        reply = await self._call_owner(
+            queue.pool, ASK_PENDING, PendingQuestion(queue.pool, queue.name)
+        )
+        if isinstance(reply, PendingReply) and reply.count is not None:
+            self._pending_by_queue[queue.name] = _Pending(reply.count, now_s)
+            return reply.count
+        return Refusal(ResultCode.UNREACHABLE, "no owner answers")
+
+    async def _pool_for(self, queue: Queue, job_id: str) -> str | None:
+        """Returns where a job goes, ``None`` if that can't be told yet.
+
+        While a queue has just been moved, an earlier attempt at the same job
+        may stand in the old pool's inbox, where it then stays.
+        """
+        old_pool = self._knowledge.old_pool_of(queue.name)
+        if old_pool is None:
+            return queue.pool
+        state = await self._ask_owner(old_pool, job_id)
+        if isinstance(state, JobState):
+            return old_pool
+        return queue.pool if isinstance(state, Refusal) else None
+
+    def _pools_of(self, queue: Queue) -> list[str]:
+        old_pool = self._knowledge.old_pool_of(queue.name)
+        return [queue.pool] if old_pool is None else [queue.pool, old_pool]
+
+    async def _store(
+        self, pool: str, key: str, value: bytes, deadline_s: float
+    ) -> Refusal:
+        """Appends a record to an inbox, through a peer if need be.
+
+        The record stands under its own key, so repeating it changes nothing.
+        """
+        is_unknown = False
+        record = KeyedRecord(key, value)
+        while True:
+            result = await self._context.ports.store.append(
+                inbox_of(pool), [record]
+            )
+            if isinstance(result, Appended):
+                return OK
+            if isinstance(result, Refusal):
+                is_pending = result.code is ResultCode.OUTCOME_PENDING
+                is_unknown = is_unknown or is_pending
+            relayed = await self._relay(pool, key, value)
+            if relayed.is_stored:
+                return OK
+            is_unknown = is_unknown or relayed.is_unknown
+            if not self._has_time(deadline_s):
+                break
+            if not is_unknown:
+                # Nothing was done; the caller is told so at once.
+                break
+            await self._context.timers.sleep(_RETRY_S)
+        if is_unknown:
+            return Refusal(
+                ResultCode.OUTCOME_UNKNOWN, "the store has not settled it"
+            )
+        return Refusal(
+            ResultCode.NOT_RUN_OVERLOADED, "the store can't be reached"
+        )
+
+    async def _relay(self, pool: str, key: str, value: bytes) -> RelayReply:
+        is_unknown = False
+        for address in self._directory.peer_addresses()[:_RELAY_PEERS]:
+            reply = await self._context.peers.call(
+                address, RELAY, RelayRequest(pool, key, value), _RELAY_TIMEOUT_S
+            )
+            if isinstance(reply, RelayReply) and reply.is_stored:
+                return reply
+            if isinstance(reply, Refusal) or reply.is_unknown:
+                is_unknown = True
+        return RelayReply(is_stored=False, is_unknown=is_unknown)
+
+    async def _ask_owners(
+        self, queue: Queue, job_id: str
+    ) -> JobState | Refusal | None:
+        unknown: Refusal | None = None
+        for pool in self._pools_of(queue):
+            state = await self._ask_owner(pool, job_id)
+            if isinstance(state, JobState):
+                return state
+            if state is None:
+                return None
+            unknown = state
+        return unknown
+
+    async def _ask_owner(
+        self, pool: str, job_id: str
+    ) -> JobState | Refusal | None:
+        """Asks one pool's owner; ``None`` if it can't tell."""
+        reply = await self._call_owner(pool, ASK_JOB, JobQuestion(pool, job_id))
+        if not isinstance(reply, JobReply) or not reply.is_owner:
+            return None
+        if reply.state is not None:
+            return reply.state
+        if job_id in self._accepted_s_by_id:
+            return JobState.QUEUED
+        if not reply.is_current:
+            return None
+        return Refusal(ResultCode.JOB_UNKNOWN, f"no job {job_id}")
+
+    async def _call_owner(
+        self, pool: str, method: object, question: object
+    ) -> object:
+        address = self._directory.address_of(pool_duty(pool))
+        if address is None:
+            self._directory.look_again()
+            return None
+        reply = await self._context.peers.call(
+            address,
+            method,  # type: ignore[arg-type]
+            question,
+            _ASK_TIMEOUT_S,
+        )
+        is_wrong = isinstance(reply, JobReply) and not reply.is_owner
+        if isinstance(reply, Refusal) or is_wrong:
+            self._directory.look_again()
+        return reply
+
+    async def _read_state(
+        self, queue: Queue, job_id: str
+    ) -> JobState | Refusal | None:
+        """Reads a job's state from the store, where no owner answers."""
+        store = self._context.ports.store
+        before = _just_before(job_id)
+        is_known = False
+        for pool in self._pools_of(queue):
+            inbox, journal = await asyncio.gather(
+                store.newest(inbox_of(pool), before, limit=2),
+                store.newest(journal_of(pool), before, limit=1),
+            )
+            if isinstance(inbox, Refusal) or isinstance(journal, Refusal):
+                return None
+            for record in journal.records:
+                if record.key == job_id and record.value:
+                    return decode_progress(record.value).state
+            keys = {record.key for record in inbox.records if record.value}
+            if cancel_key(job_id) in keys and request_key(job_id) in keys:
+                return JobState.CANCELLED
+            is_known = is_known or request_key(job_id) in keys
+        if is_known:
+            return JobState.QUEUED
+        return Refusal(ResultCode.JOB_UNKNOWN, f"no job {job_id}")
+
+    def _has_time(self, deadline_s: float) -> bool:
+        return self._context.timers.now_s() < deadline_s - _LEAST_TIME_S
+
+    def _note_accepted(self, job_id: str) -> None:
+        now_s = self._context.timers.now_s()
+        self._accepted_s_by_id[job_id] = now_s
+        # Oldest first, as a dict keeps the order of insertion.
+        for known_id, accepted_s in list(self._accepted_s_by_id.items()):
+            if now_s - accepted_s < _ACCEPTED_S:
+                break
+            del self._accepted_s_by_id[known_id]
+
+    def _keep_final(self, job_id: str, state: JobState) -> None:
+        self._final_by_id[job_id] = state
+        if len(self._final_by_id) > _FINAL_KEPT:
+            del self._final_by_id[next(iter(self._final_by_id))]
+
+
+def _just_before(key: str) -> str:
+    """Returns a key that sorts right before another."""
+    return key[:-1] + chr(ord(key[-1]) - 1) + "\x7f"
--- /dev/null
+++ b/daemons/manager/src/coltsfootseam/manager/knowledge.py
@@ -0,0 +1,143 @@
+"""What every entry host learns from the operator and the workers."""
+
+import asyncio
+from collections.abc import Callable
+
+from coltsfootseam.jobs import Configuration, QueueIndex, Wave
+from coltsfootseam.manager.context import Context
+from coltsfootseam.store import StoredRecord, Tail
+from coltsfootseam.workers import WorkerEntry
+
+_CONFIGURATION_WAIT_S = 0.8
+_WORKERS_PAUSE_S = 0.4
+_MOVED_QUEUE_S = 30.0
+
+
+class Knowledge:
+    """The configuration in force, the waves and the workers.
+
+    Attributes:
+        configuration: The newest one read, ``None`` before the first.
+        index: Finds queues in it.
+        waves_by_number: Waves that the operator asked for.
+        workers_by_instance: Newest entry of each worker.
+        old_pools_by_queue: Where a queue's jobs went until lately, and until
+            when that matters.
+    """
+
+    __slots__ = (
+        "_context",
+        "_listeners",
+        "_operator_tail",
+        "_workers_tail",
+        "configuration",
+        "index",
+        "old_pools_by_queue",
+        "waves_by_number",
+        "workers_by_instance",
+    )
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+        self._listeners: list[Callable[[], None]] = []
+        feeds = context.ports.feeds
+        self._operator_tail = Tail(
+            context.ports.store,
+            context.timers,
+            feeds.operator,
+            self._take_operator,
+            _CONFIGURATION_WAIT_S,
+        )
+        self._workers_tail = Tail(
+            context.ports.store,
+            context.timers,
+            feeds.workers,
+            self._take_worker,
+            wait_s=0.0,
+            poll_s=_WORKERS_PAUSE_S,
+            on_reload=self._drop_workers_but,
+        )
+        self.configuration: Configuration | None = None
+        self.index: QueueIndex | None = None
+        self.waves_by_number: dict[int, Wave] = {}
+        self.workers_by_instance: dict[str, WorkerEntry] = {}
+        self.old_pools_by_queue: dict[str, tuple[str, float]] = {}
+
+    def listen(self, listener: Callable[[], None]) -> None:
+        """Calls a listener after each change of the configuration."""
+        self._listeners.append(listener)
+
+    async def run(self) -> None:
+        """Follows both partitions until it is cancelled."""
+        await asyncio.gather(
+            self._operator_tail.run(), self._workers_tail.run()
+        )
+
+    def workers_are_current(self, age_s: float) -> bool:
+        """Tells whether the list of workers is at most so old."""
+        now_s = self._context.timers.now_s()
+        return now_s - self._workers_tail.current_s <= age_s
+
+    def attempts_of(self, queue: str) -> int:
+        """Returns how many runs of a task of a queue may fail."""
+        if self.configuration is None:
+            return 1
+        found = self.configuration.queues_by_name.get(queue)
+        return 1 if found is None else max(1, found.attempts)
+
+    def old_pool_of(self, queue: str) -> str | None:
+        """Returns the pool that a queue was moved from a moment ago."""
+        found = self.old_pools_by_queue.get(queue)
+        if found is None or found[1] < self._context.timers.now_s():
+            return None
+        return found[0]
+
+    def _take_operator(self, record: StoredRecord) -> None:
+        value = self._context.ports.feeds.read_operator(record)
+        if isinstance(value, Wave):
+            self.waves_by_number[value.number] = value
+            self._context.log.write(
+                "wave.asked", wave=value.number, machines=value.machine_ids
+            )
+        elif isinstance(value, Configuration):
+            self._take_configuration(value)
+
+    def _take_configuration(self, new: Configuration) -> None:
+        old = self.configuration
+        if old is not None and new.version <= old.version:
+            return
+        if old is not None:
+            self._note_moved_queues(old, new)
+        self.configuration = new
+        self.index = QueueIndex(new)
+        self._context.log.write(
+            "configuration.in_force",
+            version=new.version,
+            queues=len(new.queues_by_name),
+        )
+        for listener in self._listeners:
+            listener()
+
+    def _note_moved_queues(
+        self, old: Configuration, new: Configuration
+    ) -> None:
+        until_s = self._context.timers.now_s() + _MOVED_QUEUE_S
+        for name, queue in old.queues_by_name.items():
+            moved = new.queues_by_name.get(name)
+            if moved is not None and moved.pool != queue.pool:
+                self.old_pools_by_queue[name] = (queue.pool, until_s)
+
+    def _take_worker(self, record: StoredRecord) -> None:
+        if not record.value:
+            self.workers_by_instance.pop(record.key, None)
+            return
+        entry = self._context.ports.feeds.read_worker(record)
+        if entry is None:
+            # Whoever wrote that, it names no worker to use.
+            self.workers_by_instance.pop(record.key, None)
+            return
+        self.workers_by_instance[record.key] = entry
+
+    def _drop_workers_but(self, keys: frozenset[str]) -> None:
+        for key in set(self.workers_by_instance) - keys:
+            del self.workers_by_instance[key]
--- /dev/null
+++ b/daemons/manager/src/coltsfootseam/manager/manager.py
@@ -0,0 +1,94 @@
+"""One manager: all parts of the process, put together."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Iterator
+
+import msgspec
+
+from coltsfootseam.calls import serving_calls
+from coltsfootseam.manager.context import Context
+from coltsfootseam.manager.duties import Directory, member_name
+from coltsfootseam.manager.duty_keeper import DutyKeeper
+from coltsfootseam.manager.job_service import JobService
+from coltsfootseam.manager.knowledge import Knowledge
+from coltsfootseam.manager.peer_calls import PeerCalls
+from coltsfootseam.store import Membership, MembershipTimes
+
+_HANDOVER_S = 0.3
+
+
+class Manager(msgspec.Struct):
+    """The parts of a manager that its daemon uses.
+
+    Attributes:
+        context: What all parts share.
+        knowledge: Configuration, waves and workers.
+        membership: This host's place in the group.
+        duties: The duties that it holds.
+        jobs: What callers are answered.
+        is_stopping: Whether it was told to stop.
+    """
+
+    context: Context
+    knowledge: Knowledge
+    membership: Membership
+    duties: DutyKeeper
+    jobs: JobService
+    is_stopping: bool = False
+
+    def is_ready(self) -> bool:
+        """Tells whether callers should be sent here."""
+        return self.knowledge.index is not None and not self.is_stopping
+
+    async def leave(self) -> None:
+        """Hands the duties over and leaves the group."""
+        self.is_stopping = True
+        self.duties.end_all()
+        await self.membership.leave()
+
+
+@contextlib.asynccontextmanager
+async def running_manager(
+    context: Context, times: MembershipTimes
+) -> AsyncIterator[Manager]:
+    """Runs a manager while the context is open."""
+    knowledge = Knowledge(context)
+    membership = Membership(
+        context.ports.store,
+        context.timers,
+        member_name(context.address, context.incarnation),
+        lambda: duties.follow_deal(),
+        times,
+    )
+    directory = Directory(membership, context.duty_slots)
+    duties = DutyKeeper(context, knowledge, membership, directory)
+    jobs = JobService(context, knowledge, directory)
+    manager = Manager(context, knowledge, membership, duties, jobs)
+
+    def on_configuration() -> None:
+        assert knowledge.configuration is not None
+        directory.configure(knowledge.configuration)
+        duties.follow_deal()
+
+    knowledge.listen(on_configuration)
+    peer_calls = PeerCalls(context, duties, membership)
+    async with serving_calls(context.address, peer_calls.handlers()):
+        with _running(
+            knowledge.run(),
+            membership.run(),
+            membership.run_holdings(),
+            duties.run(),
+        ):
+            yield manager
+
+
+@contextlib.contextmanager
+def _running(*works) -> Iterator[None]:  # type: ignore[no-untyped-def]
+    """Runs coroutines in the background while the context is open."""
+    tasks = [asyncio.ensure_future(work) for work in works]
+    try:
+        yield
+    finally:
+        for task in tasks:
+            task.cancel()
--- /dev/null
+++ b/daemons/manager/src/coltsfootseam/manager/orders.py
@@ -0,0 +1,207 @@
+"""Sending orders to workers and following each until it is settled.
+
+An order without an answer may be carried out at once, later or never. A start
+is repeated unchanged until the worker answers; when that is given up, a stop
+shuts the start out before the task may run elsewhere.
+"""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from coltsfootseam.jobs import Run, RunEnd, RunPhase, Task
+from coltsfootseam.manager.pool_state import PoolState
+from coltsfootseam.workers import (
+    OrderOutcome,
+    PaceOrder,
+    RunningRow,
+    StartOrder,
+    StopOrder,
+    WorkerLink,
+)
+
+_RETRY_S = 0.1
+_START_TRIES_S = 1.0
+_REFUSED_PAUSE_S = 0.1
+_MALFORMED_PAUSE_S = 2.0
+
+_REFUSED_UNDONE = (
+    OrderOutcome.OLD,
+    OrderOutcome.LATE,
+    OrderOutcome.NO_ROOM,
+    OrderOutcome.NO_TICKET,
+    OrderOutcome.UNHEALTHY,
+    OrderOutcome.MALFORMED,
+)
+
+
+class Orders:
+    """Orders of one pool's owner that are under way."""
+
+    __slots__ = ("_on_change", "_state", "_stopping", "_tasks", "_unknown")
+
+    def __init__(self, state: PoolState, on_change: Callable[[], None]) -> None:
+        self._state = state
+        self._on_change = on_change
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._stopping: set[tuple[object, int, str]] = set()
+        self._unknown: set[tuple[object, int, str]] = set()
+
+    def send_start(self, task: Task, run: Run, ticket: str) -> None:
+        """Orders a run whose record is stored."""
+        self._spawn(self._start(task, run, ticket))
+
+    def send_stops(self) -> None:
+        """Orders the end of each run that is to be stopped."""
+        for task, run in self._state.active_runs():
+            if run.phase is not RunPhase.STOPPING:
+                continue
+            key = (task.id, run.number, run.worker_id)
+            if key not in self._stopping:
+                self._stopping.add(key)
+                self._spawn(self._stop(task, run))
+
+    def stop_unknown(self, link: WorkerLink, row: RunningRow) -> None:
+        """Ends something that runs though the book does not know it."""
+        key = (row.task, row.number, link.worker_id)
+        if key not in self._unknown:
+            self._unknown.add(key)
+            self._spawn(self._stop_row(link, row))
+
+    def send_pace(self, task: Task, run: Run, percent: int) -> None:
+        """Sets the share of its speed at which a run works."""
+        self._spawn(self._pace(task, run, percent))
+
+    def close(self) -> None:
+        """Gives up every order that is under way."""
+        for task in self._tasks:
+            task.cancel()
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _link(self, run: Run) -> WorkerLink | None:
+        link = self._state.links_by_id.get(run.worker_id)
+        return None if link is None or link.is_gone else link
+
+    async def _start(self, task: Task, run: Run, ticket: str) -> None:
+        state = self._state
+        began_s = state.now_s()
+        outcome = OrderOutcome.UNKNOWN
+        tries = 0
+        while run in task.runs and run.phase is RunPhase.ORDERED:
+            link = self._link(run)
+            if link is None or state.journal.lost:
+                return
+            tries += 1
+            outcome = await self._start_once(link, task, run, ticket)
+            if outcome is not OrderOutcome.UNKNOWN:
+                break
+            if state.now_s() - began_s > _START_TRIES_S:
+                state.book.stop_run(task, run, "start without an answer")
+                break
+            await state.context.timers.sleep(_RETRY_S)
+        self._take_start_outcome(task, run, outcome, tries)
+
+    async def _start_once(
+        self, link: WorkerLink, task: Task, run: Run, ticket: str
+    ) -> OrderOutcome:
+        state = self._state
+        lease_end_ms = link.lease.give()
+        if lease_end_ms is None:
+            return OrderOutcome.UNKNOWN
+        job = state.book.jobs_by_id[task.id.job_id]
+        order = StartOrder(
+            task=task.id,
+            number=run.number,
+            text=job.request.text,
+            lease_end_ms=lease_end_ms,
+            token=state.journal.epoch,
+            checkpoint=run.checkpoint,
+            ticket=ticket,
+        )
+        return await link.start(order)
+
+    def _take_start_outcome(
+        self, task: Task, run: Run, outcome: OrderOutcome, tries: int
+    ) -> None:
+        state = self._state
+        now_s = state.now_s()
+        state.context.log.write(
+            "run.ordered",
+            job=task.id.job_id,
+            task=[task.id.occurrence, task.id.step, task.id.index],
+            run=run.number,
+            worker=run.worker_id,
+            token=state.journal.epoch,
+            outcome=outcome.name,
+        )
+        state.context.counters.increment(f"start.{outcome.name.lower()}")
+        if run not in task.runs:
+            return
+        if outcome is OrderOutcome.DONE:
+            run.settled_s = now_s
+            state.book.confirm_run(run, now_s)
+        elif outcome in _REFUSED_UNDONE:
+            self._take_refusal(task, run, outcome, tries)
+        self._on_change()
+
+    def _take_refusal(
+        self, task: Task, run: Run, outcome: OrderOutcome, tries: int
+    ) -> None:
+        state = self._state
+        if outcome is OrderOutcome.UNHEALTHY:
+            state.health.take_refusal(run.worker_id, state.now_s())
+        pause_s = _MALFORMED_PAUSE_S
+        if outcome is not OrderOutcome.MALFORMED:
+            pause_s = _REFUSED_PAUSE_S
+        task.wait_until_s = state.now_s() + pause_s
+        if tries > 1 or outcome is OrderOutcome.OLD:
+            # A copy of the order that got no answer may have been carried
+            # out, or may still be on its way.
+            state.book.stop_run(task, run, outcome.name.lower())
+            return
+        state.book.end_run(task, run, RunEnd.NEVER_STARTED, "", state.wall_ms())
+
+    async def _stop(self, task: Task, run: Run) -> None:
+        state = self._state
+        while run in task.runs:
+            link = self._link(run)
+            if link is None or state.journal.lost:
+                break
+            order = StopOrder(task.id, run.number, state.journal.epoch)
+            outcome = await link.stop(order)
+            if outcome is not OrderOutcome.UNKNOWN:
+                run.settled_s = state.now_s()
+                break
+            await state.context.timers.sleep(_RETRY_S)
+        self._stopping.discard((task.id, run.number, run.worker_id))
+        if run in task.runs:
+            await self._await_end(task, run)
+
+    async def _await_end(self, task: Task, run: Run) -> None:
+        """Waits for a stopped run to be listed, then has it stopped again."""
+        key = (task.id, run.number, run.worker_id)
+        self._stopping.add(key)
+        await self._state.context.timers.sleep(self._state.context.times.stop_s)
+        self._stopping.discard(key)
+        self._on_change()
+
+    async def _stop_row(self, link: WorkerLink, row: RunningRow) -> None:
+        order = StopOrder(row.task, row.number, self._state.journal.epoch)
+        await link.stop(order)
+        await self._state.context.timers.sleep(self._state.context.times.stop_s)
+        self._unknown.discard((row.task, row.number, link.worker_id))
+
+    async def _pace(self, task: Task, run: Run, percent: int) -> None:
+        link = self._link(run)
+        if link is None:
+            return
+        order = PaceOrder(
+            task.id, run.number, percent, self._state.journal.epoch
+        )
+        outcome = await link.pace(order)
+        if outcome is OrderOutcome.DONE:
+            run.percent = percent
--- /dev/null
+++ b/daemons/manager/src/coltsfootseam/manager/pacer.py
@@ -0,0 +1,44 @@
+"""Setting the speed of tasks that live on unused capacity."""
+
+from coltsfootseam.jobs import Run, RunPhase, Task
+from coltsfootseam.manager.orders import Orders
+from coltsfootseam.manager.pool_state import PoolState
+from coltsfootseam.scheduling import plan_pace
+from coltsfootseam.timers import Subscription
+
+_PERIOD_S = 0.6
+
+
+class Pacer:
+    """Asks for the speed of filling tasks, worker by worker."""
+
+    __slots__ = ("_orders", "_state")
+
+    def __init__(self, state: PoolState, orders: Orders) -> None:
+        self._state = state
+        self._orders = orders
+
+    def subscribe(self) -> Subscription:
+        """Begins to decide at regular times."""
+        return self._state.context.timers.subscribe(_PERIOD_S, self.play)
+
+    def play(self) -> None:
+        """Decides once for each worker."""
+        runs_by_worker = self._state.active_runs_by_worker()
+        for pairs in runs_by_worker.values():
+            at_work = [
+                pair for pair in pairs if pair[1].phase is RunPhase.RUNNING
+            ]
+            self._play_worker(at_work)
+
+    def _play_worker(self, pairs: list[tuple[Task, Run]]) -> None:
+        filling = [pair for pair in pairs if pair[0].step.fills]
+        if not filling:
+            return
+        serving = [
+            pair
+            for pair in pairs
+            if pair[0].step.target_ms and not pair[0].step.fills
+        ]
+        for change in plan_pace(serving, filling):
+            self._orders.send_pace(change.task, change.run, change.percent)
--- /dev/null
+++ b/daemons/manager/src/coltsfootseam/manager/planning.py
@@ -0,0 +1,184 @@
+"""From the state of a pool to a snapshot, and from a plan to runs."""
+
+import msgspec
+
+from coltsfootseam.jobs import Job, Occurrence, Run, Task
+from coltsfootseam.manager.pool_state import PoolState
+from coltsfootseam.manager.tickets import TicketDesk
+from coltsfootseam.scheduling import (
+    Plan,
+    ReadyStep,
+    Room,
+    job_order_named,
+    plan_starts,
+    remaining_chain_s,
+    step_key,
+    whole_chain_s,
+)
+from coltsfootseam.workers import WorkerLink
+
+_MS_PER_S = 1000
+_MILLIS_PER_CORE = 1000
+
+
+class NewRun(msgspec.Struct, frozen=True):
+    """A run that is to be ordered once its record is stored."""
+
+    task: Task
+    run: Run
+    ticket: str
+
+
+class Planner:
+    """Plans the starts of one pool."""
+
+    __slots__ = ("_order", "_state", "_tickets", "plan")
+
+    def __init__(self, state: PoolState, tickets: TicketDesk) -> None:
+        self._state = state
+        self._tickets = tickets
+        self._order = job_order_named("objective")
+        self.plan = Plan()
+
+    def plan_runs(self) -> list[NewRun]:
+        """Decides what starts now and enters it in the book."""
+        ready = sorted(self._ready_steps(), key=self._order)
+        if not ready:
+            self.plan = Plan()
+            return []
+        rooms = self.rooms()
+        now_s = self._state.now_s()
+        self.plan = plan_starts(ready, rooms, now_s, self._tickets.find)
+        self._tickets.ask_for(self.plan.shortages, rooms)
+        return self._enter(self.plan)
+
+    def rooms(self) -> list[Room]:
+        """Returns a snapshot of what is free on each worker."""
+        rooms_by_id = {
+            link.worker_id: self._room(link)
+            for link in self._state.links_by_id.values()
+            if not link.is_gone
+        }
+        for task, run in self._state.active_runs():
+            room = rooms_by_id.get(run.worker_id)
+            if room is not None:
+                trial_slots = room.trial_slots
+                room.take(task.step, step_key(task.id))
+                if trial_slots is not None and task.step.long_running:
+                    room.trial_slots = trial_slots
+        return list(rooms_by_id.values())
+
+    def _room(self, link: WorkerLink) -> Room:
+        entry = link.entry
+        state = self._state
+        worker_id = link.worker_id
+        is_open = (
+            link.is_reachable
+            and not entry.is_draining
+            and worker_id not in state.vacating_ids
+            and not state.health.is_aside(worker_id, state.now_s())
+        )
+        return Room(
+            worker_id=worker_id,
+            zone=entry.zone,
+            rack=entry.labels[-1] if entry.labels else "",
+            labels=entry.labels,
+            free_cpu_millis=entry.cpu_millis,
+            free_memory_mb=entry.memory_mb,
+            free_accelerators=entry.accelerators,
+            is_open=is_open,
+            trial_slots=state.health.trial_slots(worker_id),
+            slowness=state.health.slowness(worker_id),
+            counts_by_step={},
+        )
+
+    def _ready_steps(self) -> list[ReadyStep]:
+        ready = []
+        for job in self._state.book.active_by_id.values():
+            if job.state.is_final:
+                continue
+            for occurrence in self._due_occurrences(job):
+                ready.extend(self._ready_of(job, occurrence))
+        return ready
+
+    def _due_occurrences(self, job: Job) -> list[Occurrence]:
+        early_ms = self._state.context.times.early_s * _MS_PER_S
+        now_ms = self._state.wall_ms() + early_ms
+        due = []
+        for number in range(job.request.occurrence_count()):
+            if job.request.due_ms(number) > now_ms:
+                break
+            if number not in job.finished_occurrences:
+                due.append(job.occurrence(number))
+        return due
+
+    def _ready_of(self, job: Job, occurrence: Occurrence) -> list[ReadyStep]:
+        ready = []
+        for number, step in enumerate(job.request.steps):
+            tasks = occurrence.tasks_by_step[number]
+            if not any(task.is_pending() for task in tasks):
+                continue
+            if occurrence.is_step_ready(step):
+                ready.append(self._ready_step(job, occurrence, number))
+        return ready
+
+    def _ready_step(
+        self, job: Job, occurrence: Occurrence, number: int
+    ) -> ReadyStep:
+        queue = self._state.queue_of(job)
+        ratio = self._state.health.estimate_ratio()
+        since_ms = occurrence.due_ms or job.request.accepted_ms
+        waited_s = (self._state.wall_ms() - since_ms) / _MS_PER_S
+        objective_s = (
+            queue.stretch * whole_chain_s(job) * ratio
+            + queue.target_ms / _MS_PER_S
+        )
+        step = job.request.steps[number]
+        return ReadyStep(
+            job=job,
+            occurrence=occurrence,
+            number=number,
+            step=step,
+            queue=queue,
+            waited_s=waited_s,
+            remaining_s=remaining_chain_s(job, occurrence) * ratio,
+            objective_s=max(objective_s, 0.1),
+            work_core_s=_work_core_s(job, occurrence),
+        )
+
+    def _enter(self, plan: Plan) -> list[NewRun]:
+        now_s = self._state.now_s()
+        gang_numbers: dict[tuple[str, int, int], int] = {}
+        new_runs = []
+        for placement in plan.placements:
+            task = placement.task
+            number = 0
+            if task.step.gang:
+                key = step_key(task.id)
+                number = gang_numbers.setdefault(key, self._gang_number(task))
+            run = self._state.book.order_run(
+                task, placement.worker_id, now_s, number
+            )
+            new_runs.append(NewRun(task, run, placement.ticket))
+        return new_runs
+
+    def _gang_number(self, task: Task) -> int:
+        job = self._state.book.jobs_by_id[task.id.job_id]
+        members = job.occurrence(task.id.occurrence).tasks_by_step[task.id.step]
+        newest = max(members, key=lambda member: member.last_run)
+        # Any member's progress is valid for the gang; all need the same.
+        saved = max((member.checkpoint for member in members), default="")
+        for member in members:
+            member.checkpoint = saved
+        return newest.last_run + 1
+
+
+def _work_core_s(job: Job, occurrence: Occurrence) -> float:
+    return sum(
+        occurrence.open_by_step[number]
+        * step.cpu_millis
+        / _MILLIS_PER_CORE
+        * step.estimate_ms
+        / _MS_PER_S
+        for number, step in enumerate(job.request.steps)
+    )
--- /dev/null
+++ b/daemons/manager/src/coltsfootseam/manager/pool_owner.py
@@ -0,0 +1,314 @@
+"""Owning a pool: its journal, its jobs and the orders to its workers."""
+
+import asyncio
+
+import msgspec
+
+from coltsfootseam.jobs import (
+    JobBook,
+    JobState,
+    Progress,
+    cancel_key,
+    decode_progress,
+    decode_request,
+    parse_inbox_key,
+    request_key,
+)
+from coltsfootseam.manager.context import Context, inbox_of, journal_of
+from coltsfootseam.manager.knowledge import Knowledge
+from coltsfootseam.manager.orders import Orders
+from coltsfootseam.manager.pacer import Pacer
+from coltsfootseam.manager.planning import NewRun, Planner
+from coltsfootseam.manager.pool_state import PoolState
+from coltsfootseam.manager.reports import Reports
+from coltsfootseam.manager.tickets import TicketDesk
+from coltsfootseam.manager.vacating import Vacating
+from coltsfootseam.manager.workers_of_pool import WorkersOfPool
+from coltsfootseam.results import Refusal
+from coltsfootseam.scheduling import WorkerHealth
+from coltsfootseam.store import (
+    CLAIM_KEY,
+    Claim,
+    Journal,
+    KeyedRecord,
+    StoredRecord,
+    Tail,
+    claim_journal,
+)
+
+_RETRY_S = 0.15
+_TICK_S = 0.1
+_LEAST_ROUND_S = 0.02
+_INBOX_WAIT_S = 2.0
+_DROP_PERIOD_S = 5.0
+_DROP_MARGIN_S = 30.0
+_MS_PER_S = 1000
+
+
+class PoolOwner:
+    """Owns one pool until it is cancelled or loses the journal.
+
+    Attributes:
+        state: What is known, ``None`` until the journal is claimed and read.
+        inbox: The tail of the pool's inbox, ``None`` before that.
+        vacating: Takes work off workers whose machines are wanted elsewhere.
+    """
+
+    __slots__ = (
+        "_context",
+        "_knowledge",
+        "_pool",
+        "_progress_by_id",
+        "_wake",
+        "inbox",
+        "state",
+        "vacating",
+    )
+
+    def __init__(
+        self, pool: str, context: Context, knowledge: Knowledge
+    ) -> None:
+        self._pool = pool
+        self._context = context
+        self._knowledge = knowledge
+        self._progress_by_id: dict[str, Progress] = {}
+        self._wake = asyncio.Event()
+        self.state: PoolState | None = None
+        self.inbox: Tail | None = None
+        self.vacating: Vacating | None = None
+
+    async def run(self) -> None:
+        """Claims the pool and owns it; returns when the journal is lost."""
+        journal = await self._claim()
+        await self._load_journal()
+        state = PoolState(
+            pool=self._pool,
+            context=self._context,
+            knowledge=self._knowledge,
+            journal=journal,
+            book=JobBook(self._knowledge.attempts_of),
+            health=WorkerHealth(),
+        )
+        inbox = Tail(
+            self._context.ports.store,
+            self._context.timers,
+            inbox_of(self._pool),
+            lambda record: self._take_inbox(state, record),
+            _INBOX_WAIT_S,
+        )
+        while await inbox.load() is not None:
+            await self._context.timers.sleep(_RETRY_S)
+        self._progress_by_id.clear()
+        self._context.log.write(
+            "pool.loaded",
+            pool=self._pool,
+            epoch=journal.epoch,
+            jobs=len(state.book.jobs_by_id),
+            active=len(state.book.active_by_id),
+        )
+        await self._own(state, inbox)
+
+    async def _claim(self) -> Journal:
+        claim = Claim(self._context.incarnation, self._context.address)
+        while True:
+            journal = await claim_journal(
+                self._context.ports.store,
+                self._context.timers,
+                journal_of(self._pool),
+                f"pool.{self._pool}",
+                claim,
+            )
+            if isinstance(journal, Journal):
+                self._context.log.write(
+                    "pool.claimed", pool=self._pool, epoch=journal.epoch
+                )
+                return journal
+            self._context.log.write(
+                "pool.claim_failed", pool=self._pool, why=journal.reason
+            )
+            await self._context.timers.sleep(_RETRY_S)
+
+    async def _load_journal(self) -> None:
+        """Reads how far each job was; nobody else can append any more."""
+        while True:
+            newest = await self._context.ports.store.newest(
+                journal_of(self._pool)
+            )
+            if not isinstance(newest, Refusal):
+                break
+            await self._context.timers.sleep(_RETRY_S)
+        for record in newest.records:
+            if record.key == CLAIM_KEY or not record.value:
+                continue
+            try:
+                progress = decode_progress(record.value)
+            except msgspec.DecodeError as error:
+                self._context.log.write(
+                    "record.unreadable", key=record.key, why=str(error)
+                )
+                continue
+            self._progress_by_id[record.key] = progress
+
+    def _take_inbox(self, state: PoolState, record: StoredRecord) -> None:
+        key = parse_inbox_key(record.key)
+        if not record.value:
+            return
+        if key.is_cancel:
+            state.book.cancel(key.job_id, state.wall_ms())
+            state.context.log.write("job.cancelled", job=key.job_id)
+            self._wake.set()
+            return
+        try:
+            request = decode_request(record.value)
+        except msgspec.DecodeError as error:
+            state.context.log.write(
+                "record.unreadable", key=record.key, why=str(error)
+            )
+            return
+        if key.job_id in state.book.jobs_by_id:
+            return
+        state.book.add(
+            key.job_id,
+            request,
+            state.now_s(),
+            self._progress_by_id.get(key.job_id),
+        )
+        state.context.log.write(
+            "job.learned",
+            job=key.job_id,
+            queue=request.queue,
+            tasks=sum(step.count for step in request.steps),
+            age_ms=state.wall_ms() - request.accepted_ms,
+        )
+        self._wake.set()
+
+    async def _own(self, state: PoolState, inbox: Tail) -> None:
+        orders = Orders(state, self._wake.set)
+        reports = Reports(state, orders)
+        workers = WorkersOfPool(state, reports, self._wake.set)
+        tickets = TicketDesk(state, self._wake)
+        self.vacating = Vacating(state)
+        self.inbox = inbox
+        self.state = state
+        rounds = _Rounds(state, orders, workers, tickets, self.vacating)
+        pacer = Pacer(state, orders)
+        following = asyncio.ensure_future(inbox.run())
+        subscriptions = [
+            self._context.timers.subscribe(_TICK_S, self._wake.set),
+            self._context.timers.subscribe(
+                _DROP_PERIOD_S, lambda: self._drop_old(state, inbox)
+            ),
+            pacer.subscribe(),
+        ]
+        try:
+            while not state.journal.lost:
+                await self._wake.wait()
+                self._wake.clear()
+                await rounds.play()
+                await self._context.timers.sleep(_LEAST_ROUND_S)
+        finally:
+            self.state = None
+            following.cancel()
+            for subscription in subscriptions:
+                subscription.cancel()
+            orders.close()
+            tickets.close()
+            workers.close()
+            self._context.log.write(
+                "pool.left", pool=self._pool, epoch=state.journal.epoch
+            )
+
+    async def _drop_old(self, state: PoolState, inbox: Tail) -> None:
+        """Deletes what stands of jobs that ended long ago."""
+        keep_ms = (
+            self._context.times.keep_ended_s + _DROP_MARGIN_S
+        ) * _MS_PER_S
+        horizon_ms = state.wall_ms() - keep_ms
+        old_ids = [
+            job.id
+            for job in state.book.jobs_by_id.values()
+            if job.stored_state.is_final and job.ended_ms < horizon_ms
+        ]
+        if not old_ids or state.journal.lost:
+            return
+        store = self._context.ports.store
+        keys = [
+            key
+            for job_id in old_ids
+            for key in (request_key(job_id), cancel_key(job_id))
+        ]
+        result = await store.append(
+            inbox_of(self._pool), [KeyedRecord(key) for key in keys]
+        )
+        if isinstance(result, Refusal):
+            return
+        for job_id in old_ids:
+            state.book.drop(job_id)
+        for key in keys:
+            inbox.forget(key)
+
+
+class _Rounds:
+    """One round: decide, store what was decided, then order it."""
+
+    __slots__ = ("_orders", "_planner", "_state", "_vacating", "_workers")
+
+    def __init__(
+        self,
+        state: PoolState,
+        orders: Orders,
+        workers: WorkersOfPool,
+        tickets: TicketDesk,
+        vacating: Vacating,
+    ) -> None:
+        self._state = state
+        self._orders = orders
+        self._workers = workers
+        self._vacating = vacating
+        self._planner = Planner(state, tickets)
+
+    async def play(self) -> None:
+        """Plays one round."""
+        state = self._state
+        self._workers.follow_entries()
+        self._vacating.plan()
+        new_runs = self._planner.plan_runs()
+        self._vacating.shortages = self._planner.plan.shortages
+        self._orders.send_stops()
+        ends_by_id = dict(state.ends_by_id)
+        documents_by_id = state.book.take_changes()
+        stored = {
+            job_id: state.book.jobs_by_id[job_id].state
+            for job_id in documents_by_id
+        }
+        if documents_by_id:
+            records = [
+                KeyedRecord(job_id, document)
+                for job_id, document in documents_by_id.items()
+            ]
+            problem = await state.journal.commit(records)
+            if problem is not None:
+                return
+        self._take_stored(stored, ends_by_id)
+        self._start(new_runs)
+
+    def _take_stored(
+        self, stored: dict[str, JobState], ends_by_id: dict[str, int]
+    ) -> None:
+        state = self._state
+        for job_id, job_state in stored.items():
+            job = state.book.jobs_by_id.get(job_id)
+            if job is not None and job.stored_state != job_state:
+                job.stored_state = job_state
+                state.context.log.write(
+                    "job.state", job=job_id, state=job.stored_state.name
+                )
+        for worker_id, sequence in ends_by_id.items():
+            link = state.links_by_id.get(worker_id)
+            if link is not None:
+                link.acknowledge(sequence)
+
+    def _start(self, new_runs: list[NewRun]) -> None:
+        for new in new_runs:
+            if new.run in new.task.runs:
+                self._orders.send_start(new.task, new.run, new.ticket)
--- /dev/null
+++ b/daemons/manager/src/coltsfootseam/manager/pool_state.py
@@ -0,0 +1,70 @@
+"""What the owner of a pool knows while it owns it."""
+
+import msgspec
+
+from coltsfootseam.jobs import Job, JobBook, Queue, Run, Task
+from coltsfootseam.manager.context import Context
+from coltsfootseam.manager.knowledge import Knowledge
+from coltsfootseam.scheduling import WorkerHealth
+from coltsfootseam.store import Journal
+from coltsfootseam.workers import WorkerLink
+
+
+class PoolState(msgspec.Struct):
+    """State of one pool, shared by the parts that work on it.
+
+    Attributes:
+        pool: Name of the pool.
+        context: What all parts of the process share.
+        knowledge: Configuration and workers.
+        journal: The journal; its epoch fences all orders.
+        book: The pool's jobs.
+        health: What the ends of runs say of each worker.
+        links_by_id: Links to the workers of the pool.
+        ends_by_id: Newest end of each worker that is in the book, but perhaps
+            not in the journal yet.
+        vacating_ids: Workers whose machines are wanted elsewhere.
+    """
+
+    pool: str
+    context: Context
+    knowledge: Knowledge
+    journal: Journal
+    book: JobBook
+    health: WorkerHealth
+    links_by_id: dict[str, WorkerLink] = {}
+    ends_by_id: dict[str, int] = {}
+    vacating_ids: set[str] = set()
+
+    def now_s(self) -> float:
+        """Returns monotonic time in seconds."""
+        return self.context.timers.now_s()
+
+    def wall_ms(self) -> int:
+        """Returns the time of day, Unix milliseconds."""
+        return self.context.timers.wall_ms()
+
+    def queue_of(self, job: Job) -> Queue:
+        """Returns a job's queue; one that was dropped has plain settings."""
+        configuration = self.knowledge.configuration
+        if configuration is not None:
+            found = configuration.queues_by_name.get(job.request.queue)
+            if found is not None:
+                return found
+        return Queue(job.request.queue, "", "", self.pool)
+
+    def active_runs(self) -> list[tuple[Task, Run]]:
+        """Returns all runs that may be at work."""
+        return [
+            (task, run)
+            for job in self.book.active_by_id.values()
+            for task in job.tasks()
+            for run in task.runs
+        ]
+
+    def active_runs_by_worker(self) -> dict[str, list[tuple[Task, Run]]]:
+        """Returns all runs that may be at work, by worker."""
+        runs_by_worker: dict[str, list[tuple[Task, Run]]] = {}
+        for task, run in self.active_runs():
+            runs_by_worker.setdefault(run.worker_id, []).append((task, run))
+        return runs_by_worker
--- /dev/null
+++ b/daemons/manager/src/coltsfootseam/manager/reports.py
@@ -0,0 +1,115 @@
+"""Bringing the book in line with what workers report."""
+
+from coltsfootseam.jobs import Run, RunEnd, RunPhase, Task, TaskId
+from coltsfootseam.manager.orders import Orders
+from coltsfootseam.manager.pool_state import PoolState
+from coltsfootseam.workers import (
+    EndRow,
+    HoldReport,
+    RunningRow,
+    WorkerLink,
+)
+
+_MS_PER_S = 1000
+
+
+class Reports:
+    """Takes reports of holds and the loss of workers."""
+
+    __slots__ = ("_orders", "_state")
+
+    def __init__(self, state: PoolState, orders: Orders) -> None:
+        self._state = state
+        self._orders = orders
+
+    def take(self, link: WorkerLink, report: HoldReport, sent_s: float) -> None:
+        """Takes a worker's report.
+
+        Args:
+            link: The link to the worker.
+            report: What it says.
+            sent_s: When the hold was sent; the report is no older.
+        """
+        for end_row in report.ended:
+            self._take_end(link, end_row)
+        listed = set()
+        for row in report.running:
+            listed.add((row.task, row.number))
+            self._take_running(link, row)
+        self._find_lost_runs(link, listed, sent_s)
+
+    def lose_worker(self, worker_id: str, reason: str) -> None:
+        """Takes note that nothing runs on a worker any more."""
+        for task, run in self._state.active_runs():
+            if run.worker_id == worker_id:
+                self._end(task, run, RunEnd.LAPSED, run.saved, reason)
+
+    def _take_end(self, link: WorkerLink, row: EndRow) -> None:
+        state = self._state
+        newest = state.ends_by_id.get(link.worker_id, 0)
+        state.ends_by_id[link.worker_id] = max(newest, row.sequence)
+        task = state.book.find_task(row.task)
+        if task is None:
+            return
+        run = task.run_numbered(row.number, link.worker_id)
+        if run is None:
+            return
+        now_s = state.now_s()
+        is_first_failure = not task.failed_on
+        state.health.take_end(link.worker_id, row.end, is_first_failure, now_s)
+        self._learn_duration(task, run, row.end)
+        self._end(task, run, row.end, row.saved or run.saved, "listed")
+
+    def _take_running(self, link: WorkerLink, row: RunningRow) -> None:
+        task = self._state.book.find_task(row.task)
+        run = None
+        if task is not None:
+            run = task.run_numbered(row.number, link.worker_id)
+        if task is None or run is None:
+            self._orders.stop_unknown(link, row)
+            return
+        self._state.book.confirm_run(run, self._state.now_s())
+        run.saved = row.saved or run.saved
+        run.load = row.load
+        if run.phase is not RunPhase.STOPPING:
+            run.percent = row.percent
+
+    def _find_lost_runs(
+        self,
+        link: WorkerLink,
+        listed: set[tuple[TaskId, int]],
+        sent_s: float,
+    ) -> None:
+        for task, run in self._state.active_runs():
+            if run.worker_id != link.worker_id:
+                continue
+            if (task.id, run.number) in listed or run.settled_s is None:
+                continue
+            if run.settled_s < sent_s:
+                self._end(
+                    task, run, RunEnd.NEVER_STARTED, run.saved, "not listed"
+                )
+
+    def _learn_duration(self, task: Task, run: Run, end: RunEnd) -> None:
+        is_plain = not run.checkpoint and run.percent == 100
+        estimate_ms = task.step.estimate_ms
+        if end is not RunEnd.DONE or not is_plain or not estimate_ms:
+            return
+        lasted_ms = (self._state.now_s() - run.ordered_s) * _MS_PER_S
+        self._state.health.take_duration(run.worker_id, lasted_ms / estimate_ms)
+
+    def _end(
+        self, task: Task, run: Run, end: RunEnd, saved: str, why: str
+    ) -> None:
+        state = self._state
+        state.book.end_run(task, run, end, saved, state.wall_ms())
+        state.context.log.write(
+            "run.ended",
+            job=task.id.job_id,
+            task=[task.id.occurrence, task.id.step, task.id.index],
+            run=run.number,
+            worker=run.worker_id,
+            end=end.name,
+            failures=task.failures,
+            why=run.reason or why,
+        )
--- /dev/null
+++ b/daemons/manager/src/coltsfootseam/manager/tickets.py
@@ -0,0 +1,136 @@
+"""Tickets of queues whose policy service chooses the workers."""
+
+import asyncio
+
+import msgspec
+
+from coltsfootseam.manager.pool_state import PoolState
+from coltsfootseam.results import Refusal
+from coltsfootseam.scheduling import Room, Shortage, StepKey, step_key
+from coltsfootseam.workers import Ruling
+
+_MS_PER_S = 1000
+_MOST_WORKERS_A_CALL = 12
+_VALID_MARGIN_S = 0.3
+_RETRY_S = 0.2
+
+
+class _Held(msgspec.Struct, frozen=True):
+    ticket: str
+    valid_until_s: float
+
+
+class TicketDesk:
+    """Asks for tickets, one call at a time, and keeps them while valid.
+
+    Which workers may run a step doesn't change, so a worker that was refused
+    is not asked for again.
+    """
+
+    __slots__ = (
+        "_asking",
+        "_held",
+        "_on_change",
+        "_refused",
+        "_state",
+        "_task",
+    )
+
+    def __init__(self, state: PoolState, on_change: asyncio.Event) -> None:
+        self._state = state
+        self._on_change = on_change
+        self._held: dict[tuple[StepKey, str], _Held] = {}
+        self._refused: set[tuple[StepKey, str]] = set()
+        self._asking: dict[StepKey, list[str]] = {}
+        self._task: asyncio.Task[None] | None = None
+
+    def find(self, key: StepKey, worker_id: str) -> str | None:
+        """Returns the ticket of a step for a worker, if one is held."""
+        held = self._held.get((key, worker_id))
+        if held is None or held.valid_until_s < self._state.now_s():
+            return None
+        return held.ticket
+
+    def ask_for(self, shortages: list[Shortage], rooms: list[Room]) -> None:
+        """Asks for tickets of steps that found no worker with one."""
+        wanted = [item for item in shortages if item.needs_ticket]
+        for shortage in wanted:
+            self._want(shortage, rooms)
+        is_idle = self._task is None or self._task.done()
+        if self._asking and is_idle:
+            self._task = asyncio.ensure_future(self._ask_all())
+
+    def close(self) -> None:
+        """Gives up a call that is under way."""
+        if self._task is not None:
+            self._task.cancel()
+
+    def _want(self, shortage: Shortage, rooms: list[Room]) -> None:
+        ready = shortage.ready
+        tasks = ready.occurrence.tasks_by_step[ready.number]
+        key = step_key(tasks[0].id)
+        if key in self._asking:
+            return
+        step = ready.step
+        candidates = [
+            room
+            for room in rooms
+            if room.is_open
+            and room.fits(step)
+            and room.may_run(step, key)
+            and (key, room.worker_id) not in self._refused
+            and self.find(key, room.worker_id) is None
+        ]
+        if step.rack:
+            candidates.sort(key=lambda room: room.rack != step.rack)
+        if candidates:
+            chosen = candidates[:_MOST_WORKERS_A_CALL]
+            self._asking[key] = [room.worker_id for room in chosen]
+
+    async def _ask_all(self) -> None:
+        while self._asking:
+            key, worker_ids = next(iter(self._asking.items()))
+            await self._ask(key, worker_ids)
+            self._asking.pop(key, None)
+            self._on_change.set()
+
+    async def _ask(self, key: StepKey, worker_ids: list[str]) -> None:
+        state = self._state
+        instances_by_worker = {
+            worker_id: state.links_by_id[worker_id].entry.instance_id
+            for worker_id in worker_ids
+            if worker_id in state.links_by_id
+        }
+        sent_s = state.now_s()
+        ruling = await state.context.ports.advice.advise(
+            *key, list(instances_by_worker.values())
+        )
+        if isinstance(ruling, Refusal):
+            state.context.log.write(
+                "advice.failed", step=key, why=ruling.reason
+            )
+            await state.context.timers.sleep(_RETRY_S)
+            return
+        self._take(key, instances_by_worker, ruling, sent_s)
+
+    def _take(
+        self,
+        key: StepKey,
+        instances_by_worker: dict[str, str],
+        ruling: Ruling,
+        sent_s: float,
+    ) -> None:
+        tickets = {item.instance_id: item.ticket for item in ruling.tickets}
+        until_s = sent_s + ruling.valid_ms / _MS_PER_S - _VALID_MARGIN_S
+        for worker_id, instance_id in instances_by_worker.items():
+            ticket = tickets.get(instance_id)
+            if ticket is None:
+                self._refused.add((key, worker_id))
+            else:
+                self._held[key, worker_id] = _Held(ticket, until_s)
+        self._state.context.log.write(
+            "advice.taken",
+            step=key,
+            asked=len(instances_by_worker),
+            allowed=len(tickets),
+        )
--- /dev/null
+++ b/daemons/manager/src/coltsfootseam/manager/vacating.py
@@ -0,0 +1,174 @@
+"""Taking work off workers that leave or whose machines are wanted."""
+
+from coltsfootseam.calls import VacateReply, VacateRequest
+from coltsfootseam.jobs import Run, RunPhase, Task
+from coltsfootseam.manager.pool_state import PoolState
+from coltsfootseam.scheduling import Shortage
+
+_MS_PER_S = 1000
+_MILLIS_PER_CORE = 1000
+
+
+class Vacating:
+    """Empties workers, without more tasks away than their step allows.
+
+    Attributes:
+        shortages: What found no room in the last round.
+    """
+
+    __slots__ = ("_asked_s", "_state", "shortages")
+
+    def __init__(self, state: PoolState) -> None:
+        self._state = state
+        self._asked_s = float("-inf")
+        self.shortages: list[Shortage] = []
+
+    def take(self, request: VacateRequest) -> VacateReply:
+        """Takes the fleet owner's wishes and tells how things stand."""
+        state = self._state
+        state.vacating_ids = set(request.worker_ids)
+        self._asked_s = state.now_s()
+        for worker_id in request.released_ids:
+            link = state.links_by_id.get(worker_id)
+            if link is not None:
+                link.is_gone = True
+        runs_by_worker = state.active_runs_by_worker()
+        return VacateReply(
+            is_owner=True,
+            empty_ids=[
+                worker_id
+                for worker_id in request.worker_ids
+                if worker_id in state.links_by_id
+                and worker_id not in runs_by_worker
+            ],
+            busy_core_s=sum(_waiting_core_s(item) for item in self.shortages),
+            waiting_cores=sum(_waiting_cores(item) for item in self.shortages),
+            used_cores=_used_cores(runs_by_worker),
+            idle_ids=self._idle_ids(runs_by_worker),
+            least_cores=_lasting_cores(runs_by_worker),
+        )
+
+    def plan(self) -> None:
+        """Stops what has to leave, as far as is allowed now."""
+        state = self._state
+        if state.now_s() - self._asked_s > state.context.times.machine_lease_s:
+            # The fleet's owner is silent; its wishes lapse.
+            state.vacating_ids = set()
+        self._note_away()
+        for task, run in state.active_runs():
+            if run.phase is RunPhase.STOPPING or run.settled_s is None:
+                continue
+            link = state.links_by_id.get(run.worker_id)
+            if link is None:
+                continue
+            if link.entry.is_draining:
+                self._leave_draining(task, run, link.entry.remaining_ms)
+            elif run.worker_id in state.vacating_ids:
+                self._leave_vacating(task, run)
+
+    def _leave_draining(
+        self, task: Task, run: Run, remaining_ms: int | None
+    ) -> None:
+        if task.step.long_running:
+            self._state.book.stop_run(task, run, "the worker is draining")
+            return
+        left_ms = self._expected_left_ms(task, run)
+        is_short_of_time = remaining_ms is None or left_ms > remaining_ms
+        if task.step.checkpointing and is_short_of_time:
+            self._state.book.stop_run(task, run, "the worker is draining")
+
+    def _leave_vacating(self, task: Task, run: Run) -> None:
+        if task.step.long_running:
+            if self._may_take_away(task):
+                self._state.book.stop_run(task, run, "its machine is wanted")
+                task.away_since_s = self._state.now_s()
+            return
+        is_long = self._expected_left_ms(task, run) > _MS_PER_S
+        if task.step.checkpointing and is_long:
+            self._state.book.stop_run(task, run, "its machine is wanted")
+
+    def _expected_left_ms(self, task: Task, run: Run) -> float:
+        ratio = self._state.health.estimate_ratio()
+        lasted_ms = (self._state.now_s() - run.ordered_s) * _MS_PER_S
+        return task.step.estimate_ms * ratio - lasted_ms
+
+    def _may_take_away(self, task: Task) -> bool:
+        """Tells whether one more task of a step may be away."""
+        step = task.step
+        if step.may_miss is None:
+            return True
+        job = self._state.book.jobs_by_id[task.id.job_id]
+        members = job.occurrence(task.id.occurrence).tasks_by_step[task.id.step]
+        away = sum(1 for member in members if self._is_away(member))
+        return away < step.may_miss
+
+    def _is_away(self, task: Task) -> bool:
+        """Tells whether a task counts as not at work."""
+        now_s = self._state.now_s()
+        notice_s = self._state.context.times.notice_s
+        since_s = task.away_since_s
+        if since_s is not None and now_s - since_s < notice_s:
+            return True
+        return not _is_at_work(task)
+
+    def _note_away(self) -> None:
+        """Remembers when lasting tasks were last seen away from work."""
+        now_s = self._state.now_s()
+        for job in self._state.book.active_by_id.values():
+            if not any(step.long_running for step in job.request.steps):
+                continue
+            for task in job.tasks():
+                if not _is_at_work(task):
+                    task.away_since_s = now_s
+
+    def _idle_ids(
+        self, runs_by_worker: dict[str, list[tuple[Task, Run]]]
+    ) -> list[str]:
+        return [
+            link.worker_id
+            for link in self._state.links_by_id.values()
+            if link.is_reachable
+            and not link.entry.is_draining
+            and link.worker_id not in runs_by_worker
+        ]
+
+
+def _is_at_work(task: Task) -> bool:
+    return any(
+        run.phase is RunPhase.RUNNING and run.percent == 100
+        for run in task.runs
+    )
+
+
+def _waiting_cores(shortage: Shortage) -> float:
+    step = shortage.ready.step
+    if step.fills:
+        return 0.0
+    return shortage.count * step.cpu_millis / _MILLIS_PER_CORE
+
+
+def _waiting_core_s(shortage: Shortage) -> float:
+    step = shortage.ready.step
+    return _waiting_cores(shortage) * step.estimate_ms / _MS_PER_S
+
+
+def _used_cores(
+    runs_by_worker: dict[str, list[tuple[Task, Run]]],
+) -> float:
+    return sum(
+        task.step.cpu_millis / _MILLIS_PER_CORE
+        for pairs in runs_by_worker.values()
+        for task, _ in pairs
+        if not task.step.fills
+    )
+
+
+def _lasting_cores(
+    runs_by_worker: dict[str, list[tuple[Task, Run]]],
+) -> float:
+    return sum(
+        task.step.cpu_millis / _MILLIS_PER_CORE
+        for pairs in runs_by_worker.values()
+        for task, _ in pairs
+        if task.step.long_running and not task.step.fills
+    )
--- /dev/null
+++ b/daemons/manager/src/coltsfootseam/manager/workers_of_pool.py
@@ -0,0 +1,118 @@
+"""Keeping links to all workers of a pool."""
+
+import asyncio
+from collections.abc import Callable
+
+from coltsfootseam.manager.pool_state import PoolState
+from coltsfootseam.manager.reports import Reports
+from coltsfootseam.workers import (
+    HoldReport,
+    LeaseTimes,
+    WorkerEntry,
+    WorkerLink,
+)
+
+
+class WorkersOfPool:
+    """Opens a link to each worker that appears and closes those that end."""
+
+    __slots__ = ("_on_change", "_reports", "_state", "_tasks_by_id")
+
+    def __init__(
+        self,
+        state: PoolState,
+        reports: Reports,
+        on_change: Callable[[], None],
+    ) -> None:
+        self._state = state
+        self._reports = reports
+        self._on_change = on_change
+        self._tasks_by_id: dict[str, asyncio.Task[None]] = {}
+
+    def follow_entries(self) -> None:
+        """Brings the links in line with the workers' entries."""
+        for entry in self._state.knowledge.workers_by_instance.values():
+            if entry.pool == self._state.pool:
+                self._follow(entry)
+        for link in list(self._state.links_by_id.values()):
+            self._check(link)
+        self._lose_unlinked()
+
+    def close(self) -> None:
+        """Gives all links up; the leases stay as they are."""
+        for task in self._tasks_by_id.values():
+            task.cancel()
+        for link in self._state.links_by_id.values():
+            link.close()
+
+    def _follow(self, entry: WorkerEntry) -> None:
+        link = self._state.links_by_id.get(entry.worker_id)
+        if link is not None:
+            link.entry = entry
+            return
+        times = self._state.context.times
+        link = WorkerLink(
+            entry,
+            self._state.context.ports.workers,
+            self._state.context.timers,
+            LeaseTimes(times.lease_s, times.longest_lease_s),
+            self._state.journal.epoch,
+            times.hold_wait_s,
+            self._take_report,
+        )
+        self._state.links_by_id[entry.worker_id] = link
+        self._tasks_by_id[entry.worker_id] = asyncio.ensure_future(link.run())
+        self._state.context.log.write(
+            "worker.linked",
+            worker=entry.worker_id,
+            machine=entry.machine_id,
+            pool=entry.pool,
+        )
+
+    def _take_report(
+        self, link: WorkerLink, report: HoldReport, sent_s: float
+    ) -> None:
+        self._reports.take(link, report, sent_s)
+        self._on_change()
+
+    def _check(self, link: WorkerLink) -> None:
+        if link.is_fenced:
+            # A worker has seen a newer owner: so has the store.
+            self._state.journal.lost = True
+            return
+        newest = self._state.knowledge.workers_by_instance.get(
+            link.entry.instance_id
+        )
+        if newest is not None and newest.born_ms > link.entry.born_ms:
+            link.is_gone = True
+        if link.is_gone:
+            self._drop(link, "its life has ended")
+        elif not link.is_reachable and link.lease.has_ended():
+            self._reports.lose_worker(link.worker_id, "its lease has ended")
+            if newest is None:
+                self._drop(link, "it is silent and has no entry")
+
+    def _drop(self, link: WorkerLink, reason: str) -> None:
+        worker_id = link.worker_id
+        self._reports.lose_worker(worker_id, reason)
+        self._state.links_by_id.pop(worker_id, None)
+        self._state.ends_by_id.pop(worker_id, None)
+        self._state.health.forget(worker_id)
+        task = self._tasks_by_id.pop(worker_id, None)
+        if task is not None:
+            task.cancel()
+        link.close()
+        self._state.context.log.write(
+            "worker.dropped", worker=worker_id, why=reason
+        )
+
+    def _lose_unlinked(self) -> None:
+        """Gives up runs on workers of which nothing is known any more."""
+        claimed_s = self._state.journal.claimed_s
+        longest_s = self._state.context.times.longest_lease_s
+        if self._state.now_s() < claimed_s + longest_s + 1.0:
+            return
+        known = self._state.links_by_id
+        for _, run in self._state.active_runs():
+            if run.worker_id not in known:
+                self._reports.lose_worker(run.worker_id, "it is unknown")
--- /dev/null
+++ b/libs/calls/src/coltsfootseam/calls/__init__.py
@@ -0,0 +1,48 @@
+"""Typed calls between the processes."""
+
+from coltsfootseam.calls.client import CallClients, calling
+from coltsfootseam.calls.messages import (
+    JobQuestion,
+    JobReply,
+    PendingQuestion,
+    PendingReply,
+    ReachQuestion,
+    ReachReply,
+    RelayReply,
+    RelayRequest,
+    VacateReply,
+    VacateRequest,
+)
+from coltsfootseam.calls.service import (
+    ASK_JOB,
+    ASK_PENDING,
+    ASK_REACH,
+    RELAY,
+    VACATE,
+    Handler,
+    Method,
+    serving_calls,
+)
+
+__all__ = [
+    "ASK_JOB",
+    "ASK_PENDING",
+    "ASK_REACH",
+    "RELAY",
+    "VACATE",
+    "CallClients",
+    "Handler",
+    "JobQuestion",
+    "JobReply",
+    "Method",
+    "PendingQuestion",
+    "PendingReply",
+    "ReachQuestion",
+    "ReachReply",
+    "RelayReply",
+    "RelayRequest",
+    "VacateReply",
+    "VacateRequest",
+    "calling",
+    "serving_calls",
+]
--- /dev/null
+++ b/libs/calls/src/coltsfootseam/calls/client.py
@@ -0,0 +1,90 @@
+"""The calling side: one connection per address, each call with a time limit."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+from typing import Any
+
+import grpc
+import msgspec
+
+from coltsfootseam.calls.service import OPTIONS, SERVICE_NAME, Method
+from coltsfootseam.results import Refusal, ResultCode
+
+
+class CallClients:
+    """Calls other processes.
+
+    A call that gets no answer in time closes its connection, as a connection
+    can go silent while new ones work.
+    """
+
+    __slots__ = ("_channels_by_address",)
+
+    def __init__(self) -> None:
+        self._channels_by_address: dict[str, grpc.aio.Channel] = {}
+
+    async def call(
+        self, address: str, method: Method, request: Any, timeout_s: float
+    ) -> Any:
+        """Calls a method.
+
+        Returns:
+            The method's reply, or a refusal with ``UNREACHABLE``.
+        """
+        channel = self._channel(address)
+        send = channel.unary_unary(
+            f"/{SERVICE_NAME}/{method.name}",
+            request_serializer=msgspec.msgpack.encode,
+            response_deserializer=msgspec.msgpack.Decoder(method.reply).decode,
+        )
+        try:
+            return await send(request, timeout=timeout_s)
+        except grpc.aio.AioRpcError as error:
+            if error.code() is grpc.StatusCode.DEADLINE_EXCEEDED:
+                await self._forget(address, channel, timeout_s)
+            return _unreachable(address, method, error.code().name)
+        except asyncio.CancelledError:
+            # The library cancels the calls of a channel that is closed. Only
+            # a cancellation of the task itself concerns the caller.
+            task = asyncio.current_task()
+            if task is not None and task.cancelling():
+                raise
+            return _unreachable(address, method, "connection given up")
+
+    async def close(self) -> None:
+        """Closes every connection."""
+        channels = list(self._channels_by_address.values())
+        self._channels_by_address.clear()
+        for channel in channels:
+            await channel.close()
+
+    def _channel(self, address: str) -> grpc.aio.Channel:
+        channel = self._channels_by_address.get(address)
+        if channel is None:
+            channel = grpc.aio.insecure_channel(address, options=OPTIONS)
+            self._channels_by_address[address] = channel
+        return channel
+
+    async def _forget(
+        self, address: str, channel: grpc.aio.Channel, grace_s: float
+    ) -> None:
+        if self._channels_by_address.get(address) is channel:
+            del self._channels_by_address[address]
+        await channel.close(grace=grace_s)
+
+
+def _unreachable(address: str, method: Method, reason: str) -> Refusal:
+    return Refusal(
+        ResultCode.UNREACHABLE, f"{address}: {method.name}: {reason}"
+    )
+
+
+@contextlib.asynccontextmanager
+async def calling() -> AsyncIterator[CallClients]:
+    """Yields clients that are closed when the context ends."""
+    clients = CallClients()
+    try:
+        yield clients
+    finally:
+        await clients.close()
--- /dev/null
+++ b/libs/calls/src/coltsfootseam/calls/messages.py
@@ -0,0 +1,102 @@
+"""Requests and replies between the processes."""
+
+import msgspec
+
+from coltsfootseam.jobs import JobState
+
+
+class JobQuestion(msgspec.Struct, frozen=True, array_like=True):
+    """Asks the owner of a pool how far a job is."""
+
+    pool: str
+    job_id: str
+
+
+class JobReply(msgspec.Struct, frozen=True, array_like=True):
+    """The owner's answer.
+
+    Attributes:
+        is_owner: Whether the callee owns the pool and has loaded it.
+        is_current: Whether it has read its inbox to the end just now.
+        state: How far the job is, ``None`` if it isn't known.
+    """
+
+    is_owner: bool
+    is_current: bool = False
+    state: JobState | None = None
+
+
+class PendingQuestion(msgspec.Struct, frozen=True, array_like=True):
+    """Asks how many jobs of a queue haven't begun."""
+
+    pool: str
+    queue: str
+
+
+class PendingReply(msgspec.Struct, frozen=True, array_like=True):
+    """The owner's answer; ``count`` is ``None`` if it can't tell."""
+
+    count: int | None = None
+
+
+class RelayRequest(msgspec.Struct, frozen=True, array_like=True):
+    """Asks a peer to append a record to a pool's inbox."""
+
+    pool: str
+    key: str
+    value: bytes
+
+
+class RelayReply(msgspec.Struct, frozen=True, array_like=True):
+    """What became of the append: stored, not done, or unknown."""
+
+    is_stored: bool
+    is_unknown: bool = False
+
+
+class ReachQuestion(msgspec.Struct, frozen=True, array_like=True):
+    """Asks whether a peer reaches the store."""
+
+
+class ReachReply(msgspec.Struct, frozen=True, array_like=True):
+    """Tells how long ago the store last answered the peer, in seconds."""
+
+    store_age_s: float
+
+
+class VacateRequest(msgspec.Struct, frozen=True, array_like=True):
+    """Asks a pool's owner to take work off workers and tell its demand.
+
+    Attributes:
+        pool: Name of the pool.
+        worker_ids: Workers whose machines are wanted elsewhere. Those that
+            aren't named any more go back to work.
+        released_ids: Workers whose machines have been taken since.
+    """
+
+    pool: str
+    worker_ids: list[str]
+    released_ids: list[str]
+
+
+class VacateReply(msgspec.Struct, frozen=True, array_like=True):
+    """What a pool's owner tells the fleet's owner.
+
+    Attributes:
+        is_owner: Whether the callee owns the pool and has loaded it.
+        empty_ids: Those of the workers named that run nothing and will get
+            nothing.
+        busy_core_s: Work that waits for room, in core-seconds.
+        waiting_cores: Processor that waiting tasks ask for, in cores.
+        used_cores: Processor in use, in cores.
+        idle_ids: Workers that run nothing, though they weren't named.
+        least_cores: Processor that must stay for tasks that last, in cores.
+    """
+
+    is_owner: bool
+    empty_ids: list[str] = []
+    busy_core_s: float = 0.0
+    waiting_cores: float = 0.0
+    used_cores: float = 0.0
+    idle_ids: list[str] = []
+    least_cores: float = 0.0
--- /dev/null
+++ b/libs/calls/src/coltsfootseam/calls/service.py
@@ -0,0 +1,88 @@
+"""The serving side: methods by name, each with its request and reply type."""
+
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any
+
+import grpc
+import msgspec
+
+from coltsfootseam.calls.messages import (
+    JobQuestion,
+    JobReply,
+    PendingQuestion,
+    PendingReply,
+    ReachQuestion,
+    ReachReply,
+    RelayReply,
+    RelayRequest,
+    VacateReply,
+    VacateRequest,
+)
+
+SERVICE_NAME = "coltsfootseam.Manager"
+_STOP_GRACE_S = 0.5
+
+OPTIONS = [
+    ("grpc.so_reuseport", 0),
+    ("grpc.max_receive_message_length", 16 * 1024 * 1024),
+    ("grpc.enable_http_proxy", 0),
+    ("grpc.use_local_subchannel_pool", 1),
+]
+
+
+class Method(msgspec.Struct, frozen=True):
+    """One method and the types that it carries."""
+
+    name: str
+    request: type
+    reply: type
+
+
+ASK_JOB = Method("AskJob", JobQuestion, JobReply)
+ASK_PENDING = Method("AskPending", PendingQuestion, PendingReply)
+RELAY = Method("Relay", RelayRequest, RelayReply)
+ASK_REACH = Method("AskReach", ReachQuestion, ReachReply)
+VACATE = Method("Vacate", VacateRequest, VacateReply)
+
+Handler = Callable[[Any], Awaitable[Any]]
+
+
+@contextlib.asynccontextmanager
+async def serving_calls(
+    address: str, handlers_by_method: dict[Method, Handler]
+) -> AsyncIterator[None]:
+    """Serves calls at an address while the context is open.
+
+    Args:
+        address: IP and port to listen on.
+        handlers_by_method: A coroutine function for each method.
+    """
+    server = grpc.aio.server(options=OPTIONS)
+    handlers = {
+        method.name: grpc.unary_unary_rpc_method_handler(
+            _without_context(handler),
+            request_deserializer=msgspec.msgpack.Decoder(method.request).decode,
+            response_serializer=msgspec.msgpack.encode,
+        )
+        for method, handler in handlers_by_method.items()
+    }
+    server.add_generic_rpc_handlers(
+        (grpc.method_handlers_generic_handler(SERVICE_NAME, handlers),)
+    )
+    server.add_insecure_port(address)
+    await server.start()
+    try:
+        yield
+    finally:
+        await server.stop(_STOP_GRACE_S)
+
+
+def _without_context(
+    handler: Handler,
+) -> Callable[[Any, Any], Awaitable[Any]]:
+    async def serve(request: Any, context: Any) -> Any:
+        del context
+        return await handler(request)
+
+    return serve
--- /dev/null
+++ b/libs/jobs/src/coltsfootseam/jobs/__init__.py
@@ -0,0 +1,64 @@
+"""Jobs, their tasks and runs, and the configuration they run under."""
+
+from coltsfootseam.jobs.book import JobBook
+from coltsfootseam.jobs.configuration import (
+    Advice,
+    Configuration,
+    Pool,
+    Queue,
+    QueueIndex,
+    Wave,
+)
+from coltsfootseam.jobs.documents import (
+    InboxKey,
+    Progress,
+    RunRow,
+    TaskRow,
+    cancel_key,
+    decode_progress,
+    decode_request,
+    encode_progress,
+    encode_request,
+    parse_inbox_key,
+    request_key,
+)
+from coltsfootseam.jobs.entities import Job, Occurrence, Run, Task
+from coltsfootseam.jobs.model import (
+    JobRequest,
+    JobState,
+    RunEnd,
+    RunPhase,
+    Step,
+    TaskId,
+)
+
+__all__ = [
+    "Advice",
+    "Configuration",
+    "InboxKey",
+    "Job",
+    "JobBook",
+    "JobRequest",
+    "JobState",
+    "Occurrence",
+    "Pool",
+    "Progress",
+    "Queue",
+    "QueueIndex",
+    "Run",
+    "RunEnd",
+    "RunPhase",
+    "RunRow",
+    "Step",
+    "Task",
+    "TaskId",
+    "TaskRow",
+    "Wave",
+    "cancel_key",
+    "decode_progress",
+    "decode_request",
+    "encode_progress",
+    "encode_request",
+    "parse_inbox_key",
+    "request_key",
+]
--- /dev/null
+++ b/libs/jobs/src/coltsfootseam/jobs/book.py
@@ -0,0 +1,222 @@
+"""The book of a pool's jobs: every change of a job goes through it."""
+
+from collections.abc import Callable
+
+from coltsfootseam.jobs.documents import (
+    Progress,
+    encode_progress,
+    restore_progress,
+)
+from coltsfootseam.jobs.entities import Job, Occurrence, Run, Task
+from coltsfootseam.jobs.model import (
+    JobRequest,
+    JobState,
+    RunEnd,
+    RunPhase,
+    TaskId,
+)
+
+AttemptsOf = Callable[[str], int]
+"""Returns how many runs of a task of a queue may fail."""
+
+
+class JobBook:
+    """Jobs of one pool by id, and which of them changed.
+
+    The book takes requests, cancels and ends in any order and more than once;
+    the result is the same.
+
+    Attributes:
+        jobs_by_id: All jobs whose request is known.
+        active_by_id: Those of them that aren't final or still have runs.
+        changed_ids: Jobs whose progress isn't stored yet.
+    """
+
+    __slots__ = (
+        "_attempts_of",
+        "_cancelled_early",
+        "active_by_id",
+        "changed_ids",
+        "jobs_by_id",
+    )
+
+    def __init__(self, attempts_of: AttemptsOf) -> None:
+        self._attempts_of = attempts_of
+        self._cancelled_early: set[str] = set()
+        self.jobs_by_id: dict[str, Job] = {}
+        self.active_by_id: dict[str, Job] = {}
+        self.changed_ids: set[str] = set()
+
+    def add(
+        self,
+        job_id: str,
+        request: JobRequest,
+        now_s: float,
+        progress: Progress | None = None,
+    ) -> Job:
+        """Adds a job; one that is known already stays as it is."""
+        known = self.jobs_by_id.get(job_id)
+        if known is not None:
+            return known
+        job = Job(job_id, request, known_s=now_s)
+        if progress is not None:
+            restore_progress(job, progress, now_s)
+        self.jobs_by_id[job_id] = job
+        self._keep_active(job)
+        if job_id in self._cancelled_early:
+            self._cancelled_early.discard(job_id)
+            self.cancel(job_id, request.accepted_ms)
+        return job
+
+    def cancel(self, job_id: str, now_ms: int) -> None:
+        """Cancels a job, also one whose request hasn't arrived yet."""
+        job = self.jobs_by_id.get(job_id)
+        if job is None:
+            self._cancelled_early.add(job_id)
+            return
+        if not job.state.is_final:
+            self._finish(job, JobState.CANCELLED, now_ms)
+
+    def drop(self, job_id: str) -> None:
+        """Forgets a job."""
+        self.jobs_by_id.pop(job_id, None)
+        self.active_by_id.pop(job_id, None)
+        self.changed_ids.discard(job_id)
+        self._cancelled_early.discard(job_id)
+
+    def find_task(self, task_id: TaskId) -> Task | None:
+        """Returns a task by name."""
+        job = self.jobs_by_id.get(task_id.job_id)
+        return None if job is None else job.task(task_id)
+
+    def order_run(
+        self, task: Task, worker_id: str, now_s: float, number: int = 0
+    ) -> Run:
+        """Takes note that a run is going to be ordered.
+
+        Args:
+            task: What is to run.
+            worker_id: Where.
+            now_s: Monotonic time.
+            number: The run's number, where a gang shares one.
+        """
+        task.last_run = max(task.last_run + 1, number)
+        run = Run(
+            task.last_run,
+            worker_id,
+            ordered_s=now_s,
+            checkpoint=task.checkpoint,
+        )
+        task.runs = [*task.runs, run]
+        job = self.jobs_by_id[task.id.job_id]
+        job.has_begun = True
+        if job.state is JobState.QUEUED:
+            job.state = JobState.RUNNING
+        self.changed_ids.add(job.id)
+        return run
+
+    def confirm_run(self, run: Run, now_s: float) -> None:
+        """Takes note that a worker runs what it was ordered to."""
+        if run.running_s is None:
+            run.running_s = now_s
+        if run.phase is RunPhase.ORDERED:
+            run.phase = RunPhase.RUNNING
+
+    def stop_run(self, task: Task, run: Run, reason: str) -> None:
+        """Takes note that a run is to be stopped."""
+        if run.phase is not RunPhase.STOPPING:
+            run.phase = RunPhase.STOPPING
+            run.reason = reason
+            self.changed_ids.add(task.id.job_id)
+
+    def end_run(
+        self, task: Task, run: Run, end: RunEnd, saved: str, now_ms: int
+    ) -> None:
+        """Takes note of how a run ended."""
+        job = self.jobs_by_id[task.id.job_id]
+        task.runs = [other for other in task.runs if other is not run]
+        self.changed_ids.add(job.id)
+        if saved:
+            task.checkpoint = saved
+        if end is RunEnd.DONE:
+            self._take_done(job, task, now_ms)
+        elif end is RunEnd.FAILED:
+            self._take_failure(job, task, run, now_ms)
+        self._keep_active(job)
+
+    def take_changes(self) -> dict[str, bytes]:
+        """Returns the progress of each changed job, to be stored now."""
+        documents_by_id = {
+            job_id: encode_progress(self.jobs_by_id[job_id])
+            for job_id in sorted(self.changed_ids)
+            if job_id in self.jobs_by_id
+        }
+        self.changed_ids.clear()
+        return documents_by_id
+
+    def _take_done(self, job: Job, task: Task, now_ms: int) -> None:
+        occurrence = job.occurrence(task.id.occurrence)
+        if task.step.gang:
+            for member in occurrence.tasks_by_step[task.id.step]:
+                self._mark_done(occurrence, member)
+        else:
+            self._mark_done(occurrence, task)
+        if occurrence.is_done():
+            self._finish_occurrence(job, occurrence, now_ms)
+
+    def _mark_done(self, occurrence: Occurrence, task: Task) -> None:
+        if task.is_done or task.step.long_running:
+            return
+        task.is_done = True
+        task.checkpoint = ""
+        occurrence.open_by_step[task.id.step] -= 1
+        if task.step.gang:
+            # The members end by themselves, together.
+            return
+        for run in task.runs:
+            self.stop_run(task, run, "another copy is done")
+
+    def _finish_occurrence(
+        self, job: Job, occurrence: Occurrence, now_ms: int
+    ) -> None:
+        job.finished_occurrences.add(occurrence.number)
+        count = job.request.occurrence_count()
+        if len(job.finished_occurrences) == count:
+            self._finish(job, JobState.COMPLETED, now_ms)
+
+    def _take_failure(
+        self, job: Job, task: Task, run: Run, now_ms: int
+    ) -> None:
+        task.failed_on = task.failed_on | {run.worker_id}
+        if task.step.long_running or task.is_done:
+            return
+        task.failures += 1
+        if task.step.gang:
+            self._count_gang_failure(job, task, run)
+        attempts = self._attempts_of(job.request.queue)
+        if task.failures >= attempts and not job.state.is_final:
+            self._finish(job, JobState.FAILED, now_ms)
+
+    def _count_gang_failure(self, job: Job, task: Task, run: Run) -> None:
+        """Counts a gang's failure once, whichever member reports it."""
+        occurrence = job.occurrence(task.id.occurrence)
+        for member in occurrence.tasks_by_step[task.id.step]:
+            member.failures = max(member.failures, task.failures)
+
+    def _finish(self, job: Job, state: JobState, now_ms: int) -> None:
+        job.state = state
+        job.ended_ms = now_ms
+        self.changed_ids.add(job.id)
+        for task in job.tasks():
+            for run in task.runs:
+                self.stop_run(task, run, f"the job is {state.name.lower()}")
+        self._keep_active(job)
+
+    def _keep_active(self, job: Job) -> None:
+        is_active = not job.state.is_final or any(
+            task.runs for task in job.tasks()
+        )
+        if is_active:
+            self.active_by_id[job.id] = job
+        else:
+            self.active_by_id.pop(job.id, None)
--- /dev/null
+++ b/libs/jobs/src/coltsfootseam/jobs/documents.py
@@ -0,0 +1,155 @@
+"""What stands in a pool's partitions: requests, cancels and progress.
+
+Entry hosts write requests and cancels into the pool's inbox, each under its
+own key, so that a repeat changes nothing. The pool's owner writes a progress
+document per job into the pool's journal.
+"""
+
+import msgspec
+
+from coltsfootseam.jobs.entities import Job, Run, Task
+from coltsfootseam.jobs.model import JobRequest, JobState, RunPhase, TaskId
+
+_CANCEL_SUFFIX = "/cancel"
+
+
+class RunRow(msgspec.Struct, array_like=True, omit_defaults=True):
+    """A run that may be at work."""
+
+    number: int
+    worker_id: str
+    is_stopping: bool = False
+
+
+class TaskRow(msgspec.Struct, array_like=True, omit_defaults=True):
+    """A task that was ordered at least once."""
+
+    occurrence: int
+    step: int
+    index: int
+    last_run: int
+    is_done: bool = False
+    failures: int = 0
+    checkpoint: str = ""
+    runs: list[RunRow] = []
+
+
+class Progress(msgspec.Struct, array_like=True, omit_defaults=True):
+    """How far a job is."""
+
+    state: JobState
+    ended_ms: int = 0
+    finished_occurrences: list[int] = []
+    tasks: list[TaskRow] = []
+
+
+class InboxKey(msgspec.Struct, frozen=True):
+    """The meaning of a key in an inbox."""
+
+    job_id: str
+    is_cancel: bool
+
+
+def request_key(job_id: str) -> str:
+    """Returns the inbox key of a job's request."""
+    return job_id
+
+
+def cancel_key(job_id: str) -> str:
+    """Returns the inbox key of a job's cancel."""
+    return job_id + _CANCEL_SUFFIX
+
+
+def parse_inbox_key(key: str) -> InboxKey:
+    """Tells what an inbox key stands for."""
+    if key.endswith(_CANCEL_SUFFIX):
+        return InboxKey(key.removesuffix(_CANCEL_SUFFIX), is_cancel=True)
+    return InboxKey(key, is_cancel=False)
+
+
+def encode_request(request: JobRequest) -> bytes:
+    """Encodes a request for the inbox."""
+    return msgspec.msgpack.encode(request)
+
+
+def decode_request(value: bytes) -> JobRequest:
+    """Decodes a request from the inbox.
+
+    Raises:
+        msgspec.DecodeError: If the value is no request.
+    """
+    return msgspec.msgpack.decode(value, type=JobRequest)
+
+
+def encode_progress(job: Job) -> bytes:
+    """Encodes how far a job is; a final job keeps its state only."""
+    if job.state.is_final and not _live_tasks(job):
+        return msgspec.msgpack.encode(Progress(job.state, job.ended_ms))
+    rows = [_to_row(task) for task in job.tasks() if task.last_run]
+    progress = Progress(
+        job.state, job.ended_ms, sorted(job.finished_occurrences), rows
+    )
+    return msgspec.msgpack.encode(progress)
+
+
+def decode_progress(value: bytes) -> Progress:
+    """Decodes a progress document.
+
+    Raises:
+        msgspec.DecodeError: If the value is no progress document.
+    """
+    return msgspec.msgpack.decode(value, type=Progress)
+
+
+def restore_progress(job: Job, progress: Progress, now_s: float) -> None:
+    """Brings a new job to where its progress document says it is."""
+    job.state = progress.state
+    job.stored_state = progress.state
+    job.ended_ms = progress.ended_ms
+    job.finished_occurrences = set(progress.finished_occurrences)
+    job.has_begun = bool(progress.tasks) or progress.state.is_final
+    for row in progress.tasks:
+        _restore_task(job, row, now_s)
+
+
+def _restore_task(job: Job, row: TaskRow, now_s: float) -> None:
+    task = job.task(TaskId(job.id, row.occurrence, row.step, row.index))
+    if task is None:
+        return
+    occurrence = job.occurrence(row.occurrence)
+    task.last_run = row.last_run
+    task.failures = row.failures
+    task.checkpoint = row.checkpoint
+    if row.is_done and not task.is_done:
+        task.is_done = True
+        occurrence.open_by_step[row.step] -= 1
+    task.runs = [_restore_run(run, now_s) for run in row.runs]
+
+
+def _restore_run(row: RunRow, now_s: float) -> Run:
+    phase = RunPhase.STOPPING if row.is_stopping else RunPhase.ORDERED
+    # The worker refuses an earlier owner's orders once it has seen this one's
+    # token, so a report that does not list the run says that it is not there.
+    return Run(
+        row.number, row.worker_id, phase, ordered_s=now_s, settled_s=now_s
+    )
+
+
+def _to_row(task: Task) -> TaskRow:
+    return TaskRow(
+        occurrence=task.id.occurrence,
+        step=task.id.step,
+        index=task.id.index,
+        last_run=task.last_run,
+        is_done=task.is_done,
+        failures=task.failures,
+        checkpoint=task.checkpoint,
+        runs=[
+            RunRow(run.number, run.worker_id, run.phase is RunPhase.STOPPING)
+            for run in task.runs
+        ],
+    )
+
+
+def _live_tasks(job: Job) -> bool:
+    return any(task.runs for task in job.tasks())
--- a/libs/observe/src/coltsfootseam/observe/__init__.py
+++ b/libs/observe/src/coltsfootseam/observe/__init__.py
@@ -2,6 +2,7 @@
 
 from coltsfootseam.observe.clock import HybridClock, Stamp
 from coltsfootseam.observe.counters import Counters
+from coltsfootseam.observe.decisions import DecisionLog
 from coltsfootseam.observe.events import Event, EventRing
 from coltsfootseam.observe.logs import configure_logs
 from coltsfootseam.observe.observer import Observer
@@ -13,6 +14,7 @@
 
 __all__ = [
     "Counters",
+    "DecisionLog",
     "Event",
     "EventRing",
     "HybridClock",
--- a/libs/observe/src/coltsfootseam/observe/counters.py
+++ b/libs/observe/src/coltsfootseam/observe/counters.py
@@ -1,9 +1,13 @@
 """Counters and gauges, kept for reading and sent by statsd."""
 
+import bisect
 from collections import defaultdict
 
 import statsd
 
+_BOUNDS_MS = (1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000)
+"""Upper bounds of the buckets of a latency histogram, in milliseconds."""
+
 
 class Counters:
     """Counters of one process.
@@ -12,13 +16,19 @@
     sent to a statsd collector over UDP.
     """
 
-    __slots__ = ("_client", "gauges_by_name", "totals_by_name")
+    __slots__ = (
+        "_client",
+        "buckets_by_name",
+        "gauges_by_name",
+        "totals_by_name",
+    )
 
     def __init__(
         self, statsd_host: str = "", statsd_port: int = 0, prefix: str = ""
     ) -> None:
         self.totals_by_name: dict[str, int] = defaultdict(int)
         self.gauges_by_name: dict[str, float] = {}
+        self.buckets_by_name: dict[str, list[int]] = {}
         self._client: statsd.StatsClient | None = None
         if statsd_host:
             self._client = statsd.StatsClient(
@@ -38,7 +48,32 @@
             self._client.gauge(name, value)
 
     def record_ms(self, name: str, duration_ms: float) -> None:
-        """Sends a duration in milliseconds and counts it."""
-        self.totals_by_name[f"{name}.count"] += 1
+        """Enters a duration in milliseconds into a histogram."""
+        buckets = self.buckets_by_name.get(name)
+        if buckets is None:
+            buckets = [0] * (len(_BOUNDS_MS) + 1)
+            self.buckets_by_name[name] = buckets
+        buckets[bisect.bisect_left(_BOUNDS_MS, duration_ms)] += 1
         if self._client is not None:
             self._client.timing(name, duration_ms)
+
+    def as_text(self) -> str:
+        """Returns all values, a line each, histograms as running totals."""
+        lines = [
+            f"{_flat(name)} {value}"
+            for name, value in sorted(
+                {**self.totals_by_name, **self.gauges_by_name}.items()
+            )
+        ]
+        for name, buckets in sorted(self.buckets_by_name.items()):
+            total = 0
+            bounds = [str(bound) for bound in _BOUNDS_MS] + ["+Inf"]
+            for bound, count in zip(bounds, buckets, strict=True):
+                total += count
+                lines.append(f'{_flat(name)}_ms_bucket{{le="{bound}"}} {total}')
+            lines.append(f"{_flat(name)}_ms_count {total}")
+        return "\n".join(lines) + "\n"
+
+
+def _flat(name: str) -> str:
+    return name.replace(".", "_").replace("-", "_")
--- /dev/null
+++ b/libs/observe/src/coltsfootseam/observe/decisions.py
@@ -0,0 +1,110 @@
+"""Lines on standard output, one for each decision, bounded in volume.
+
+Writing never blocks: lines wait in a bounded buffer, what a full pipe does not
+take stays there, and what finds no place is counted and reported.
+"""
+
+import os
+from collections import deque
+
+import msgspec
+
+from coltsfootseam.timers import TimerService
+
+_FLUSH_S = 0.1
+_MOST_WAITING = 2000
+_MOST_PER_S = 400
+_MOST_BYTES_A_WRITE = 32_768
+
+
+class DecisionLog:
+    """Writes structured lines of one process.
+
+    Attributes:
+        dropped: Lines that found no place since the start.
+    """
+
+    __slots__ = (
+        "_fd",
+        "_lines",
+        "_process",
+        "_rest",
+        "_second",
+        "_timers",
+        "_written_in_second",
+        "dropped",
+    )
+
+    def __init__(
+        self, timers: TimerService, process: str, fd: int | None = None
+    ) -> None:
+        """Makes a log that is not flushed yet.
+
+        Args:
+            timers: Time.
+            process: Name of the process, written on every line.
+            fd: Where lines go, which is made non-blocking; ``None`` keeps
+                them in the buffer.
+        """
+        self._timers = timers
+        self._process = process
+        self._fd = fd
+        self._lines: deque[bytes] = deque()
+        self._rest = b""
+        self._second = 0
+        self._written_in_second = 0
+        self.dropped = 0
+        if fd is not None:
+            os.set_blocking(fd, False)
+            timers.subscribe(_FLUSH_S, self.flush)
+
+    def write(self, event: str, **fields: object) -> None:
+        """Writes a line: what was decided, on which inputs, the outcome."""
+        second = int(self._timers.now_s())
+        if second != self._second:
+            self._second = second
+            self._written_in_second = 0
+        self._written_in_second += 1
+        is_full = len(self._lines) >= _MOST_WAITING
+        if is_full or self._written_in_second > _MOST_PER_S:
+            self.dropped += 1
+            return
+        line = {
+            "time_ms": self._timers.wall_ms(),
+            "process": self._process,
+            "event": event,
+            **fields,
+        }
+        self._lines.append(msgspec.json.encode(line, enc_hook=str) + b"\n")
+
+    def flush(self) -> None:
+        """Writes as much as the reader takes without waiting."""
+        if self._fd is None:
+            return
+        while self._rest or self._lines:
+            chunk = self._next_chunk()
+            try:
+                written = os.write(self._fd, chunk)
+            except BlockingIOError:
+                self._rest = chunk
+                return
+            except OSError:
+                # Nobody reads any more; the lines are lost, the work is not.
+                self._lines.clear()
+                self._rest = b""
+                return
+            self._rest = chunk[written:]
+
+    def waiting(self) -> int:
+        """Returns how many lines wait in the buffer."""
+        return len(self._lines)
+
+    def _next_chunk(self) -> bytes:
+        parts = [self._rest]
+        size = len(self._rest)
+        while self._lines and size < _MOST_BYTES_A_WRITE:
+            line = self._lines.popleft()
+            parts.append(line)
+            size += len(line)
+        self._rest = b""
+        return b"".join(parts)
--- a/libs/results/src/coltsfootseam/results/codes.py
+++ b/libs/results/src/coltsfootseam/results/codes.py
@@ -36,6 +36,7 @@
     POOL_UNKNOWN = 40
     HOST_PHASE = 41
     MEMBER_RENEWED = 42
+    JOB_UNKNOWN = 43
 
     NOT_RUN_OVERLOADED = 50
     NOT_RUN_NO_ENDPOINT = 51
@@ -66,6 +67,7 @@
     ResultCode.CONTRACT_EXISTS: 409,
     ResultCode.CONTRACT_UNKNOWN: 404,
     ResultCode.VERSION_CONFLICT: 409,
+    ResultCode.JOB_UNKNOWN: 410,
     ResultCode.OUTCOME_PENDING: 504,
     ResultCode.NOT_IN_FORCE: 202,
     ResultCode.NOT_RUN_UNKNOWN_SERVICE: 404,
--- /dev/null
+++ b/libs/scheduling/src/coltsfootseam/scheduling/__init__.py
@@ -0,0 +1,46 @@
+"""What runs where and when: decisions over snapshots, without a network."""
+
+from coltsfootseam.scheduling.demand import PoolDemand
+from coltsfootseam.scheduling.health import WorkerHealth
+from coltsfootseam.scheduling.ordering import (
+    ReadyStep,
+    job_order,
+    job_order_named,
+    remaining_chain_s,
+    whole_chain_s,
+)
+from coltsfootseam.scheduling.pacing import PaceChange, plan_pace
+from coltsfootseam.scheduling.placement import (
+    Placement,
+    Plan,
+    Shortage,
+    plan_starts,
+)
+from coltsfootseam.scheduling.rooms import Room, StepKey, step_key
+from coltsfootseam.scheduling.upkeep import (
+    MachineView,
+    WaveProgress,
+    choose_maintenance,
+)
+
+__all__ = [
+    "MachineView",
+    "PaceChange",
+    "Placement",
+    "Plan",
+    "PoolDemand",
+    "ReadyStep",
+    "Room",
+    "Shortage",
+    "StepKey",
+    "WaveProgress",
+    "WorkerHealth",
+    "choose_maintenance",
+    "job_order",
+    "job_order_named",
+    "plan_pace",
+    "plan_starts",
+    "remaining_chain_s",
+    "step_key",
+    "whole_chain_s",
+]
--- /dev/null
+++ b/libs/scheduling/src/coltsfootseam/scheduling/health.py
@@ -0,0 +1,100 @@
+"""Telling bad workers from bad tasks by how runs end.
+
+A worker on which runs fail in a row is set aside for a while, then gets one
+task on trial. A task that fails on several workers is not held against them.
+"""
+
+import msgspec
+
+from coltsfootseam.jobs import RunEnd
+
+_FAILURES_IN_A_ROW = 2
+_ASIDE_S = 1.5
+_LONGEST_ASIDE_S = 12.0
+_WEIGHT = 0.2
+_MOST_SLOWNESS = 20.0
+
+
+class _Record(msgspec.Struct):
+    failures_in_a_row: int = 0
+    aside_until_s: float = 0.0
+    aside_s: float = _ASIDE_S
+    is_on_trial: bool = False
+    ratio: float = 1.0
+
+
+class WorkerHealth:
+    """What the ends of runs say of each worker."""
+
+    __slots__ = ("_pool_ratio", "_records_by_id")
+
+    def __init__(self) -> None:
+        self._records_by_id: dict[str, _Record] = {}
+        self._pool_ratio = 1.0
+
+    def take_end(
+        self, worker_id: str, end: RunEnd, is_first_failure: bool, now_s: float
+    ) -> None:
+        """Takes note of an end that is the worker's or the task's doing.
+
+        Args:
+            worker_id: Where the run was.
+            end: How it ended.
+            is_first_failure: Whether the task hadn't failed elsewhere before.
+            now_s: Monotonic time.
+        """
+        record = self._record(worker_id)
+        if end is RunEnd.DONE:
+            record.failures_in_a_row = 0
+            record.is_on_trial = False
+            record.aside_s = _ASIDE_S
+        elif end is RunEnd.FAILED and is_first_failure:
+            record.failures_in_a_row += 1
+            if record.failures_in_a_row >= _FAILURES_IN_A_ROW:
+                self._set_aside(record, now_s)
+
+    def take_refusal(self, worker_id: str, now_s: float) -> None:
+        """Takes note that a worker refused an order as unhealthy."""
+        self._set_aside(self._record(worker_id), now_s)
+
+    def take_duration(self, worker_id: str, ratio: float) -> None:
+        """Takes note of a run time against its estimate."""
+        record = self._record(worker_id)
+        record.ratio += _WEIGHT * (ratio - record.ratio)
+        self._pool_ratio += _WEIGHT / 4 * (ratio - self._pool_ratio)
+
+    def is_aside(self, worker_id: str, now_s: float) -> bool:
+        """Tells whether a worker gets no work for now."""
+        record = self._records_by_id.get(worker_id)
+        return record is not None and now_s < record.aside_until_s
+
+    def trial_slots(self, worker_id: str) -> int | None:
+        """Returns how many tasks a worker may get on trial, if it is."""
+        record = self._records_by_id.get(worker_id)
+        if record is None or not record.is_on_trial:
+            return None
+        return 1
+
+    def slowness(self, worker_id: str) -> float:
+        """Returns run times on a worker against the pool's."""
+        record = self._records_by_id.get(worker_id)
+        if record is None:
+            return 1.0
+        ratio = record.ratio / max(0.1, self._pool_ratio)
+        return min(_MOST_SLOWNESS, ratio)
+
+    def estimate_ratio(self) -> float:
+        """Returns the pool's run times against their estimates."""
+        return self._pool_ratio
+
+    def forget(self, worker_id: str) -> None:
+        """Drops what is known of a worker that is gone."""
+        self._records_by_id.pop(worker_id, None)
+
+    def _record(self, worker_id: str) -> _Record:
+        return self._records_by_id.setdefault(worker_id, _Record())
+
+    def _set_aside(self, record: _Record, now_s: float) -> None:
+        record.aside_until_s = now_s + record.aside_s
+        record.aside_s = min(_LONGEST_ASIDE_S, record.aside_s * 2)
+        record.is_on_trial = True
--- /dev/null
+++ b/libs/scheduling/src/coltsfootseam/scheduling/ordering.py
@@ -0,0 +1,114 @@
+"""In which order the ready steps of jobs get room.
+
+Ways are registered by name; :func:`job_order` fills the registry.
+"""
+
+from collections.abc import Callable
+
+import msgspec
+
+from coltsfootseam.jobs import Job, Occurrence, Queue, Step
+
+_MS_PER_S = 1000
+_LATE_FACTOR = 3.0
+
+
+class ReadyStep(msgspec.Struct):
+    """A step of an occurrence of which tasks wait to run.
+
+    Attributes:
+        job: The job.
+        occurrence: Its occurrence.
+        number: Number of the step.
+        step: What its tasks ask for.
+        queue: The job's queue.
+        waited_s: Time since the job was accepted or due.
+        remaining_s: Least time until the job can be done.
+        objective_s: Time within which it is worth its full credit.
+        work_core_s: Work that is left in the job, in core-seconds.
+    """
+
+    job: Job
+    occurrence: Occurrence
+    number: int
+    step: Step
+    queue: Queue
+    waited_s: float
+    remaining_s: float
+    objective_s: float
+    work_core_s: float
+
+    def slack_s(self) -> float:
+        """Returns how long it can still wait within its objective."""
+        return self.objective_s - self.waited_s - self.remaining_s
+
+
+OrderKey = Callable[[ReadyStep], tuple[float, ...]]
+
+_ORDERS_BY_NAME: dict[str, OrderKey] = {}
+
+
+def job_order(name: str) -> Callable[[OrderKey], OrderKey]:
+    """Registers a way to order ready steps; the lowest key goes first."""
+
+    def register(key: OrderKey) -> OrderKey:
+        _ORDERS_BY_NAME[name] = key
+        return key
+
+    return register
+
+
+def job_order_named(name: str) -> OrderKey:
+    """Returns a registered way.
+
+    Raises:
+        ValueError: If no way has that name.
+    """
+    if name not in _ORDERS_BY_NAME:
+        known = ", ".join(sorted(_ORDERS_BY_NAME))
+        raise ValueError(f"unknown job order {name!r}; known are {known}")
+    return _ORDERS_BY_NAME[name]
+
+
+@job_order("arrival")
+def order_by_arrival(ready: ReadyStep) -> tuple[float, ...]:
+    """First come, first served."""
+    return (-ready.waited_s,)
+
+
+@job_order("objective")
+def order_by_objective(ready: ReadyStep) -> tuple[float, ...]:
+    """Long-running tasks first, then jobs that can still be in time.
+
+    Among those in time the tightest goes first. Jobs whose objective is lost
+    follow, the one that has waited longest against its size first, so that
+    large jobs don't starve.
+    """
+    if ready.step.long_running and not ready.step.fills:
+        return (0.0, ready.queue.priority, -ready.waited_s)
+    if ready.step.fills:
+        return (3.0, ready.queue.priority, -ready.waited_s)
+    if ready.slack_s() >= 0:
+        return (1.0, ready.slack_s())
+    is_worthless = ready.waited_s > _LATE_FACTOR * ready.objective_s
+    return (2.0, float(is_worthless), -ready.waited_s / ready.objective_s)
+
+
+def remaining_chain_s(job: Job, occurrence: Occurrence) -> float:
+    """Returns the longest chain of open steps, by their estimates."""
+    ends_s: list[float] = []
+    for number, step in enumerate(job.request.steps):
+        begin_s = max((ends_s[before] for before in step.after), default=0.0)
+        is_open = occurrence.open_by_step[number] > 0
+        own_s = step.estimate_ms / _MS_PER_S if is_open else 0.0
+        ends_s.append(begin_s + own_s)
+    return max(ends_s, default=0.0)
+
+
+def whole_chain_s(job: Job) -> float:
+    """Returns the longest chain of all steps, by their estimates."""
+    ends_s: list[float] = []
+    for step in job.request.steps:
+        begin_s = max((ends_s[before] for before in step.after), default=0.0)
+        ends_s.append(begin_s + step.estimate_ms / _MS_PER_S)
+    return max(ends_s, default=0.0)
--- /dev/null
+++ b/libs/scheduling/src/coltsfootseam/scheduling/pacing.py
@@ -0,0 +1,56 @@
+"""How fast tasks may work that live on capacity which others leave unused.
+
+They disturb the tasks that serve on the same worker. The controller lowers
+their share well before the tail of a serving task reaches its target, and
+raises it again in smaller steps.
+"""
+
+import msgspec
+
+from coltsfootseam.jobs import Run, Task
+
+_LOWER_AT = 0.85
+_RAISE_BELOW = 0.6
+_LOWER_FACTOR = 0.5
+_RAISE_STEP = 10
+_LEAST_PERCENT = 10
+_FULL_PERCENT = 100
+
+
+class PaceChange(msgspec.Struct, frozen=True):
+    """A new share of its speed for a run."""
+
+    task: Task
+    run: Run
+    percent: int
+
+
+def plan_pace(
+    serving: list[tuple[Task, Run]], filling: list[tuple[Task, Run]]
+) -> list[PaceChange]:
+    """Decides the speed of the filling tasks of one worker.
+
+    Args:
+        serving: Tasks on the worker that have a target for their tail.
+        filling: Tasks on it that live on unused capacity.
+    """
+    worst = max(
+        (run.load / task.step.target_ms for task, run in serving),
+        default=0.0,
+    )
+    changes = []
+    for task, run in filling:
+        percent = _next_percent(run.percent, worst)
+        if percent != run.percent:
+            changes.append(PaceChange(task, run, percent))
+    return changes
+
+
+def _next_percent(percent: int, worst: float) -> int:
+    if worst >= 1.0:
+        return 0 if percent <= _LEAST_PERCENT else _LEAST_PERCENT
+    if worst >= _LOWER_AT:
+        return max(_LEAST_PERCENT, round(percent * _LOWER_FACTOR))
+    if worst < _RAISE_BELOW:
+        return min(_FULL_PERCENT, percent + _RAISE_STEP)
+    return percent
--- /dev/null
+++ b/libs/scheduling/src/coltsfootseam/scheduling/placement.py
@@ -0,0 +1,210 @@
+"""Which worker runs a task."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from coltsfootseam.jobs import Task
+from coltsfootseam.scheduling.ordering import ReadyStep
+from coltsfootseam.scheduling.rooms import Room, StepKey, step_key
+
+_FAILED_HERE = 1000.0
+_REMOTE = 50.0
+_OTHER_RACK = 50.0
+_SLOW = 20.0
+_ALIKE_ON_WORKER = 10.0
+_ALIKE_ON_RACK = 1.0
+_MILLIS_PER_CORE = 1000.0
+
+TicketOf = Callable[[StepKey, str], str | None]
+"""Returns the ticket of a step for a worker, ``None`` if it has none."""
+
+
+class Placement(msgspec.Struct, frozen=True):
+    """A task and the worker that is to run it."""
+
+    task: Task
+    worker_id: str
+    ticket: str = ""
+
+
+class Shortage(msgspec.Struct, frozen=True):
+    """A ready step of which tasks found no room."""
+
+    ready: ReadyStep
+    count: int
+    needs_ticket: bool = False
+
+
+class Plan(msgspec.Struct):
+    """What is to be started, and what found no room."""
+
+    placements: list[Placement] = []
+    shortages: list[Shortage] = []
+
+
+def plan_starts(
+    ready_steps: list[ReadyStep],
+    rooms: list[Room],
+    now_s: float,
+    ticket_of: TicketOf,
+) -> Plan:
+    """Places the waiting tasks of ready steps, in the order given.
+
+    Args:
+        ready_steps: Ready steps, the first to be served first.
+        rooms: Snapshot of the workers; it is used up.
+        now_s: Monotonic time.
+        ticket_of: Looks tickets up for queues whose policy asks for them.
+    """
+    plan = Plan()
+    open_rooms = [room for room in rooms if room.is_open]
+    for ready in ready_steps:
+        tasks = _waiting_tasks(ready, now_s)
+        if not tasks:
+            continue
+        placed = _place_step(ready, tasks, open_rooms, ticket_of)
+        plan.placements.extend(placed)
+        missing = len(tasks) - len(placed)
+        if missing:
+            needs_ticket = ready.queue.advice is not None
+            plan.shortages.append(Shortage(ready, missing, needs_ticket))
+    return plan
+
+
+def _waiting_tasks(ready: ReadyStep, now_s: float) -> list[Task]:
+    tasks = ready.occurrence.tasks_by_step[ready.number]
+    waiting = [
+        task
+        for task in tasks
+        if task.is_pending() and task.wait_until_s <= now_s
+    ]
+    if ready.step.gang and len(waiting) < len(tasks):
+        return []
+    return waiting
+
+
+def _place_step(
+    ready: ReadyStep,
+    tasks: list[Task],
+    rooms: list[Room],
+    ticket_of: TicketOf,
+) -> list[Placement]:
+    key = step_key(tasks[0].id)
+    tickets_by_worker = _tickets(ready, key, rooms, ticket_of)
+    eligible = [room for room in rooms if room.worker_id in tickets_by_worker]
+    if ready.step.same_rack:
+        eligible = _one_rack(ready, tasks, eligible, key)
+    placed: list[tuple[Task, Room]] = []
+    for task in tasks:
+        room = _best_room(ready, task, eligible, key)
+        if room is None:
+            break
+        room.take(task.step, key)
+        placed.append((task, room))
+    if ready.step.gang and len(placed) < len(tasks):
+        for task, room in placed:
+            room.release(task.step, key)
+        return []
+    return [
+        Placement(task, room.worker_id, tickets_by_worker[room.worker_id])
+        for task, room in placed
+    ]
+
+
+def _tickets(
+    ready: ReadyStep, key: StepKey, rooms: list[Room], ticket_of: TicketOf
+) -> dict[str, str]:
+    if ready.queue.advice is None:
+        return {room.worker_id: "" for room in rooms}
+    found = {room.worker_id: ticket_of(key, room.worker_id) for room in rooms}
+    return {
+        worker_id: ticket
+        for worker_id, ticket in found.items()
+        if ticket is not None
+    }
+
+
+def _best_room(
+    ready: ReadyStep, task: Task, rooms: list[Room], key: StepKey
+) -> Room | None:
+    step = ready.step
+    best: Room | None = None
+    best_cost = float("inf")
+    for room in rooms:
+        if room.trial_slots is not None and room.trial_slots <= 0:
+            continue
+        if not room.fits(step) or not room.may_run(step, key):
+            continue
+        cost = _cost(task, room, rooms, key)
+        if cost < best_cost:
+            best = room
+            best_cost = cost
+    return best
+
+
+def _cost(task: Task, room: Room, rooms: list[Room], key: StepKey) -> float:
+    step = task.step
+    cost = _SLOW * max(0.0, room.slowness - 1.0)
+    if room.worker_id in task.failed_on:
+        cost += _FAILED_HERE
+    if step.rack and step.rack != room.rack:
+        cost += _REMOTE
+    if step.long_running:
+        cost += _ALIKE_ON_WORKER * room.counts_by_step.get(key, 0)
+        cost += _ALIKE_ON_RACK * _alike_on_rack(room, rooms, key)
+    if step.fills:
+        return cost + room.filling_count - room.free_cpu_millis / 1e6
+    # Best fit: what is nearly full is filled first.
+    return cost + room.free_cpu_millis / _MILLIS_PER_CORE / 100.0
+
+
+def _alike_on_rack(room: Room, rooms: list[Room], key: StepKey) -> int:
+    return sum(
+        other.counts_by_step.get(key, 0)
+        for other in rooms
+        if other.rack == room.rack
+    )
+
+
+def _one_rack(
+    ready: ReadyStep, tasks: list[Task], rooms: list[Room], key: StepKey
+) -> list[Room]:
+    """Returns the rooms of the rack that takes most of the tasks."""
+    rooms_by_rack: dict[str, list[Room]] = {}
+    for room in rooms:
+        rooms_by_rack.setdefault(room.rack, []).append(room)
+    taken_by_rack = {
+        rack: sum(room.counts_by_step.get(key, 0) for room in members)
+        for rack, members in rooms_by_rack.items()
+    }
+    for rack, count in taken_by_rack.items():
+        if count:
+            return rooms_by_rack[rack]
+    best = max(
+        rooms_by_rack,
+        key=lambda rack: (
+            min(_capacity(rooms_by_rack[rack], ready, key), len(tasks)),
+            rack == ready.step.rack,
+        ),
+        default=None,
+    )
+    return [] if best is None else rooms_by_rack[best]
+
+
+def _capacity(rooms: list[Room], ready: ReadyStep, key: StepKey) -> int:
+    """Returns how many tasks of a step fit into rooms."""
+    step = ready.step
+    count = 0
+    for room in rooms:
+        if not room.may_run(step, key):
+            continue
+        fit = room.free_memory_mb // max(1, step.memory_mb)
+        if not step.fills:
+            fit = min(fit, room.free_cpu_millis // max(1, step.cpu_millis))
+        if step.accelerators:
+            fit = min(fit, room.free_accelerators // step.accelerators)
+        if step.per_worker_limit:
+            fit = min(fit, step.per_worker_limit)
+        count += max(0, fit)
+    return count
--- /dev/null
+++ b/libs/scheduling/src/coltsfootseam/scheduling/rooms.py
@@ -0,0 +1,85 @@
+"""What is free on each worker, as a snapshot to plan with."""
+
+import msgspec
+
+from coltsfootseam.jobs import Step, TaskId
+
+StepKey = tuple[str, int, int]
+"""Names a step of one occurrence: job id, occurrence, step."""
+
+
+def step_key(task_id: TaskId) -> StepKey:
+    """Returns the step of an occurrence that a task belongs to."""
+    return task_id.job_id, task_id.occurrence, task_id.step
+
+
+class Room(msgspec.Struct):
+    """One worker and what is free on it.
+
+    Attributes:
+        worker_id: The life of the worker.
+        zone: Its availability zone.
+        rack: Its rack.
+        labels: All of its labels.
+        free_cpu_millis: Processor that no order claims.
+        free_memory_mb: Memory that no order claims.
+        free_accelerators: Accelerators that no order claims.
+        is_open: Whether new work may go there.
+        trial_slots: How many new tasks it may get while on trial, or ``None``.
+        slowness: Run times there against the pool's, 1.0 for alike.
+        filling_count: Tasks on it that live on unused capacity.
+        counts_by_step: How many tasks of a step it runs.
+    """
+
+    worker_id: str
+    zone: str
+    rack: str
+    labels: tuple[str, ...]
+    free_cpu_millis: int
+    free_memory_mb: int
+    free_accelerators: int
+    is_open: bool = True
+    trial_slots: int | None = None
+    slowness: float = 1.0
+    filling_count: int = 0
+    counts_by_step: dict[StepKey, int] = {}
+
+    def fits(self, step: Step) -> bool:
+        """Tells whether a task of the step has room here."""
+        if step.memory_mb > self.free_memory_mb:
+            return False
+        if step.accelerators > self.free_accelerators:
+            return False
+        return step.fills or step.cpu_millis <= self.free_cpu_millis
+
+    def may_run(self, step: Step, key: StepKey) -> bool:
+        """Tells whether the step's own conditions allow this worker."""
+        if step.label and step.label not in self.labels:
+            return False
+        if not step.per_worker_limit:
+            return True
+        return self.counts_by_step.get(key, 0) < step.per_worker_limit
+
+    def take(self, step: Step, key: StepKey) -> None:
+        """Claims room for a task."""
+        if step.fills:
+            self.filling_count += 1
+        else:
+            self.free_cpu_millis -= step.cpu_millis
+        self.free_memory_mb -= step.memory_mb
+        self.free_accelerators -= step.accelerators
+        self.counts_by_step[key] = self.counts_by_step.get(key, 0) + 1
+        if self.trial_slots is not None:
+            self.trial_slots -= 1
+
+    def release(self, step: Step, key: StepKey) -> None:
+        """Gives the room of a task back."""
+        if step.fills:
+            self.filling_count -= 1
+        else:
+            self.free_cpu_millis += step.cpu_millis
+        self.free_memory_mb += step.memory_mb
+        self.free_accelerators += step.accelerators
+        self.counts_by_step[key] -= 1
+        if self.trial_slots is not None:
+            self.trial_slots += 1
--- /dev/null
+++ b/libs/store/src/coltsfootseam/store/__init__.py
@@ -0,0 +1,50 @@
+"""The store: keyed partitions, journals of owners, and membership."""
+
+from coltsfootseam.store.journal import (
+    CLAIM_KEY,
+    Claim,
+    Journal,
+    claim_journal,
+    find_claim,
+    read_claim,
+)
+from coltsfootseam.store.membership import Membership, MembershipTimes
+from coltsfootseam.store.messages import (
+    Appended,
+    Deal,
+    EndMoved,
+    HistoryGone,
+    Holding,
+    KeyedRecord,
+    Newest,
+    Page,
+    Partition,
+    StoredRecord,
+    Writer,
+)
+from coltsfootseam.store.port import Store
+from coltsfootseam.store.tail import Tail
+
+__all__ = [
+    "CLAIM_KEY",
+    "Appended",
+    "Claim",
+    "Deal",
+    "EndMoved",
+    "HistoryGone",
+    "Holding",
+    "Journal",
+    "KeyedRecord",
+    "Membership",
+    "MembershipTimes",
+    "Newest",
+    "Page",
+    "Partition",
+    "Store",
+    "StoredRecord",
+    "Tail",
+    "Writer",
+    "claim_journal",
+    "find_claim",
+    "read_claim",
+]
--- /dev/null
+++ b/libs/store/src/coltsfootseam/store/journal.py
@@ -0,0 +1,163 @@
+"""The journal of one owner: claimed with a condition, appended in order.
+
+An epoch is the offset of the claim's own record plus one. Two claims can't
+take the same offset, so an epoch belongs to exactly one incarnation, however
+late a claim takes effect.
+"""
+
+import msgspec
+
+from coltsfootseam.results import Refusal, ResultCode
+from coltsfootseam.store.messages import (
+    Appended,
+    EndMoved,
+    KeyedRecord,
+    Newest,
+    Partition,
+    Writer,
+)
+from coltsfootseam.store.port import Store
+from coltsfootseam.timers import TimerService
+
+CLAIM_KEY = "claim"
+_RETRY_S = 0.1
+_CLAIM_TRIES = 8
+
+
+class Claim(msgspec.Struct, frozen=True):
+    """Who took a journal over, and where that owner is reached."""
+
+    owner: str
+    address: str
+
+
+class Journal:
+    """Appends an owner's records, one call at a time, each settled.
+
+    Attributes:
+        partition: Where the journal stands.
+        epoch: Number of this ownership. It also fences orders to workers.
+        claimed_s: When this ownership began, monotonic.
+        confirmed_s: When the store last confirmed the epoch, monotonic.
+        lost: Whether another owner has claimed the journal since.
+    """
+
+    __slots__ = (
+        "_name",
+        "_sequence",
+        "_store",
+        "_timers",
+        "claimed_s",
+        "confirmed_s",
+        "epoch",
+        "lost",
+        "partition",
+    )
+
+    def __init__(
+        self,
+        store: Store,
+        timers: TimerService,
+        partition: Partition,
+        name: str,
+        epoch: int,
+    ) -> None:
+        self._store = store
+        self._timers = timers
+        self.partition = partition
+        self._name = name
+        self._sequence = 0
+        self.epoch = epoch
+        self.claimed_s = timers.now_s()
+        self.confirmed_s = self.claimed_s
+        self.lost = False
+
+    async def commit(self, records: list[KeyedRecord]) -> Refusal | None:
+        """Appends records and returns once they are stored for certain.
+
+        An append whose outcome is unknown is repeated under its sequence
+        number until the store settles it, however long that takes.
+
+        Returns:
+            ``None``, or a refusal with ``STALE_EPOCH`` if the journal is lost.
+        """
+        self._sequence += 1
+        writer = Writer(self._name, self.epoch, self._sequence)
+        while not self.lost:
+            sent_s = self._timers.now_s()
+            result = await self._store.append(
+                self.partition, records, writer=writer
+            )
+            if isinstance(result, Appended):
+                self.confirmed_s = sent_s
+                return None
+            if _is_fenced(result):
+                self.lost = True
+                break
+            await self._timers.sleep(_RETRY_S)
+        return Refusal(ResultCode.STALE_EPOCH, f"{self._name}: journal lost")
+
+
+def _is_fenced(result: Appended | EndMoved | Refusal) -> bool:
+    return isinstance(result, Refusal) and result.code is ResultCode.STALE_EPOCH
+
+
+async def claim_journal(
+    store: Store,
+    timers: TimerService,
+    partition: Partition,
+    name: str,
+    claim: Claim,
+) -> Journal | Refusal:
+    """Takes a journal over from whoever owned it.
+
+    Args:
+        store: Where the journal stands.
+        timers: Time.
+        partition: The journal's partition; only its owners append to it.
+        name: Name of the role, the same for each owner.
+        claim: Says who claims. The owner's name must be unique to this start
+            of the process.
+    """
+    body = msgspec.msgpack.encode(claim)
+    end = 0
+    for _ in range(_CLAIM_TRIES):
+        writer = Writer(name, end + 1, 0)
+        result = await store.append(
+            partition, [KeyedRecord(CLAIM_KEY, body)], at=end, writer=writer
+        )
+        if isinstance(result, Appended):
+            return Journal(store, timers, partition, name, end + 1)
+        if isinstance(result, EndMoved):
+            end = result.end
+            continue
+        if not _is_fenced(result):
+            return result
+        found = await _find_end(store, partition)
+        if isinstance(found, Refusal):
+            return found
+        end = found
+    return Refusal(ResultCode.STALE_EPOCH, f"{name}: others claim as well")
+
+
+async def read_claim(
+    store: Store, partition: Partition
+) -> Claim | Refusal | None:
+    """Reads who owns a journal, ``None`` if nobody has claimed it yet."""
+    newest = await store.newest(partition)
+    if isinstance(newest, Refusal):
+        return newest
+    return find_claim(newest)
+
+
+def find_claim(newest: Newest) -> Claim | None:
+    """Returns the claim among a journal's newest records."""
+    for record in newest.records:
+        if record.key == CLAIM_KEY:
+            return msgspec.msgpack.decode(record.value, type=Claim)
+    return None
+
+
+async def _find_end(store: Store, partition: Partition) -> int | Refusal:
+    newest = await store.newest(partition)
+    return newest if isinstance(newest, Refusal) else newest.end
--- /dev/null
+++ b/libs/store/src/coltsfootseam/store/membership.py
@@ -0,0 +1,123 @@
+"""Membership of this process in the group that deals duties."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from coltsfootseam.results import Refusal
+from coltsfootseam.store.messages import Deal, Holding
+from coltsfootseam.store.port import Store
+from coltsfootseam.timers import TimerService
+
+GROUP = "duties"
+TOPIC = "duties"
+
+
+class MembershipTimes(msgspec.Struct, frozen=True):
+    """Periods of a member, in seconds.
+
+    Attributes:
+        ttl_s: Silence after which the store takes the partitions away.
+        join_s: Pause between two joins.
+        holdings_s: Pause between two readings of who holds what.
+    """
+
+    ttl_s: float = 1.0
+    join_s: float = 0.3
+    holdings_s: float = 1.0
+
+
+class Membership:
+    """Stays in the group and knows what was dealt to whom.
+
+    Attributes:
+        member: This member's name; it holds the address for peers.
+        deal: What this member holds, ``None`` while that isn't known.
+        members_by_number: Which member holds which partition, as last read.
+        joined_s: When the store last answered a join, monotonic.
+    """
+
+    __slots__ = (
+        "_on_change",
+        "_store",
+        "_timers",
+        "_times",
+        "_wants_holdings",
+        "deal",
+        "joined_s",
+        "leaving",
+        "member",
+        "members_by_number",
+    )
+
+    def __init__(
+        self,
+        store: Store,
+        timers: TimerService,
+        member: str,
+        on_change: Callable[[], None],
+        times: MembershipTimes,
+    ) -> None:
+        self._store = store
+        self._timers = timers
+        self._on_change = on_change
+        self._times = times
+        self._wants_holdings = True
+        self.member = member
+        self.deal: Deal | None = None
+        self.members_by_number: dict[int, str] = {}
+        self.joined_s = float("-inf")
+        self.leaving = False
+
+    async def run(self) -> None:
+        """Renews the membership until it is cancelled."""
+        while not self.leaving:
+            await self.renew()
+            await self._timers.sleep(self._times.join_s)
+
+    async def renew(self) -> None:
+        """Joins once; a refusal leaves what was dealt as it is."""
+        generation = self.deal.generation if self.deal is not None else 0
+        sent_s = self._timers.now_s()
+        result = await self._store.join(
+            GROUP, self.member, TOPIC, self._times.ttl_s, generation
+        )
+        if isinstance(result, Refusal) or self.leaving:
+            return
+        self.joined_s = sent_s
+        if result != self.deal:
+            self.deal = result
+            self._wants_holdings = True
+            self._on_change()
+
+    async def run_holdings(self) -> None:
+        """Keeps ``members_by_number`` current until it is cancelled."""
+        while True:
+            await self.read_holdings()
+            pause_s = self._times.holdings_s
+            while pause_s > 0 and not self._wants_holdings:
+                await self._timers.sleep(self._times.join_s)
+                pause_s -= self._times.join_s
+
+    async def read_holdings(self) -> None:
+        """Reads who holds what; a refusal keeps what was known."""
+        self._wants_holdings = False
+        result = await self._store.holdings(GROUP)
+        if isinstance(result, Refusal):
+            await self._timers.sleep(self._times.join_s)
+            return
+        self.members_by_number = _by_number(result)
+
+    def want_holdings(self) -> None:
+        """Has the holders read again soon, as one of them looks wrong."""
+        self._wants_holdings = True
+
+    async def leave(self) -> None:
+        """Gives everything back, so that others take over at once."""
+        self.leaving = True
+        self.deal = None
+        await self._store.leave(GROUP, self.member)
+
+
+def _by_number(holdings: list[Holding]) -> dict[int, str]:
+    return {holding.number: holding.member for holding in holdings}
--- /dev/null
+++ b/libs/store/src/coltsfootseam/store/port.py
@@ -0,0 +1,70 @@
+"""The narrow interface through which the store is used."""
+
+from collections.abc import Sequence
+from typing import Protocol
+
+from coltsfootseam.results import Refusal
+from coltsfootseam.store.messages import (
+    Appended,
+    Deal,
+    EndMoved,
+    HistoryGone,
+    Holding,
+    KeyedRecord,
+    Newest,
+    Page,
+    Partition,
+    Writer,
+)
+
+
+class Store(Protocol):
+    """Keyed partitions and groups of members.
+
+    A refusal with ``LOG_UNAVAILABLE`` means that nothing was done. One with
+    ``OUTCOME_PENDING`` means that the call may yet take effect. An append that
+    lost its epoch is refused with ``STALE_EPOCH``.
+    """
+
+    async def append(
+        self,
+        partition: Partition,
+        records: Sequence[KeyedRecord],
+        at: int | None = None,
+        writer: Writer | None = None,
+    ) -> Appended | EndMoved | Refusal:
+        """Appends all records or none.
+
+        Args:
+            partition: Where to append.
+            records: What to append.
+            at: If given, the offset at which the partition must end.
+            writer: If given, the owner that appends.
+        """
+
+    async def read(
+        self, partition: Partition, from_offset: int, wait_s: float
+    ) -> Page | HistoryGone | Refusal:
+        """Reads records, waiting up to ``wait_s`` for the first one."""
+
+    async def newest(
+        self, partition: Partition, after_key: str = "", limit: int = 0
+    ) -> Newest | Refusal:
+        """Reads the newest record of each key after ``after_key``.
+
+        Args:
+            partition: Where to read.
+            after_key: Keys up to this one are left out.
+            limit: If above 0, stop once so many records were read.
+        """
+
+    async def join(
+        self, group: str, member: str, topic: str, ttl_s: float, generation: int
+    ) -> Deal | Refusal:
+        """Joins a group that deals a topic's partitions, or stays in it."""
+
+    async def leave(self, group: str, member: str) -> Refusal | None:
+        """Leaves a group, so that its partitions are dealt anew."""
+
+    async def holdings(self, group: str) -> list[Holding] | Refusal:
+        """Tells which member holds which partition."""
--- /dev/null
+++ b/libs/store/src/coltsfootseam/store/tail.py
@@ -0,0 +1,141 @@
+"""Following a keyed partition from its newest records on."""
+
+from collections.abc import Callable
+
+from coltsfootseam.results import Refusal
+from coltsfootseam.store.messages import (
+    HistoryGone,
+    Newest,
+    Page,
+    Partition,
+    StoredRecord,
+)
+from coltsfootseam.store.port import Store
+from coltsfootseam.timers import TimerService
+
+_RETRY_S = 0.1
+
+OnRecord = Callable[[StoredRecord], None]
+OnReload = Callable[[frozenset[str]], None]
+
+
+class Tail:
+    """Keeps what a process knows of a partition in step with the store.
+
+    Records reach ``on_record`` in offset order. A record may arrive twice,
+    with the same offset or with an older one, and is passed on only if it is
+    newer than what was seen of its key.
+
+    Attributes:
+        loaded: Whether the newest records were read once.
+        current_s: When the partition was last read up to its end, monotonic.
+    """
+
+    __slots__ = (
+        "_next_offset",
+        "_offsets_by_key",
+        "_on_record",
+        "_on_reload",
+        "_partition",
+        "_poll_s",
+        "_store",
+        "_timers",
+        "_wait_s",
+        "current_s",
+        "loaded",
+    )
+
+    def __init__(
+        self,
+        store: Store,
+        timers: TimerService,
+        partition: Partition,
+        on_record: OnRecord,
+        wait_s: float,
+        poll_s: float = 0.0,
+        on_reload: OnReload | None = None,
+    ) -> None:
+        """Makes a tail that does not read yet.
+
+        Args:
+            store: Where the partition stands.
+            timers: Time.
+            partition: What to follow.
+            on_record: Called with each new record.
+            wait_s: How long a read may wait for a record.
+            poll_s: Pause after a read that found something.
+            on_reload: Called with all keys that exist, after the newest
+                records were read again because history was gone.
+        """
+        self._store = store
+        self._timers = timers
+        self._partition = partition
+        self._on_record = on_record
+        self._on_reload = on_reload
+        self._wait_s = wait_s
+        self._poll_s = poll_s
+        self._next_offset = 0
+        self._offsets_by_key: dict[str, int] = {}
+        self.loaded = False
+        self.current_s = float("-inf")
+
+    async def load(self) -> Refusal | None:
+        """Reads the newest record of each key and goes on from there."""
+        started_s = self._timers.now_s()
+        newest = await self._store.newest(self._partition)
+        if isinstance(newest, Refusal):
+            return newest
+        self._take_newest(newest)
+        self.current_s = started_s
+        return None
+
+    async def run(self) -> None:
+        """Follows the partition until it is cancelled."""
+        while True:
+            problem = await self.step()
+            if problem is not None:
+                await self._timers.sleep(_RETRY_S)
+            elif self._poll_s:
+                await self._timers.sleep(self._poll_s)
+
+    async def step(self) -> Refusal | None:
+        """Reads once."""
+        if not self.loaded:
+            return await self.load()
+        started_s = self._timers.now_s()
+        page = await self._store.read(
+            self._partition, self._next_offset, self._wait_s
+        )
+        if isinstance(page, HistoryGone):
+            self.loaded = False
+            return None
+        if isinstance(page, Refusal):
+            return page
+        self._take_page(page, started_s)
+        return None
+
+    def forget(self, key: str) -> None:
+        """Drops what is remembered of a key that was deleted."""
+        self._offsets_by_key.pop(key, None)
+
+    def _take_newest(self, newest: Newest) -> None:
+        for record in sorted(newest.records, key=lambda item: item.offset):
+            self._take(record)
+        # A partition never gets shorter; an older answer is not followed.
+        self._next_offset = max(self._next_offset, newest.end)
+        self.loaded = True
+        if self._on_reload is not None:
+            self._on_reload(frozenset(item.key for item in newest.records))
+
+    def _take_page(self, page: Page, started_s: float) -> None:
+        for record in page.records:
+            self._take(record)
+        self._next_offset = max(self._next_offset, page.next_offset)
+        if self._next_offset >= page.end:
+            self.current_s = max(self.current_s, started_s)
+
+    def _take(self, record: StoredRecord) -> None:
+        if record.offset <= self._offsets_by_key.get(record.key, -1):
+            return
+        self._offsets_by_key[record.key] = record.offset
+        self._on_record(record)
--- a/libs/timers/src/coltsfootseam/timers/loop.py
+++ b/libs/timers/src/coltsfootseam/timers/loop.py
@@ -23,8 +23,12 @@
     __slots__ = ()
 
     def now_s(self) -> float:
-        """Returns monotonic time in seconds."""
-        return time.monotonic()
+        """Returns monotonic time in seconds, time spent suspended included.
+
+        A lease goes on while its holder is suspended, so the holder must see
+        that time pass.
+        """
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def wall_ms(self) -> int:
         """Returns wall-clock time in milliseconds since the epoch."""
--- /dev/null
+++ b/libs/workers/src/coltsfootseam/workers/__init__.py
@@ -0,0 +1,50 @@
+"""Workers: what they say of themselves, leases, and orders to them."""
+
+from coltsfootseam.workers.advice import AdviceCalls, Ruling, Ticket
+from coltsfootseam.workers.lease import LeaseTimes, WorkerLease
+from coltsfootseam.workers.link import WorkerLink
+from coltsfootseam.workers.machines import (
+    Holder,
+    Machine,
+    MachineCalls,
+    MachineOutcome,
+    MachineState,
+)
+from coltsfootseam.workers.messages import (
+    EndRow,
+    HoldOrder,
+    HoldReport,
+    OrderAnswer,
+    OrderOutcome,
+    PaceOrder,
+    RunningRow,
+    StartOrder,
+    StopOrder,
+    WorkerEntry,
+)
+from coltsfootseam.workers.port import WorkerCalls
+
+__all__ = [
+    "AdviceCalls",
+    "EndRow",
+    "HoldOrder",
+    "HoldReport",
+    "Holder",
+    "LeaseTimes",
+    "Machine",
+    "MachineCalls",
+    "MachineOutcome",
+    "MachineState",
+    "OrderAnswer",
+    "OrderOutcome",
+    "PaceOrder",
+    "Ruling",
+    "RunningRow",
+    "StartOrder",
+    "StopOrder",
+    "Ticket",
+    "WorkerCalls",
+    "WorkerEntry",
+    "WorkerLease",
+    "WorkerLink",
+]
--- /dev/null
+++ b/libs/workers/src/coltsfootseam/workers/lease.py
@@ -0,0 +1,78 @@
+"""The lease of all that runs on one worker, seen from its owner."""
+
+import msgspec
+
+from coltsfootseam.timers import TimerService
+
+_MS_PER_S = 1000
+_CLOCK_DRIFT = 0.02
+_READING_ERROR_S = 0.25
+
+
+class LeaseTimes(msgspec.Struct, frozen=True):
+    """Lengths in seconds.
+
+    Attributes:
+        lease_s: Length of a lease that is given out.
+        longest_s: Longest lease that a worker accepts.
+    """
+
+    lease_s: float
+    longest_s: float
+
+
+class WorkerLease:
+    """Reads the worker's clock and bounds when its lease has ended.
+
+    The worker counts on its own steady clock, which may be slow by a fiftieth.
+    An order that got no answer may still be carried out, so each lease end
+    that was sent counts as given from then on.
+
+    Attributes:
+        safe_after_s: Monotonic time after which nothing runs there any more
+            unless a new lease is given out.
+    """
+
+    __slots__ = ("_offset_ms", "_read_s", "_timers", "_times", "safe_after_s")
+
+    def __init__(self, timers: TimerService, times: LeaseTimes) -> None:
+        self._timers = timers
+        self._times = times
+        self._offset_ms: float | None = None
+        self._read_s = timers.now_s()
+        # An earlier owner may have given out the longest lease just before.
+        self.safe_after_s = timers.now_s() + _stretched(times.longest_s)
+
+    def read_clock(self, clock_ms: int) -> None:
+        """Takes a reading of the worker's clock that has just arrived."""
+        now_s = self._timers.now_s()
+        offset_ms = clock_ms - now_s * _MS_PER_S
+        if self._offset_ms is None:
+            self._offset_ms = offset_ms
+        # A reading that was long on its way is behind; the worker's clock is
+        # at least as far as an earlier reading and the least drift say.
+        drift_ms = (now_s - self._read_s) * _MS_PER_S * _CLOCK_DRIFT
+        self._offset_ms = max(self._offset_ms - drift_ms, offset_ms)
+        self._read_s = now_s
+
+    def give(self) -> int | None:
+        """Returns a new lease end on the worker's clock, if that is known."""
+        if self._offset_ms is None:
+            return None
+        now_s = self._timers.now_s()
+        end_s = now_s + _stretched(self._times.lease_s) + _READING_ERROR_S
+        self.safe_after_s = max(self.safe_after_s, end_s)
+        clock_ms = now_s * _MS_PER_S + self._offset_ms
+        return round(clock_ms + self._times.lease_s * _MS_PER_S)
+
+    def clear(self) -> None:
+        """Takes note that nothing of an earlier owner runs there."""
+        self.safe_after_s = self._timers.now_s()
+
+    def has_ended(self) -> bool:
+        """Tells whether all that ran there has been killed for certain."""
+        return self._timers.now_s() >= self.safe_after_s
+
+
+def _stretched(length_s: float) -> float:
+    return length_s / (1 - _CLOCK_DRIFT)
--- /dev/null
+++ b/libs/workers/src/coltsfootseam/workers/link.py
@@ -0,0 +1,171 @@
+"""The owner's link to one life of a worker."""
+
+import asyncio
+from collections.abc import Callable
+
+from coltsfootseam.timers import TimerService
+from coltsfootseam.workers.lease import LeaseTimes, WorkerLease
+from coltsfootseam.workers.messages import (
+    HoldOrder,
+    HoldReport,
+    OrderOutcome,
+    PaceOrder,
+    StartOrder,
+    StopOrder,
+    WorkerEntry,
+)
+from coltsfootseam.workers.port import WorkerCalls
+
+_MS_PER_S = 1000
+_RETRY_S = 0.15
+_UNSETTLED_PAUSE_S = 0.3
+
+OnReport = Callable[["WorkerLink", HoldReport, float], None]
+"""Called with the link, a report and when the hold was sent."""
+
+
+class WorkerLink:
+    """Keeps a worker's lease alive and brings its reports.
+
+    Attributes:
+        entry: What the worker says of itself, as last read.
+        lease: The lease of all that runs there.
+        acknowledged: Newest end that is stored and may be forgotten there.
+        is_reachable: Whether its last hold was answered.
+        is_gone: Whether this life has ended for certain.
+        is_fenced: Whether it has seen a newer owner.
+        reported_s: When it last reported, monotonic, or ``None``.
+    """
+
+    __slots__ = (
+        "_calls",
+        "_listed",
+        "_on_report",
+        "_settled",
+        "_timers",
+        "_token",
+        "_wait_s",
+        "acknowledged",
+        "entry",
+        "is_fenced",
+        "is_gone",
+        "is_reachable",
+        "lease",
+        "reported_s",
+    )
+
+    def __init__(
+        self,
+        entry: WorkerEntry,
+        calls: WorkerCalls,
+        timers: TimerService,
+        times: LeaseTimes,
+        token: int,
+        wait_s: float,
+        on_report: OnReport,
+    ) -> None:
+        self._calls = calls
+        self._timers = timers
+        self._token = token
+        self._wait_s = wait_s
+        self._on_report = on_report
+        self._settled = asyncio.Event()
+        self._listed = 0
+        self.entry = entry
+        self.lease = WorkerLease(timers, times)
+        self.acknowledged = 0
+        self.is_reachable = False
+        self.is_gone = False
+        self.is_fenced = False
+        self.reported_s: float | None = None
+
+    @property
+    def worker_id(self) -> str:
+        """Returns the name of this life of the worker."""
+        return self.entry.worker_id
+
+    async def run(self) -> None:
+        """Holds the worker until this life ends or a newer owner is seen."""
+        while not self.is_gone and not self.is_fenced:
+            await self.hold_once()
+
+    async def hold_once(self) -> None:
+        """Extends the lease once and waits for the answer."""
+        sent_s = self._timers.now_s()
+        has_open_ends = self._listed > self.acknowledged
+        is_settled = self.reported_s is not None and not has_open_ends
+        wait_s = self._wait_s if is_settled else 0.0
+        order = HoldOrder(
+            token=self._token,
+            acknowledged=self.acknowledged,
+            lease_end_ms=self.lease.give(),
+            wait_ms=round(wait_s * _MS_PER_S),
+        )
+        answer = await self._calls.hold(self.entry, order)
+        if isinstance(answer, HoldReport):
+            await self._take_report(answer, sent_s)
+            return
+        self.is_reachable = False
+        if answer.outcome is OrderOutcome.OTHER_LIFE:
+            self.is_gone = True
+        elif answer.outcome is OrderOutcome.FENCED:
+            self.is_fenced = True
+        else:
+            await self._timers.sleep(_RETRY_S)
+
+    def acknowledge(self, sequence: int) -> None:
+        """Takes note that ends up to ``sequence`` are stored."""
+        self.acknowledged = max(self.acknowledged, sequence)
+        if self.acknowledged >= self._listed:
+            self._settled.set()
+
+    async def start(self, order: StartOrder) -> OrderOutcome:
+        """Orders a run."""
+        answer = await self._calls.start(self.entry, order)
+        return self._read(answer.outcome, answer.clock_ms)
+
+    async def stop(self, order: StopOrder) -> OrderOutcome:
+        """Orders the end of a run."""
+        answer = await self._calls.stop(self.entry, order)
+        return self._read(answer.outcome, answer.clock_ms)
+
+    async def pace(self, order: PaceOrder) -> OrderOutcome:
+        """Orders the speed of a run."""
+        answer = await self._calls.pace(self.entry, order)
+        return self._read(answer.outcome, answer.clock_ms)
+
+    def close(self) -> None:
+        """Gives the connections to the worker up."""
+        self._calls.forget(self.entry)
+
+    def _read(
+        self, outcome: OrderOutcome, clock_ms: int | None
+    ) -> OrderOutcome:
+        if clock_ms is not None:
+            self.lease.read_clock(clock_ms)
+        if outcome is OrderOutcome.FENCED:
+            self.is_fenced = True
+        if outcome is OrderOutcome.OTHER_LIFE:
+            self.is_gone = True
+        return outcome
+
+    async def _take_report(self, report: HoldReport, sent_s: float) -> None:
+        if report.born_ms and report.born_ms != self.entry.born_ms:
+            self.is_gone = True
+            return
+        self.lease.read_clock(report.clock_ms)
+        self.reported_s = self._timers.now_s()
+        self.is_reachable = True
+        for row in report.ended:
+            self._listed = max(self._listed, row.sequence)
+        if self._listed > self.acknowledged:
+            self._settled.clear()
+        self._on_report(self, report, sent_s)
+        if self._listed > self.acknowledged:
+            await self._wait_until_settled()
+
+    async def _wait_until_settled(self) -> None:
+        """Waits a moment for the ends to be stored, not for longer."""
+        pause = self._timers.call_after(_UNSETTLED_PAUSE_S, self._settled.set)
+        await self._settled.wait()
+        pause.cancel()
