Show the path of a job in virtual time, and keep tasks that last at work

The percent that a worker reports is progress, not speed. Also found by the new tests in virtual time: a silent worker was given new leases for ever, so its tasks never moved; each repeated stop put off the report that frees a run; a host cut off the store found no owner by its old list.

Change: progress and pace are two fields; no lease for a silent worker; the first settled answer counts; peers are asked when the known owner is none.

--- a/daemons/manager/src/coltsfootseam/manager/context.py
+++ b/daemons/manager/src/coltsfootseam/manager/context.py
@@ -1,11 +1,10 @@
 """What the parts of a manager share."""
 
-from collections.abc import Callable
-from typing import Protocol
+from typing import Any, Protocol
 
 import msgspec
 
-from coltsfootseam.calls import CallClients
+from coltsfootseam.calls import Method
 from coltsfootseam.jobs import Configuration, Wave
 from coltsfootseam.observe import Counters, DecisionLog
 from coltsfootseam.store import (
@@ -42,6 +41,15 @@
         """Encodes how far a wave is, for the operator."""
 
 
+class Peers(Protocol):
+    """Calls to other entry hosts."""
+
+    async def call(
+        self, address: str, method: Method, request: Any, timeout_s: float
+    ) -> Any:
+        """Calls a method; a refusal says that no answer came."""
+
+
 class Times(msgspec.Struct, frozen=True):
     """Lengths and periods, in seconds.
 
@@ -116,7 +124,7 @@
     duty_slots: int
     timers: TimerService
     ports: Ports
-    peers: CallClients
+    peers: Peers
     log: DecisionLog
     counters: Counters
     times: Times
@@ -134,5 +142,3 @@
 
 FLEET_JOURNAL = Partition("fleet", 1)
 """The partition that only the owner of the fleet's machines appends to."""
-
-Clock = Callable[[], float]
--- a/daemons/manager/src/coltsfootseam/manager/job_service.py
+++ b/daemons/manager/src/coltsfootseam/manager/job_service.py
@@ -269,8 +269,11 @@
         self, pool: str, job_id: str
     ) -> JobState | Refusal | None:
         """Asks one pool's owner; ``None`` if it can't tell."""
-        reply = await self._call_owner(pool, ASK_JOB, JobQuestion(pool, job_id))
+        question = JobQuestion(pool, job_id)
+        reply = await self._call_owner(pool, ASK_JOB, question)
         if not isinstance(reply, JobReply) or not reply.is_owner:
+            reply = await self._search_owner(question)
+        if reply is None:
             return None
         if reply.state is not None:
             return reply.state
@@ -298,6 +301,21 @@
             self._directory.look_again()
         return reply
 
+    async def _search_owner(self, question: JobQuestion) -> JobReply | None:
+        """Asks every peer, as this host's list of owners may be old."""
+        replies = await asyncio.gather(
+            *(
+                self._context.peers.call(
+                    address, ASK_JOB, question, _ASK_TIMEOUT_S
+                )
+                for address in self._directory.peer_addresses()
+            )
+        )
+        for reply in replies:
+            if isinstance(reply, JobReply) and reply.is_owner:
+                return reply
+        return None
+
     async def _read_state(
         self, queue: Queue, job_id: str
     ) -> JobState | Refusal | None:
--- a/daemons/manager/src/coltsfootseam/manager/manager.py
+++ b/daemons/manager/src/coltsfootseam/manager/manager.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator, Callable, Iterator
+from contextlib import AbstractAsyncContextManager
 
 import msgspec
 
-from coltsfootseam.calls import serving_calls
+from coltsfootseam.calls import Handler, Method, serving_calls
 from coltsfootseam.manager.context import Context
 from coltsfootseam.manager.duties import Directory, member_name
 from coltsfootseam.manager.duty_keeper import DutyKeeper
@@ -15,7 +16,10 @@
 from coltsfootseam.manager.peer_calls import PeerCalls
 from coltsfootseam.store import Membership, MembershipTimes
 
-_HANDOVER_S = 0.3
+Serving = Callable[
+    [str, dict[Method, Handler]], AbstractAsyncContextManager[None]
+]
+"""Serves calls of other hosts at an address while its context is open."""
 
 
 class Manager(msgspec.Struct):
@@ -50,9 +54,17 @@
 
 @contextlib.asynccontextmanager
 async def running_manager(
-    context: Context, times: MembershipTimes
+    context: Context,
+    times: MembershipTimes,
+    serving: Serving = serving_calls,
 ) -> AsyncIterator[Manager]:
-    """Runs a manager while the context is open."""
+    """Runs a manager while the context is open.
+
+    Args:
+        context: What all parts share.
+        times: Periods of the membership.
+        serving: Serves calls of other hosts.
+    """
     knowledge = Knowledge(context)
     membership = Membership(
         context.ports.store,
@@ -73,14 +85,17 @@
 
     knowledge.listen(on_configuration)
     peer_calls = PeerCalls(context, duties, membership)
-    async with serving_calls(context.address, peer_calls.handlers()):
+    async with serving(context.address, peer_calls.handlers()):
         with _running(
             knowledge.run(),
             membership.run(),
             membership.run_holdings(),
             duties.run(),
         ):
-            yield manager
+            try:
+                yield manager
+            finally:
+                duties.end_all()
 
 
 @contextlib.contextmanager
--- a/daemons/manager/src/coltsfootseam/manager/orders.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders.py
@@ -90,13 +90,17 @@
         state = self._state
         began_s = state.now_s()
         outcome = OrderOutcome.UNKNOWN
+        order: StartOrder | None = None
         tries = 0
         while run in task.runs and run.phase is RunPhase.ORDERED:
             link = self._link(run)
             if link is None or state.journal.lost:
                 return
-            tries += 1
-            outcome = await self._start_once(link, task, run, ticket)
+            if order is None:
+                order = self._start_order(link, task, run, ticket)
+            if order is not None:
+                tries += 1
+                outcome = await link.start(order)
             if outcome is not OrderOutcome.UNKNOWN:
                 break
             if state.now_s() - began_s > _START_TRIES_S:
@@ -105,15 +109,16 @@
             await state.context.timers.sleep(_RETRY_S)
         self._take_start_outcome(task, run, outcome, tries)
 
-    async def _start_once(
+    def _start_order(
         self, link: WorkerLink, task: Task, run: Run, ticket: str
-    ) -> OrderOutcome:
+    ) -> StartOrder | None:
+        """Returns the order, ``None`` while the worker's clock is unknown."""
         state = self._state
         lease_end_ms = link.lease.give()
         if lease_end_ms is None:
-            return OrderOutcome.UNKNOWN
+            return None
         job = state.book.jobs_by_id[task.id.job_id]
-        order = StartOrder(
+        return StartOrder(
             task=task.id,
             number=run.number,
             text=job.request.text,
@@ -122,7 +127,6 @@
             checkpoint=run.checkpoint,
             ticket=ticket,
         )
-        return await link.start(order)
 
     def _take_start_outcome(
         self, task: Task, run: Run, outcome: OrderOutcome, tries: int
@@ -174,7 +178,9 @@
             order = StopOrder(task.id, run.number, state.journal.epoch)
             outcome = await link.stop(order)
             if outcome is not OrderOutcome.UNKNOWN:
-                run.settled_s = state.now_s()
+                # A later answer must not put off the report that counts.
+                if run.settled_s is None:
+                    run.settled_s = state.now_s()
                 break
             await state.context.timers.sleep(_RETRY_S)
         self._stopping.discard((task.id, run.number, run.worker_id))
@@ -204,4 +210,4 @@
         )
         outcome = await link.pace(order)
         if outcome is OrderOutcome.DONE:
-            run.percent = percent
+            run.pace = percent
--- a/daemons/manager/src/coltsfootseam/manager/reports.py
+++ b/daemons/manager/src/coltsfootseam/manager/reports.py
@@ -1,6 +1,6 @@
 """Bringing the book in line with what workers report."""
 
-from coltsfootseam.jobs import Run, RunEnd, RunPhase, Task, TaskId
+from coltsfootseam.jobs import Run, RunEnd, Task, TaskId
 from coltsfootseam.manager.orders import Orders
 from coltsfootseam.manager.pool_state import PoolState
 from coltsfootseam.workers import (
@@ -11,6 +11,7 @@
 )
 
 _MS_PER_S = 1000
+_FULL_PERCENT = 100
 
 
 class Reports:
@@ -71,8 +72,7 @@
         self._state.book.confirm_run(run, self._state.now_s())
         run.saved = row.saved or run.saved
         run.load = row.load
-        if run.phase is not RunPhase.STOPPING:
-            run.percent = row.percent
+        run.progress = row.progress
 
     def _find_lost_runs(
         self,
@@ -91,7 +91,7 @@
                 )
 
     def _learn_duration(self, task: Task, run: Run, end: RunEnd) -> None:
-        is_plain = not run.checkpoint and run.percent == 100
+        is_plain = not run.checkpoint and run.pace == _FULL_PERCENT
         estimate_ms = task.step.estimate_ms
         if end is not RunEnd.DONE or not is_plain or not estimate_ms:
             return
--- a/daemons/manager/src/coltsfootseam/manager/vacating.py
+++ b/daemons/manager/src/coltsfootseam/manager/vacating.py
@@ -6,6 +6,8 @@
 from coltsfootseam.scheduling import Shortage
 
 _MS_PER_S = 1000
+_AT_WORK_PERCENT = 100
+_SETTLED_S = 0.5
 _MILLIS_PER_CORE = 1000
 
 
@@ -105,9 +107,8 @@
     def _is_away(self, task: Task) -> bool:
         """Tells whether a task counts as not at work."""
         now_s = self._state.now_s()
-        notice_s = self._state.context.times.notice_s
         since_s = task.away_since_s
-        if since_s is not None and now_s - since_s < notice_s:
+        if since_s is not None and now_s - since_s < _SETTLED_S:
             return True
         return not _is_at_work(task)
 
@@ -135,7 +136,7 @@
 
 def _is_at_work(task: Task) -> bool:
     return any(
-        run.phase is RunPhase.RUNNING and run.percent == 100
+        run.phase is RunPhase.RUNNING and run.progress == _AT_WORK_PERCENT
         for run in task.runs
     )
 
--- a/libs/jobs/src/coltsfootseam/jobs/documents.py
+++ b/libs/jobs/src/coltsfootseam/jobs/documents.py
@@ -131,7 +131,12 @@
     # The worker refuses an earlier owner's orders once it has seen this one's
     # token, so a report that does not list the run says that it is not there.
     return Run(
-        row.number, row.worker_id, phase, ordered_s=now_s, settled_s=now_s
+        row.number,
+        row.worker_id,
+        phase,
+        ordered_s=now_s,
+        settled_s=now_s,
+        pace=None,
     )
 
 
--- a/libs/jobs/src/coltsfootseam/jobs/entities.py
+++ b/libs/jobs/src/coltsfootseam/jobs/entities.py
@@ -24,7 +24,10 @@
             answered the order to start or to stop it. ``None`` before.
         checkpoint: Progress that it resumed from.
         saved: Newest progress that its worker reported.
-        percent: Share of its speed that it was last told to work at.
+        progress: Percent that the worker reports; a task that lasts is at
+            work at 100.
+        pace: Percent of its speed that it was last told to work at, ``None``
+            if an earlier owner may have told it another.
         load: Tail in ms for a task that serves, else processor in use.
         reason: Why it is stopped, where it is.
     """
@@ -37,7 +40,8 @@
     settled_s: float | None = None
     checkpoint: str = ""
     saved: str = ""
-    percent: int = 100
+    progress: int = 0
+    pace: int | None = 100
     load: int = 0
     reason: str = ""
 
--- a/libs/scheduling/src/coltsfootseam/scheduling/pacing.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/pacing.py
@@ -40,8 +40,9 @@
     )
     changes = []
     for task, run in filling:
-        percent = _next_percent(run.percent, worst)
-        if percent != run.percent:
+        pace = _FULL_PERCENT if run.pace is None else run.pace
+        percent = _next_percent(pace, worst)
+        if percent != run.pace:
             changes.append(PaceChange(task, run, percent))
     return changes
 
--- /dev/null
+++ b/libs/standins/src/coltsfootseam/standins/memory_store.py
@@ -0,0 +1,310 @@
+"""A store in memory, in the time of a timer service, with faults."""
+
+import asyncio
+import random
+from collections.abc import Sequence
+
+import msgspec
+
+from coltsfootseam.results import Refusal, ResultCode
+from coltsfootseam.store import (
+    Appended,
+    Deal,
+    EndMoved,
+    HistoryGone,
+    Holding,
+    KeyedRecord,
+    Newest,
+    Page,
+    Partition,
+    StoredRecord,
+    Writer,
+)
+from coltsfootseam.timers import TimerService
+
+_POLL_S = 0.005
+
+
+class _Part(msgspec.Struct):
+    first: int = 0
+    end: int = 0
+    records: list[StoredRecord] = []
+    newest_by_key: dict[str, StoredRecord] = {}
+    epoch: int = -1
+    sequence: int = -1
+    answers_by_sequence: dict[int, Appended] = {}
+
+
+class _Member(msgspec.Struct):
+    name: str
+    seen_s: float
+    ttl_s: float
+
+
+class _Group(msgspec.Struct):
+    generation: int = 0
+    members: list[_Member] = []
+
+
+class StoreFaults(msgspec.Struct):
+    """What goes wrong for one client of the store.
+
+    Attributes:
+        is_down: Every call is refused with no effect.
+        is_silent: Every call hangs until its time limit, with no effect.
+        lose_share: Share of the writes that are done and not answered.
+        late_s: Such writes are done this much later.
+        answer_s: Time that a call takes.
+    """
+
+    is_down: bool = False
+    is_silent: bool = False
+    lose_share: float = 0.0
+    late_s: float = 0.0
+    answer_s: float = 0.004
+
+
+class MemoryStore:
+    """The partitions and groups; clients reach them through `client`.
+
+    Attributes:
+        slots: Partitions of a topic that a group deals.
+        appends: How many appends took effect.
+    """
+
+    __slots__ = ("_groups", "_parts", "_random", "appends", "slots", "timers")
+
+    def __init__(
+        self, timers: TimerService, slots: int = 12, seed: int = 1
+    ) -> None:
+        self.timers = timers
+        self.slots = slots
+        self.appends = 0
+        self._parts: dict[Partition, _Part] = {}
+        self._groups: dict[str, _Group] = {}
+        self._random = random.Random(seed)
+
+    def client(self, timers: TimerService | None = None) -> "MemoryStoreClient":
+        """Returns a client with faults of its own.
+
+        Args:
+            timers: The client's time, where its host can be frozen.
+        """
+        return MemoryStoreClient(self, self._random, timers or self.timers)
+
+    def part(self, partition: Partition) -> _Part:
+        """Returns a partition, made on first use."""
+        return self._parts.setdefault(partition, _Part())
+
+    def forget_history(self) -> None:
+        """Drops all records but the newest of each key."""
+        for part in self._parts.values():
+            part.records = []
+            part.first = part.end
+
+    def put(self, partition: Partition, key: str, value: bytes) -> None:
+        """Appends as somebody outside the system does."""
+        self.do_append(partition, [KeyedRecord(key, value)], None, None)
+
+    def do_append(
+        self,
+        partition: Partition,
+        records: Sequence[KeyedRecord],
+        at: int | None,
+        writer: Writer | None,
+    ) -> Appended | EndMoved | Refusal:
+        """Carries an append out."""
+        part = self.part(partition)
+        if writer is not None:
+            problem = self._check_writer(part, writer)
+            if problem is not None:
+                return problem
+        if at is not None and at != part.end:
+            return EndMoved(part.end)
+        answer = Appended(part.end, part.end + len(records))
+        for record in records:
+            stored = StoredRecord(part.end, record.key, record.value)
+            part.records.append(stored)
+            part.end += 1
+            if record.value:
+                part.newest_by_key[record.key] = stored
+            else:
+                part.newest_by_key.pop(record.key, None)
+        if writer is not None:
+            part.epoch = writer.epoch
+            part.sequence = writer.sequence
+            part.answers_by_sequence[writer.sequence] = answer
+        self.appends += 1
+        return answer
+
+    def _check_writer(
+        self, part: _Part, writer: Writer
+    ) -> Appended | Refusal | None:
+        if writer.epoch < part.epoch:
+            return Refusal(ResultCode.STALE_EPOCH, "fenced")
+        if writer.epoch > part.epoch:
+            part.answers_by_sequence = {}
+            return None
+        if writer.sequence in part.answers_by_sequence:
+            return part.answers_by_sequence[writer.sequence]
+        if writer.sequence != part.sequence + 1:
+            return Refusal(ResultCode.STALE_EPOCH, "sequence")
+        return None
+
+    def do_join(self, group: str, member: str, ttl_s: float) -> Deal:
+        """Joins a member and deals the partitions evenly."""
+        found = self._groups.setdefault(group, _Group())
+        self._expire(found)
+        now_s = self.timers.now_s()
+        known = [item for item in found.members if item.name == member]
+        if known:
+            known[0].seen_s = now_s
+        else:
+            found.members.append(_Member(member, now_s, ttl_s))
+            found.generation += 1
+        return Deal(found.generation, frozenset(self._dealt(found, member)))
+
+    def do_leave(self, group: str, member: str) -> None:
+        """Takes a member out."""
+        found = self._groups.setdefault(group, _Group())
+        found.members = [item for item in found.members if item.name != member]
+        found.generation += 1
+
+    def do_holdings(self, group: str) -> list[Holding]:
+        """Tells who holds what."""
+        found = self._groups.setdefault(group, _Group())
+        self._expire(found)
+        return [
+            Holding(number, item.name)
+            for item in found.members
+            for number in self._dealt(found, item.name)
+        ]
+
+    def _expire(self, group: _Group) -> None:
+        now_s = self.timers.now_s()
+        alive = [
+            item for item in group.members if now_s - item.seen_s <= item.ttl_s
+        ]
+        if len(alive) != len(group.members):
+            group.members = alive
+            group.generation += 1
+
+    def _dealt(self, group: _Group, member: str) -> list[int]:
+        names = [item.name for item in group.members]
+        position = names.index(member)
+        return list(range(position, self.slots, len(names)))
+
+
+class MemoryStoreClient:
+    """One host's way to the store.
+
+    Attributes:
+        faults: What goes wrong for this host.
+    """
+
+    __slots__ = ("_random", "_store", "_timers", "faults")
+
+    def __init__(
+        self, store: MemoryStore, rng: random.Random, timers: TimerService
+    ) -> None:
+        self._store = store
+        self._timers = timers
+        self._random = rng
+        self.faults = StoreFaults()
+
+    async def append(
+        self,
+        partition: Partition,
+        records: Sequence[KeyedRecord],
+        at: int | None = None,
+        writer: Writer | None = None,
+    ) -> Appended | EndMoved | Refusal:
+        """Appends all records or none."""
+        problem = await self._reach()
+        if problem is not None:
+            return problem
+        is_lost = self._random.random() < self.faults.lose_share
+        if is_lost and self.faults.late_s:
+            self._store.timers.schedule(
+                self.faults.late_s,
+                lambda: self._carry_out(partition, records, at, writer),
+            )
+            return Refusal(ResultCode.OUTCOME_PENDING, "answer lost")
+        result = self._store.do_append(partition, records, at, writer)
+        if is_lost:
+            return Refusal(ResultCode.OUTCOME_PENDING, "answer lost")
+        return result
+
+    def _carry_out(
+        self,
+        partition: Partition,
+        records: Sequence[KeyedRecord],
+        at: int | None,
+        writer: Writer | None,
+    ) -> None:
+        self._store.do_append(partition, records, at, writer)
+
+    async def read(
+        self, partition: Partition, from_offset: int, wait_s: float
+    ) -> Page | HistoryGone | Refusal:
+        """Reads records, waiting up to ``wait_s`` for the first one."""
+        until_s = self._timers.now_s() + wait_s
+        while True:
+            problem = await self._reach()
+            if problem is not None:
+                return problem
+            part = self._store.part(partition)
+            if from_offset < part.first:
+                return HistoryGone(part.first)
+            records = part.records[max(0, from_offset - part.first) :]
+            if records or self._timers.now_s() >= until_s:
+                return Page(part.end, part.first, part.end, list(records))
+            await self._timers.sleep(_POLL_S)
+
+    async def newest(
+        self, partition: Partition, after_key: str = "", limit: int = 0
+    ) -> Newest | Refusal:
+        """Reads the newest record of each key after ``after_key``."""
+        problem = await self._reach()
+        if problem is not None:
+            return problem
+        part = self._store.part(partition)
+        keys = sorted(key for key in part.newest_by_key if key > after_key)
+        if limit:
+            keys = keys[:limit]
+        return Newest(part.end, [part.newest_by_key[key] for key in keys])
+
+    async def join(
+        self, group: str, member: str, topic: str, ttl_s: float, generation: int
+    ) -> Deal | Refusal:
+        """Joins a group that deals a topic's partitions, or stays in it."""
+        del topic, generation
+        problem = await self._reach()
+        if problem is not None:
+            return problem
+        return self._store.do_join(group, member, ttl_s)
+
+    async def leave(self, group: str, member: str) -> Refusal | None:
+        """Leaves a group, so that its partitions are dealt anew."""
+        problem = await self._reach()
+        if problem is not None:
+            return problem
+        self._store.do_leave(group, member)
+        return None
+
+    async def holdings(self, group: str) -> list[Holding] | Refusal:
+        """Tells which member holds which partition."""
+        problem = await self._reach()
+        if problem is not None:
+            return problem
+        return self._store.do_holdings(group)
+
+    async def _reach(self) -> Refusal | None:
+        if self.faults.is_silent:
+            await self._timers.sleep(1.0)
+            return Refusal(ResultCode.OUTCOME_PENDING, "silent")
+        await self._timers.sleep(self.faults.answer_s)
+        if self.faults.is_down:
+            return Refusal(ResultCode.LOG_UNAVAILABLE, "down")
+        await asyncio.sleep(0)
+        return None
--- /dev/null
+++ b/libs/standins/src/coltsfootseam/standins/memory_workers.py
@@ -0,0 +1,355 @@
+"""Workers in memory, in the time of a timer service, with faults.
+
+Besides running tasks they keep account of what callers must never see: a task
+that runs twice at once, or again after its end was acknowledged.
+"""
+
+import random
+from collections.abc import Callable
+
+import msgspec
+
+from coltsfootseam.jobs import RunEnd, TaskId
+from coltsfootseam.timers import TimerService
+from coltsfootseam.workers import (
+    EndRow,
+    HoldOrder,
+    HoldReport,
+    OrderAnswer,
+    OrderOutcome,
+    PaceOrder,
+    RunningRow,
+    StartOrder,
+    StopOrder,
+    WorkerEntry,
+)
+
+_MS_PER_S = 1000
+_TICK_S = 0.02
+_ANSWER_S = 0.002
+_TIMEOUT_S = 0.5
+_LONGEST_LEASE_S = 10.0
+
+DurationOf = Callable[[TaskId], float]
+"""Returns how many seconds a task runs; infinity for one that lasts."""
+
+
+class _Run(msgspec.Struct):
+    task: TaskId
+    number: int
+    left_s: float
+    begun_s: float
+
+
+class Violation(msgspec.Struct, frozen=True):
+    """Something that must not happen, as a worker saw it."""
+
+    rule: str
+    task: TaskId
+    detail: str
+
+
+class WorkerFaults(msgspec.Struct):
+    """What goes wrong at one worker.
+
+    Attributes:
+        is_silent: No call is answered or carried out.
+        fails_all: Every run ends failed at once.
+        hangs: Runs make no progress.
+        late_share: Share of starts without an answer, carried out late.
+        late_s: How much later.
+        refused_hosts: Hosts whose calls neither arrive nor are answered.
+    """
+
+    is_silent: bool = False
+    fails_all: bool = False
+    hangs: bool = False
+    late_share: float = 0.0
+    late_s: float = 3.0
+    refused_hosts: set[str] = set()
+
+
+class MemoryWorker(msgspec.Struct):
+    """One life of a worker."""
+
+    entry: WorkerEntry
+    born_s: float
+    token: int = 0
+    lease_end_ms: float = 0.0
+    runs_by_task: dict[TaskId, _Run] = {}
+    ends: list[EndRow] = []
+    ended_count: int = 0
+    acknowledged: int = 0
+    highest_ended: dict[TaskId, int] = {}
+    faults: WorkerFaults = msgspec.field(default_factory=WorkerFaults)
+    is_dead: bool = False
+
+
+class MemoryWorkers:
+    """All workers of a deployment.
+
+    Attributes:
+        workers_by_instance: Workers by their own id.
+        violations: What must not have happened.
+        starts: Starts that were carried out, in order.
+    """
+
+    __slots__ = (
+        "_done_and_noted",
+        "_duration_of",
+        "_random",
+        "_timers",
+        "starts",
+        "violations",
+        "workers_by_instance",
+    )
+
+    def __init__(
+        self, timers: TimerService, duration_of: DurationOf, seed: int = 1
+    ) -> None:
+        self._timers = timers
+        self._duration_of = duration_of
+        self._random = random.Random(seed)
+        self._done_and_noted: set[TaskId] = set()
+        self.workers_by_instance: dict[str, MemoryWorker] = {}
+        self.violations: list[Violation] = []
+        self.starts: list[StartOrder] = []
+        timers.subscribe(_TICK_S, self._tick)
+
+    def add(self, entry: WorkerEntry) -> MemoryWorker:
+        """Adds a worker, or the next life of one."""
+        worker = MemoryWorker(entry, self._timers.now_s())
+        self.workers_by_instance[entry.instance_id] = worker
+        return worker
+
+    def kill(self, instance_id: str) -> None:
+        """Ends a worker's life with all that runs there."""
+        worker = self.workers_by_instance[instance_id]
+        worker.is_dead = True
+        worker.runs_by_task.clear()
+
+    def calls(
+        self, host_id: str, timers: TimerService | None = None
+    ) -> "MemoryWorkerCalls":
+        """Returns the way of one host to the workers.
+
+        Args:
+            host_id: Name of the host.
+            timers: The host's time, where it can be frozen.
+        """
+        return MemoryWorkerCalls(
+            self, timers or self._timers, self._random, host_id
+        )
+
+    def schedule_start(
+        self, delay_s: float, worker: MemoryWorker, order: StartOrder
+    ) -> None:
+        """Carries a start out later, whatever becomes of its sender."""
+
+        def carry_out() -> None:
+            if not worker.is_dead:
+                self.do_start(worker, order)
+
+        self._timers.schedule(delay_s, carry_out)
+
+    def find(self, entry: WorkerEntry) -> MemoryWorker | None:
+        """Returns the worker that an entry names now, if it lives."""
+        worker = self.workers_by_instance.get(entry.instance_id)
+        return None if worker is None or worker.is_dead else worker
+
+    def clock_ms(self, worker: MemoryWorker) -> int:
+        """Returns the worker's own steady clock."""
+        age_s = self._timers.now_s() - worker.born_s
+        return round(age_s * _MS_PER_S)
+
+    def do_start(self, worker: MemoryWorker, order: StartOrder) -> OrderOutcome:
+        """Carries a start out."""
+        if order.token < worker.token:
+            return OrderOutcome.FENCED
+        worker.token = order.token
+        run = worker.runs_by_task.get(order.task)
+        if run is not None and run.number == order.number:
+            return OrderOutcome.DONE
+        if order.lease_end_ms <= self.clock_ms(worker):
+            return OrderOutcome.LATE
+        if order.number <= worker.highest_ended.get(order.task, 0):
+            return OrderOutcome.OLD
+        self._extend(worker, order.lease_end_ms)
+        self._check_start(worker, order)
+        self.starts.append(order)
+        worker.runs_by_task[order.task] = _Run(
+            order.task,
+            order.number,
+            self._duration_of(order.task),
+            self._timers.now_s(),
+        )
+        return OrderOutcome.DONE
+
+    def do_stop(self, worker: MemoryWorker, order: StopOrder) -> OrderOutcome:
+        """Carries a stop out."""
+        if order.token < worker.token:
+            return OrderOutcome.FENCED
+        worker.token = order.token
+        run = worker.runs_by_task.get(order.task)
+        highest = worker.highest_ended.get(order.task, 0)
+        worker.highest_ended[order.task] = max(highest, order.number)
+        if run is not None and run.number <= order.number:
+            self._end(worker, run, RunEnd.STOPPED)
+        return OrderOutcome.DONE
+
+    def do_hold(self, worker: MemoryWorker, order: HoldOrder) -> bool:
+        """Carries a hold out; false if a newer owner was seen."""
+        if order.token < worker.token:
+            return False
+        worker.token = order.token
+        if order.lease_end_ms is not None:
+            self._extend(worker, order.lease_end_ms)
+        for row in worker.ends:
+            is_noted = row.sequence <= order.acknowledged
+            if is_noted and row.end is RunEnd.DONE:
+                self._done_and_noted.add(row.task)
+        worker.ends = [
+            row for row in worker.ends if row.sequence > order.acknowledged
+        ]
+        return True
+
+    def report(self, worker: MemoryWorker) -> HoldReport:
+        """Returns both lists of a worker."""
+        return HoldReport(
+            clock_ms=self.clock_ms(worker),
+            born_ms=worker.entry.born_ms,
+            running=[
+                RunningRow(run.task, run.number, "", 100, 0)
+                for run in worker.runs_by_task.values()
+            ],
+            ended=list(worker.ends),
+        )
+
+    def _extend(self, worker: MemoryWorker, lease_end_ms: int) -> None:
+        longest_ms = self.clock_ms(worker) + _LONGEST_LEASE_S * _MS_PER_S
+        end_ms = min(lease_end_ms, longest_ms)
+        worker.lease_end_ms = max(worker.lease_end_ms, end_ms)
+
+    def _check_start(self, worker: MemoryWorker, order: StartOrder) -> None:
+        for other in self.workers_by_instance.values():
+            if order.task in other.runs_by_task and not other.is_dead:
+                self.violations.append(
+                    Violation(
+                        "two runs at once",
+                        order.task,
+                        f"{other.entry.worker_id} and {worker.entry.worker_id}",
+                    )
+                )
+        if order.task in self._done_and_noted:
+            self.violations.append(
+                Violation("run after its end", order.task, str(order.number))
+            )
+
+    def _tick(self) -> None:
+        for worker in self.workers_by_instance.values():
+            if worker.is_dead:
+                continue
+            for run in list(worker.runs_by_task.values()):
+                self._advance(worker, run)
+
+    def _advance(self, worker: MemoryWorker, run: _Run) -> None:
+        if self.clock_ms(worker) > worker.lease_end_ms:
+            self._end(worker, run, RunEnd.LAPSED)
+            return
+        if worker.faults.fails_all:
+            self._end(worker, run, RunEnd.FAILED)
+            return
+        if not worker.faults.hangs:
+            run.left_s -= _TICK_S
+        if run.left_s <= 0:
+            self._end(worker, run, RunEnd.DONE)
+
+    def _end(self, worker: MemoryWorker, run: _Run, end: RunEnd) -> None:
+        del worker.runs_by_task[run.task]
+        highest = worker.highest_ended.get(run.task, 0)
+        worker.highest_ended[run.task] = max(highest, run.number)
+        worker.ended_count += 1
+        worker.ends.append(
+            EndRow(worker.ended_count, run.task, run.number, end, "")
+        )
+
+
+class MemoryWorkerCalls:
+    """One host's way to the workers."""
+
+    __slots__ = ("_host_id", "_random", "_timers", "_workers")
+
+    def __init__(
+        self,
+        workers: MemoryWorkers,
+        timers: TimerService,
+        rng: random.Random,
+        host_id: str,
+    ) -> None:
+        self._workers = workers
+        self._timers = timers
+        self._random = rng
+        self._host_id = host_id
+
+    async def hold(
+        self, worker: WorkerEntry, order: HoldOrder
+    ) -> HoldReport | OrderAnswer:
+        """Extends a lease and asks what runs and has ended."""
+        found = await self._reach(worker)
+        if isinstance(found, OrderAnswer):
+            return found
+        if not self._workers.do_hold(found, order):
+            return OrderAnswer(OrderOutcome.FENCED)
+        until_s = self._timers.now_s() + order.wait_ms / _MS_PER_S
+        while not found.ends and self._timers.now_s() < until_s:
+            await self._timers.sleep(_TICK_S)
+        if self._is_cut(found):
+            return OrderAnswer(OrderOutcome.UNKNOWN)
+        return self._workers.report(found)
+
+    async def start(
+        self, worker: WorkerEntry, order: StartOrder
+    ) -> OrderAnswer:
+        """Orders a run."""
+        found = await self._reach(worker)
+        if isinstance(found, OrderAnswer):
+            return found
+        if self._random.random() < found.faults.late_share:
+            self._workers.schedule_start(found.faults.late_s, found, order)
+            await self._timers.sleep(_TIMEOUT_S)
+            return OrderAnswer(OrderOutcome.UNKNOWN)
+        outcome = self._workers.do_start(found, order)
+        return OrderAnswer(outcome, self._workers.clock_ms(found))
+
+    async def stop(self, worker: WorkerEntry, order: StopOrder) -> OrderAnswer:
+        """Ends a run."""
+        found = await self._reach(worker)
+        if isinstance(found, OrderAnswer):
+            return found
+        outcome = self._workers.do_stop(found, order)
+        return OrderAnswer(outcome, self._workers.clock_ms(found))
+
+    async def pace(self, worker: WorkerEntry, order: PaceOrder) -> OrderAnswer:
+        """Takes the order; speed is not modelled here."""
+        del order
+        found = await self._reach(worker)
+        if isinstance(found, OrderAnswer):
+            return found
+        return OrderAnswer(OrderOutcome.DONE, self._workers.clock_ms(found))
+
+    def forget(self, worker: WorkerEntry) -> None:
+        """Does nothing; there are no connections."""
+
+    async def _reach(self, entry: WorkerEntry) -> MemoryWorker | OrderAnswer:
+        await self._timers.sleep(_ANSWER_S)
+        worker = self._workers.find(entry)
+        if worker is None or self._is_cut(worker):
+            await self._timers.sleep(_TIMEOUT_S)
+            return OrderAnswer(OrderOutcome.UNKNOWN)
+        if worker.entry.born_ms != entry.born_ms:
+            return OrderAnswer(OrderOutcome.OTHER_LIFE)
+        return worker
+
+    def _is_cut(self, worker: MemoryWorker) -> bool:
+        is_refused = self._host_id in worker.faults.refused_hosts
+        return worker.faults.is_silent or is_refused or worker.is_dead
--- a/libs/store/src/coltsfootseam/store/tail.py
+++ b/libs/store/src/coltsfootseam/store/tail.py
@@ -132,7 +132,10 @@
             self._take(record)
         self._next_offset = max(self._next_offset, page.next_offset)
         if self._next_offset >= page.end:
-            self.current_s = max(self.current_s, started_s)
+            # A read that waited in vain was answered just now.
+            is_idle = not page.records and self._wait_s > 0
+            read_s = self._timers.now_s() if is_idle else started_s
+            self.current_s = max(self.current_s, read_s)
 
     def _take(self, record: StoredRecord) -> None:
         if record.offset <= self._offsets_by_key.get(record.key, -1):
--- a/libs/workers/src/coltsfootseam/workers/link.py
+++ b/libs/workers/src/coltsfootseam/workers/link.py
@@ -95,10 +95,13 @@
         has_open_ends = self._listed > self.acknowledged
         is_settled = self.reported_s is not None and not has_open_ends
         wait_s = self._wait_s if is_settled else 0.0
+        # An order without an answer may be carried out, so a silent worker
+        # gets no new lease: its tasks must be free to run elsewhere in time.
+        lease_end_ms = self.lease.give() if self.is_reachable else None
         order = HoldOrder(
             token=self._token,
             acknowledged=self.acknowledged,
-            lease_end_ms=self.lease.give(),
+            lease_end_ms=lease_end_ms,
             wait_ms=round(wait_s * _MS_PER_S),
         )
         answer = await self._calls.hold(self.entry, order)
--- a/libs/workers/src/coltsfootseam/workers/messages.py
+++ b/libs/workers/src/coltsfootseam/workers/messages.py
@@ -87,12 +87,20 @@
 
 
 class RunningRow(msgspec.Struct, frozen=True):
-    """A run that is at work on a worker."""
+    """A run that is at work on a worker.
+
+    Attributes:
+        task: What runs.
+        number: Number of the start.
+        saved: Newest progress that was saved.
+        progress: Percent done; a task that lasts is at work at 100.
+        load: Tail in ms for a task that serves, else processor in use.
+    """
 
     task: TaskId
     number: int
     saved: str
-    percent: int
+    progress: int
     load: int
 
 
--- /dev/null
+++ b/tests/common/fleets.py
@@ -0,0 +1,386 @@
+"""A whole deployment of managers in one process, in virtual time."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Callable
+from typing import Any
+
+import msgspec
+
+from coltsfootseam.calls import Handler, Method
+from coltsfootseam.jobs import (
+    Configuration,
+    JobRequest,
+    JobState,
+    Pool,
+    Queue,
+    Step,
+    TaskId,
+    Wave,
+)
+from coltsfootseam.manager import (
+    Context,
+    Manager,
+    Ports,
+    Times,
+    running_manager,
+)
+from coltsfootseam.observe import Counters, DecisionLog
+from coltsfootseam.results import OK, Refusal, ResultCode
+from coltsfootseam.standins.memory_machines import MemoryAdvice, MemoryMachines
+from coltsfootseam.standins.memory_store import MemoryStore, MemoryStoreClient
+from coltsfootseam.standins.memory_workers import MemoryWorkers
+from coltsfootseam.store import (
+    KeyedRecord,
+    MembershipTimes,
+    Partition,
+    StoredRecord,
+)
+from coltsfootseam.timers import TimerService, VirtualTimers
+from coltsfootseam.workers import Machine, MachineState, WorkerEntry
+
+POOL = "counter"
+QUEUE = "bookings"
+OPERATOR = Partition("operator")
+WORKERS = Partition("workers")
+STATUS = Partition("status")
+DEADLINE_S = 3.0
+
+
+class HostTimers(TimerService):
+    """Time of one host, whose callbacks wait while it is frozen."""
+
+    def __init__(self, timers: VirtualTimers) -> None:
+        self._timers = timers
+        self._waiting: list[Callable[[], None]] = []
+        self.is_frozen = False
+
+    def now_s(self) -> float:
+        """Returns monotonic time, which goes on while the host is frozen."""
+        return self._timers.now_s()
+
+    def wall_ms(self) -> int:
+        """Returns wall-clock time."""
+        return self._timers.wall_ms()
+
+    def schedule(self, delay_s: float, callback: Callable[[], None]) -> Any:
+        """Calls ``callback`` once, after the host has thawed if need be."""
+
+        def fire() -> None:
+            if self.is_frozen:
+                self._waiting.append(callback)
+            else:
+                callback()
+
+        return self._timers.schedule(delay_s, fire)
+
+    def thaw(self) -> None:
+        """Lets the host go on."""
+        self.is_frozen = False
+        waiting, self._waiting = self._waiting, []
+        for callback in waiting:
+            callback()
+
+
+class MemoryFeeds:
+    """Operator's records and workers' entries in the project's own encoding."""
+
+    operator = OPERATOR
+    workers = WORKERS
+    status = STATUS
+
+    def read_operator(
+        self, record: StoredRecord
+    ) -> Configuration | Wave | None:
+        """Decodes a configuration or a wave."""
+        kind = Wave if record.key.startswith("wave") else Configuration
+        return msgspec.msgpack.decode(record.value, type=kind)
+
+    def read_worker(self, record: StoredRecord) -> WorkerEntry | None:
+        """Decodes a worker's entry."""
+        return msgspec.msgpack.decode(record.value, type=WorkerEntry)
+
+    def write_wave(self, wave: Wave, is_complete: bool) -> KeyedRecord:
+        """Encodes how far a wave is."""
+        value = b"completed" if is_complete else b"running"
+        return KeyedRecord(f"wave/{wave.number}", value)
+
+
+class MemoryPeers:
+    """Calls between hosts, without a network."""
+
+    def __init__(self, timers: TimerService) -> None:
+        self._timers = timers
+        self._handlers_by_address: dict[str, dict[Method, Handler]] = {}
+        self.cut_addresses: set[str] = set()
+
+    @contextlib.asynccontextmanager
+    async def serving(
+        self, address: str, handlers: dict[Method, Handler]
+    ) -> AsyncIterator[None]:
+        """Serves a host's handlers while the context is open."""
+        self._handlers_by_address[address] = handlers
+        try:
+            yield
+        finally:
+            del self._handlers_by_address[address]
+
+    async def call(
+        self, address: str, method: Method, request: Any, timeout_s: float
+    ) -> Any:
+        """Calls a method of another host."""
+        await self._timers.sleep(0.001)
+        handlers = self._handlers_by_address.get(address)
+        if handlers is None or address in self.cut_addresses:
+            await self._timers.sleep(timeout_s)
+            return Refusal(ResultCode.UNREACHABLE, address)
+        return await handlers[method](request)
+
+
+class Host:
+    """One entry host of the deployment."""
+
+    def __init__(self, fleet: "Fleet", number: int) -> None:
+        self.fleet = fleet
+        self.host_id = f"entry-{number}"
+        self.address = f"10.0.0.{number}:7000"
+        self.timers = HostTimers(fleet.timers)
+        self.store: MemoryStoreClient = fleet.store.client(self.timers)
+        self.manager: Manager | None = None
+        self.starts = 0
+        self._stop = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Starts the process."""
+        self.starts += 1
+        self._stop = asyncio.Event()
+        self._task = asyncio.ensure_future(self._run())
+
+    async def kill(self) -> None:
+        """Ends the process without a word."""
+        assert self._task is not None
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+        self.manager = None
+
+    def owns(self, pool: str = POOL) -> bool:
+        """Tells whether the host owns a pool and has loaded it."""
+        if self.manager is None:
+            return False
+        owner = self.manager.duties.owners_by_pool.get(pool)
+        return owner is not None and owner.state is not None
+
+    async def _run(self) -> None:
+        fleet = self.fleet
+        context = Context(
+            host_id=self.host_id,
+            incarnation=f"{self.host_id}-{self.starts}",
+            address=self.address,
+            duty_slots=fleet.store.slots,
+            timers=self.timers,
+            ports=Ports(
+                self.store,
+                fleet.workers.calls(self.host_id, self.timers),
+                fleet.machines,
+                fleet.advice,
+                MemoryFeeds(),
+            ),
+            peers=fleet.peers,
+            log=DecisionLog(self.timers, self.host_id),
+            counters=Counters(),
+            times=fleet.times,
+        )
+        async with running_manager(
+            context, MembershipTimes(), fleet.peers.serving
+        ) as manager:
+            self.manager = manager
+            await self._stop.wait()
+
+
+class Fleet:
+    """Store, workers, machines and hosts of a deployment."""
+
+    def __init__(
+        self, timers: VirtualTimers, duration_of: Callable[[TaskId], float]
+    ) -> None:
+        self.timers = timers
+        self.times = Times(early_s=0.0)
+        self.store = MemoryStore(timers)
+        self.workers = MemoryWorkers(timers, duration_of)
+        self.machines = MemoryMachines(timers, [])
+        self.advice = MemoryAdvice(timers)
+        self.peers = MemoryPeers(timers)
+        self.hosts: list[Host] = []
+
+    def configure(self, version: int = 1, queue: Queue | None = None) -> None:
+        """Has the operator publish a configuration."""
+        queue = queue or Queue(
+            QUEUE, "host", "/q/", POOL, attempts=3, stretch=2.0, target_ms=600
+        )
+        configuration = Configuration(
+            version, {queue.name: queue}, {POOL: Pool(POOL)}
+        )
+        self.store.put(
+            OPERATOR, "configuration", msgspec.msgpack.encode(configuration)
+        )
+
+    def add_worker(
+        self, number: int, born_ms: int = 1, rack: str = "r1", cores: int = 4
+    ) -> str:
+        """Adds a worker with its machine and entry; returns its own id."""
+        instance_id = f"i-{number}"
+        entry = WorkerEntry(
+            worker_id=f"{instance_id}@{born_ms}",
+            instance_id=instance_id,
+            born_ms=born_ms,
+            pool=POOL,
+            address=f"10.1.0.{number}:80",
+            zone="a",
+            is_draining=False,
+            remaining_ms=None,
+            cpu_millis=cores * 1000,
+            memory_mb=16_000,
+            accelerators=0,
+            labels=("kind", rack),
+            machine_id=f"m-{number}",
+        )
+        self.workers.add(entry)
+        self.put_entry(entry)
+        self.machines.machines_by_id[entry.machine_id] = Machine(
+            entry.machine_id,
+            POOL,
+            MachineState.UP,
+            "a",
+            entry.labels,
+            instance_id,
+            entry.cpu_millis,
+        )
+        return instance_id
+
+    def put_entry(self, entry: WorkerEntry) -> None:
+        """Writes a worker's entry into the store."""
+        self.store.put(
+            WORKERS, entry.instance_id, msgspec.msgpack.encode(entry)
+        )
+
+    def add_host(self) -> Host:
+        """Adds and starts an entry host."""
+        host = Host(self, len(self.hosts) + 1)
+        self.hosts.append(host)
+        host.start()
+        return host
+
+    def owner(self, pool: str = POOL) -> Host:
+        """Returns the host that owns a pool."""
+        return next(host for host in self.hosts if host.owns(pool))
+
+    def other(self, pool: str = POOL) -> Host:
+        """Returns a live host that does not own a pool."""
+        return next(
+            host
+            for host in self.hosts
+            if host.manager is not None and not host.owns(pool)
+        )
+
+    async def wait_until(
+        self, condition: Callable[[], bool], limit_s: float = 30.0
+    ) -> float:
+        """Moves time on until a condition holds; returns how long it took."""
+        began_s = self.timers.now_s()
+        while not condition():
+            waited_s = self.timers.now_s() - began_s
+            assert waited_s < limit_s, f"not within {limit_s} s"
+            await self.timers.advance(0.02)
+        return self.timers.now_s() - began_s
+
+    async def run(self, work: Any) -> Any:
+        """Moves time on until a coroutine has ended; returns its result."""
+        task = asyncio.ensure_future(work)
+        await self.wait_until(task.done)
+        return task.result()
+
+    async def submit(self, host: Host, job_id: str, *steps: Step) -> Refusal:
+        """Submits a job through a host."""
+        assert host.manager is not None
+        request = JobRequest(
+            QUEUE, "text", steps or (Step(cpu_millis=1000),), self.wall_ms()
+        )
+        jobs = host.manager.jobs
+        queue = jobs.find_queue("host", "/q/x")
+        assert isinstance(queue, Queue)
+        deadline_s = self.timers.now_s() + DEADLINE_S
+        return await self.run(jobs.submit(queue, job_id, request, deadline_s))
+
+    async def accept(self, host: Host, job_id: str, *steps: Step) -> None:
+        """Submits a job that has to be accepted."""
+        assert await self.submit(host, job_id, *steps) is OK
+
+    async def cancel(self, host: Host, job_id: str) -> Refusal:
+        """Cancels a job through a host."""
+        assert host.manager is not None
+        jobs = host.manager.jobs
+        queue = jobs.find_queue("host", "/q/x")
+        assert isinstance(queue, Queue)
+        deadline_s = self.timers.now_s() + DEADLINE_S
+        return await self.run(jobs.cancel(queue, job_id, deadline_s))
+
+    async def state(self, host: Host, job_id: str) -> JobState | Refusal:
+        """Asks a host how far a job is."""
+        assert host.manager is not None
+        jobs = host.manager.jobs
+        queue = jobs.find_queue("host", "/q/x")
+        assert isinstance(queue, Queue)
+        deadline_s = self.timers.now_s() + DEADLINE_S
+        return await self.run(jobs.state_of(queue, job_id, deadline_s))
+
+    async def wait_for_state(
+        self, job_id: str, state: JobState, limit_s: float = 40.0
+    ) -> None:
+        """Moves time on until a job is shown in a state."""
+        began_s = self.timers.now_s()
+        while True:
+            host = next(host for host in self.hosts if host.manager)
+            if await self.state(host, job_id) == state:
+                return
+            assert self.timers.now_s() - began_s < limit_s
+            await self.timers.advance(0.1)
+
+    def wall_ms(self) -> int:
+        """Returns the time of day."""
+        return self.timers.wall_ms()
+
+    def started(self, job_id: str) -> int:
+        """Returns how many starts of a job were carried out."""
+        return sum(
+            1 for order in self.workers.starts if order.task.job_id == job_id
+        )
+
+
+@contextlib.asynccontextmanager
+async def running_fleet(
+    hosts: int = 2,
+    workers: int = 3,
+    duration_of: Callable[[TaskId], float] = lambda task: 0.5,
+) -> AsyncIterator[Fleet]:
+    """Yields a deployment whose pool is owned; checks it at the end."""
+    fleet = Fleet(VirtualTimers(), duration_of)
+    fleet.configure()
+    for number in range(1, workers + 1):
+        fleet.add_worker(number)
+    for _ in range(hosts):
+        fleet.add_host()
+    await fleet.wait_until(
+        lambda: (
+            any(host.owns() for host in fleet.hosts)
+            and all(host.manager is not None for host in fleet.hosts)
+        )
+    )
+    await fleet.timers.advance(1.0)
+    try:
+        yield fleet
+        assert fleet.workers.violations == []
+    finally:
+        for host in fleet.hosts:
+            if host.manager is not None:
+                await host.kill()
--- /dev/null
+++ b/tests/cover/test_jobs_path.py
@@ -0,0 +1,154 @@
+"""Jobs from their submission to their end, under failures of each part."""
+
+from coltsfootseam.jobs import JobState, Step
+from coltsfootseam.results import OK, Refusal, ResultCode
+from tests.common.fleets import running_fleet
+
+SMALL = Step(cpu_millis=1000, estimate_ms=500)
+
+
+async def test_a_job_runs_its_steps_in_order() -> None:
+    async with running_fleet() as fleet:
+        first = Step(count=3, cpu_millis=1000, estimate_ms=500)
+        second = Step(count=2, cpu_millis=500, estimate_ms=500, after=(0,))
+        await fleet.accept(fleet.hosts[0], "a" * 16, first, second)
+        await fleet.wait_for_state("a" * 16, JobState.COMPLETED)
+        steps = [order.task.step for order in fleet.workers.starts]
+        assert steps == [0, 0, 0, 1, 1]
+
+
+async def test_the_same_id_through_two_hosts_is_one_job() -> None:
+    async with running_fleet() as fleet:
+        for host in fleet.hosts:
+            await fleet.accept(host, "b" * 16, SMALL)
+        await fleet.wait_for_state("b" * 16, JobState.COMPLETED)
+        await fleet.timers.advance(2.0)
+        assert fleet.started("b" * 16) == 1
+
+
+async def test_a_job_that_nobody_submitted_is_unknown() -> None:
+    async with running_fleet() as fleet:
+        state = await fleet.state(fleet.hosts[0], "c" * 16)
+        assert isinstance(state, Refusal)
+        assert state.code is ResultCode.JOB_UNKNOWN
+
+
+async def test_a_cancelled_job_is_stopped_and_stays_cancelled() -> None:
+    async with running_fleet(duration_of=lambda task: 60.0) as fleet:
+        await fleet.accept(fleet.hosts[0], "d" * 16, SMALL)
+        await fleet.wait_until(lambda: fleet.started("d" * 16) == 1)
+        assert await fleet.cancel(fleet.hosts[1], "d" * 16) is OK
+        await fleet.timers.advance(1.0)
+        workers = fleet.workers.workers_by_instance.values()
+        assert not any(worker.runs_by_task for worker in workers)
+        await fleet.wait_for_state("d" * 16, JobState.CANCELLED)
+
+
+async def test_a_dead_owner_is_followed_without_a_second_run() -> None:
+    async with running_fleet(duration_of=lambda task: 4.0) as fleet:
+        await fleet.accept(fleet.hosts[0], "e" * 16, SMALL)
+        await fleet.wait_until(lambda: fleet.started("e" * 16) == 1)
+        owner = fleet.owner()
+        await owner.kill()
+        await fleet.accept(fleet.other(), "f" * 16, SMALL)
+        takeover_s = await fleet.wait_until(
+            lambda: fleet.started("f" * 16) == 1
+        )
+        assert takeover_s < 2.0
+        await fleet.wait_for_state("e" * 16, JobState.COMPLETED)
+        assert fleet.started("e" * 16) == 1
+
+
+async def test_a_frozen_owner_does_nothing_after_it_wakes() -> None:
+    async with running_fleet(duration_of=lambda task: 3.0) as fleet:
+        await fleet.accept(fleet.hosts[0], "1" * 16, SMALL)
+        await fleet.wait_until(lambda: fleet.started("1" * 16) == 1)
+        owner = fleet.owner()
+        other = fleet.other()
+        owner.timers.is_frozen = True
+        await fleet.timers.advance(4.0)
+        owner.timers.thaw()
+        await fleet.accept(other, "2" * 16, SMALL)
+        await fleet.wait_for_state("1" * 16, JobState.COMPLETED)
+        await fleet.wait_for_state("2" * 16, JobState.COMPLETED)
+        assert fleet.started("1" * 16) == 1
+        assert fleet.started("2" * 16) == 1
+
+
+async def test_an_owner_cut_off_the_store_gives_its_duties_up() -> None:
+    async with running_fleet(duration_of=lambda task: 8.0) as fleet:
+        await fleet.accept(fleet.hosts[0], "3" * 16, SMALL)
+        await fleet.wait_until(lambda: fleet.started("3" * 16) == 1)
+        owner = fleet.owner()
+        owner.store.faults.is_down = True
+        await fleet.wait_until(
+            lambda: any(
+                host.owns() for host in fleet.hosts if host is not owner
+            )
+        )
+        await fleet.wait_until(lambda: not owner.owns())
+        await fleet.wait_for_state("3" * 16, JobState.COMPLETED)
+        assert fleet.started("3" * 16) == 1
+
+
+async def test_a_host_cut_off_the_store_takes_jobs_through_a_peer() -> None:
+    async with running_fleet() as fleet:
+        cut = fleet.other()
+        cut.store.faults.is_down = True
+        await fleet.accept(cut, "4" * 16, SMALL)
+        await fleet.wait_for_state("4" * 16, JobState.COMPLETED)
+
+
+async def test_a_store_that_is_down_refuses_jobs_and_leases_go_on() -> None:
+    async with running_fleet(duration_of=lambda task: 9.0) as fleet:
+        await fleet.accept(fleet.hosts[0], "5" * 16, SMALL)
+        await fleet.wait_until(lambda: fleet.started("5" * 16) == 1)
+        for host in fleet.hosts:
+            host.store.faults.is_down = True
+        refusal = await fleet.submit(fleet.hosts[1], "6" * 16, SMALL)
+        assert refusal.code is ResultCode.NOT_RUN_OVERLOADED
+        await fleet.timers.advance(11.0)
+        for host in fleet.hosts:
+            host.store.faults.is_down = False
+        await fleet.wait_for_state("5" * 16, JobState.COMPLETED)
+        assert fleet.started("5" * 16) == 1
+        assert fleet.started("6" * 16) == 0
+
+
+async def test_lost_and_late_answers_of_the_store_change_nothing() -> None:
+    async with running_fleet() as fleet:
+        for host in fleet.hosts:
+            host.store.faults.lose_share = 0.4
+            host.store.faults.late_s = 0.7
+        ids = [f"{number:016x}" for number in range(8)]
+        for job_id in ids:
+            outcome = await fleet.submit(fleet.hosts[0], job_id, SMALL)
+            while outcome is not OK:
+                outcome = await fleet.submit(fleet.hosts[1], job_id, SMALL)
+        for job_id in ids:
+            await fleet.wait_for_state(job_id, JobState.COMPLETED)
+            assert fleet.started(job_id) == 1
+
+
+async def test_forgotten_history_loses_no_job() -> None:
+    async with running_fleet(duration_of=lambda task: 2.0) as fleet:
+        await fleet.accept(fleet.hosts[0], "7" * 16, SMALL)
+        await fleet.timers.advance(0.5)
+        fleet.store.forget_history()
+        await fleet.accept(fleet.hosts[1], "8" * 16, SMALL)
+        await fleet.owner().kill()
+        fleet.store.forget_history()
+        await fleet.wait_for_state("7" * 16, JobState.COMPLETED)
+        await fleet.wait_for_state("8" * 16, JobState.COMPLETED)
+
+
+async def test_loss_of_all_hosts_loses_no_accepted_job() -> None:
+    async with running_fleet(duration_of=lambda task: 2.0) as fleet:
+        await fleet.accept(fleet.hosts[0], "9" * 16, SMALL)
+        for host in fleet.hosts:
+            await host.kill()
+        await fleet.timers.advance(9.5)
+        for host in fleet.hosts:
+            host.start()
+        await fleet.wait_until(lambda: any(h.owns() for h in fleet.hosts))
+        await fleet.wait_for_state("9" * 16, JobState.COMPLETED)
