--- a/tests/common/fleets.py
+++ b/tests/common/fleets.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Callable
-from typing import Any
+from collections.abc import AsyncIterator, Callable, Coroutine
+from typing import Any, TypeVar
 
 import msgspec
 
@@ -46,6 +46,8 @@
 STATUS = Partition("status")
 DEADLINE_S = 3.0
 
+T = TypeVar("T")
+
 
 class HostTimers(TimerService):
     """Time of one host, whose callbacks wait while it is frozen."""
@@ -93,8 +95,9 @@
         self, record: StoredRecord
     ) -> Configuration | Wave | None:
         """Decodes a configuration or a wave."""
-        kind = Wave if record.key.startswith("wave") else Configuration
-        return msgspec.msgpack.decode(record.value, type=kind)
+        if record.key.startswith("wave"):
+            return msgspec.msgpack.decode(record.value, type=Wave)
+        return msgspec.msgpack.decode(record.value, type=Configuration)
 
     def read_worker(self, record: StoredRecord) -> WorkerEntry | None:
         """Decodes a worker's entry."""
@@ -294,7 +297,7 @@
             await self.timers.advance(0.02)
         return self.timers.now_s() - began_s
 
-    async def run(self, work: Any) -> Any:
+    async def run(self, work: Coroutine[Any, Any, T]) -> T:
         """Moves time on until a coroutine has ended; returns its result."""
         task = asyncio.ensure_future(work)
         await self.wait_until(task.done)
