Move machines to where work waits, and put idle ones on standby

Change: owners tell the fleet's owner what waits and what is used; a short pool gets machines at once, an idle machine goes on standby after 2.5 s; a wave takes machines that are off or idle first.

--- /dev/null
+++ b/daemons/manager/src/coltsfootseam/manager/fleet_view.py
@@ -0,0 +1,30 @@
+"""What the fleet's owner knows in one round."""
+
+import msgspec
+
+from coltsfootseam.calls import VacateReply
+from coltsfootseam.workers import Machine, WorkerEntry
+
+
+class FleetView(msgspec.Struct):
+    """What the fleet's owner knows in one round.
+
+    Attributes:
+        machines_by_id: All machines, as the platform lists them.
+        replies_by_pool: What the pools' owners told in this round.
+        workers_by_instance: Newest entry of each worker.
+        standby_pool: Pool whose machines are off, or empty.
+    """
+
+    machines_by_id: dict[str, Machine] = {}
+    replies_by_pool: dict[str, VacateReply] = {}
+    workers_by_instance: dict[str, WorkerEntry] = {}
+    standby_pool: str = ""
+
+    def worker_of(self, machine_id: str) -> str | None:
+        """Returns the life of the worker on a machine, if it has one."""
+        machine = self.machines_by_id.get(machine_id)
+        if machine is None or not machine.instance_id:
+            return None
+        entry = self.workers_by_instance.get(machine.instance_id)
+        return None if entry is None else entry.worker_id
--- /dev/null
+++ b/daemons/manager/src/coltsfootseam/manager/machine_orders.py
@@ -0,0 +1,117 @@
+"""Orders for machines, and what they mean until the list shows it."""
+
+import msgspec
+
+from coltsfootseam.manager.context import Context
+from coltsfootseam.store import Journal
+from coltsfootseam.workers import (
+    Holder,
+    Machine,
+    MachineOutcome,
+    MachineState,
+)
+
+_LISTED_MARGIN_S = 1.5
+
+
+class _UnderWay(msgspec.Struct, frozen=True):
+    pool: str
+    until_s: float
+
+
+class MachineOrders:
+    """Gives orders under one ownership and follows the machines."""
+
+    __slots__ = (
+        "_context",
+        "_holder",
+        "_journal",
+        "_moves_by_id",
+        "_released_by_pool",
+    )
+
+    def __init__(self, context: Context, journal: Journal) -> None:
+        self._context = context
+        self._journal = journal
+        self._holder = Holder(context.incarnation, journal.epoch)
+        self._moves_by_id: dict[str, _UnderWay] = {}
+        self._released_by_pool: dict[str, dict[str, float]] = {}
+
+    def note_listed(self, machines_by_id: dict[str, Machine]) -> None:
+        """Forgets moves that the list shows as over."""
+        now_s = self._context.timers.now_s()
+        for machine_id, move in list(self._moves_by_id.items()):
+            machine = machines_by_id.get(machine_id)
+            is_there = (
+                machine is not None
+                and machine.pool == move.pool
+                and machine.state is MachineState.UP
+            )
+            if is_there or now_s > move.until_s:
+                del self._moves_by_id[machine_id]
+
+    def pool_of(self, machine: Machine) -> str | None:
+        """Returns where a machine is or will be; ``None`` if it is down."""
+        move = self._moves_by_id.get(machine.machine_id)
+        if move is not None:
+            return move.pool
+        if machine.state is MachineState.DOWN:
+            return None
+        return machine.pool
+
+    def released_ids(self, pool: str) -> list[str]:
+        """Returns workers whose machines were taken from a pool lately."""
+        now_s = self._context.timers.now_s()
+        released = self._released_by_pool.get(pool, {})
+        for worker_id, until_s in list(released.items()):
+            if until_s < now_s:
+                del released[worker_id]
+        return sorted(released)
+
+    async def move(
+        self, machine: Machine, pool: str, worker_id: str | None
+    ) -> None:
+        """Orders a machine, and the worker on it, to a pool."""
+        times = self._context.times
+        began_s = self._context.timers.now_s()
+        outcome = await self._context.ports.machines.move(
+            self._holder, machine.machine_id, pool
+        )
+        self._note(machine, outcome, worker_id, "machine.moved", pool=pool)
+        if outcome is MachineOutcome.DONE:
+            until_s = began_s + times.move_s + _LISTED_MARGIN_S
+            self._moves_by_id[machine.machine_id] = _UnderWay(pool, until_s)
+
+    async def maintain(
+        self, machine: Machine, wave: int, worker_id: str | None
+    ) -> MachineOutcome:
+        """Begins a machine's maintenance."""
+        outcome = await self._context.ports.machines.maintain(
+            self._holder, machine.machine_id, wave
+        )
+        self._note(machine, outcome, worker_id, "machine.maintained", wave=wave)
+        return outcome
+
+    def _note(
+        self,
+        machine: Machine,
+        outcome: MachineOutcome,
+        worker_id: str | None,
+        event: str,
+        **fields: object,
+    ) -> None:
+        self._context.log.write(
+            event,
+            machine=machine.machine_id,
+            pool_before=machine.pool,
+            token=self._holder.token,
+            outcome=outcome.name,
+            **fields,
+        )
+        self._context.counters.increment(f"{event}.{outcome.name.lower()}")
+        if outcome is MachineOutcome.FENCED:
+            self._journal.lost = True
+        if outcome is MachineOutcome.DONE and worker_id is not None:
+            keep_s = self._context.times.longest_lease_s
+            released = self._released_by_pool.setdefault(machine.pool, {})
+            released[worker_id] = self._context.timers.now_s() + keep_s
--- a/daemons/manager/src/coltsfootseam/manager/pool_state.py
+++ b/daemons/manager/src/coltsfootseam/manager/pool_state.py
@@ -23,6 +23,7 @@
         links_by_id: Links to the workers of the pool.
         ends_by_id: Newest end of each worker that is in the book, but perhaps
             not in the journal yet.
+        gone_ids: Workers whose life has ended for certain.
         vacating_ids: Workers whose machines are wanted elsewhere.
     """
 
@@ -34,6 +35,7 @@
     health: WorkerHealth
     links_by_id: dict[str, WorkerLink] = {}
     ends_by_id: dict[str, int] = {}
+    gone_ids: set[str] = set()
     vacating_ids: set[str] = set()
 
     def now_s(self) -> float:
--- a/daemons/manager/src/coltsfootseam/manager/vacating.py
+++ b/daemons/manager/src/coltsfootseam/manager/vacating.py
@@ -33,6 +33,7 @@
         for worker_id in request.released_ids:
             link = state.links_by_id.get(worker_id)
             if link is not None:
+                # Its machine was taken: all that ran there is over.
                 link.is_gone = True
         runs_by_worker = state.active_runs_by_worker()
         return VacateReply(
@@ -43,11 +44,10 @@
                 if worker_id in state.links_by_id
                 and worker_id not in runs_by_worker
             ],
-            busy_core_s=sum(_waiting_core_s(item) for item in self.shortages),
+            idle_ids=self._idle_ids(runs_by_worker),
             waiting_cores=sum(_waiting_cores(item) for item in self.shortages),
             used_cores=_used_cores(runs_by_worker),
-            idle_ids=self._idle_ids(runs_by_worker),
-            least_cores=_lasting_cores(runs_by_worker),
+            worker_limit=self._worker_limit(),
         )
 
     def plan(self) -> None:
@@ -122,6 +122,18 @@
                 if not _is_at_work(task):
                     task.away_since_s = now_s
 
+    def _worker_limit(self) -> int:
+        """Returns how many workers the widest lasting step has to be on."""
+        return max(
+            (
+                -(-step.count // step.per_worker_limit)
+                for job in self._state.book.active_by_id.values()
+                for step in job.request.steps
+                if step.long_running and step.per_worker_limit
+            ),
+            default=0,
+        )
+
     def _idle_ids(
         self, runs_by_worker: dict[str, list[tuple[Task, Run]]]
     ) -> list[str]:
@@ -148,11 +160,6 @@
     return shortage.count * step.cpu_millis / _MILLIS_PER_CORE
 
 
-def _waiting_core_s(shortage: Shortage) -> float:
-    step = shortage.ready.step
-    return _waiting_cores(shortage) * step.estimate_ms / _MS_PER_S
-
-
 def _used_cores(
     runs_by_worker: dict[str, list[tuple[Task, Run]]],
 ) -> float:
@@ -162,14 +169,3 @@
         for task, _ in pairs
         if not task.step.fills
     )
-
-
-def _lasting_cores(
-    runs_by_worker: dict[str, list[tuple[Task, Run]]],
-) -> float:
-    return sum(
-        task.step.cpu_millis / _MILLIS_PER_CORE
-        for pairs in runs_by_worker.values()
-        for task, _ in pairs
-        if task.step.long_running and not task.step.fills
-    )
--- a/daemons/manager/src/coltsfootseam/manager/workers_of_pool.py
+++ b/daemons/manager/src/coltsfootseam/manager/workers_of_pool.py
@@ -32,7 +32,8 @@
     def follow_entries(self) -> None:
         """Brings the links in line with the workers' entries."""
         for entry in self._state.knowledge.workers_by_instance.values():
-            if entry.pool == self._state.pool:
+            is_gone = entry.worker_id in self._state.gone_ids
+            if entry.pool == self._state.pool and not is_gone:
                 self._follow(entry)
         for link in list(self._state.links_by_id.values()):
             self._check(link)
@@ -94,6 +95,8 @@
 
     def _drop(self, link: WorkerLink, reason: str) -> None:
         worker_id = link.worker_id
+        if link.is_gone:
+            self._state.gone_ids.add(worker_id)
         self._reports.lose_worker(worker_id, reason)
         self._state.links_by_id.pop(worker_id, None)
         self._state.ends_by_id.pop(worker_id, None)
--- a/libs/calls/src/coltsfootseam/calls/messages.py
+++ b/libs/calls/src/coltsfootseam/calls/messages.py
@@ -86,17 +86,15 @@
         is_owner: Whether the callee owns the pool and has loaded it.
         empty_ids: Those of the workers named that run nothing and will get
             nothing.
-        busy_core_s: Work that waits for room, in core-seconds.
+        idle_ids: Workers that run nothing, whether named or not.
         waiting_cores: Processor that waiting tasks ask for, in cores.
         used_cores: Processor in use, in cores.
-        idle_ids: Workers that run nothing, though they weren't named.
-        least_cores: Processor that must stay for tasks that last, in cores.
+        worker_limit: How many workers its tasks need to be apart.
     """
 
     is_owner: bool
     empty_ids: list[str] = []
-    busy_core_s: float = 0.0
+    idle_ids: list[str] = []
     waiting_cores: float = 0.0
     used_cores: float = 0.0
-    idle_ids: list[str] = []
-    least_cores: float = 0.0
+    worker_limit: int = 0
--- a/libs/scheduling/src/coltsfootseam/scheduling/__init__.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/__init__.py
@@ -1,6 +1,13 @@
 """What runs where and when: decisions over snapshots, without a network."""
 
-from coltsfootseam.scheduling.demand import PoolDemand
+from coltsfootseam.scheduling.demand import (
+    DemandHistory,
+    MachineSupply,
+    Move,
+    PoolDemand,
+    PoolRules,
+    plan_moves,
+)
 from coltsfootseam.scheduling.health import WorkerHealth
 from coltsfootseam.scheduling.ordering import (
     ReadyStep,
@@ -18,17 +25,21 @@
 )
 from coltsfootseam.scheduling.rooms import Room, StepKey, step_key
 from coltsfootseam.scheduling.upkeep import (
-    MachineView,
+    DueMachine,
     WaveProgress,
     choose_maintenance,
 )
 
 __all__ = [
-    "MachineView",
+    "DemandHistory",
+    "DueMachine",
+    "MachineSupply",
+    "Move",
     "PaceChange",
     "Placement",
     "Plan",
     "PoolDemand",
+    "PoolRules",
     "ReadyStep",
     "Room",
     "Shortage",
@@ -38,6 +49,7 @@
     "choose_maintenance",
     "job_order",
     "job_order_named",
+    "plan_moves",
     "plan_pace",
     "plan_starts",
     "remaining_chain_s",
--- a/libs/scheduling/src/coltsfootseam/scheduling/demand.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/demand.py
@@ -1,21 +1,234 @@
-"""What the pools need and hold."""
+"""Which machines change their pool, by what the pools need and hold.
+
+A machine in a pool costs as long as it is there, a move costs once, and work
+that waits costs most. So a pool that is short gets machines at once, first
+those on standby, then those that run nothing elsewhere. A pool gives an idle
+machine up only after it was idle for about as long as two moves are worth.
+"""
 
 import msgspec
 
+_FORESIGHT_S = 2.0
+_SHORT_SHARE = 0.25
+_MOST_HISTORY = 4
+
 
 class PoolDemand(msgspec.Struct, frozen=True):
-    """The demand of a pool.
+    """The demand of a pool, as its owner tells it.
 
     Attributes:
         pool: Name of the pool.
         waiting_cores: Processor that waiting tasks ask for, in cores.
         used_cores: Processor in use, in cores.
-        least_cores: Processor of tasks that last, in cores.
-        idle_count: How many workers run nothing.
+        worker_limit: How many workers its tasks need to be apart.
     """
 
     pool: str
     waiting_cores: float
     used_cores: float
-    least_cores: float
-    idle_count: int
+    worker_limit: int = 0
+
+
+class MachineSupply(msgspec.Struct, frozen=True):
+    """A machine that may be moved.
+
+    Attributes:
+        machine_id: Name of the machine.
+        pool: Pool that it is in, or on the way to.
+        cores: Processor that it has, in cores.
+        is_free: Whether it runs nothing and could leave now.
+        idle_s: How long it has been running nothing.
+        is_due: Whether it waits for maintenance.
+    """
+
+    machine_id: str
+    pool: str
+    cores: float
+    is_free: bool
+    idle_s: float
+    is_due: bool = False
+
+
+class PoolRules(msgspec.Struct, frozen=True):
+    """How the pools are sized; they follow from the contracts.
+
+    Attributes:
+        headroom_cores: Processor that a pool keeps free, in cores.
+        least_machines: Machines that a pool always keeps.
+        idle_s: How long a machine is idle before it goes on standby.
+    """
+
+    headroom_cores: float = 16.0
+    least_machines: int = 2
+    idle_s: float = 2.5
+
+
+class Move(msgspec.Struct, frozen=True):
+    """A machine that is to change its pool."""
+
+    machine_id: str
+    pool: str
+
+
+class DemandHistory:
+    """Remembers a pool's recent demand to tell how fast it grows."""
+
+    __slots__ = ("_points_by_pool",)
+
+    def __init__(self) -> None:
+        self._points_by_pool: dict[str, list[tuple[float, float]]] = {}
+
+    def add(self, demand: PoolDemand, now_s: float) -> None:
+        """Takes note of a pool's demand."""
+        points = self._points_by_pool.setdefault(demand.pool, [])
+        points.append((now_s, demand.used_cores + demand.waiting_cores))
+        del points[:-_MOST_HISTORY]
+
+    def growth_cores(self, pool: str) -> float:
+        """Returns by how much demand will have grown when a move is over."""
+        points = self._points_by_pool.get(pool, [])
+        if len(points) < 2:
+            return 0.0
+        (from_s, before), (to_s, after) = points[0], points[-1]
+        rate = (after - before) / max(0.1, to_s - from_s)
+        return max(0.0, rate * _FORESIGHT_S)
+
+
+class _Balance(msgspec.Struct):
+    pool: str
+    need_cores: float
+    supply_cores: float
+    machine_count: int
+    least_count: int
+
+    def shortage(self) -> float:
+        return self.need_cores - self.supply_cores
+
+    def can_give(self, cores: float) -> bool:
+        if self.machine_count <= self.least_count:
+            return False
+        return self.supply_cores - cores >= self.need_cores
+
+
+def plan_moves(
+    demands: list[PoolDemand],
+    history: DemandHistory,
+    machines: list[MachineSupply],
+    standby_pool: str,
+    rules: PoolRules,
+) -> list[Move]:
+    """Chooses the machines that change their pool now.
+
+    Args:
+        demands: Demand of each pool whose owner answered, without the pool
+            on standby. Pools that are missing here are left alone.
+        history: Their recent demand.
+        machines: Machines that are up or on their way.
+        standby_pool: Pool whose machines are off, or empty if there is none.
+        rules: How pools are sized.
+    """
+    balances_by_pool = {
+        demand.pool: _balance(demand, history, machines, rules)
+        for demand in demands
+    }
+    moves: list[Move] = []
+    taken: set[str] = set()
+    short = sorted(
+        balances_by_pool.values(), key=_Balance.shortage, reverse=True
+    )
+    for balance in short:
+        _fill(balance, balances_by_pool, machines, standby_pool, taken, moves)
+    if standby_pool:
+        _release(balances_by_pool, machines, standby_pool, rules, taken, moves)
+    return moves
+
+
+def _balance(
+    demand: PoolDemand,
+    history: DemandHistory,
+    machines: list[MachineSupply],
+    rules: PoolRules,
+) -> _Balance:
+    own = [machine for machine in machines if machine.pool == demand.pool]
+    need_cores = (
+        demand.used_cores
+        + demand.waiting_cores
+        + history.growth_cores(demand.pool)
+        + rules.headroom_cores
+    )
+    return _Balance(
+        pool=demand.pool,
+        need_cores=need_cores,
+        supply_cores=sum(machine.cores for machine in own),
+        machine_count=len(own),
+        least_count=max(rules.least_machines, demand.worker_limit),
+    )
+
+
+def _fill(
+    balance: _Balance,
+    balances_by_pool: dict[str, _Balance],
+    machines: list[MachineSupply],
+    standby_pool: str,
+    taken: set[str],
+    moves: list[Move],
+) -> None:
+    """Brings machines to a pool that is short."""
+    candidates = [
+        machine
+        for machine in machines
+        if machine.is_free
+        and machine.machine_id not in taken
+        and machine.pool != balance.pool
+    ]
+    # What is off comes first; what is due for maintenance comes last.
+    candidates.sort(
+        key=lambda machine: (
+            machine.pool != standby_pool,
+            machine.is_due,
+            -machine.idle_s,
+        )
+    )
+    for machine in candidates:
+        is_short = balance.shortage() > _SHORT_SHARE * machine.cores
+        is_few = balance.machine_count < balance.least_count
+        if not is_short and not is_few:
+            return
+        giver = balances_by_pool.get(machine.pool)
+        if machine.pool != standby_pool:
+            if giver is None or not giver.can_give(machine.cores):
+                continue
+            giver.supply_cores -= machine.cores
+            giver.machine_count -= 1
+        balance.supply_cores += machine.cores
+        balance.machine_count += 1
+        taken.add(machine.machine_id)
+        moves.append(Move(machine.machine_id, balance.pool))
+
+
+def _release(
+    balances_by_pool: dict[str, _Balance],
+    machines: list[MachineSupply],
+    standby_pool: str,
+    rules: PoolRules,
+    taken: set[str],
+    moves: list[Move],
+) -> None:
+    """Puts machines on standby that have been idle for long."""
+    idle = [
+        machine
+        for machine in machines
+        if machine.is_free
+        and machine.idle_s >= rules.idle_s
+        and machine.machine_id not in taken
+    ]
+    # A machine that is due is best maintained while it is off.
+    idle.sort(key=lambda machine: (not machine.is_due, -machine.idle_s))
+    for machine in idle:
+        balance = balances_by_pool.get(machine.pool)
+        if balance is None or not balance.can_give(machine.cores):
+            continue
+        balance.supply_cores -= machine.cores
+        balance.machine_count -= 1
+        taken.add(machine.machine_id)
+        moves.append(Move(machine.machine_id, standby_pool))
--- a/libs/scheduling/src/coltsfootseam/scheduling/upkeep.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/upkeep.py
@@ -2,62 +2,88 @@
 
 import msgspec
 
+_MACHINE_S = 4.0
+_RESERVE_S = 6.0
 
-class MachineView(msgspec.Struct, frozen=True):
-    """A machine as the planning of maintenance sees it."""
+
+class DueMachine(msgspec.Struct, frozen=True):
+    """A machine that waits for its maintenance.
+
+    Attributes:
+        machine_id: Name of the machine.
+        pool: Pool that it is in.
+        is_off: Whether it is on standby.
+        is_free: Whether it runs nothing.
+        is_pressed: Whether work waits for room in its pool.
+    """
 
     machine_id: str
     pool: str
-    rack: str
-    is_up: bool
+    is_off: bool
+    is_free: bool
+    is_pressed: bool
 
 
 class WaveProgress(msgspec.Struct):
     """How far a wave is.
 
     Attributes:
+        first_s: When it was first seen, monotonic seconds.
         begun_ids: Machines whose maintenance has begun.
         busy_until_s_by_id: Machines that are in maintenance, and the earliest
             moment at which they are back.
         is_complete: Whether all of it is done.
     """
 
+    first_s: float = 0.0
     begun_ids: set[str] = set()
     busy_until_s_by_id: dict[str, float] = {}
     is_complete: bool = False
 
 
 def choose_maintenance(
-    machine_ids: tuple[str, ...],
+    due: list[DueMachine],
+    free_places: int,
+    left_s: float,
     limit: int,
-    progress: WaveProgress,
-    views_by_id: dict[str, MachineView],
+    busy_by_pool: dict[str, int],
 ) -> list[str]:
-    """Chooses the machines that are wanted now, at most ``limit`` at once.
+    """Chooses the machines that are wanted now.
 
-    Machines are taken from the pool of which fewest are away, so that no pool
-    loses many at the same time.
+    Machines that are off or run nothing come first. Pools in which work waits
+    are spared as long as the wave can still be over in time without them.
+
+    Args:
+        due: Machines whose maintenance hasn't begun.
+        free_places: How many may be wanted or down now.
+        left_s: Time until the wave should be over.
+        limit: Most machines down at once.
+        busy_by_pool: How many machines of each pool are in maintenance.
     """
+    rounds = -(-len(due) // max(1, limit))
+    is_urgent = left_s < rounds * _MACHINE_S + _RESERVE_S
     waiting = [
-        views_by_id[machine_id]
-        for machine_id in machine_ids
-        if machine_id in views_by_id
-        and machine_id not in progress.begun_ids
-        and views_by_id[machine_id].is_up
+        machine
+        for machine in due
+        if is_urgent or machine.is_off or not machine.is_pressed
     ]
-    away_by_pool: dict[str, int] = {}
-    for machine_id in progress.busy_until_s_by_id:
-        view = views_by_id.get(machine_id)
-        if view is not None:
-            away_by_pool[view.pool] = away_by_pool.get(view.pool, 0) + 1
+    away_by_pool = dict(busy_by_pool)
     chosen: list[str] = []
-    free = limit - len(progress.busy_until_s_by_id)
-    while waiting and len(chosen) < free:
-        best = min(
-            waiting,
-            key=lambda view: (away_by_pool.get(view.pool, 0), view.machine_id),
-        )
+    while waiting and len(chosen) < free_places:
+        best = min(waiting, key=lambda machine: _rank(machine, away_by_pool))
         waiting.remove(best)
         chosen.append(best.machine_id)
         away_by_pool[best.pool] = away_by_pool.get(best.pool, 0) + 1
     return chosen
+
+
+def _rank(
+    machine: DueMachine, away_by_pool: dict[str, int]
+) -> tuple[bool, bool, bool, int, str]:
+    return (
+        not machine.is_off,
+        not machine.is_free,
+        machine.is_pressed,
+        away_by_pool.get(machine.pool, 0),
+        machine.machine_id,
+    )
--- /dev/null
+++ b/tests/cover/test_pool_sizes.py
@@ -0,0 +1,104 @@
+"""Pools that are short get machines; what is idle goes on standby.
+
+The pattern is one pool whose demand rises to several times its mean within
+two seconds, while the others are nearly idle.
+"""
+
+from coltsfootseam.scheduling import (
+    DemandHistory,
+    DueMachine,
+    MachineSupply,
+    PoolDemand,
+    PoolRules,
+    choose_maintenance,
+    plan_moves,
+)
+
+OFF = "off"
+
+
+def machine(
+    number: int, pool: str, is_free: bool = True, idle_s: float = 10.0
+) -> MachineSupply:
+    return MachineSupply(f"m-{number}", pool, 16.0, is_free, idle_s)
+
+
+def test_a_short_pool_gets_machines_that_are_off_first() -> None:
+    machines = [
+        machine(1, "busy", is_free=False),
+        machine(2, "idle"),
+        machine(3, "idle"),
+        machine(4, "idle"),
+        machine(5, OFF),
+    ]
+    demands = [PoolDemand("busy", 30.0, 16.0), PoolDemand("idle", 0.0, 0.0)]
+    moves = plan_moves(
+        demands,
+        DemandHistory(),
+        machines,
+        OFF,
+        PoolRules(headroom_cores=0.0, least_machines=1, idle_s=2.0),
+    )
+    to_busy = [move.machine_id for move in moves if move.pool == "busy"]
+    assert to_busy[0] == "m-5"
+    assert len(to_busy) == 2
+
+
+def test_an_idle_pool_keeps_its_headroom_and_least_machines() -> None:
+    machines = [machine(number, "idle") for number in range(6)]
+    moves = plan_moves(
+        [PoolDemand("idle", 0.0, 0.0, worker_limit=3)],
+        DemandHistory(),
+        machines,
+        OFF,
+        PoolRules(headroom_cores=16.0, least_machines=2, idle_s=2.0),
+    )
+    assert len(moves) == 3
+    assert {move.pool for move in moves} == {OFF}
+
+
+def test_a_machine_that_was_just_busy_stays() -> None:
+    machines = [machine(number, "idle", idle_s=0.5) for number in range(6)]
+    moves = plan_moves(
+        [PoolDemand("idle", 0.0, 0.0)],
+        DemandHistory(),
+        machines,
+        OFF,
+        PoolRules(),
+    )
+    assert moves == []
+
+
+def test_growing_demand_is_met_before_work_waits() -> None:
+    history = DemandHistory()
+    history.add(PoolDemand("busy", 0.0, 10.0), 0.0)
+    history.add(PoolDemand("busy", 0.0, 40.0), 1.0)
+    machines = [
+        *(machine(number, "busy", is_free=False) for number in range(3)),
+        *(machine(number, OFF) for number in range(10, 20)),
+    ]
+    moves = plan_moves(
+        [PoolDemand("busy", 0.0, 40.0)],
+        history,
+        machines,
+        OFF,
+        PoolRules(headroom_cores=0.0),
+    )
+    assert len(moves) >= 3
+
+
+def test_a_pool_whose_owner_is_silent_is_left_alone() -> None:
+    machines = [machine(number, "silent") for number in range(6)]
+    demands = [PoolDemand("busy", 100.0, 0.0)]
+    moves = plan_moves(demands, DemandHistory(), machines, OFF, PoolRules())
+    assert moves == []
+
+
+def test_maintenance_begins_with_what_is_off_and_spares_pressed_pools() -> None:
+    due = [
+        DueMachine("m-1", "busy", False, False, is_pressed=True),
+        DueMachine("m-2", "idle", False, True, is_pressed=False),
+        DueMachine("m-3", OFF, True, True, is_pressed=False),
+    ]
+    assert choose_maintenance(due, 3, 60.0, 3, {}) == ["m-3", "m-2"]
+    assert choose_maintenance(due, 3, 5.0, 3, {})[-1] == "m-1"
