--- a/daemons/manager/src/coltsfootseam/manager/machine_rounds.py
+++ b/daemons/manager/src/coltsfootseam/manager/machine_rounds.py
@@ -16,6 +16,7 @@
     PoolDemand,
     PoolRules,
     plan_moves,
+    spare_counts,
 )
 from coltsfootseam.store import Journal
 from coltsfootseam.workers import MachineState
@@ -37,6 +38,7 @@
         "_knowledge",
         "_orders",
         "_rules",
+        "_spare_by_pool",
         "_view",
         "_wanted_ids",
         "_waves",
@@ -59,6 +61,7 @@
         self._rules = PoolRules()
         self._view = FleetView()
         self._wanted_ids: set[str] = set()
+        self._spare_by_pool: dict[str, int] = {}
         self._idle_since_s_by_id: dict[str, float] = {}
 
     async def run(self) -> None:
@@ -84,13 +87,18 @@
         await self._ask_pools(set())
         self._note_idle()
         due = await self._waves.plan(self._view, self._free_ids())
+        demands = self._demands()
+        supplies = self._supplies(set(due))
         moves = plan_moves(
-            self._demands(),
+            demands,
             self._history,
-            self._supplies(set(due)),
+            supplies,
             self._view.standby_pool,
             self._rules,
         )
+        self._spare_by_pool = spare_counts(
+            demands, self._history, supplies, self._rules
+        )
         targets_by_id = {move.machine_id: move.pool for move in moves}
         # The owners close the machines to new work before they are taken.
         await self._ask_pools(set(due) | set(targets_by_id))
@@ -146,7 +154,10 @@
             and (worker_id := self._view.worker_of(machine_id)) is not None
         ]
         request = VacateRequest(
-            pool, worker_ids, self._orders.released_ids(pool)
+            pool,
+            worker_ids,
+            self._orders.released_ids(pool),
+            self._spare_by_pool.get(pool, 0),
         )
         reply = await self._context.peers.call(
             address, VACATE, request, _ASK_TIMEOUT_S
@@ -199,6 +210,19 @@
         ]
         for demand in demands:
             self._history.add(demand, now_s)
+            self._context.log.write(
+                "pool.sized",
+                pool=demand.pool,
+                used_cores=round(demand.used_cores, 1),
+                waiting_cores=round(demand.waiting_cores, 1),
+                growth_cores=round(self._history.growth_cores(demand.pool), 1),
+                apart=demand.worker_limit,
+                machines=sum(
+                    1
+                    for machine in self._view.machines_by_id.values()
+                    if machine.pool == demand.pool
+                ),
+            )
         return demands
 
     def _supplies(self, due: set[str]) -> list[MachineSupply]:
--- a/daemons/manager/src/coltsfootseam/manager/orders.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders.py
@@ -34,6 +34,8 @@
     OrderOutcome.MALFORMED,
 )
 
+_STOP_SETTLED = (OrderOutcome.DONE, OrderOutcome.OLD)
+
 
 class Orders:
     """Orders of one pool's owner that are under way."""
@@ -177,7 +179,7 @@
                 break
             order = StopOrder(task.id, run.number, state.journal.epoch)
             outcome = await link.stop(order)
-            if outcome is not OrderOutcome.UNKNOWN:
+            if outcome in _STOP_SETTLED:
                 # A later answer must not put off the report that counts.
                 if run.settled_s is None:
                     run.settled_s = state.now_s()
--- a/daemons/manager/src/coltsfootseam/manager/planning.py
+++ b/daemons/manager/src/coltsfootseam/manager/planning.py
@@ -76,6 +76,7 @@
             link.is_reachable
             and not entry.is_draining
             and worker_id not in state.vacating_ids
+            and worker_id not in state.spare_ids
             and not state.health.is_aside(worker_id, state.now_s())
         )
         return Room(
--- a/daemons/manager/src/coltsfootseam/manager/pool_state.py
+++ b/daemons/manager/src/coltsfootseam/manager/pool_state.py
@@ -25,6 +25,7 @@
             not in the journal yet.
         gone_ids: Workers whose life has ended for certain.
         vacating_ids: Workers whose machines are wanted elsewhere.
+        spare_ids: Workers that get no new work, as the pool can do without.
     """
 
     pool: str
@@ -37,6 +38,7 @@
     ends_by_id: dict[str, int] = {}
     gone_ids: set[str] = set()
     vacating_ids: set[str] = set()
+    spare_ids: set[str] = set()
 
     def now_s(self) -> float:
         """Returns monotonic time in seconds."""
--- a/daemons/manager/src/coltsfootseam/manager/vacating.py
+++ b/daemons/manager/src/coltsfootseam/manager/vacating.py
@@ -36,6 +36,9 @@
                 # Its machine was taken: all that ran there is over.
                 link.is_gone = True
         runs_by_worker = state.active_runs_by_worker()
+        state.spare_ids = self._choose_spare(
+            request.spare_count, runs_by_worker
+        )
         return VacateReply(
             is_owner=True,
             empty_ids=[
@@ -56,6 +59,7 @@
         if state.now_s() - self._asked_s > state.context.times.machine_lease_s:
             # The fleet's owner is silent; its wishes lapse.
             state.vacating_ids = set()
+            state.spare_ids = set()
         self._note_away()
         for task, run in state.active_runs():
             if run.phase is RunPhase.STOPPING or run.settled_s is None:
@@ -122,6 +126,30 @@
                 if not _is_at_work(task):
                     task.away_since_s = now_s
 
+    def _choose_spare(
+        self, count: int, runs_by_worker: dict[str, list[tuple[Task, Run]]]
+    ) -> set[str]:
+        """Chooses the workers that become empty first, if left alone."""
+        if count <= 0:
+            return set()
+        candidates = [
+            link.worker_id
+            for link in self._state.links_by_id.values()
+            if link.is_reachable
+            and not link.entry.is_draining
+            and not any(
+                task.step.long_running
+                for task, _ in runs_by_worker.get(link.worker_id, ())
+            )
+        ]
+        candidates.sort(
+            key=lambda worker_id: (
+                worker_id not in self._state.spare_ids,
+                _left_core_s(runs_by_worker.get(worker_id, [])),
+            )
+        )
+        return set(candidates[:count])
+
     def _worker_limit(self) -> int:
         """Returns how many workers the widest lasting step has to be on."""
         return max(
@@ -160,6 +188,13 @@
     return shortage.count * step.cpu_millis / _MILLIS_PER_CORE
 
 
+def _left_core_s(pairs: list[tuple[Task, Run]]) -> float:
+    return sum(
+        task.step.cpu_millis / _MILLIS_PER_CORE * task.step.estimate_ms
+        for task, _ in pairs
+    )
+
+
 def _used_cores(
     runs_by_worker: dict[str, list[tuple[Task, Run]]],
 ) -> float:
--- a/libs/calls/src/coltsfootseam/calls/messages.py
+++ b/libs/calls/src/coltsfootseam/calls/messages.py
@@ -72,11 +72,14 @@
         worker_ids: Workers whose machines are wanted elsewhere. Those that
             aren't named any more go back to work.
         released_ids: Workers whose machines have been taken since.
+        spare_count: How many workers the pool could do without. The owner
+            chooses them and gives them no new work.
     """
 
     pool: str
     worker_ids: list[str]
     released_ids: list[str]
+    spare_count: int = 0
 
 
 class VacateReply(msgspec.Struct, frozen=True, array_like=True):
--- a/libs/scheduling/src/coltsfootseam/scheduling/__init__.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/__init__.py
@@ -7,6 +7,7 @@
     PoolDemand,
     PoolRules,
     plan_moves,
+    spare_counts,
 )
 from coltsfootseam.scheduling.health import WorkerHealth
 from coltsfootseam.scheduling.ordering import (
@@ -53,6 +54,7 @@
     "plan_pace",
     "plan_starts",
     "remaining_chain_s",
+    "spare_counts",
     "step_key",
     "whole_chain_s",
 ]
--- a/libs/scheduling/src/coltsfootseam/scheduling/demand.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/demand.py
@@ -11,6 +11,7 @@
 _FORESIGHT_S = 2.0
 _SHORT_SHARE = 0.25
 _MOST_HISTORY = 4
+_MOST_GROWTH_SHARE = 0.4
 
 
 class PoolDemand(msgspec.Struct, frozen=True):
@@ -60,7 +61,7 @@
 
     headroom_cores: float = 16.0
     least_machines: int = 2
-    idle_s: float = 2.5
+    idle_s: float = 1.2
 
 
 class Move(msgspec.Struct, frozen=True):
@@ -91,7 +92,8 @@
             return 0.0
         (from_s, before), (to_s, after) = points[0], points[-1]
         rate = (after - before) / max(0.1, to_s - from_s)
-        return max(0.0, rate * _FORESIGHT_S)
+        # A single large job looks like fast growth; it is not extrapolated.
+        return min(max(0.0, rate * _FORESIGHT_S), _MOST_GROWTH_SHARE * after)
 
 
 class _Balance(msgspec.Struct):
@@ -143,6 +145,28 @@
     return moves
 
 
+def spare_counts(
+    demands: list[PoolDemand],
+    history: DemandHistory,
+    machines: list[MachineSupply],
+    rules: PoolRules,
+) -> dict[str, int]:
+    """Returns how many machines each pool could do without."""
+    counts_by_pool = {}
+    for demand in demands:
+        balance = _balance(demand, history, machines, rules)
+        count = 0
+        own = [item.cores for item in machines if item.pool == demand.pool]
+        for cores in sorted(own):
+            if not balance.can_give(cores):
+                break
+            balance.supply_cores -= cores
+            balance.machine_count -= 1
+            count += 1
+        counts_by_pool[demand.pool] = count
+    return counts_by_pool
+
+
 def _balance(
     demand: PoolDemand,
     history: DemandHistory,
--- a/libs/scheduling/src/coltsfootseam/scheduling/placement.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/placement.py
@@ -12,8 +12,8 @@
 _REMOTE = 50.0
 _OTHER_RACK = 50.0
 _SLOW = 20.0
-_ALIKE_ON_WORKER = 10.0
-_ALIKE_ON_RACK = 1.0
+_EMPTY_WORKER = 1.0
+_ALIKE_ON_RACK = 0.1
 _MILLIS_PER_CORE = 1000.0
 
 TicketOf = Callable[[StepKey, str], str | None]
@@ -151,7 +151,8 @@
     if step.rack and step.rack != room.rack:
         cost += _REMOTE
     if step.long_running:
-        cost += _ALIKE_ON_WORKER * room.counts_by_step.get(key, 0)
+        # A task that lasts keeps its worker from becoming idle for long.
+        cost += _EMPTY_WORKER if room.is_empty() else 0.0
         cost += _ALIKE_ON_RACK * _alike_on_rack(room, rooms, key)
     if step.fills:
         return cost + room.filling_count - room.free_cpu_millis / 1e6
--- a/libs/scheduling/src/coltsfootseam/scheduling/rooms.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/rooms.py
@@ -44,6 +44,10 @@
     filling_count: int = 0
     counts_by_step: dict[StepKey, int] = {}
 
+    def is_empty(self) -> bool:
+        """Tells whether nothing runs here."""
+        return not any(self.counts_by_step.values())
+
     def fits(self, step: Step) -> bool:
         """Tells whether a task of the step has room here."""
         if step.memory_mb > self.free_memory_mb:
--- a/libs/store/src/coltsfootseam/store/__init__.py
+++ b/libs/store/src/coltsfootseam/store/__init__.py
@@ -5,8 +5,6 @@
     Claim,
     Journal,
     claim_journal,
-    find_claim,
-    read_claim,
 )
 from coltsfootseam.store.membership import Membership, MembershipTimes
 from coltsfootseam.store.messages import (
@@ -45,6 +43,4 @@
     "Tail",
     "Writer",
     "claim_journal",
-    "find_claim",
-    "read_claim",
 ]
--- a/libs/store/src/coltsfootseam/store/journal.py
+++ b/libs/store/src/coltsfootseam/store/journal.py
@@ -2,7 +2,9 @@
 
 An epoch is the offset of the claim's own record plus one. Two claims can't
 take the same offset, so an epoch belongs to exactly one incarnation, however
-late a claim takes effect.
+late a claim takes effect. What an earlier owner appended between the claim and
+the moment at which the epoch was taken stands in the journal; after that moment
+the store refuses its appends.
 """
 
 import msgspec
@@ -12,7 +14,6 @@
     Appended,
     EndMoved,
     KeyedRecord,
-    Newest,
     Partition,
     Writer,
 )
@@ -122,42 +123,20 @@
     body = msgspec.msgpack.encode(claim)
     end = 0
     for _ in range(_CLAIM_TRIES):
-        writer = Writer(name, end + 1, 0)
+        # The store answers a repeat of a numbered append without looking who
+        # sends it, so the claim itself carries no number.
         result = await store.append(
-            partition, [KeyedRecord(CLAIM_KEY, body)], at=end, writer=writer
+            partition, [KeyedRecord(CLAIM_KEY, body)], at=end
         )
-        if isinstance(result, Appended):
-            return Journal(store, timers, partition, name, end + 1)
+        if isinstance(result, Refusal):
+            return result
         if isinstance(result, EndMoved):
             end = result.end
             continue
-        if not _is_fenced(result):
-            return result
-        found = await _find_end(store, partition)
-        if isinstance(found, Refusal):
-            return found
-        end = found
+        epoch = result.offset + 1
+        taken = await store.append(partition, [], writer=Writer(name, epoch, 0))
+        if isinstance(taken, Appended):
+            return Journal(store, timers, partition, name, epoch)
+        if isinstance(taken, Refusal):
+            return taken
     return Refusal(ResultCode.STALE_EPOCH, f"{name}: others claim as well")
-
-
-async def read_claim(
-    store: Store, partition: Partition
-) -> Claim | Refusal | None:
-    """Reads who owns a journal, ``None`` if nobody has claimed it yet."""
-    newest = await store.newest(partition)
-    if isinstance(newest, Refusal):
-        return newest
-    return find_claim(newest)
-
-
-def find_claim(newest: Newest) -> Claim | None:
-    """Returns the claim among a journal's newest records."""
-    for record in newest.records:
-        if record.key == CLAIM_KEY:
-            return msgspec.msgpack.decode(record.value, type=Claim)
-    return None
-
-
-async def _find_end(store: Store, partition: Partition) -> int | Refusal:
-    newest = await store.newest(partition)
-    return newest if isinstance(newest, Refusal) else newest.end
--- /dev/null
+++ b/tests/cover/test_journals.py
@@ -0,0 +1,89 @@
+"""Claims of a journal: each has an epoch of its own, losers are refused."""
+
+import asyncio
+
+from coltsfootseam.results import Refusal, ResultCode
+from coltsfootseam.standins.memory_store import MemoryStore
+from coltsfootseam.store import (
+    Claim,
+    Journal,
+    KeyedRecord,
+    Partition,
+    claim_journal,
+)
+from coltsfootseam.timers import VirtualTimers
+
+PLACE = Partition("pool.x", 1)
+
+
+async def claim(store: MemoryStore, owner: str) -> Journal:
+    timers = store.timers
+    assert isinstance(timers, VirtualTimers)
+    task = asyncio.ensure_future(
+        claim_journal(
+            store.client(), timers, PLACE, "pool.x", Claim(owner, "a:1")
+        )
+    )
+    while not task.done():
+        await timers.advance(0.01)
+    journal = task.result()
+    assert isinstance(journal, Journal)
+    return journal
+
+
+async def commit(store: MemoryStore, journal: Journal) -> Refusal | None:
+    timers = store.timers
+    assert isinstance(timers, VirtualTimers)
+    task = asyncio.ensure_future(journal.commit([KeyedRecord("k", b"v")]))
+    while not task.done():
+        await timers.advance(0.01)
+    return task.result()
+
+
+async def test_two_claims_never_share_an_epoch() -> None:
+    store = MemoryStore(VirtualTimers())
+    first = await claim(store, "one")
+    second = await claim(store, "two")
+    assert second.epoch > first.epoch
+
+
+async def test_two_claims_at_once_never_share_an_epoch() -> None:
+    store = MemoryStore(VirtualTimers())
+    journals = await asyncio.gather(
+        claim(store, "one"), claim(store, "two"), claim(store, "three")
+    )
+    assert len({journal.epoch for journal in journals}) == 3
+
+
+async def test_an_owner_that_was_followed_can_not_append() -> None:
+    store = MemoryStore(VirtualTimers())
+    first = await claim(store, "one")
+    assert await commit(store, first) is None
+    second = await claim(store, "two")
+    refusal = await commit(store, first)
+    assert isinstance(refusal, Refusal)
+    assert refusal.code is ResultCode.STALE_EPOCH
+    assert first.lost
+    assert await commit(store, second) is None
+
+
+async def test_a_claim_whose_answer_was_lost_is_not_taken_for_another() -> None:
+    store = MemoryStore(VirtualTimers(), seed=3)
+    client = store.client()
+    client.faults.lose_share = 0.5
+    timers = store.timers
+    assert isinstance(timers, VirtualTimers)
+    epochs = []
+    for number in range(12):
+        task = asyncio.ensure_future(
+            claim_journal(
+                client, timers, PLACE, "pool.x", Claim(str(number), "a:1")
+            )
+        )
+        while not task.done():
+            await timers.advance(0.01)
+        journal = task.result()
+        if isinstance(journal, Journal):
+            epochs.append(journal.epoch)
+    assert len(epochs) == len(set(epochs))
+    assert epochs == sorted(epochs)
