--- /dev/null
+++ b/tests/cover/test_decision_log.py
@@ -0,0 +1,43 @@
+"""Lines of decisions: bounded, and never waiting for a reader."""
+
+import json
+import os
+
+from coltsfootseam.observe import DecisionLog
+from coltsfootseam.timers import VirtualTimers
+
+
+async def test_a_flood_is_bounded_and_what_was_dropped_is_counted() -> None:
+    log = DecisionLog(VirtualTimers(), "host")
+    for number in range(10_000):
+        log.write("flood", number=number)
+    assert log.waiting() <= 2000
+    assert log.dropped == 10_000 - log.waiting()
+
+
+async def test_a_reader_that_does_not_read_blocks_nothing() -> None:
+    timers = VirtualTimers()
+    read_fd, write_fd = os.pipe()
+    log = DecisionLog(timers, "host", write_fd)
+    for _ in range(40):
+        for number in range(300):
+            log.write("line", number=number, text="x" * 200)
+        await timers.advance(1.0)
+    assert log.waiting() <= 2000
+    assert log.dropped > 0
+    os.close(read_fd)
+    await timers.advance(1.0)
+    os.close(write_fd)
+
+
+async def test_lines_arrive_whole_and_in_order() -> None:
+    timers = VirtualTimers()
+    read_fd, write_fd = os.pipe()
+    log = DecisionLog(timers, "host", write_fd)
+    for number in range(50):
+        log.write("line", number=number, job="a")
+    await timers.advance(1.0)
+    lines = os.read(read_fd, 1_000_000).decode().splitlines()
+    assert [json.loads(line)["number"] for line in lines] == list(range(50))
+    os.close(read_fd)
+    os.close(write_fd)
