Keep a machine chosen for maintenance, and bound an earlier owner's leases

Change: an earlier owner's leases are bounded by the time in which it notices that it is cut off and its own lease (7.6 s for 11 s); a machine that is gone or reborn frees its tasks at once; a machine that is being emptied stays chosen and does not count as supply; a single large job is not growth.

--- a/daemons/manager/src/coltsfootseam/manager/machine_rounds.py
+++ b/daemons/manager/src/coltsfootseam/manager/machine_rounds.py
@@ -248,6 +248,7 @@
                     if idle_since_s is None
                     else now_s - idle_since_s,
                     is_due=self._waves.is_due(machine.machine_id),
+                    is_leaving=machine.machine_id in due,
                 )
             )
         return supplies
--- a/daemons/manager/src/coltsfootseam/manager/vacating.py
+++ b/daemons/manager/src/coltsfootseam/manager/vacating.py
@@ -31,9 +31,10 @@
         state.vacating_ids = set(request.worker_ids)
         self._asked_s = state.now_s()
         for worker_id in request.released_ids:
+            # Its machine was taken: all that ran there is over.
+            state.gone_ids.add(worker_id)
             link = state.links_by_id.get(worker_id)
             if link is not None:
-                # Its machine was taken: all that ran there is over.
                 link.is_gone = True
         runs_by_worker = state.active_runs_by_worker()
         state.spare_ids = self._choose_spare(
--- a/daemons/manager/src/coltsfootseam/manager/waves.py
+++ b/daemons/manager/src/coltsfootseam/manager/waves.py
@@ -149,8 +149,14 @@
         view: FleetView,
         free_ids: set[str],
     ) -> list[str]:
+        wanted = self._wanted_by_wave.get(wave.number, [])
         due = [
-            self._due_machine(view, view.machines_by_id[machine_id], free_ids)
+            self._due_machine(
+                view,
+                view.machines_by_id[machine_id],
+                free_ids,
+                machine_id in wanted,
+            )
             for machine_id in wave.machine_ids
             if machine_id not in progress.begun_ids
             and machine_id in view.machines_by_id
@@ -172,7 +178,11 @@
         )
 
     def _due_machine(
-        self, view: FleetView, machine: Machine, free_ids: set[str]
+        self,
+        view: FleetView,
+        machine: Machine,
+        free_ids: set[str],
+        is_wanted: bool,
     ) -> DueMachine:
         reply = view.replies_by_pool.get(machine.pool)
         return DueMachine(
@@ -181,6 +191,7 @@
             is_off=machine.pool == view.standby_pool,
             is_free=machine.machine_id in free_ids,
             is_pressed=reply is not None and reply.waiting_cores > 0,
+            is_wanted=is_wanted,
         )
 
     async def _maintain(
--- a/daemons/manager/src/coltsfootseam/manager/workers_of_pool.py
+++ b/daemons/manager/src/coltsfootseam/manager/workers_of_pool.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
+from coltsfootseam.manager.context import Times
 from coltsfootseam.manager.pool_state import PoolState
 from coltsfootseam.manager.reports import Reports
 from coltsfootseam.workers import (
@@ -10,8 +11,12 @@
     LeaseTimes,
     WorkerEntry,
     WorkerLink,
+    instance_of,
+    longest_run_s,
 )
 
+_ISOLATION_MARGIN_S = 0.8
+
 
 class WorkersOfPool:
     """Opens a link to each worker that appears and closes those that end."""
@@ -56,7 +61,7 @@
             entry,
             self._state.context.ports.workers,
             self._state.context.timers,
-            LeaseTimes(times.lease_s, times.longest_lease_s),
+            LeaseTimes(times.lease_s, earlier_lease_s(times)),
             self._state.journal.epoch,
             times.hold_wait_s,
             self._take_report,
@@ -110,12 +115,38 @@
         )
 
     def _lose_unlinked(self) -> None:
-        """Gives up runs on workers of which nothing is known any more."""
+        """Gives up runs on workers to which there is no link."""
+        is_over = self._earlier_leases_have_ended()
+        unlinked_ids = {
+            run.worker_id
+            for _, run in self._state.active_runs()
+            if run.worker_id not in self._state.links_by_id
+        }
+        for worker_id in sorted(unlinked_ids):
+            if worker_id in self._state.gone_ids or self._is_reborn(worker_id):
+                self._reports.lose_worker(worker_id, "its life has ended")
+            elif is_over:
+                self._reports.lose_worker(worker_id, "its lease has ended")
+
+    def _is_reborn(self, worker_id: str) -> bool:
+        newest = self._state.knowledge.workers_by_instance.get(
+            instance_of(worker_id)
+        )
+        return newest is not None and newest.worker_id != worker_id
+
+    def _earlier_leases_have_ended(self) -> bool:
+        """Tells whether no lease of an earlier owner can still run."""
         claimed_s = self._state.journal.claimed_s
-        longest_s = self._state.context.times.longest_lease_s
-        if self._state.now_s() < claimed_s + longest_s + 1.0:
-            return
-        known = self._state.links_by_id
-        for _, run in self._state.active_runs():
-            if run.worker_id not in known:
-                self._reports.lose_worker(run.worker_id, "it is unknown")
+        wait_s = earlier_lease_s(self._state.context.times)
+        return self._state.now_s() > claimed_s + wait_s
+
+
+def earlier_lease_s(times: Times) -> float:
+    """Returns how long after a claim an earlier owner's leases may last.
+
+    An owner that is cut off notices it within the time of isolation and one
+    round of questions, and gives out no lease from then on.
+    """
+    return (
+        times.isolation_s + _ISOLATION_MARGIN_S + longest_run_s(times.lease_s)
+    )
--- a/libs/scheduling/src/coltsfootseam/scheduling/demand.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/demand.py
@@ -6,12 +6,14 @@
 machine up only after it was idle for about as long as two moves are worth.
 """
 
+import itertools
+
 import msgspec
 
 _FORESIGHT_S = 2.0
 _SHORT_SHARE = 0.25
 _MOST_HISTORY = 4
-_MOST_GROWTH_SHARE = 0.4
+_LEAST_HISTORY = 3
 
 
 class PoolDemand(msgspec.Struct, frozen=True):
@@ -40,6 +42,7 @@
         is_free: Whether it runs nothing and could leave now.
         idle_s: How long it has been running nothing.
         is_due: Whether it waits for maintenance.
+        is_leaving: Whether it is being emptied for maintenance.
     """
 
     machine_id: str
@@ -48,6 +51,7 @@
     is_free: bool
     idle_s: float
     is_due: bool = False
+    is_leaving: bool = False
 
 
 class PoolRules(msgspec.Struct, frozen=True):
@@ -88,12 +92,17 @@
     def growth_cores(self, pool: str) -> float:
         """Returns by how much demand will have grown when a move is over."""
         points = self._points_by_pool.get(pool, [])
-        if len(points) < 2:
+        if len(points) < _LEAST_HISTORY:
             return 0.0
-        (from_s, before), (to_s, after) = points[0], points[-1]
-        rate = (after - before) / max(0.1, to_s - from_s)
-        # A single large job looks like fast growth; it is not extrapolated.
-        return min(max(0.0, rate * _FORESIGHT_S), _MOST_GROWTH_SHARE * after)
+        steps = [
+            after - before
+            for (_, before), (_, after) in itertools.pairwise(points)
+        ]
+        # A single large job looks like fast growth; it is left out.
+        steps.remove(max(steps))
+        span_s = points[-1][0] - points[0][0]
+        rate = sum(steps) / max(0.1, span_s)
+        return max(0.0, rate * _FORESIGHT_S)
 
 
 class _Balance(msgspec.Struct):
@@ -156,7 +165,11 @@
     for demand in demands:
         balance = _balance(demand, history, machines, rules)
         count = 0
-        own = [item.cores for item in machines if item.pool == demand.pool]
+        own = [
+            item.cores
+            for item in machines
+            if item.pool == demand.pool and not item.is_leaving
+        ]
         for cores in sorted(own):
             if not balance.can_give(cores):
                 break
@@ -173,7 +186,11 @@
     machines: list[MachineSupply],
     rules: PoolRules,
 ) -> _Balance:
-    own = [machine for machine in machines if machine.pool == demand.pool]
+    own = [
+        machine
+        for machine in machines
+        if machine.pool == demand.pool and not machine.is_leaving
+    ]
     need_cores = (
         demand.used_cores
         + demand.waiting_cores
--- a/libs/scheduling/src/coltsfootseam/scheduling/upkeep.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/upkeep.py
@@ -15,6 +15,7 @@
         is_off: Whether it is on standby.
         is_free: Whether it runs nothing.
         is_pressed: Whether work waits for room in its pool.
+        is_wanted: Whether it was chosen before and is being emptied.
     """
 
     machine_id: str
@@ -22,6 +23,7 @@
     is_off: bool
     is_free: bool
     is_pressed: bool
+    is_wanted: bool = False
 
 
 class WaveProgress(msgspec.Struct):
@@ -65,7 +67,10 @@
     waiting = [
         machine
         for machine in due
-        if is_urgent or machine.is_off or not machine.is_pressed
+        if is_urgent
+        or machine.is_off
+        or machine.is_wanted
+        or not machine.is_pressed
     ]
     away_by_pool = dict(busy_by_pool)
     chosen: list[str] = []
@@ -79,9 +84,10 @@
 
 def _rank(
     machine: DueMachine, away_by_pool: dict[str, int]
-) -> tuple[bool, bool, bool, int, str]:
+) -> tuple[bool, bool, bool, bool, int, str]:
     return (
         not machine.is_off,
+        not machine.is_wanted,
         not machine.is_free,
         machine.is_pressed,
         away_by_pool.get(machine.pool, 0),
--- a/libs/workers/src/coltsfootseam/workers/__init__.py
+++ b/libs/workers/src/coltsfootseam/workers/__init__.py
@@ -1,7 +1,11 @@
 """Workers: what they say of themselves, leases, and orders to them."""
 
 from coltsfootseam.workers.advice import AdviceCalls, Ruling, Ticket
-from coltsfootseam.workers.lease import LeaseTimes, WorkerLease
+from coltsfootseam.workers.lease import (
+    LeaseTimes,
+    WorkerLease,
+    longest_run_s,
+)
 from coltsfootseam.workers.link import WorkerLink
 from coltsfootseam.workers.machines import (
     Holder,
@@ -21,6 +25,8 @@
     StartOrder,
     StopOrder,
     WorkerEntry,
+    instance_of,
+    name_life,
 )
 from coltsfootseam.workers.port import WorkerCalls
 
@@ -47,4 +53,7 @@
     "WorkerEntry",
     "WorkerLease",
     "WorkerLink",
+    "instance_of",
+    "longest_run_s",
+    "name_life",
 ]
--- a/libs/workers/src/coltsfootseam/workers/lease.py
+++ b/libs/workers/src/coltsfootseam/workers/lease.py
@@ -14,11 +14,11 @@
 
     Attributes:
         lease_s: Length of a lease that is given out.
-        longest_s: Longest lease that a worker accepts.
+        earlier_s: How long leases may still last that an earlier owner gave.
     """
 
     lease_s: float
-    longest_s: float
+    earlier_s: float
 
 
 class WorkerLease:
@@ -40,8 +40,7 @@
         self._times = times
         self._offset_ms: float | None = None
         self._read_s = timers.now_s()
-        # An earlier owner may have given out the longest lease just before.
-        self.safe_after_s = timers.now_s() + _stretched(times.longest_s)
+        self.safe_after_s = timers.now_s() + times.earlier_s
 
     def read_clock(self, clock_ms: int) -> None:
         """Takes a reading of the worker's clock that has just arrived."""
@@ -60,19 +59,16 @@
         if self._offset_ms is None:
             return None
         now_s = self._timers.now_s()
-        end_s = now_s + _stretched(self._times.lease_s) + _READING_ERROR_S
+        end_s = now_s + longest_run_s(self._times.lease_s)
         self.safe_after_s = max(self.safe_after_s, end_s)
         clock_ms = now_s * _MS_PER_S + self._offset_ms
         return round(clock_ms + self._times.lease_s * _MS_PER_S)
 
-    def clear(self) -> None:
-        """Takes note that nothing of an earlier owner runs there."""
-        self.safe_after_s = self._timers.now_s()
-
     def has_ended(self) -> bool:
         """Tells whether all that ran there has been killed for certain."""
         return self._timers.now_s() >= self.safe_after_s
 
 
-def _stretched(length_s: float) -> float:
-    return length_s / (1 - _CLOCK_DRIFT)
+def longest_run_s(lease_s: float) -> float:
+    """Returns how long a lease may last that is given out now."""
+    return lease_s / (1 - _CLOCK_DRIFT) + _READING_ERROR_S
--- a/libs/workers/src/coltsfootseam/workers/messages.py
+++ b/libs/workers/src/coltsfootseam/workers/messages.py
@@ -7,6 +7,16 @@
 from coltsfootseam.jobs import RunEnd, TaskId
 
 
+def name_life(instance_id: str, born_ms: int) -> str:
+    """Names one life of a worker, as it may keep its id over a restart."""
+    return f"{instance_id}@{born_ms}"
+
+
+def instance_of(worker_id: str) -> str:
+    """Returns the worker's own id from the name of one of its lives."""
+    return worker_id.rpartition("@")[0]
+
+
 class WorkerEntry(msgspec.Struct, frozen=True):
     """What a worker says of itself.
 
--- a/tests/cover/test_bad_workers.py
+++ b/tests/cover/test_bad_workers.py
@@ -1,7 +1,7 @@
 """Workers that crash, fall silent, fail everything or obey late."""
 
 from coltsfootseam.jobs import JobState, Step, TaskId
-from tests.common.fleets import running_fleet
+from tests.common.fleets import WORKERS, running_fleet
 
 SMALL = Step(cpu_millis=1000, estimate_ms=500)
 JOB = "a" * 16
@@ -74,3 +74,22 @@
         owner.store.faults.is_silent = True
         fleet.peers.cut_addresses = {owner.address, heir.address}
         await fleet.wait_until(lambda: fleet.started(JOB) == 2, 60.0)
+
+
+async def test_a_dead_worker_under_a_new_owner_frees_its_tasks_in_time() -> (
+    None
+):
+    async with running_fleet(hosts=3, duration_of=lambda task: 30.0) as fleet:
+        await fleet.accept(fleet.hosts[0], JOB, SMALL)
+        await fleet.wait_until(lambda: fleet.started(JOB) == 1)
+        instance_id = next(
+            instance_id
+            for instance_id, worker in (
+                fleet.workers.workers_by_instance.items()
+            )
+            if worker.runs_by_task
+        )
+        fleet.workers.kill(instance_id)
+        fleet.store.put(WORKERS, instance_id, b"")
+        await fleet.owner().kill()
+        await fleet.wait_until(lambda: fleet.started(JOB) == 2, 10.0)
