--- a/daemons/manager/src/coltsfootseam/manager/fleet_owner.py
+++ b/daemons/manager/src/coltsfootseam/manager/fleet_owner.py
@@ -1,7 +1,5 @@
 """Owning the fleet: who orders machines to move and to be maintained."""
 
-import asyncio
-
 from coltsfootseam.manager.context import FLEET_JOURNAL, Context
 from coltsfootseam.manager.duties import Directory
 from coltsfootseam.manager.knowledge import Knowledge
@@ -26,8 +24,6 @@
     async def run(self) -> None:
         """Claims the fleet and plans its machines."""
         journal = await self._claim()
-        # The last holder's orders must be over before this one gives any.
-        await self._context.timers.sleep(self._context.times.machine_lease_s)
         rounds = MachineRounds(
             self._context, self._knowledge, self._directory, journal
         )
@@ -46,5 +42,4 @@
             if isinstance(journal, Journal):
                 self._context.log.write("fleet.claimed", epoch=journal.epoch)
                 return journal
-            await asyncio.sleep(0)
             await self._context.timers.sleep(_RETRY_S)
--- a/daemons/manager/src/coltsfootseam/manager/machine_orders.py
+++ b/daemons/manager/src/coltsfootseam/manager/machine_orders.py
@@ -1,9 +1,15 @@
-"""Orders for machines, and what they mean until the list shows it."""
+"""Orders for machines, and what they mean until the list shows it.
+
+Two owners must not order the same machine within the machine's lease. Before
+an owner orders a machine it notes that in the journal, and takes the note back
+once the lease is over. A new owner leaves the machines alone that are still
+noted, until the lease has passed from its claim on.
+"""
 
 import msgspec
 
 from coltsfootseam.manager.context import Context
-from coltsfootseam.store import Journal
+from coltsfootseam.store import Journal, KeyedRecord, Newest
 from coltsfootseam.workers import (
     Holder,
     Machine,
@@ -12,6 +18,8 @@
 )
 
 _LISTED_MARGIN_S = 1.5
+_NOTE_KEY = "order/"
+_NOTE_MARGIN_S = 0.5
 
 
 class _UnderWay(msgspec.Struct, frozen=True):
@@ -27,7 +35,9 @@
         "_holder",
         "_journal",
         "_moves_by_id",
+        "_noted_until_s_by_id",
         "_released_by_pool",
+        "_reserved_until_s_by_id",
     )
 
     def __init__(self, context: Context, journal: Journal) -> None:
@@ -35,8 +45,58 @@
         self._journal = journal
         self._holder = Holder(context.incarnation, journal.epoch)
         self._moves_by_id: dict[str, _UnderWay] = {}
+        self._noted_until_s_by_id: dict[str, float] = {}
+        self._reserved_until_s_by_id: dict[str, float] = {}
         self._released_by_pool: dict[str, dict[str, float]] = {}
 
+    def restore(self, newest: Newest) -> None:
+        """Reads which machines an earlier owner may just have ordered."""
+        times = self._context.times
+        until_s = self._journal.claimed_s + times.machine_lease_s
+        now_s = self._context.timers.now_s()
+        for record in newest.records:
+            if record.key.startswith(_NOTE_KEY) and record.value:
+                machine_id = record.key.removeprefix(_NOTE_KEY)
+                self._reserved_until_s_by_id[machine_id] = until_s
+                self._noted_until_s_by_id[machine_id] = now_s
+
+    def is_reserved(self, machine_id: str) -> bool:
+        """Tells whether an earlier owner may just have ordered a machine."""
+        until_s = self._reserved_until_s_by_id.get(machine_id)
+        return until_s is not None and self._context.timers.now_s() < until_s
+
+    async def note(self, machine_ids: set[str]) -> bool:
+        """Notes that machines are going to be ordered.
+
+        Returns:
+            Whether the note is stored; without it nothing may be ordered.
+        """
+        now_s = self._context.timers.now_s()
+        over_ids = {
+            machine_id
+            for machine_id, until_s in self._noted_until_s_by_id.items()
+            if until_s < now_s and machine_id not in machine_ids
+        }
+        records = [
+            KeyedRecord(_NOTE_KEY + machine_id, b"1")
+            for machine_id in sorted(machine_ids)
+        ]
+        records += [
+            KeyedRecord(_NOTE_KEY + machine_id)
+            for machine_id in sorted(over_ids)
+        ]
+        if not records:
+            return True
+        if await self._journal.commit(records) is not None:
+            return False
+        lease_s = self._context.times.machine_lease_s + _NOTE_MARGIN_S
+        until_s = self._context.timers.now_s() + lease_s
+        for machine_id in over_ids:
+            del self._noted_until_s_by_id[machine_id]
+        for machine_id in machine_ids:
+            self._noted_until_s_by_id[machine_id] = until_s
+        return True
+
     def note_listed(self, machines_by_id: dict[str, Machine]) -> None:
         """Forgets moves that the list shows as over."""
         now_s = self._context.timers.now_s()
--- a/daemons/manager/src/coltsfootseam/manager/machine_rounds.py
+++ b/daemons/manager/src/coltsfootseam/manager/machine_rounds.py
@@ -66,12 +66,20 @@
 
     async def run(self) -> None:
         """Plays rounds until the journal is lost."""
-        while not await self._waves.load():
+        while not await self._restore():
             await self._context.timers.sleep(_ROUND_S)
         while not self._journal.lost:
             await self.play()
             await self._context.timers.sleep(_ROUND_S)
 
+    async def _restore(self) -> bool:
+        newest = await self._context.ports.store.newest(self._journal.partition)
+        if isinstance(newest, Refusal):
+            return False
+        self._waves.restore(newest)
+        self._orders.restore(newest)
+        return True
+
     async def play(self) -> None:
         """Plays one round."""
         machines = await self._context.ports.machines.list_machines()
@@ -103,6 +111,9 @@
         # The owners close the machines to new work before they are taken.
         await self._ask_pools(set(due) | set(targets_by_id))
         empty_ids = self._free_ids()
+        ordered_ids = (set(due) | set(targets_by_id)) & empty_ids
+        if not await self._orders.note(ordered_ids):
+            return
         await self._waves.maintain(self._view, due, empty_ids)
         for machine_id, pool in targets_by_id.items():
             if machine_id in empty_ids and machine_id not in due:
@@ -243,6 +254,7 @@
                     cores=machine.cpu_millis / _MILLIS_PER_CORE,
                     is_free=is_here
                     and is_idle
+                    and not self._orders.is_reserved(machine.machine_id)
                     and machine.machine_id not in due,
                     idle_s=0.0
                     if idle_since_s is None
--- a/daemons/manager/src/coltsfootseam/manager/waves.py
+++ b/daemons/manager/src/coltsfootseam/manager/waves.py
@@ -13,7 +13,7 @@
     WaveProgress,
     choose_maintenance,
 )
-from coltsfootseam.store import Journal, KeyedRecord
+from coltsfootseam.store import Journal, KeyedRecord, Newest
 from coltsfootseam.workers import Machine, MachineOutcome, MachineState
 
 _WAVE_KEY = "wave/"
@@ -54,11 +54,8 @@
         self._progress_by_wave: dict[int, WaveProgress] = {}
         self._wanted_by_wave: dict[int, list[str]] = {}
 
-    async def load(self) -> bool:
+    def restore(self, newest: Newest) -> None:
         """Reads which machines an earlier owner began to maintain."""
-        newest = await self._context.ports.store.newest(self._journal.partition)
-        if isinstance(newest, Refusal):
-            return False
         now_s = self._context.timers.now_s()
         busy_until_s = now_s + self._context.times.maintenance_s
         for record in newest.records:
@@ -73,7 +70,6 @@
                 busy_until_s_by_id=dict.fromkeys(busy, busy_until_s),
                 is_complete=stored.is_complete,
             )
-        return True
 
     def wanted_ids(self) -> set[str]:
         """Returns the machines that are wanted for maintenance now."""
@@ -161,6 +157,7 @@
             if machine_id not in progress.begun_ids
             and machine_id in view.machines_by_id
             and view.machines_by_id[machine_id].state is MachineState.UP
+            and not self._orders.is_reserved(machine_id)
         ]
         busy_by_pool: dict[str, int] = {}
         for machine_id in progress.busy_until_s_by_id:
--- /dev/null
+++ b/tests/cover/test_machines.py
@@ -0,0 +1,90 @@
+"""Machines: moved by demand, maintained in waves, under changing owners."""
+
+import msgspec
+
+from coltsfootseam.jobs import JobState, Step, Wave
+from coltsfootseam.store import Partition
+from tests.common.fleets import OPERATOR, STATUS, Fleet, running_fleet
+
+JOB = "a" * 16
+LASTING = Step(
+    count=3,
+    cpu_millis=1000,
+    estimate_ms=900,
+    long_running=True,
+    per_worker_limit=1,
+    may_miss=1,
+)
+
+
+def ask_for_wave(fleet: Fleet, *machine_ids: str, limit: int = 1) -> None:
+    wave = Wave(1, machine_ids, 20.0, limit)
+    fleet.store.put(OPERATOR, "wave/1", msgspec.msgpack.encode(wave))
+
+
+def status_of_wave(fleet: Fleet) -> bytes:
+    record = fleet.store.part(STATUS).newest_by_key.get("wave/1")
+    return b"" if record is None else record.value
+
+
+async def test_a_wave_maintains_every_machine_and_says_so() -> None:
+    async with running_fleet(workers=4) as fleet:
+        await fleet.timers.advance(4.0)
+        ask_for_wave(fleet, "m-1", "m-2", "m-3")
+        await fleet.wait_until(lambda: status_of_wave(fleet) == b"completed")
+        maintained = [order.machine_id for order in fleet.machines.orders]
+        assert sorted(maintained) == ["m-1", "m-2", "m-3"]
+
+
+async def test_a_wave_never_takes_more_lasting_tasks_than_allowed() -> None:
+    async with running_fleet(workers=5, duration_of=lambda task: 1e9) as fleet:
+        await fleet.accept(fleet.hosts[0], JOB, LASTING)
+        await fleet.wait_until(lambda: fleet.started(JOB) == 3)
+        ask_for_wave(fleet, "m-1", "m-2", "m-3", limit=3)
+        running: list[int] = []
+
+        def count() -> bool:
+            running.append(
+                sum(
+                    len(worker.runs_by_task)
+                    for worker in fleet.workers.workers_by_instance.values()
+                )
+            )
+            return status_of_wave(fleet) == b"completed"
+
+        await fleet.wait_until(count, 60.0)
+        assert min(running) >= 2
+        await fleet.wait_for_state(JOB, JobState.RUNNING)
+
+
+async def test_a_new_owner_leaves_just_ordered_machines_alone() -> None:
+    async with running_fleet(hosts=3, workers=6) as fleet:
+        await fleet.timers.advance(4.0)
+        ask_for_wave(fleet, "m-1", "m-2", "m-3", "m-4", "m-5")
+        await fleet.wait_until(lambda: len(fleet.machines.orders) >= 2)
+        first = fleet.machines.orders[-1].holder.name
+        owner = next(
+            host for host in fleet.hosts if first.startswith(f"{host.host_id}-")
+        )
+        await owner.kill()
+        await fleet.wait_until(lambda: status_of_wave(fleet) == b"completed")
+        orders = fleet.machines.orders
+        tokens = {order.holder.token for order in orders}
+        assert len(tokens) >= 2
+        for earlier in orders:
+            for later in orders:
+                is_other = earlier.holder != later.holder
+                if earlier.machine_id == later.machine_id and is_other:
+                    gap_s = abs(later.at_s - earlier.at_s)
+                    assert gap_s >= fleet.times.machine_lease_s
+
+
+async def test_notes_of_orders_do_not_pile_up() -> None:
+    async with running_fleet(workers=4) as fleet:
+        await fleet.timers.advance(4.0)
+        ask_for_wave(fleet, "m-1", "m-2")
+        await fleet.wait_until(lambda: status_of_wave(fleet) == b"completed")
+        await fleet.timers.advance(5.0)
+        journal = fleet.store.part(Partition("fleet", 1))
+        notes = [k for k in journal.newest_by_key if k.startswith("order/")]
+        assert notes == []
