Let an owner keep its duties when the group deals anew

Change: the dealt host takes a duty over only if no live member says that it holds it; owners are found by asking. A host that holds more than its share for ten seconds gives a duty to the host it is dealt to.

--- a/daemons/manager/src/coltsfootseam/manager/duties.py
+++ b/daemons/manager/src/coltsfootseam/manager/duties.py
@@ -56,6 +56,10 @@
         duties = all_duties(configuration)
         self._slots_by_duty = slots_by_duty(duties, self._slots)
 
+    def all_duties(self) -> list[str]:
+        """Returns every duty."""
+        return list(self._slots_by_duty)
+
     def own_duties(self) -> set[str]:
         """Returns the duties that were dealt to this host."""
         deal = self._membership.deal
--- a/daemons/manager/src/coltsfootseam/manager/duty_keeper.py
+++ b/daemons/manager/src/coltsfootseam/manager/duty_keeper.py
@@ -3,17 +3,28 @@
 import asyncio
 from typing import Protocol
 
-from coltsfootseam.calls import ASK_REACH, ReachQuestion, ReachReply
+from coltsfootseam.calls import (
+    ASK_OWNER,
+    ASK_REACH,
+    OwnerQuestion,
+    OwnerReply,
+    ReachQuestion,
+    ReachReply,
+)
 from coltsfootseam.manager.context import Context
 from coltsfootseam.manager.duties import Directory, pool_of_duty
 from coltsfootseam.manager.fleet_owner import FleetOwner
 from coltsfootseam.manager.knowledge import Knowledge
+from coltsfootseam.manager.locator import Locator
 from coltsfootseam.manager.pool_owner import PoolOwner
 from coltsfootseam.store import Membership
 
 _CHECK_S = 0.2
 _ASK_TIMEOUT_S = 0.4
-_RETRY_S = 0.2
+_OWNER_TIMEOUT_S = 0.25
+_HELD_PAUSE_S = 0.5
+_KEEP_S = 10.0
+_SILENT_S = 1.0
 
 
 class Duty(Protocol):
@@ -26,16 +37,25 @@
 class DutyKeeper:
     """Runs the duties of this host.
 
-    A duty that was lost to another host is begun again only if it is still
-    dealt to this one. A host that alone is cut off from the store gives its
-    duties up, so that the leases it gave out come to an end.
+    The group tells who takes a duty over that nobody holds. A host that holds
+    one keeps it when the group deals anew, as every change of an owner costs
+    those who wait; it gives one up if it holds more than its share. A host
+    that alone is cut off from the store gives all duties up, so that the
+    leases it gave out come to an end.
+
+    Attributes:
+        owners_by_pool: Owners of pools that run here.
+        is_stopping: Whether no duty is begun any more.
     """
 
     __slots__ = (
+        "_begun_s_by_duty",
         "_context",
         "_directory",
         "_knowledge",
+        "_locator",
         "_membership",
+        "_takeovers_by_duty",
         "_tasks_by_duty",
         "is_stopping",
         "owners_by_pool",
@@ -47,12 +67,16 @@
         knowledge: Knowledge,
         membership: Membership,
         directory: Directory,
+        locator: Locator,
     ) -> None:
         self._context = context
         self._knowledge = knowledge
         self._membership = membership
         self._directory = directory
+        self._locator = locator
         self._tasks_by_duty: dict[str, asyncio.Task[None]] = {}
+        self._takeovers_by_duty: dict[str, asyncio.Task[None]] = {}
+        self._begun_s_by_duty: dict[str, float] = {}
         self.owners_by_pool: dict[str, PoolOwner] = {}
         self.is_stopping = False
 
@@ -64,27 +88,79 @@
             await self._context.timers.sleep(_CHECK_S)
 
     def follow_deal(self) -> None:
-        """Begins duties that were dealt and ends those that were not."""
-        wanted = set() if self.is_stopping else self._directory.own_duties()
-        for duty in set(self._tasks_by_duty) - wanted:
-            self._end(duty)
-        for duty in sorted(wanted - set(self._tasks_by_duty)):
-            self._begin(duty)
+        """Takes over what was dealt and held by nobody."""
+        if self.is_stopping or self._membership.deal is None:
+            self._end_everything()
+            return
+        dealt = self._directory.own_duties()
+        for duty in set(self._takeovers_by_duty) - dealt:
+            self._takeovers_by_duty.pop(duty).cancel()
+        wanted = dealt - set(self._tasks_by_duty)
+        for duty in sorted(wanted - set(self._takeovers_by_duty)):
+            self._takeovers_by_duty[duty] = asyncio.ensure_future(
+                self._take_over(duty)
+            )
 
     def end_all(self) -> None:
         """Ends every duty and begins none any more."""
         self.is_stopping = True
-        self.follow_deal()
+        self._end_everything()
+
+    def answer_owner(self, question: OwnerQuestion) -> OwnerReply:
+        """Tells whether this host owns a duty, and whether it keeps it."""
+        duty = question.duty
+        if duty not in self._tasks_by_duty or self._is_silent_member():
+            return OwnerReply(is_owner=False)
+        if question.is_dealt and self._has_too_many(duty):
+            self._end(duty)
+            return OwnerReply(is_owner=False)
+        return OwnerReply(is_owner=True)
+
+    def _is_silent_member(self) -> bool:
+        """Tells whether the group may take this host for lost by now."""
+        silence_s = self._context.timers.now_s() - self._membership.joined_s
+        return silence_s > _SILENT_S
+
+    def _has_too_many(self, duty: str) -> bool:
+        hosts = len(self._directory.peer_addresses()) + 1
+        share = -(-len(self._directory.all_duties()) // hosts)
+        age_s = self._context.timers.now_s() - self._begun_s_by_duty[duty]
+        return len(self._tasks_by_duty) > share and age_s > _KEEP_S
+
+    async def _take_over(self, duty: str) -> None:
+        """Begins a duty once nobody else holds it."""
+        while True:
+            await self._membership.read_holdings()
+            addresses = self._directory.peer_addresses()
+            replies = await asyncio.gather(
+                *(self._ask_owner(address, duty) for address in addresses)
+            )
+            if not any(replies):
+                break
+            await self._context.timers.sleep(_HELD_PAUSE_S)
+        self._takeovers_by_duty.pop(duty, None)
+        if duty not in self._tasks_by_duty and not self.is_stopping:
+            self._begin(duty)
+
+    async def _ask_owner(self, address: str, duty: str) -> bool:
+        reply = await self._context.peers.call(
+            address,
+            ASK_OWNER,
+            OwnerQuestion(duty, is_dealt=True),
+            _OWNER_TIMEOUT_S,
+        )
+        return isinstance(reply, OwnerReply) and reply.is_owner
 
     def _begin(self, duty: str) -> None:
         pool = pool_of_duty(duty)
         owner: Duty
         if pool is None:
-            owner = FleetOwner(self._context, self._knowledge, self._directory)
+            owner = FleetOwner(self._context, self._knowledge, self._locator)
         else:
             owner = PoolOwner(pool, self._context, self._knowledge)
             self.owners_by_pool[pool] = owner
         self._context.log.write("duty.begun", duty=duty)
+        self._begun_s_by_duty[duty] = self._context.timers.now_s()
         self._tasks_by_duty[duty] = asyncio.ensure_future(
             self._run_duty(duty, owner)
         )
@@ -98,17 +174,28 @@
             self._context.counters.increment("duty.failed")
             raise
         finally:
-            await self._context.timers.sleep(_RETRY_S)
             if self._tasks_by_duty.get(duty) is asyncio.current_task():
-                del self._tasks_by_duty[duty]
+                self._forget(duty)
 
     def _end(self, duty: str) -> None:
-        task = self._tasks_by_duty.pop(duty)
+        task = self._tasks_by_duty[duty]
+        self._forget(duty)
         task.cancel()
+        self._context.log.write("duty.ended", duty=duty)
+
+    def _forget(self, duty: str) -> None:
+        del self._tasks_by_duty[duty]
+        self._begun_s_by_duty.pop(duty, None)
         pool = pool_of_duty(duty)
         if pool is not None:
             self.owners_by_pool.pop(pool, None)
-        self._context.log.write("duty.ended", duty=duty)
+
+    def _end_everything(self) -> None:
+        for takeover in self._takeovers_by_duty.values():
+            takeover.cancel()
+        self._takeovers_by_duty.clear()
+        for duty in list(self._tasks_by_duty):
+            self._end(duty)
 
     async def _check_isolation(self) -> None:
         membership = self._membership
--- a/daemons/manager/src/coltsfootseam/manager/job_service.py
+++ b/daemons/manager/src/coltsfootseam/manager/job_service.py
@@ -27,6 +27,7 @@
 from coltsfootseam.manager.context import Context, inbox_of, journal_of
 from coltsfootseam.manager.duties import Directory, pool_duty
 from coltsfootseam.manager.knowledge import Knowledge
+from coltsfootseam.manager.locator import Locator
 from coltsfootseam.results import OK, Refusal, ResultCode
 from coltsfootseam.store import Appended, KeyedRecord
 
@@ -54,15 +55,21 @@
         "_directory",
         "_final_by_id",
         "_knowledge",
+        "_locator",
         "_pending_by_queue",
     )
 
     def __init__(
-        self, context: Context, knowledge: Knowledge, directory: Directory
+        self,
+        context: Context,
+        knowledge: Knowledge,
+        directory: Directory,
+        locator: Locator,
     ) -> None:
         self._context = context
         self._knowledge = knowledge
         self._directory = directory
+        self._locator = locator
         self._accepted_s_by_id: dict[str, float] = {}
         self._final_by_id: dict[str, JobState] = {}
         self._pending_by_queue: dict[str, _Pending] = {}
@@ -178,8 +185,12 @@
         now_s = self._context.timers.now_s()
         if known is not None and now_s - known.read_s < _PENDING_AGE_S:
             return known.count
-        reply = await self._call_owner(
-            queue.pool, ASK_PENDING, PendingQuestion(queue.pool, queue.name)
+        reply = await self._locator.call(
+            pool_duty(queue.pool),
+            ASK_PENDING,
+            PendingQuestion(queue.pool, queue.name),
+            _ASK_TIMEOUT_S,
+            lambda answer: answer.count is not None,
         )
         if isinstance(reply, PendingReply) and reply.count is not None:
             self._pending_by_queue[queue.name] = _Pending(reply.count, now_s)
@@ -269,11 +280,14 @@
         self, pool: str, job_id: str
     ) -> JobState | Refusal | None:
         """Asks one pool's owner; ``None`` if it can't tell."""
-        question = JobQuestion(pool, job_id)
-        reply = await self._call_owner(pool, ASK_JOB, question)
-        if not isinstance(reply, JobReply) or not reply.is_owner:
-            reply = await self._search_owner(question)
-        if reply is None:
+        reply = await self._locator.call(
+            pool_duty(pool),
+            ASK_JOB,
+            JobQuestion(pool, job_id),
+            _ASK_TIMEOUT_S,
+            lambda answer: answer.is_owner,
+        )
+        if not isinstance(reply, JobReply):
             return None
         if reply.state is not None:
             return reply.state
@@ -283,39 +297,6 @@
             return None
         return Refusal(ResultCode.JOB_UNKNOWN, f"no job {job_id}")
 
-    async def _call_owner(
-        self, pool: str, method: object, question: object
-    ) -> object:
-        address = self._directory.address_of(pool_duty(pool))
-        if address is None:
-            self._directory.look_again()
-            return None
-        reply = await self._context.peers.call(
-            address,
-            method,  # type: ignore[arg-type]
-            question,
-            _ASK_TIMEOUT_S,
-        )
-        is_wrong = isinstance(reply, JobReply) and not reply.is_owner
-        if isinstance(reply, Refusal) or is_wrong:
-            self._directory.look_again()
-        return reply
-
-    async def _search_owner(self, question: JobQuestion) -> JobReply | None:
-        """Asks every peer, as this host's list of owners may be old."""
-        replies = await asyncio.gather(
-            *(
-                self._context.peers.call(
-                    address, ASK_JOB, question, _ASK_TIMEOUT_S
-                )
-                for address in self._directory.peer_addresses()
-            )
-        )
-        for reply in replies:
-            if isinstance(reply, JobReply) and reply.is_owner:
-                return reply
-        return None
-
     async def _read_state(
         self, queue: Queue, job_id: str
     ) -> JobState | Refusal | None:
--- /dev/null
+++ b/daemons/manager/src/coltsfootseam/manager/locator.py
@@ -0,0 +1,91 @@
+"""Finding and calling the host that holds a duty.
+
+An owner keeps its duties when the group deals them anew, so what was dealt is
+only a first guess. Who really owns is remembered, and asked for when the host
+that is remembered doesn't answer as an owner.
+"""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from coltsfootseam.calls import ASK_OWNER, Method, OwnerQuestion, OwnerReply
+from coltsfootseam.manager.context import Context
+from coltsfootseam.manager.duties import Directory
+from coltsfootseam.results import Refusal, ResultCode
+
+_ASK_TIMEOUT_S = 0.3
+
+
+class Locator:
+    """Calls the owners of duties."""
+
+    __slots__ = ("_address_by_duty", "_context", "_directory")
+
+    def __init__(self, context: Context, directory: Directory) -> None:
+        self._context = context
+        self._directory = directory
+        self._address_by_duty: dict[str, str] = {}
+
+    async def call(
+        self,
+        duty: str,
+        method: Method,
+        request: Any,
+        timeout_s: float,
+        is_from_owner: Callable[[Any], bool],
+    ) -> Any:
+        """Calls the owner of a duty, looking for it if need be.
+
+        Args:
+            duty: The duty.
+            method: What to call.
+            request: The request.
+            timeout_s: Time limit of each call.
+            is_from_owner: Tells whether a reply comes from the owner.
+
+        Returns:
+            The owner's reply, or a refusal with ``UNREACHABLE``.
+        """
+        address = self._address_by_duty.get(duty)
+        if address is None:
+            address = self._directory.address_of(duty)
+        if address is not None:
+            reply = await self._context.peers.call(
+                address, method, request, timeout_s
+            )
+            if not isinstance(reply, Refusal) and is_from_owner(reply):
+                self._address_by_duty[duty] = address
+                return reply
+        self._address_by_duty.pop(duty, None)
+        self._directory.look_again()
+        found = await self.find(duty)
+        if found is None or found == address:
+            return Refusal(ResultCode.UNREACHABLE, f"{duty}: no owner answers")
+        reply = await self._context.peers.call(
+            found, method, request, timeout_s
+        )
+        if isinstance(reply, Refusal) or not is_from_owner(reply):
+            return Refusal(ResultCode.UNREACHABLE, f"{duty}: no owner answers")
+        self._address_by_duty[duty] = found
+        return reply
+
+    async def find(self, duty: str) -> str | None:
+        """Asks all hosts which of them owns a duty."""
+        addresses = [
+            self._context.address,
+            *self._directory.peer_addresses(),
+        ]
+        replies = await asyncio.gather(
+            *(self._ask(address, duty) for address in addresses)
+        )
+        for address, reply in zip(addresses, replies, strict=True):
+            if reply is not None and reply.is_owner:
+                return address
+        return None
+
+    async def _ask(self, address: str, duty: str) -> OwnerReply | None:
+        reply = await self._context.peers.call(
+            address, ASK_OWNER, OwnerQuestion(duty), _ASK_TIMEOUT_S
+        )
+        return reply if isinstance(reply, OwnerReply) else None
--- a/daemons/manager/src/coltsfootseam/manager/machine_rounds.py
+++ b/daemons/manager/src/coltsfootseam/manager/machine_rounds.py
@@ -4,9 +4,10 @@
 
 from coltsfootseam.calls import VACATE, VacateReply, VacateRequest
 from coltsfootseam.manager.context import Context
-from coltsfootseam.manager.duties import Directory, pool_duty
+from coltsfootseam.manager.duties import pool_duty
 from coltsfootseam.manager.fleet_view import FleetView
 from coltsfootseam.manager.knowledge import Knowledge
+from coltsfootseam.manager.locator import Locator
 from coltsfootseam.manager.machine_orders import MachineOrders
 from coltsfootseam.manager.waves import Waves
 from coltsfootseam.results import Refusal
@@ -31,11 +32,11 @@
 
     __slots__ = (
         "_context",
-        "_directory",
         "_history",
         "_idle_since_s_by_id",
         "_journal",
         "_knowledge",
+        "_locator",
         "_orders",
         "_rules",
         "_spare_by_pool",
@@ -48,12 +49,12 @@
         self,
         context: Context,
         knowledge: Knowledge,
-        directory: Directory,
+        locator: Locator,
         journal: Journal,
     ) -> None:
         self._context = context
         self._knowledge = knowledge
-        self._directory = directory
+        self._locator = locator
         self._journal = journal
         self._orders = MachineOrders(context, journal)
         self._waves = Waves(context, knowledge, journal, self._orders)
@@ -153,9 +154,6 @@
         }
 
     async def _ask_pool(self, pool: str) -> VacateReply | None:
-        address = self._directory.address_of(pool_duty(pool))
-        if address is None:
-            return None
         machines = self._view.machines_by_id
         worker_ids = [
             worker_id
@@ -170,13 +168,14 @@
             self._orders.released_ids(pool),
             self._spare_by_pool.get(pool, 0),
         )
-        reply = await self._context.peers.call(
-            address, VACATE, request, _ASK_TIMEOUT_S
+        reply = await self._locator.call(
+            pool_duty(pool),
+            VACATE,
+            request,
+            _ASK_TIMEOUT_S,
+            lambda answer: answer.is_owner,
         )
-        if isinstance(reply, VacateReply) and reply.is_owner:
-            return reply
-        self._directory.look_again()
-        return None
+        return reply if isinstance(reply, VacateReply) else None
 
     def _free_ids(self) -> set[str]:
         """Returns machines that are off, or run nothing and are closed."""
--- a/daemons/manager/src/coltsfootseam/manager/manager.py
+++ b/daemons/manager/src/coltsfootseam/manager/manager.py
@@ -13,6 +13,7 @@
 from coltsfootseam.manager.duty_keeper import DutyKeeper
 from coltsfootseam.manager.job_service import JobService
 from coltsfootseam.manager.knowledge import Knowledge
+from coltsfootseam.manager.locator import Locator
 from coltsfootseam.manager.peer_calls import PeerCalls
 from coltsfootseam.store import Membership, MembershipTimes
 
@@ -74,8 +75,9 @@
         times,
     )
     directory = Directory(membership, context.duty_slots)
-    duties = DutyKeeper(context, knowledge, membership, directory)
-    jobs = JobService(context, knowledge, directory)
+    locator = Locator(context, directory)
+    duties = DutyKeeper(context, knowledge, membership, directory, locator)
+    jobs = JobService(context, knowledge, directory, locator)
     manager = Manager(context, knowledge, membership, duties, jobs)
 
     def on_configuration() -> None:
--- a/daemons/manager/src/coltsfootseam/manager/peer_calls.py
+++ b/daemons/manager/src/coltsfootseam/manager/peer_calls.py
@@ -2,6 +2,7 @@
 
 from coltsfootseam.calls import (
     ASK_JOB,
+    ASK_OWNER,
     ASK_PENDING,
     ASK_REACH,
     RELAY,
@@ -10,6 +11,8 @@
     JobQuestion,
     JobReply,
     Method,
+    OwnerQuestion,
+    OwnerReply,
     PendingQuestion,
     PendingReply,
     ReachQuestion,
@@ -45,6 +48,7 @@
         """Returns the handler of each method."""
         return {
             ASK_JOB: self.ask_job,
+            ASK_OWNER: self.ask_owner,
             ASK_PENDING: self.ask_pending,
             ASK_REACH: self.ask_reach,
             RELAY: self.relay,
@@ -64,6 +68,10 @@
             state=None if job is None else job.stored_state,
         )
 
+    async def ask_owner(self, question: OwnerQuestion) -> OwnerReply:
+        """Tells whether this host owns a duty."""
+        return self._duties.answer_owner(question)
+
     async def ask_pending(self, question: PendingQuestion) -> PendingReply:
         """Counts the jobs of a queue that haven't begun."""
         owner = self._owner(question.pool)
--- a/libs/calls/src/coltsfootseam/calls/__init__.py
+++ b/libs/calls/src/coltsfootseam/calls/__init__.py
@@ -4,6 +4,8 @@
 from coltsfootseam.calls.messages import (
     JobQuestion,
     JobReply,
+    OwnerQuestion,
+    OwnerReply,
     PendingQuestion,
     PendingReply,
     ReachQuestion,
@@ -15,6 +17,7 @@
 )
 from coltsfootseam.calls.service import (
     ASK_JOB,
+    ASK_OWNER,
     ASK_PENDING,
     ASK_REACH,
     RELAY,
@@ -26,6 +29,7 @@
 
 __all__ = [
     "ASK_JOB",
+    "ASK_OWNER",
     "ASK_PENDING",
     "ASK_REACH",
     "RELAY",
@@ -35,6 +39,8 @@
     "JobQuestion",
     "JobReply",
     "Method",
+    "OwnerQuestion",
+    "OwnerReply",
     "PendingQuestion",
     "PendingReply",
     "ReachQuestion",
--- a/libs/calls/src/coltsfootseam/calls/messages.py
+++ b/libs/calls/src/coltsfootseam/calls/messages.py
@@ -54,6 +54,24 @@
     is_unknown: bool = False
 
 
+class OwnerQuestion(msgspec.Struct, frozen=True, array_like=True):
+    """Asks whether a peer owns a duty.
+
+    Attributes:
+        duty: The duty.
+        is_dealt: Whether the group has dealt it to the host that asks.
+    """
+
+    duty: str
+    is_dealt: bool = False
+
+
+class OwnerReply(msgspec.Struct, frozen=True, array_like=True):
+    """Tells whether the callee owns the duty and keeps it."""
+
+    is_owner: bool
+
+
 class ReachQuestion(msgspec.Struct, frozen=True, array_like=True):
     """Asks whether a peer reaches the store."""
 
--- a/libs/calls/src/coltsfootseam/calls/service.py
+++ b/libs/calls/src/coltsfootseam/calls/service.py
@@ -10,6 +10,8 @@
 from coltsfootseam.calls.messages import (
     JobQuestion,
     JobReply,
+    OwnerQuestion,
+    OwnerReply,
     PendingQuestion,
     PendingReply,
     ReachQuestion,
@@ -42,6 +44,7 @@
 ASK_JOB = Method("AskJob", JobQuestion, JobReply)
 ASK_PENDING = Method("AskPending", PendingQuestion, PendingReply)
 RELAY = Method("Relay", RelayRequest, RelayReply)
+ASK_OWNER = Method("AskOwner", OwnerQuestion, OwnerReply)
 ASK_REACH = Method("AskReach", ReachQuestion, ReachReply)
 VACATE = Method("Vacate", VacateRequest, VacateReply)
 
