--- a/daemons/manager/src/coltsfootseam/manager/reports.py
+++ b/daemons/manager/src/coltsfootseam/manager/reports.py
@@ -111,5 +111,8 @@
             worker=run.worker_id,
             end=end.name,
             failures=task.failures,
+            lasted_ms=round((state.now_s() - run.ordered_s) * _MS_PER_S),
+            estimate_ms=task.step.estimate_ms,
+            load=run.load,
             why=run.reason or why,
         )
