--- a/daemons/manager/src/coltsfootseam/manager/context.py
+++ b/daemons/manager/src/coltsfootseam/manager/context.py
@@ -74,7 +74,7 @@
             host reports that it is not ready.
     """
 
-    lease_s: float = 5.0
+    lease_s: float = 4.0
     longest_lease_s: float = 10.0
     hold_wait_s: float = 1.0
     isolation_s: float = 1.5
