Take tasks off workers on which they make no progress

Ruled out: the processor in use, which workers report as usual while tasks hang; the progress stands at 0.

Change: progress against the estimate is judged worker by worker; a worker on which all tasks crawl, or one made no progress in 1.2 s, is set aside and its tasks move.

--- a/daemons/manager/src/coltsfootseam/manager/pool_owner.py
+++ b/daemons/manager/src/coltsfootseam/manager/pool_owner.py
@@ -25,7 +25,7 @@
 from coltsfootseam.manager.vacating import Vacating
 from coltsfootseam.manager.workers_of_pool import WorkersOfPool
 from coltsfootseam.results import Refusal
-from coltsfootseam.scheduling import WorkerHealth
+from coltsfootseam.scheduling import WorkerHealth, find_stalled
 from coltsfootseam.store import (
     CLAIM_KEY,
     Claim,
@@ -272,6 +272,7 @@
         state = self._state
         self._workers.follow_entries()
         self._vacating.plan()
+        self._stop_stalled()
         new_runs = self._planner.plan_runs()
         self._vacating.shortages = self._planner.plan.shortages
         self._orders.send_stops()
@@ -292,6 +293,21 @@
         self._take_stored(stored, ends_by_id)
         self._start(new_runs)
 
+    def _stop_stalled(self) -> None:
+        """Takes tasks off workers on which they stand still or crawl."""
+        state = self._state
+        ratio = state.health.estimate_ratio()
+        for worker_id, pairs in state.active_runs_by_worker().items():
+            stalled = find_stalled(pairs, ratio)
+            if not stalled:
+                continue
+            state.health.take_stall(worker_id, state.now_s())
+            state.context.log.write(
+                "worker.stalled", worker=worker_id, runs=len(stalled)
+            )
+            for task, run in stalled:
+                state.book.stop_run(task, run, "it made no progress")
+
     def _take_stored(
         self, stored: dict[str, JobState], ends_by_id: dict[str, int]
     ) -> None:
--- a/daemons/manager/src/coltsfootseam/manager/reports.py
+++ b/daemons/manager/src/coltsfootseam/manager/reports.py
@@ -73,6 +73,7 @@
         run.saved = row.saved or run.saved
         run.load = row.load
         run.progress = row.progress
+        run.progress_s = self._state.now_s()
 
     def _find_lost_runs(
         self,
--- a/libs/jobs/src/coltsfootseam/jobs/entities.py
+++ b/libs/jobs/src/coltsfootseam/jobs/entities.py
@@ -26,6 +26,7 @@
         saved: Newest progress that its worker reported.
         progress: Percent that the worker reports; a task that lasts is at
             work at 100.
+        progress_s: When that was reported, monotonic, or ``None``.
         pace: Percent of its speed that it was last told to work at, ``None``
             if an earlier owner may have told it another.
         load: Tail in ms for a task that serves, else processor in use.
@@ -41,6 +42,7 @@
     checkpoint: str = ""
     saved: str = ""
     progress: int = 0
+    progress_s: float | None = None
     pace: int | None = 100
     load: int = 0
     reason: str = ""
--- a/libs/scheduling/src/coltsfootseam/scheduling/__init__.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/__init__.py
@@ -25,6 +25,7 @@
     plan_starts,
 )
 from coltsfootseam.scheduling.rooms import Room, StepKey, step_key
+from coltsfootseam.scheduling.stalls import find_stalled
 from coltsfootseam.scheduling.upkeep import (
     DueMachine,
     WaveProgress,
@@ -48,6 +49,7 @@
     "WaveProgress",
     "WorkerHealth",
     "choose_maintenance",
+    "find_stalled",
     "job_order",
     "job_order_named",
     "plan_moves",
--- a/libs/scheduling/src/coltsfootseam/scheduling/health.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/health.py
@@ -57,6 +57,11 @@
         """Takes note that a worker refused an order as unhealthy."""
         self._set_aside(self._record(worker_id), now_s)
 
+    def take_stall(self, worker_id: str, now_s: float) -> None:
+        """Takes note that tasks stand still or crawl on a worker."""
+        if not self.is_aside(worker_id, now_s):
+            self._set_aside(self._record(worker_id), now_s)
+
     def take_duration(self, worker_id: str, ratio: float) -> None:
         """Takes note of a run time against its estimate."""
         record = self._record(worker_id)
--- /dev/null
+++ b/libs/scheduling/src/coltsfootseam/scheduling/stalls.py
@@ -0,0 +1,71 @@
+"""Finding workers on which tasks stand still or crawl, by their progress.
+
+A single task that is slow may be larger than its estimate. A worker on which
+all tasks are slow, or one that made no progress at all, is the worker's doing.
+"""
+
+import statistics
+
+from coltsfootseam.jobs import Run, RunPhase, Task
+
+_MS_PER_S = 1000
+_FULL_PERCENT = 100
+_LEAST_AGE_S = 0.8
+_LEAST_AGE_SHARE = 0.6
+_STILL_AGE_S = 1.2
+_SLOW_SPEED = 0.25
+_LEAST_TASKS = 2
+_KEEP_FROM_PERCENT = 70
+
+
+def find_stalled(
+    pairs: list[tuple[Task, Run]], estimate_ratio: float
+) -> list[tuple[Task, Run]]:
+    """Returns the runs of a worker that had better go elsewhere.
+
+    Args:
+        pairs: All runs on the worker.
+        estimate_ratio: The pool's run times against their estimates.
+    """
+    judged = [pair for pair in pairs if _can_be_judged(*pair)]
+    if not judged:
+        return []
+    speeds = [_speed(task, run) * estimate_ratio for task, run in judged]
+    is_worker_slow = (
+        len(judged) >= _LEAST_TASKS and statistics.median(speeds) < _SLOW_SPEED
+    )
+    return [
+        (task, run)
+        for task, run in judged
+        if (is_worker_slow and run.progress < _KEEP_FROM_PERCENT)
+        or _stands_still(run)
+    ]
+
+
+def _can_be_judged(task: Task, run: Run) -> bool:
+    step = task.step
+    if step.long_running or step.gang or step.fills or not step.estimate_ms:
+        return False
+    if run.phase is not RunPhase.RUNNING or run.running_s is None:
+        return False
+    if run.progress_s is None:
+        return False
+    estimate_s = step.estimate_ms / _MS_PER_S
+    least_s = max(_LEAST_AGE_S, _LEAST_AGE_SHARE * estimate_s)
+    return run.progress_s - run.running_s >= least_s
+
+
+def _speed(task: Task, run: Run) -> float:
+    """Returns the progress made against what the estimate says."""
+    assert run.running_s is not None
+    assert run.progress_s is not None
+    age_s = run.progress_s - run.running_s
+    expected = age_s / (task.step.estimate_ms / _MS_PER_S)
+    return run.progress / _FULL_PERCENT / expected
+
+
+def _stands_still(run: Run) -> bool:
+    assert run.running_s is not None
+    assert run.progress_s is not None
+    age_s = run.progress_s - run.running_s
+    return run.progress == 0 and age_s >= _STILL_AGE_S
