Refuse jobs at once while the store answers nobody; test each kind of step

Change: a host whose store is silent for the time of the group's limit asks its peers and then refuses at once.

--- a/daemons/manager/src/coltsfootseam/manager/duty_keeper.py
+++ b/daemons/manager/src/coltsfootseam/manager/duty_keeper.py
@@ -24,7 +24,6 @@
 _OWNER_TIMEOUT_S = 0.25
 _HELD_PAUSE_S = 0.5
 _KEEP_S = 10.0
-_SILENT_S = 1.0
 
 
 class Duty(Protocol):
@@ -109,18 +108,13 @@
     def answer_owner(self, question: OwnerQuestion) -> OwnerReply:
         """Tells whether this host owns a duty, and whether it keeps it."""
         duty = question.duty
-        if duty not in self._tasks_by_duty or self._is_silent_member():
+        if duty not in self._tasks_by_duty or self._membership.is_silent():
             return OwnerReply(is_owner=False)
         if question.is_dealt and self._has_too_many(duty):
             self._end(duty)
             return OwnerReply(is_owner=False)
         return OwnerReply(is_owner=True)
 
-    def _is_silent_member(self) -> bool:
-        """Tells whether the group may take this host for lost by now."""
-        silence_s = self._context.timers.now_s() - self._membership.joined_s
-        return silence_s > _SILENT_S
-
     def _has_too_many(self, duty: str) -> bool:
         hosts = len(self._directory.peer_addresses()) + 1
         share = -(-len(self._directory.all_duties()) // hosts)
--- a/daemons/manager/src/coltsfootseam/manager/job_service.py
+++ b/daemons/manager/src/coltsfootseam/manager/job_service.py
@@ -29,7 +29,7 @@
 from coltsfootseam.manager.knowledge import Knowledge
 from coltsfootseam.manager.locator import Locator
 from coltsfootseam.results import OK, Refusal, ResultCode
-from coltsfootseam.store import Appended, KeyedRecord
+from coltsfootseam.store import Appended, KeyedRecord, Membership
 
 _ASK_TIMEOUT_S = 0.4
 _RETRY_S = 0.1
@@ -56,6 +56,7 @@
         "_final_by_id",
         "_knowledge",
         "_locator",
+        "_membership",
         "_pending_by_queue",
     )
 
@@ -65,11 +66,13 @@
         knowledge: Knowledge,
         directory: Directory,
         locator: Locator,
+        membership: Membership,
     ) -> None:
         self._context = context
         self._knowledge = knowledge
         self._directory = directory
         self._locator = locator
+        self._membership = membership
         self._accepted_s_by_id: dict[str, float] = {}
         self._final_by_id: dict[str, JobState] = {}
         self._pending_by_queue: dict[str, _Pending] = {}
@@ -225,22 +228,23 @@
         is_unknown = False
         record = KeyedRecord(key, value)
         while True:
-            result = await self._context.ports.store.append(
-                inbox_of(pool), [record]
-            )
-            if isinstance(result, Appended):
-                return OK
-            if isinstance(result, Refusal):
-                is_pending = result.code is ResultCode.OUTCOME_PENDING
-                is_unknown = is_unknown or is_pending
+            if not self._membership.is_silent():
+                result = await self._context.ports.store.append(
+                    inbox_of(pool), [record]
+                )
+                if isinstance(result, Appended):
+                    return OK
+                if isinstance(result, Refusal):
+                    is_pending = result.code is ResultCode.OUTCOME_PENDING
+                    is_unknown = is_unknown or is_pending
             relayed = await self._relay(pool, key, value)
             if relayed.is_stored:
                 return OK
             is_unknown = is_unknown or relayed.is_unknown
-            if not self._has_time(deadline_s):
-                break
-            if not is_unknown:
-                # Nothing was done; the caller is told so at once.
+            # Where nothing was done, or the store answers nobody, waiting
+            # does not help the caller: it is told so at once.
+            is_hopeless = not is_unknown or self._membership.is_silent()
+            if is_hopeless or not self._has_time(deadline_s):
                 break
             await self._context.timers.sleep(_RETRY_S)
         if is_unknown:
--- a/daemons/manager/src/coltsfootseam/manager/manager.py
+++ b/daemons/manager/src/coltsfootseam/manager/manager.py
@@ -77,7 +77,7 @@
     directory = Directory(membership, context.duty_slots)
     locator = Locator(context, directory)
     duties = DutyKeeper(context, knowledge, membership, directory, locator)
-    jobs = JobService(context, knowledge, directory, locator)
+    jobs = JobService(context, knowledge, directory, locator, membership)
     manager = Manager(context, knowledge, membership, duties, jobs)
 
     def on_configuration() -> None:
--- a/daemons/manager/src/coltsfootseam/manager/peer_calls.py
+++ b/daemons/manager/src/coltsfootseam/manager/peer_calls.py
@@ -93,6 +93,8 @@
 
     async def relay(self, request: RelayRequest) -> RelayReply:
         """Appends to an inbox for a host that can't reach the store."""
+        if self._membership.is_silent():
+            return RelayReply(is_stored=False)
         result = await self._context.ports.store.append(
             inbox_of(request.pool), [KeyedRecord(request.key, request.value)]
         )
--- a/libs/store/src/coltsfootseam/store/membership.py
+++ b/libs/store/src/coltsfootseam/store/membership.py
@@ -69,6 +69,13 @@
         self.joined_s = float("-inf")
         self.leaving = False
 
+    def is_silent(self) -> bool:
+        """Tells whether the store hasn't answered for as long as the TTL.
+
+        The group may take this member for lost by now.
+        """
+        return self._timers.now_s() - self.joined_s > self._times.ttl_s
+
     async def run(self) -> None:
         """Renews the membership until it is cancelled."""
         while not self.leaving:
--- a/tests/cover/test_jobs_path.py
+++ b/tests/cover/test_jobs_path.py
@@ -152,3 +152,45 @@
             host.start()
         await fleet.wait_until(lambda: any(h.owns() for h in fleet.hosts))
         await fleet.wait_for_state("9" * 16, JobState.COMPLETED)
+
+
+async def test_a_silent_store_is_told_to_callers_at_once() -> None:
+    async with running_fleet() as fleet:
+        for host in fleet.hosts:
+            host.store.faults.is_silent = True
+        await fleet.timers.advance(2.5)
+        began_s = fleet.timers.now_s()
+        refusal = await fleet.submit(fleet.hosts[0], "a" * 16, SMALL)
+        assert refusal.code is ResultCode.NOT_RUN_OVERLOADED
+        assert fleet.timers.now_s() - began_s < 0.5
+        for host in fleet.hosts:
+            host.store.faults.is_silent = False
+        await fleet.timers.advance(3.0)
+        assert fleet.started("a" * 16) == 0
+
+
+async def test_a_planned_stop_hands_its_pools_over() -> None:
+    async with running_fleet(hosts=3, duration_of=lambda task: 3.0) as fleet:
+        await fleet.accept(fleet.hosts[0], "a" * 16, SMALL)
+        await fleet.wait_until(lambda: fleet.started("a" * 16) == 1)
+        owner = fleet.owner()
+        assert owner.manager is not None
+        await fleet.run(owner.manager.leave())
+        await fleet.accept(fleet.other(), "b" * 16, SMALL)
+        handover_s = await fleet.wait_until(
+            lambda: fleet.started("b" * 16) == 1
+        )
+        assert handover_s < 1.0
+        await fleet.wait_for_state("a" * 16, JobState.COMPLETED)
+        assert fleet.started("a" * 16) == 1
+
+
+async def test_a_pool_keeps_its_owner_when_hosts_come_and_go() -> None:
+    async with running_fleet(hosts=2) as fleet:
+        owner = fleet.owner()
+        third = fleet.add_host()
+        await fleet.timers.advance(3.0)
+        assert owner.owns()
+        await third.kill()
+        await fleet.timers.advance(3.0)
+        assert owner.owns()
