--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES := $(sort $(wildcard libs/*) $(wildcard daemons/*) platform)
 SOURCES := libs daemons platform deploy tests bench
 
-.PHONY: setup demo test faults lint format bench-control bench-requests proofs proto
+.PHONY: setup demo test faults lint format bench-control bench-requests bench-scheduling proofs proto
 
 setup: .venv/.installed
 
@@ -38,6 +38,9 @@
 bench-requests: setup
 	$(BIN)/python -m bench.requests
 
+bench-scheduling: setup
+	$(BIN)/python -m bench.scheduling
+
 proofs: setup
 	$(BIN)/python -m bench.prove
 
--- /dev/null
+++ b/bench/scheduling.py
@@ -0,0 +1,239 @@
+"""What scheduling costs, from small pools to the size of two years.
+
+Measures, in one process and without a network: the processor time of a round
+of planning against workers, jobs and tasks; the size of what is stored; and in
+virtual time how long a takeover and an urgent start take.
+"""
+
+import asyncio
+import time
+
+from bench.results import Row, make_row, print_rows, write_rows
+from coltsfootseam.jobs import (
+    Configuration,
+    JobBook,
+    JobRequest,
+    Pool,
+    Queue,
+    Step,
+    encode_progress,
+    encode_request,
+)
+from coltsfootseam.manager.context import Context, Ports, Times
+from coltsfootseam.manager.knowledge import Knowledge
+from coltsfootseam.manager.planning import Planner
+from coltsfootseam.manager.pool_state import PoolState
+from coltsfootseam.manager.tickets import TicketDesk
+from coltsfootseam.observe import Counters, DecisionLog
+from coltsfootseam.scheduling import WorkerHealth
+from coltsfootseam.standins.memory_machines import MemoryAdvice, MemoryMachines
+from coltsfootseam.standins.memory_store import MemoryStore
+from coltsfootseam.standins.memory_workers import MemoryWorkers
+from coltsfootseam.store import Journal, Partition
+from coltsfootseam.timers import VirtualTimers
+from coltsfootseam.workers import LeaseTimes, WorkerEntry, WorkerLink
+from tests.common.fleets import (
+    MemoryFeeds,
+    MemoryPeers,
+    running_fleet,
+)
+
+_POOL = "pool"
+_QUEUE = "queue"
+_WORKER_COUNTS = (8, 40, 170, 680)
+_JOBS_PER_WORKER = (0, 1, 4)
+_TASKS_PER_JOB = 12
+_ROUNDS = 20
+_MS_PER_S = 1000
+_SMALL = Step(cpu_millis=1000, estimate_ms=500)
+
+
+def _make_state(workers: int) -> PoolState:
+    timers = VirtualTimers()
+    fleet_workers = MemoryWorkers(timers, lambda task: 1.0)
+    context = Context(
+        host_id="host",
+        incarnation="host-1",
+        address="10.0.0.1:1",
+        duty_slots=12,
+        timers=timers,
+        ports=Ports(
+            MemoryStore(timers).client(),
+            fleet_workers.calls("host"),
+            MemoryMachines(timers, []),
+            MemoryAdvice(timers),
+            MemoryFeeds(),
+        ),
+        peers=MemoryPeers(timers),
+        log=DecisionLog(timers, "host"),
+        counters=Counters(),
+        times=Times(),
+    )
+    knowledge = Knowledge(context)
+    queue = Queue(
+        _QUEUE, "h", "/q/", _POOL, attempts=3, stretch=2.0, target_ms=600
+    )
+    knowledge.configuration = Configuration(
+        1, {_QUEUE: queue}, {_POOL: Pool(_POOL)}
+    )
+    journal = Journal(
+        context.ports.store, timers, Partition("pool", 1), "pool", 1
+    )
+    state = PoolState(
+        _POOL,
+        context,
+        knowledge,
+        journal,
+        JobBook(knowledge.attempts_of),
+        WorkerHealth(),
+    )
+    for number in range(workers):
+        link = _make_link(state, number)
+        state.links_by_id[link.worker_id] = link
+    return state
+
+
+def _make_link(state: PoolState, number: int) -> WorkerLink:
+    entry = WorkerEntry(
+        worker_id=f"i-{number}@1",
+        instance_id=f"i-{number}",
+        born_ms=1,
+        pool=_POOL,
+        address=f"10.1.{number // 250}.{number % 250}:80",
+        zone="a",
+        is_draining=False,
+        remaining_ms=None,
+        cpu_millis=16_000,
+        memory_mb=64_000,
+        accelerators=0,
+        labels=("a", f"r{number // 4}"),
+    )
+    context = state.context
+    link = WorkerLink(
+        entry,
+        context.ports.workers,
+        context.timers,
+        LeaseTimes(4.0, 7.0),
+        1,
+        1.0,
+        lambda *report: None,
+    )
+    link.is_reachable = True
+    return link
+
+
+def _add_jobs(state: PoolState, count: int) -> None:
+    step = Step(
+        count=_TASKS_PER_JOB,
+        cpu_millis=1000,
+        memory_mb=1000,
+        estimate_ms=900,
+    )
+    for number in range(count):
+        request = JobRequest(_QUEUE, "x" * 300, (step,), state.wall_ms())
+        state.book.add(f"{number:016x}", request, state.now_s())
+
+
+def measure_round(workers: int, jobs: int) -> list[Row]:
+    """Measures the rounds of a pool of that size.
+
+    Args:
+        workers: Workers in the pool.
+        jobs: Jobs of a dozen tasks that have just arrived.
+    """
+    state = _make_state(workers)
+    _add_jobs(state, jobs)
+    tickets = TicketDesk(state, asyncio.Event())
+    planner = Planner(state, tickets)
+    began_s = time.process_time()
+    placed = len(planner.plan_runs())
+    first_s = time.process_time() - began_s
+    began_s = time.process_time()
+    for _ in range(_ROUNDS):
+        planner.plan_runs()
+        state.active_runs_by_worker()
+    later_s = (time.process_time() - began_s) / _ROUNDS
+    case = f"{workers} workers, {jobs} jobs"
+    return [
+        make_row(case, "tasks placed", "tasks", placed),
+        make_row(case, "round that places", "ms", first_s * _MS_PER_S),
+        make_row(case, "later round", "ms", later_s * _MS_PER_S),
+    ]
+
+
+async def measure_takeover(fault: str) -> Row:
+    """Measures one takeover in virtual time, to the next owner's first start.
+
+    Args:
+        fault: What happens to the owner: stop, kill, freeze or cut.
+    """
+    async with running_fleet(hosts=3, duration_of=lambda task: 4.0) as fleet:
+        await fleet.accept(fleet.hosts[0], "a" * 16, _SMALL)
+        owner = fleet.owner()
+        other = fleet.other()
+        began_s = fleet.timers.now_s()
+        if fault == "kill":
+            await owner.kill()
+        elif fault == "freeze":
+            owner.timers.is_frozen = True
+        elif fault == "cut":
+            owner.store.faults.is_silent = True
+            fleet.peers.cut_addresses = {owner.address}
+        elif fault == "stop":
+            assert owner.manager is not None
+            await fleet.run(owner.manager.leave())
+        await fleet.accept(other, "b" * 16, _SMALL)
+        await fleet.wait_until(lambda: fleet.started("b" * 16) == 1)
+        first_start_s = fleet.timers.now_s() - began_s
+        owner.timers.thaw()
+        return make_row(f"owner: {fault}", "first start", "s", first_start_s)
+
+
+async def measure_urgent_start() -> Row:
+    """Measures how long a job waits to start in a pool that has room."""
+    async with running_fleet(hosts=3, workers=8) as fleet:
+        began_s = fleet.timers.now_s()
+        await fleet.accept(fleet.other(), "a" * 16, _SMALL)
+        await fleet.wait_until(lambda: fleet.started("a" * 16) == 1)
+        waited_s = fleet.timers.now_s() - began_s
+        return make_row("urgent job", "first start", "s", waited_s)
+
+
+def measure_sizes() -> list[Row]:
+    """Measures what the store holds of a job of a dozen tasks."""
+    state = _make_state(8)
+    _add_jobs(state, 1)
+    job = state.book.jobs_by_id[f"{0:016x}"]
+    Planner(state, TicketDesk(state, asyncio.Event())).plan_runs()
+    request_bytes = len(encode_request(job.request))
+    progress_bytes = len(encode_progress(job))
+    return [
+        make_row("stored", "request", "bytes", request_bytes),
+        make_row(
+            "stored",
+            "progress a task",
+            "bytes",
+            progress_bytes / _TASKS_PER_JOB,
+        ),
+    ]
+
+
+async def _main() -> None:
+    rows = [
+        row
+        for workers in _WORKER_COUNTS
+        for per_worker in _JOBS_PER_WORKER
+        for row in measure_round(workers, workers * per_worker)
+    ]
+    rows += [
+        await measure_takeover(fault)
+        for fault in ("stop", "kill", "freeze", "cut")
+    ]
+    rows.append(await measure_urgent_start())
+    rows += measure_sizes()
+    print_rows(rows)
+    write_rows("bench/results/scheduling.json", rows)
+
+
+if __name__ == "__main__":
+    asyncio.run(_main())
