Count what an earlier owner may have begun toward a wave's limit

Ruled out: the platform's list, which showed the machines as it should.

Change: machines that are noted as about to be ordered, that are listed in maintenance, or whose order got no answer hold a place; an order without an answer is repeated until it is settled.

--- a/daemons/manager/src/coltsfootseam/manager/waves.py
+++ b/daemons/manager/src/coltsfootseam/manager/waves.py
@@ -145,6 +145,7 @@
         view: FleetView,
         free_ids: set[str],
     ) -> list[str]:
+        occupied = self._occupied(wave, progress, view)
         wanted = self._wanted_by_wave.get(wave.number, [])
         due = [
             self._due_machine(
@@ -155,24 +156,32 @@
             )
             for machine_id in wave.machine_ids
             if machine_id not in progress.begun_ids
+            and machine_id not in occupied
             and machine_id in view.machines_by_id
             and view.machines_by_id[machine_id].state is MachineState.UP
-            and not self._orders.is_reserved(machine_id)
         ]
-        busy_by_pool: dict[str, int] = {}
-        for machine_id in progress.busy_until_s_by_id:
-            machine = view.machines_by_id.get(machine_id)
-            if machine is not None:
-                count = busy_by_pool.get(machine.pool, 0)
-                busy_by_pool[machine.pool] = count + 1
-        now_s = self._context.timers.now_s()
-        return choose_maintenance(
+        chosen = choose_maintenance(
             due,
-            wave.limit - len(progress.busy_until_s_by_id),
-            progress.first_s + wave.duration_s - now_s,
+            wave.limit - len(occupied),
+            progress.first_s + wave.duration_s - self._context.timers.now_s(),
             wave.limit,
-            busy_by_pool,
+            _count_by_pool(occupied, view),
         )
+        # An order without an answer is repeated until it is settled.
+        return [*sorted(progress.uncertain_ids), *chosen]
+
+    def _occupied(
+        self, wave: Wave, progress: WaveProgress, view: FleetView
+    ) -> set[str]:
+        """Returns the machines that are, or may be, down for the wave."""
+        return {
+            machine_id
+            for machine_id in wave.machine_ids
+            if machine_id in progress.busy_until_s_by_id
+            or machine_id in progress.uncertain_ids
+            or self._orders.is_reserved(machine_id)
+            or _is_in_maintenance(view, machine_id)
+        }
 
     def _due_machine(
         self,
@@ -202,8 +211,11 @@
         outcome = await self._orders.maintain(
             machine, wave.number, view.worker_of(machine.machine_id)
         )
+        if outcome is MachineOutcome.UNKNOWN:
+            progress.uncertain_ids.add(machine.machine_id)
         if outcome is not MachineOutcome.DONE:
             return
+        progress.uncertain_ids.discard(machine.machine_id)
         progress.begun_ids.add(machine.machine_id)
         progress.busy_until_s_by_id[machine.machine_id] = (
             now_s + self._context.times.maintenance_s
@@ -213,7 +225,7 @@
     def _is_over(
         self, wave: Wave, progress: WaveProgress, view: FleetView
     ) -> bool:
-        if progress.busy_until_s_by_id:
+        if progress.busy_until_s_by_id or progress.uncertain_ids:
             return False
         return all(
             machine_id in progress.begun_ids
@@ -242,3 +254,17 @@
             if not isinstance(result, Refusal):
                 return
             await self._context.timers.sleep(_RETRY_S)
+
+
+def _is_in_maintenance(view: FleetView, machine_id: str) -> bool:
+    machine = view.machines_by_id.get(machine_id)
+    return machine is not None and machine.state is MachineState.MAINTENANCE
+
+
+def _count_by_pool(machine_ids: set[str], view: FleetView) -> dict[str, int]:
+    counts: dict[str, int] = {}
+    for machine_id in machine_ids:
+        machine = view.machines_by_id.get(machine_id)
+        if machine is not None:
+            counts[machine.pool] = counts.get(machine.pool, 0) + 1
+    return counts
--- a/libs/scheduling/src/coltsfootseam/scheduling/upkeep.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/upkeep.py
@@ -34,12 +34,14 @@
         begun_ids: Machines whose maintenance has begun.
         busy_until_s_by_id: Machines that are in maintenance, and the earliest
             moment at which they are back.
+        uncertain_ids: Machines whose order got no answer.
         is_complete: Whether all of it is done.
     """
 
     first_s: float = 0.0
     begun_ids: set[str] = set()
     busy_until_s_by_id: dict[str, float] = {}
+    uncertain_ids: set[str] = set()
     is_complete: bool = False
 
 
--- a/libs/standins/src/coltsfootseam/standins/memory_machines.py
+++ b/libs/standins/src/coltsfootseam/standins/memory_machines.py
@@ -33,13 +33,18 @@
         machines_by_id: All machines.
         orders: Orders that were carried out, in order.
         is_down: Whether no call is answered.
+        maintenance_s: How long a machine is down for its maintenance.
+        lose_answers: How many of the next orders are done and not answered.
     """
 
     __slots__ = (
+        "_maintained",
         "_timers",
         "_tokens_by_id",
         "is_down",
+        "lose_answers",
         "machines_by_id",
+        "maintenance_s",
         "orders",
     )
 
@@ -51,6 +56,17 @@
         }
         self.orders: list[MachineOrder] = []
         self.is_down = False
+        self.maintenance_s = 0.0
+        self.lose_answers = 0
+        self._maintained: set[tuple[str, int]] = set()
+
+    def down_count(self) -> int:
+        """Returns how many machines are down for their maintenance."""
+        return sum(
+            1
+            for machine in self.machines_by_id.values()
+            if machine.state is MachineState.MAINTENANCE
+        )
 
     async def list_machines(self) -> list[Machine] | Refusal:
         """Lists all machines."""
@@ -78,16 +94,33 @@
     async def maintain(
         self, holder: Holder, machine_id: str, wave: int
     ) -> MachineOutcome:
-        """Maintains a machine, which takes no time here."""
+        """Takes a machine down; a wave's second order changes nothing."""
+        if (machine_id, wave) in self._maintained:
+            await self._timers.sleep(_ANSWER_S)
+            return MachineOutcome.DONE
         outcome = await self._check(holder, machine_id)
-        if outcome is MachineOutcome.DONE:
-            self.orders.append(
-                MachineOrder(
-                    self._timers.now_s(), holder, machine_id, wave=wave
-                )
-            )
+        if outcome is not MachineOutcome.DONE:
+            return outcome
+        self._maintained.add((machine_id, wave))
+        self._set_state(machine_id, MachineState.MAINTENANCE)
+        self._timers.schedule(
+            self.maintenance_s,
+            lambda: self._set_state(machine_id, MachineState.UP),
+        )
+        self.orders.append(
+            MachineOrder(self._timers.now_s(), holder, machine_id, wave=wave)
+        )
+        if self.lose_answers:
+            self.lose_answers -= 1
+            return MachineOutcome.UNKNOWN
         return outcome
 
+    def _set_state(self, machine_id: str, state: MachineState) -> None:
+        machine = self.machines_by_id[machine_id]
+        self.machines_by_id[machine_id] = msgspec.structs.replace(
+            machine, state=state
+        )
+
     async def _check(self, holder: Holder, machine_id: str) -> MachineOutcome:
         await self._timers.sleep(_ANSWER_S)
         if self.is_down:
--- a/tests/cover/test_machines.py
+++ b/tests/cover/test_machines.py
@@ -88,3 +88,43 @@
         journal = fleet.store.part(Partition("fleet", 1))
         notes = [k for k in journal.newest_by_key if k.startswith("order/")]
         assert notes == []
+
+
+async def test_a_killed_owner_s_orders_count_toward_the_limit() -> None:
+    async with running_fleet(hosts=3, workers=8) as fleet:
+        await fleet.timers.advance(4.0)
+        fleet.machines.maintenance_s = 2.0
+        machine_ids = [f"m-{number}" for number in range(1, 9)]
+        ask_for_wave(fleet, *machine_ids, limit=3)
+        await fleet.wait_until(lambda: len(fleet.machines.orders) >= 1)
+        first = fleet.machines.orders[-1].holder.name
+        owner = next(
+            host for host in fleet.hosts if first.startswith(f"{host.host_id}-")
+        )
+        await owner.kill()
+        most = 0
+
+        def is_over() -> bool:
+            nonlocal most
+            most = max(most, fleet.machines.down_count())
+            return status_of_wave(fleet) == b"completed"
+
+        await fleet.wait_until(is_over, 60.0)
+        assert most <= 3
+
+
+async def test_an_order_without_an_answer_counts_toward_the_limit() -> None:
+    async with running_fleet(hosts=2, workers=6) as fleet:
+        await fleet.timers.advance(4.0)
+        fleet.machines.maintenance_s = 2.0
+        fleet.machines.lose_answers = 3
+        ask_for_wave(fleet, "m-1", "m-2", "m-3", "m-4", "m-5", limit=2)
+        most = 0
+
+        def is_over() -> bool:
+            nonlocal most
+            most = max(most, fleet.machines.down_count())
+            return status_of_wave(fleet) == b"completed"
+
+        await fleet.wait_until(is_over, 60.0)
+        assert most <= 2
