--- a/daemons/cli/src/coltsfootseam/cli/main.py
+++ b/daemons/cli/src/coltsfootseam/cli/main.py
@@ -5,6 +5,7 @@
 import fire
 
 from coltsfootseam.cli.contract import ContractCommands
+from coltsfootseam.cli.manager import ManagerCommands
 from coltsfootseam.cli.output import fail, finish
 from coltsfootseam.cli.status import show_status
 from coltsfootseam.cli.timeline import show_timeline
@@ -39,6 +40,7 @@
     def __init__(self) -> None:
         self.contract = ContractCommands()
         self.settings = SettingsCommands()
+        self.manager = ManagerCommands()
 
     def entry(self, settings: str) -> None:
         """Runs an entry host until it gets SIGTERM.
--- /dev/null
+++ b/daemons/cli/src/coltsfootseam/cli/manager.py
@@ -0,0 +1,149 @@
+"""Commands that look at managers: owners, pools, workers, waves and jobs."""
+
+from coltsfootseam.cli.client import AdminClient, run
+from coltsfootseam.cli.output import fail, finish, print_json, print_table
+from coltsfootseam.manager import JobStatus, ManagerStatus
+from coltsfootseam.results import Refusal, ResultCode
+
+
+class ManagerCommands:
+    """Commands about jobs, pools, owners, workers and waves.
+
+    All take --managers, the metrics addresses of managers separated by
+    commas; a manager tells of the duties that it holds itself.
+    """
+
+    def owners(self, managers: str) -> None:
+        """Shows which manager holds which duty."""
+        rows = [
+            (status.host_id, status.configuration_version, duty)
+            for status in _ask_all(managers)
+            for duty in status.duties
+        ]
+        print_table(("host", "configuration", "duty"), rows)
+        finish(ResultCode.OK)
+
+    def pools(self, managers: str) -> None:
+        """Shows the jobs and workers of each pool."""
+        rows = [
+            (
+                pool.pool,
+                status.host_id,
+                pool.epoch,
+                pool.active_jobs,
+                pool.queued_jobs,
+                len(pool.workers),
+                sum(worker.runs for worker in pool.workers),
+            )
+            for status in _ask_all(managers)
+            for pool in status.pools
+        ]
+        print_table(
+            ("pool", "owner", "epoch", "active", "queued", "workers", "runs"),
+            rows,
+        )
+        finish(ResultCode.OK)
+
+    def workers(self, managers: str) -> None:
+        """Shows each worker, its machine and why it gets no work."""
+        rows = [
+            (
+                worker.worker_id,
+                worker.machine_id,
+                pool.pool,
+                worker.zone,
+                worker.runs,
+                _describe(
+                    unreachable=not worker.is_reachable,
+                    draining=worker.is_draining,
+                    wanted=worker.is_vacating,
+                    aside=worker.is_set_aside,
+                ),
+            )
+            for status in _ask_all(managers)
+            for pool in status.pools
+            for worker in pool.workers
+        ]
+        print_table(
+            ("worker", "machine", "pool", "zone", "runs", "state"), rows
+        )
+        finish(ResultCode.OK)
+
+    def waves(self, managers: str) -> None:
+        """Shows the waves of maintenance that the operator asked for."""
+        waves_by_number = {
+            wave.number: wave
+            for status in _ask_all(managers)
+            for wave in status.waves
+        }
+        rows = [
+            (wave.number, len(wave.machine_ids), wave.limit, wave.duration_s)
+            for _, wave in sorted(waves_by_number.items())
+        ]
+        print_table(("wave", "machines", "at once", "seconds"), rows)
+        finish(ResultCode.OK)
+
+    def explain(self, job: str, managers: str, json: bool = False) -> None:
+        """Shows how a job stands and what each open task waits for.
+
+        Args:
+            job: The job's id.
+            managers: Metrics addresses of managers.
+            json: Print JSON instead of a table.
+        """
+        job_id = str(job)
+        for address in _split(managers):
+            client = AdminClient([address])
+            status = run(client.get(f"/jobs/{job_id}", JobStatus))
+            if not isinstance(status, Refusal):
+                _print_job(status, json)
+                finish(ResultCode.OK)
+        fail(Refusal(ResultCode.JOB_UNKNOWN, f"no manager has job {job_id}"))
+
+
+def _print_job(status: JobStatus, json: bool) -> None:
+    if json:
+        print_json(status)
+        return
+    print(
+        f"{status.job_id}: {status.state}, queue {status.queue}, pool "
+        f"{status.pool}, {status.age_s} s old"
+    )
+    print_table(
+        ("step", "task", "runs so far", "failed", "worker", "waits for"),
+        [
+            (
+                task.step,
+                task.index,
+                task.last_run,
+                task.failures,
+                " ".join(task.workers),
+                task.waits_for,
+            )
+            for task in status.open_tasks
+        ],
+    )
+
+
+def _ask_all(managers: str) -> list[ManagerStatus]:
+    statuses = []
+    failure = Refusal(ResultCode.UNREACHABLE, "no manager was named")
+    for address in _split(managers):
+        status = run(AdminClient([address]).get("/status", ManagerStatus))
+        if isinstance(status, Refusal):
+            failure = status
+            continue
+        statuses.append(status)
+    if not statuses:
+        fail(failure)
+    return statuses
+
+
+def _split(managers: str | tuple[str, ...] | list[str]) -> list[str]:
+    if not isinstance(managers, str):
+        managers = ",".join(str(each) for each in managers)
+    return [part.strip() for part in managers.split(",") if part.strip()]
+
+
+def _describe(**reasons: bool) -> str:
+    return ", ".join(name for name, applies in reasons.items() if applies)
--- a/daemons/manager/src/coltsfootseam/manager/__init__.py
+++ b/daemons/manager/src/coltsfootseam/manager/__init__.py
@@ -3,13 +3,23 @@
 from coltsfootseam.manager.context import Context, Feeds, Ports, Times
 from coltsfootseam.manager.job_service import JobService
 from coltsfootseam.manager.manager import Manager, running_manager
+from coltsfootseam.manager.status import (
+    JobStatus,
+    ManagerStatus,
+    PoolStatus,
+    WaveStatus,
+)
 
 __all__ = [
     "Context",
     "Feeds",
     "JobService",
+    "JobStatus",
     "Manager",
+    "ManagerStatus",
+    "PoolStatus",
     "Ports",
     "Times",
+    "WaveStatus",
     "running_manager",
 ]
--- a/daemons/manager/src/coltsfootseam/manager/duty_keeper.py
+++ b/daemons/manager/src/coltsfootseam/manager/duty_keeper.py
@@ -105,6 +105,10 @@
         self.is_stopping = True
         self._end_everything()
 
+    def held(self) -> list[str]:
+        """Returns the duties that this host holds."""
+        return sorted(self._tasks_by_duty)
+
     def answer_owner(self, question: OwnerQuestion) -> OwnerReply:
         """Tells whether this host owns a duty, and whether it keeps it."""
         duty = question.duty
--- a/daemons/manager/src/coltsfootseam/manager/manager.py
+++ b/daemons/manager/src/coltsfootseam/manager/manager.py
@@ -15,6 +15,7 @@
 from coltsfootseam.manager.knowledge import Knowledge
 from coltsfootseam.manager.locator import Locator
 from coltsfootseam.manager.peer_calls import PeerCalls
+from coltsfootseam.manager.status import StatusPage
 from coltsfootseam.store import Membership, MembershipTimes
 
 Serving = Callable[
@@ -32,6 +33,7 @@
         membership: This host's place in the group.
         duties: The duties that it holds.
         jobs: What callers are answered.
+        status: What operators are shown.
         is_stopping: Whether it was told to stop.
     """
 
@@ -40,6 +42,7 @@
     membership: Membership
     duties: DutyKeeper
     jobs: JobService
+    status: StatusPage
     is_stopping: bool = False
 
     def is_ready(self) -> bool:
@@ -78,7 +81,8 @@
     locator = Locator(context, directory)
     duties = DutyKeeper(context, knowledge, membership, directory, locator)
     jobs = JobService(context, knowledge, directory, locator, membership)
-    manager = Manager(context, knowledge, membership, duties, jobs)
+    status = StatusPage(context, knowledge, duties)
+    manager = Manager(context, knowledge, membership, duties, jobs, status)
 
     def on_configuration() -> None:
         assert knowledge.configuration is not None
--- /dev/null
+++ b/daemons/manager/src/coltsfootseam/manager/status.py
@@ -0,0 +1,219 @@
+"""What a manager shows to operators of its duties, pools and jobs."""
+
+import msgspec
+
+from coltsfootseam.jobs import Job, JobState, Task
+from coltsfootseam.manager.context import Context
+from coltsfootseam.manager.duty_keeper import DutyKeeper
+from coltsfootseam.manager.knowledge import Knowledge
+from coltsfootseam.manager.pool_state import PoolState
+from coltsfootseam.results import Refusal, ResultCode
+
+
+class WorkerView(msgspec.Struct):
+    """A worker of a pool that this host owns."""
+
+    worker_id: str
+    machine_id: str
+    zone: str
+    is_reachable: bool
+    is_draining: bool
+    is_vacating: bool
+    is_set_aside: bool
+    runs: int
+
+
+class PoolStatus(msgspec.Struct):
+    """A pool that this host owns."""
+
+    pool: str
+    epoch: int
+    jobs: int
+    active_jobs: int
+    queued_jobs: int
+    workers: list[WorkerView]
+
+
+class WaveStatus(msgspec.Struct):
+    """A wave of maintenance that the operator asked for."""
+
+    number: int
+    machine_ids: list[str]
+    limit: int
+    duration_s: float
+
+
+class ManagerStatus(msgspec.Struct):
+    """How a manager stands.
+
+    Attributes:
+        host_id: Name of the entry host.
+        incarnation: Name of this start of the process.
+        configuration_version: Version in force, 0 before the first.
+        duties: Duties that it holds.
+        pools: Pools that it owns.
+        waves: Waves that it knows of.
+        dropped_lines: Lines of its log that found no place.
+    """
+
+    host_id: str
+    incarnation: str
+    configuration_version: int
+    duties: list[str]
+    pools: list[PoolStatus]
+    waves: list[WaveStatus]
+    dropped_lines: int
+
+
+class TaskStatus(msgspec.Struct):
+    """A task that isn't done, and what it waits for."""
+
+    occurrence: int
+    step: int
+    index: int
+    last_run: int
+    failures: int
+    workers: list[str]
+    waits_for: str
+
+
+class JobStatus(msgspec.Struct):
+    """A job of a pool that this host owns."""
+
+    job_id: str
+    queue: str
+    pool: str
+    state: str
+    age_s: float
+    open_tasks: list[TaskStatus]
+
+
+class StatusPage:
+    """Builds the pages that operators read."""
+
+    __slots__ = ("_context", "_duties", "_knowledge")
+
+    def __init__(
+        self, context: Context, knowledge: Knowledge, duties: DutyKeeper
+    ) -> None:
+        self._context = context
+        self._knowledge = knowledge
+        self._duties = duties
+
+    def manager(self) -> ManagerStatus:
+        """Returns how this manager stands."""
+        configuration = self._knowledge.configuration
+        return ManagerStatus(
+            host_id=self._context.host_id,
+            incarnation=self._context.incarnation,
+            configuration_version=0
+            if configuration is None
+            else configuration.version,
+            duties=self._duties.held(),
+            pools=[_pool_status(state) for state in self._states()],
+            waves=[
+                WaveStatus(
+                    wave.number,
+                    list(wave.machine_ids),
+                    wave.limit,
+                    wave.duration_s,
+                )
+                for wave in self._knowledge.waves_by_number.values()
+            ],
+            dropped_lines=self._context.log.dropped,
+        )
+
+    def job(self, job_id: str) -> JobStatus | Refusal:
+        """Returns how a job stands, and why its tasks wait."""
+        for state in self._states():
+            job = state.book.jobs_by_id.get(job_id)
+            if job is not None:
+                return _job_status(state, job)
+        return Refusal(
+            ResultCode.JOB_UNKNOWN, f"no pool of this host has job {job_id}"
+        )
+
+    def _states(self) -> list[PoolState]:
+        return [
+            owner.state
+            for _, owner in sorted(self._duties.owners_by_pool.items())
+            if owner.state is not None
+        ]
+
+
+def _pool_status(state: PoolState) -> PoolStatus:
+    active = state.book.active_by_id.values()
+    runs_by_worker = state.active_runs_by_worker()
+    now_s = state.now_s()
+    return PoolStatus(
+        pool=state.pool,
+        epoch=state.journal.epoch,
+        jobs=len(state.book.jobs_by_id),
+        active_jobs=len(active),
+        queued_jobs=sum(1 for job in active if job.state is JobState.QUEUED),
+        workers=[
+            WorkerView(
+                worker_id=link.worker_id,
+                machine_id=link.entry.machine_id,
+                zone=link.entry.zone,
+                is_reachable=link.is_reachable,
+                is_draining=link.entry.is_draining,
+                is_vacating=link.worker_id in state.vacating_ids,
+                is_set_aside=state.health.is_aside(link.worker_id, now_s),
+                runs=len(runs_by_worker.get(link.worker_id, ())),
+            )
+            for link in state.links_by_id.values()
+        ],
+    )
+
+
+def _job_status(state: PoolState, job: Job) -> JobStatus:
+    now_ms = state.wall_ms()
+    return JobStatus(
+        job_id=job.id,
+        queue=job.request.queue,
+        pool=state.pool,
+        state=job.state.name.lower(),
+        age_s=round((now_ms - job.request.accepted_ms) / 1000, 1),
+        open_tasks=[
+            _task_status(state, job, task)
+            for task in job.tasks()
+            if not task.is_done
+        ],
+    )
+
+
+def _task_status(state: PoolState, job: Job, task: Task) -> TaskStatus:
+    return TaskStatus(
+        occurrence=task.id.occurrence,
+        step=task.id.step,
+        index=task.id.index,
+        last_run=task.last_run,
+        failures=task.failures,
+        workers=[run.worker_id for run in task.runs],
+        waits_for=_reason(state, job, task),
+    )
+
+
+def _reason(state: PoolState, job: Job, task: Task) -> str:
+    """Says in a few words what a task waits for."""
+    if job.state.is_final:
+        return f"nothing, the job is {job.state.name.lower()}"
+    if task.runs:
+        phases = {run.phase.name.lower() for run in task.runs}
+        return f"its run, which is {', '.join(sorted(phases))}"
+    occurrence = job.occurrence(task.id.occurrence)
+    if occurrence.due_ms > state.wall_ms():
+        return "its time"
+    if not occurrence.is_step_ready(task.step):
+        open_steps = [
+            str(number)
+            for number in task.step.after
+            if occurrence.open_by_step[number]
+        ]
+        return f"steps {', '.join(open_steps)}"
+    if state.queue_of(job).advice is not None:
+        return "a ticket of the policy service, or room"
+    if task.step.label:
+        return f"room on a worker labelled {task.step.label}"
+    return "room"
