--- /dev/null
+++ b/tests/common/wire.py
@@ -0,0 +1,271 @@
+"""The far side of the adapter: store, workers and machines over HTTP.
+
+Written from the platform's pages. It wraps the stand-ins in memory, so that
+managers run as real processes against them on loopback.
+"""
+
+import base64
+import contextlib
+import struct
+from collections.abc import AsyncIterator
+from typing import Any
+
+import msgspec
+from aiohttp import web
+
+from coltsfootseam.adapter.tasks import parse_task_name, task_name
+from coltsfootseam.jobs import RunEnd
+from coltsfootseam.results import Refusal
+from coltsfootseam.standins.memory_store import MemoryStore
+from coltsfootseam.standins.memory_workers import MemoryWorkers
+from coltsfootseam.store import (
+    EndMoved,
+    HistoryGone,
+    KeyedRecord,
+    Partition,
+    StoredRecord,
+    Writer,
+)
+from coltsfootseam.timers import LoopTimers
+from coltsfootseam.workers import (
+    HoldOrder,
+    HoldReport,
+    OrderOutcome,
+    StartOrder,
+    StopOrder,
+    WorkerEntry,
+)
+
+_LENGTH = struct.Struct(">I")
+_REASONS_BY_OUTCOME = {
+    OrderOutcome.FENCED: "fence",
+    OrderOutcome.OLD: "old",
+    OrderOutcome.LATE: "late",
+}
+
+
+class WireStore:
+    """Serves a store over HTTP.
+
+    Attributes:
+        store: What it serves.
+        is_down: Whether every call is answered 503.
+        calls: How many calls came.
+    """
+
+    def __init__(self) -> None:
+        self.store = MemoryStore(LoopTimers())
+        self._client = self.store.client()
+        self.is_down = False
+        self.calls = 0
+
+    def put(self, topic: str, key: str, value: object) -> None:
+        """Writes a record as the operator or a worker does."""
+        self.store.put(Partition(topic), key, msgspec.json.encode(value))
+
+    def application(self) -> web.Application:
+        """Returns the application to serve."""
+        app = web.Application(middlewares=[self._count])
+        app.router.add_post("/api/log-append", self._append)
+        app.router.add_get("/api/log-read", self._read)
+        app.router.add_get("/api/log-newest", self._newest)
+        app.router.add_post("/api/log-join", self._join)
+        app.router.add_post("/api/log-leave", self._leave)
+        app.router.add_get("/api/log-owners", self._owners)
+        app.router.add_get("/api/machines", self._machines)
+        return app
+
+    @web.middleware
+    async def _count(self, request: web.Request, handler: Any) -> Any:
+        self.calls += 1
+        if self.is_down:
+            return web.Response(status=503)
+        return await handler(request)
+
+    async def _append(self, request: web.Request) -> web.Response:
+        query = request.query
+        writer = None
+        if "producer" in query:
+            writer = Writer(
+                query["producer"], int(query["epoch"]), int(query["seq"])
+            )
+        result = self.store.do_append(
+            _partition(request),
+            _split_records(await request.read()),
+            int(query["at"]) if "at" in query else None,
+            writer,
+        )
+        if isinstance(result, EndMoved):
+            return web.json_response({"end": result.end}, status=412)
+        if isinstance(result, Refusal):
+            return web.json_response({"reason": result.reason}, status=409)
+        return web.json_response({"offset": result.offset, "end": result.end})
+
+    async def _read(self, request: web.Request) -> web.Response:
+        wait_s = int(request.query.get("wait_ms", "0")) / 1000
+        page = await self._client.read(
+            _partition(request), int(request.query["from"]), wait_s
+        )
+        if isinstance(page, HistoryGone):
+            return web.json_response({"first": page.first}, status=410)
+        if isinstance(page, Refusal):
+            return web.Response(status=503)
+        body = struct.pack(">QQ", page.end, page.first)
+        body += b"".join(_join_record(record) for record in page.records)
+        return web.Response(body=body)
+
+    async def _newest(self, request: web.Request) -> web.Response:
+        part = self.store.part(_partition(request))
+        after = request.query.get("depends_on", "")
+        items = [
+            {
+                "key": key,
+                "offset": record.offset,
+                "value": base64.b64encode(record.value).decode(),
+            }
+            for key, record in sorted(part.newest_by_key.items())
+            if key > after
+        ]
+        page = {"items": items[:2], "more": len(items) > 2, "end": part.end}
+        return web.json_response(page)
+
+    async def _join(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        deal = self.store.do_join(
+            body["group"], body["member"], body["ttl_ms"] / 1000
+        )
+        parts = [[body["topics"][0], number, 0] for number in deal.numbers]
+        return web.json_response(
+            {"generation": deal.generation, "parts": parts}
+        )
+
+    async def _leave(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        self.store.do_leave(body["group"], body["member"])
+        return web.json_response({})
+
+    async def _owners(self, request: web.Request) -> web.Response:
+        rows = [
+            ["duties", holding.number, holding.member, 0]
+            for holding in self.store.do_holdings(request.query["group"])
+        ]
+        return web.json_response({"parts": rows})
+
+    async def _machines(self, request: web.Request) -> web.Response:
+        del request
+        return web.json_response({"machines": [], "next_token": None})
+
+
+class WireWorker:
+    """Serves one worker over HTTP."""
+
+    def __init__(self, workers: MemoryWorkers, entry: WorkerEntry) -> None:
+        self._workers = workers
+        self._worker = workers.add(entry)
+        self._calls = workers.calls("all")
+
+    def application(self) -> web.Application:
+        """Returns the application to serve."""
+        app = web.Application()
+        app.router.add_post("/api/run-start", self._start)
+        app.router.add_post("/api/run-stop", self._stop)
+        app.router.add_post("/api/hold", self._hold)
+        return app
+
+    async def _start(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        order = StartOrder(
+            parse_task_name(body["task"]),
+            body["run"],
+            body["spec"],
+            body["deadline_ms"],
+            body["fencing_token"],
+        )
+        return self._answer(self._workers.do_start(self._worker, order))
+
+    async def _stop(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        order = StopOrder(
+            parse_task_name(body["task"]), body["run"], body["fencing_token"]
+        )
+        return self._answer(self._workers.do_stop(self._worker, order))
+
+    async def _hold(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        order = HoldOrder(
+            body["fencing_token"],
+            body["last_seen"],
+            body.get("deadline_ms"),
+            body.get("wait_ms", 0),
+        )
+        report = await self._calls.hold(self._worker.entry, order)
+        if not isinstance(report, HoldReport):
+            return self._answer(report.outcome)
+        return web.json_response(
+            {
+                "clock_ms": report.clock_ms,
+                "born": report.born_ms,
+                "running": [
+                    [task_name(row.task), row.number, "", 50, 0]
+                    for row in report.running
+                ],
+                "ended": [
+                    [
+                        row.sequence,
+                        task_name(row.task),
+                        row.number,
+                        RunEnd(row.end).name.lower(),
+                        "",
+                    ]
+                    for row in report.ended
+                ],
+            }
+        )
+
+    def _answer(self, outcome: OrderOutcome) -> web.Response:
+        clock_ms = self._workers.clock_ms(self._worker)
+        if outcome is OrderOutcome.DONE:
+            return web.json_response({"clock_ms": clock_ms})
+        reason = _REASONS_BY_OUTCOME[outcome]
+        return web.json_response(
+            {"clock_ms": clock_ms, "reason": reason}, status=409
+        )
+
+
+@contextlib.asynccontextmanager
+async def serving(app: web.Application, address: str) -> AsyncIterator[None]:
+    """Serves an application while the context is open."""
+    runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+    await runner.setup()
+    host, _, port = address.partition(":")
+    await web.TCPSite(runner, host, int(port)).start()
+    try:
+        yield
+    finally:
+        await runner.cleanup()
+
+
+def _partition(request: web.Request) -> Partition:
+    topic = request.query["topic"].removeprefix("keyed.")
+    return Partition(topic, int(request.query["part"]))
+
+
+def _split_records(body: bytes) -> list[KeyedRecord]:
+    records = []
+    position = 0
+    while position < len(body):
+        (length,) = _LENGTH.unpack_from(body, position)
+        position += _LENGTH.size
+        content = body[position : position + length]
+        position += length
+        key_end = 1 + content[0]
+        records.append(
+            KeyedRecord(content[1:key_end].decode(), content[key_end:])
+        )
+    return records
+
+
+def _join_record(record: StoredRecord) -> bytes:
+    key = record.key.encode()
+    content = bytes([len(key)]) + key + record.value
+    return _LENGTH.pack(len(content)) + content
--- /dev/null
+++ b/tests/nocover/test_managers.py
@@ -0,0 +1,322 @@
+"""Managers as real processes, against the platform's far side over HTTP."""
+
+import asyncio
+import contextlib
+import os
+import pathlib
+import signal
+import socket
+import sys
+from collections.abc import AsyncIterator
+
+import aiohttp
+import yaml
+
+from coltsfootseam.jobs import TaskId
+from coltsfootseam.standins.memory_workers import MemoryWorkers
+from coltsfootseam.testbed.waiting import wait_until
+from coltsfootseam.timers import LoopTimers
+from coltsfootseam.workers import WorkerEntry
+from tests.common.wire import WireStore, WireWorker, serving
+
+ROOT = pathlib.Path(__file__).parents[2]
+LIMIT_S = 60.0
+JOB = "5c0e7a21d94b36f8"
+HOST = "queue.example"
+
+
+def free_ports(count: int) -> list[int]:
+    """Returns ports that were free a moment ago, all different."""
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind(("127.0.0.1", 0))
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
+def free_pair() -> int:
+    """Returns a port that was free a moment ago, as was the next one."""
+    while True:
+        (port,) = free_ports(1)
+        with socket.socket() as second:
+            try:
+                second.bind(("127.0.0.1", port + 1))
+            except OSError:
+                continue
+        return port
+
+
+class ManagerProcess:
+    """One manager as a process of its own."""
+
+    def __init__(self, number: int, store: str, folder: pathlib.Path) -> None:
+        front, readiness = free_ports(2)
+        self.front = f"127.0.0.1:{front}"
+        self.readiness = f"127.0.0.1:{readiness}"
+        pair = free_pair()
+        self.metrics = f"127.0.0.1:{pair + 1}"
+        self._settings = folder / f"boot-{number}.yaml"
+        self._settings.write_text(
+            yaml.safe_dump(
+                {
+                    "node": f"edge-{number}",
+                    "ip": "127.0.0.1",
+                    "zone": "a",
+                    "listen": {
+                        "front": self.front,
+                        "readiness": self.readiness,
+                    },
+                    "port_range": [pair, pair + 1],
+                    "platform": {"addr": store, "parts": 12},
+                    "cloud_api": {"addr": store},
+                }
+            )
+        )
+        self.process: asyncio.subprocess.Process | None = None
+
+    async def start(self) -> None:
+        """Starts the process."""
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(ROOT / "deploy/start.py"),
+            env={**os.environ, "COLTSFOOTSEAM_NODE_FILE": str(self._settings)},
+            stdout=asyncio.subprocess.DEVNULL,
+        )
+
+    async def end(self, number: signal.Signals) -> int:
+        """Ends the process; returns its exit status."""
+        assert self.process is not None
+        if self.process.returncode is None:
+            self.process.send_signal(number)
+        return await self.process.wait()
+
+
+class Deployment:
+    """Store, workers and managers, and a caller."""
+
+    def __init__(self) -> None:
+        self.store = WireStore()
+        self.workers = MemoryWorkers(LoopTimers(), self._duration)
+        self.managers: list[ManagerProcess] = []
+        self.session: aiohttp.ClientSession | None = None
+        self.duration_s = 0.3
+
+    def _duration(self, task: TaskId) -> float:
+        del task
+        return self.duration_s
+
+    async def call(
+        self, method: str, manager: ManagerProcess, path: str, body: object
+    ) -> tuple[int, bytes]:
+        """Calls a manager as a caller does; 0 stands for no answer."""
+        assert self.session is not None
+        try:
+            async with self.session.request(
+                method,
+                f"http://{manager.front}{path}",
+                json=body,
+                headers={"Host": HOST},
+                timeout=aiohttp.ClientTimeout(total=3),
+            ) as response:
+                return response.status, await response.read()
+        except (aiohttp.ClientError, TimeoutError):
+            return 0, b""
+
+    async def submit(self, manager: ManagerProcess, job_id: str) -> None:
+        """Submits a job until it is accepted."""
+        body = {"spec": "x", "steps": [{"count": 2, "cpu": 500}]}
+        async with asyncio.timeout(LIMIT_S):
+            while True:
+                status, _ = await self.call(
+                    "POST", manager, f"/q/{job_id}", body
+                )
+                if status == 200:
+                    return
+                await asyncio.sleep(0.05)
+
+    async def wait_for(self, manager: ManagerProcess, job_id: str) -> None:
+        """Waits until a manager shows a job as completed."""
+        async with asyncio.timeout(LIMIT_S):
+            while True:
+                _, body = await self.call("GET", manager, f"/q/{job_id}", None)
+                if b"completed" in body:
+                    return
+                await asyncio.sleep(0.05)
+
+    def starts(self, job_id: str) -> int:
+        """Returns how many starts of a job were carried out."""
+        return sum(
+            1 for order in self.workers.starts if order.task.job_id == job_id
+        )
+
+
+@contextlib.asynccontextmanager
+async def running(
+    folder: pathlib.Path, managers: int
+) -> AsyncIterator[Deployment]:
+    """Runs a deployment while the context is open."""
+    deployment = Deployment()
+    store_port, *worker_ports = free_ports(3)
+    store_address = f"127.0.0.1:{store_port}"
+    async with contextlib.AsyncExitStack() as stack:
+        await stack.enter_async_context(
+            serving(deployment.store.application(), store_address)
+        )
+        for number, port in enumerate(worker_ports):
+            await _add_worker(deployment, stack, number, port)
+        _configure(deployment, 1, "/q/")
+        deployment.session = await stack.enter_async_context(
+            aiohttp.ClientSession()
+        )
+        for number in range(managers):
+            manager = ManagerProcess(number, store_address, folder)
+            deployment.managers.append(manager)
+            await manager.start()
+            stack.push_async_callback(manager.end, signal.SIGKILL)
+        yield deployment
+        assert deployment.workers.violations == []
+
+
+def _configure(deployment: Deployment, version: int, prefix: str) -> None:
+    route = {
+        "name": "r",
+        "host": HOST,
+        "path_prefix": prefix,
+        "service": "pool",
+        "max_attempts": 2,
+        "stretch": 2.0,
+        "target_latency_ms": 600,
+    }
+    deployment.store.put(
+        "op",
+        "config",
+        {"version": version, "routes": [route], "services": [{"name": "pool"}]},
+    )
+
+
+async def _add_worker(
+    deployment: Deployment,
+    stack: contextlib.AsyncExitStack,
+    number: int,
+    port: int,
+) -> None:
+    instance_id = f"i-{number}"
+    entry = WorkerEntry(
+        worker_id=f"{instance_id}@7",
+        instance_id=instance_id,
+        born_ms=7,
+        pool="pool",
+        address=f"127.0.0.1:{port}",
+        zone="a",
+        is_draining=False,
+        remaining_ms=None,
+        cpu_millis=4000,
+        memory_mb=4000,
+        accelerators=0,
+        labels=("a", "r1"),
+    )
+    worker = WireWorker(deployment.workers, entry)
+    await stack.enter_async_context(
+        serving(worker.application(), entry.address)
+    )
+    deployment.store.put(
+        "servers",
+        instance_id,
+        {
+            "service": "pool",
+            "addr": entry.address,
+            "zone": "a",
+            "state": "ready",
+            "born": 7,
+            "capacity": {"cpu": 4000, "mem_mb": 4000},
+            "labels": ["a", "r1"],
+        },
+    )
+
+
+async def test_jobs_go_through_real_processes(tmp_path: pathlib.Path) -> None:
+    async with running(tmp_path, managers=2) as deployment:
+        first, second = deployment.managers
+        await deployment.submit(first, JOB)
+        await deployment.submit(second, JOB)
+        await deployment.wait_for(second, JOB)
+        assert deployment.starts(JOB) == 2
+        status, _ = await deployment.call("GET", first, "/q/" + "0" * 16, None)
+        assert status == 410
+        status, _ = await deployment.call("GET", first, "/other/", None)
+        assert status == 404
+
+
+async def test_a_killed_manager_loses_no_job(tmp_path: pathlib.Path) -> None:
+    async with running(tmp_path, managers=3) as deployment:
+        deployment.duration_s = 1.5
+        *_, last = deployment.managers
+        jobs = [f"{number:016x}" for number in range(4)]
+        for job_id in jobs:
+            await deployment.submit(last, job_id)
+        for manager in deployment.managers[:2]:
+            await manager.end(signal.SIGKILL)
+        for job_id in jobs:
+            await deployment.wait_for(last, job_id)
+
+
+async def test_a_planned_stop_ends_cleanly_and_hands_over(
+    tmp_path: pathlib.Path,
+) -> None:
+    async with running(tmp_path, managers=2) as deployment:
+        first, second = deployment.managers
+        await deployment.submit(first, JOB)
+        assert await first.end(signal.SIGTERM) == 0
+        await deployment.wait_for(second, JOB)
+        await deployment.submit(second, "a" * 16)
+        await deployment.wait_for(second, "a" * 16)
+
+
+async def test_a_changed_configuration_comes_into_force(
+    tmp_path: pathlib.Path,
+) -> None:
+    async with running(tmp_path, managers=2) as deployment:
+        await deployment.submit(deployment.managers[0], JOB)
+        _configure(deployment, 5, "/new/")
+        async with asyncio.timeout(LIMIT_S):
+            for manager in deployment.managers:
+                while True:
+                    status, _ = await deployment.call(
+                        "GET", manager, "/new/", None
+                    )
+                    if status == 200:
+                        break
+                    await asyncio.sleep(0.05)
+                status, _ = await deployment.call("GET", manager, "/q/", None)
+                assert status == 404
+
+
+async def test_the_status_pages_show_owners_and_jobs(
+    tmp_path: pathlib.Path,
+) -> None:
+    async with running(tmp_path, managers=1) as deployment:
+        (manager,) = deployment.managers
+        deployment.duration_s = 30.0
+        await deployment.submit(manager, JOB)
+        assert deployment.session is not None
+
+        async def has_started() -> bool:
+            return deployment.starts(JOB) == 2
+
+        await wait_until(has_started, "both tasks start", LIMIT_S)
+        base = f"http://{manager.metrics}"
+        async with deployment.session.get(f"{base}/status") as response:
+            status = await response.json()
+        assert status["duties"] == ["fleet", "pool/pool"]
+        async with deployment.session.get(f"{base}/jobs/{JOB}") as response:
+            job = await response.json()
+        assert {task["waits_for"] for task in job["open_tasks"]} <= {
+            "its run, which is ordered",
+            "its run, which is running",
+        }
+        async with deployment.session.get(f"{base}/metrics") as response:
+            text = await response.text()
+        assert "submit_ok 1" in text
+        assert "request_post_ms_count" in text
