--- a/daemons/manager/src/coltsfootseam/manager/machine_rounds.py
+++ b/daemons/manager/src/coltsfootseam/manager/machine_rounds.py
@@ -215,6 +215,7 @@
                 reply.waiting_cores,
                 reply.used_cores,
                 reply.worker_limit,
+                frozenset(reply.waiting_labels),
             )
             for pool, reply in self._view.replies_by_pool.items()
         ]
@@ -258,6 +259,7 @@
                     idle_s=0.0
                     if idle_since_s is None
                     else now_s - idle_since_s,
+                    labels=frozenset(machine.labels),
                     is_due=self._waves.is_due(machine.machine_id),
                     is_leaving=machine.machine_id in due,
                 )
--- a/daemons/manager/src/coltsfootseam/manager/vacating.py
+++ b/daemons/manager/src/coltsfootseam/manager/vacating.py
@@ -37,6 +37,7 @@
             if link is not None:
                 link.is_gone = True
         runs_by_worker = state.active_runs_by_worker()
+        shortages = [item for item in self.shortages if self._can_fit(item)]
         state.spare_ids = self._choose_spare(
             request.spare_count, runs_by_worker
         )
@@ -49,7 +50,10 @@
                 and worker_id not in runs_by_worker
             ],
             idle_ids=self._idle_ids(runs_by_worker),
-            waiting_cores=sum(_waiting_cores(item) for item in self.shortages),
+            waiting_cores=sum(_waiting_cores(item) for item in shortages),
+            waiting_labels=sorted(
+                {item.ready.step.label for item in shortages} - {""}
+            ),
             used_cores=_used_cores(runs_by_worker),
             worker_limit=self._worker_limit(),
         )
@@ -127,6 +131,18 @@
                 if not _is_at_work(task):
                     task.away_since_s = now_s
 
+    def _can_fit(self, shortage: Shortage) -> bool:
+        """Tells whether any worker there is could run a task when empty."""
+        step = shortage.ready.step
+        entries = self._state.knowledge.workers_by_instance.values()
+        return any(
+            entry.cpu_millis >= step.cpu_millis
+            and entry.memory_mb >= step.memory_mb
+            and entry.accelerators >= step.accelerators
+            and (not step.label or step.label in entry.labels)
+            for entry in entries
+        )
+
     def _choose_spare(
         self, count: int, runs_by_worker: dict[str, list[tuple[Task, Run]]]
     ) -> set[str]:
--- a/libs/calls/src/coltsfootseam/calls/messages.py
+++ b/libs/calls/src/coltsfootseam/calls/messages.py
@@ -109,6 +109,7 @@
             nothing.
         idle_ids: Workers that run nothing, whether named or not.
         waiting_cores: Processor that waiting tasks ask for, in cores.
+        waiting_labels: Labels that waiting tasks ask for.
         used_cores: Processor in use, in cores.
         worker_limit: How many workers its tasks need to be apart.
     """
@@ -117,5 +118,6 @@
     empty_ids: list[str] = []
     idle_ids: list[str] = []
     waiting_cores: float = 0.0
+    waiting_labels: list[str] = []
     used_cores: float = 0.0
     worker_limit: int = 0
--- a/libs/scheduling/src/coltsfootseam/scheduling/demand.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/demand.py
@@ -24,12 +24,14 @@
         waiting_cores: Processor that waiting tasks ask for, in cores.
         used_cores: Processor in use, in cores.
         worker_limit: How many workers its tasks need to be apart.
+        labels: Labels that waiting tasks ask for.
     """
 
     pool: str
     waiting_cores: float
     used_cores: float
     worker_limit: int = 0
+    labels: frozenset[str] = frozenset()
 
 
 class MachineSupply(msgspec.Struct, frozen=True):
@@ -41,6 +43,7 @@
         cores: Processor that it has, in cores.
         is_free: Whether it runs nothing and could leave now.
         idle_s: How long it has been running nothing.
+        labels: Its kind and its rack.
         is_due: Whether it waits for maintenance.
         is_leaving: Whether it is being emptied for maintenance.
     """
@@ -50,6 +53,7 @@
     cores: float
     is_free: bool
     idle_s: float
+    labels: frozenset[str] = frozenset()
     is_due: bool = False
     is_leaving: bool = False
 
@@ -111,6 +115,7 @@
     supply_cores: float
     machine_count: int
     least_count: int
+    labels: frozenset[str] = frozenset()
 
     def shortage(self) -> float:
         return self.need_cores - self.supply_cores
@@ -203,6 +208,7 @@
         supply_cores=sum(machine.cores for machine in own),
         machine_count=len(own),
         least_count=max(rules.least_machines, demand.worker_limit),
+        labels=demand.labels,
     )
 
 
@@ -222,9 +228,11 @@
         and machine.machine_id not in taken
         and machine.pool != balance.pool
     ]
-    # What is off comes first; what is due for maintenance comes last.
+    # What has a label that is asked for comes first, then what is off; what
+    # is due for maintenance comes last.
     candidates.sort(
         key=lambda machine: (
+            not machine.labels & balance.labels,
             machine.pool != standby_pool,
             machine.is_due,
             -machine.idle_s,
--- a/tests/cover/test_pool_sizes.py
+++ b/tests/cover/test_pool_sizes.py
@@ -129,3 +129,16 @@
     demand = PoolDemand("busy", 0.0, 4.0, worker_limit=2)
     moves = plan_moves([demand], DemandHistory(), machines, OFF, PoolRules())
     assert [move.machine_id for move in moves] == ["m-3"]
+
+
+def test_a_machine_with_the_label_that_is_asked_for_comes_first() -> None:
+    machines = [
+        machine(1, OFF),
+        MachineSupply(
+            "m-2", OFF, 16.0, True, 10.0, labels=frozenset({"large", "r2"})
+        ),
+    ]
+    demand = PoolDemand("busy", 8.0, 0.0, labels=frozenset({"large"}))
+    rules = PoolRules(headroom_cores=0.0, least_machines=0)
+    moves = plan_moves([demand], DemandHistory(), machines, OFF, rules)
+    assert [move.machine_id for move in moves] == ["m-2"]
