--- a/daemons/manager/src/coltsfootseam/manager/context.py
+++ b/daemons/manager/src/coltsfootseam/manager/context.py
@@ -64,11 +64,6 @@
         move_s: Time that a machine takes to change its pool.
         maintenance_s: Time that a machine's maintenance takes.
         machine_lease_s: Time between orders of two holders for a machine.
-        notice_s: Time for which a lasting task counts as away after it was.
-        early_s: How much earlier than due an occurrence may start.
-        pace_s: Time after which a change of speed takes effect.
-        remote_factor: How much slower a task is away from its data.
-        checkpoint_s: Work after which a task saves its progress.
         stop_grace_s: Time from the request to stop to the forced end.
         balancer_s: Time for which new connections may still come after the
             host reports that it is not ready.
@@ -83,11 +78,6 @@
     move_s: float = 1.5
     maintenance_s: float = 2.0
     machine_lease_s: float = 3.0
-    notice_s: float = 4.5
-    early_s: float = 0.0
-    pace_s: float = 0.1
-    remote_factor: float = 2.0
-    checkpoint_s: float = 2.0
     stop_grace_s: float = 6.0
     balancer_s: float = 2.5
 
--- a/daemons/manager/src/coltsfootseam/manager/knowledge.py
+++ b/daemons/manager/src/coltsfootseam/manager/knowledge.py
@@ -73,11 +73,6 @@
             self._operator_tail.run(), self._workers_tail.run()
         )
 
-    def workers_are_current(self, age_s: float) -> bool:
-        """Tells whether the list of workers is at most so old."""
-        now_s = self._context.timers.now_s()
-        return now_s - self._workers_tail.current_s <= age_s
-
     def attempts_of(self, queue: str) -> int:
         """Returns how many runs of a task of a queue may fail."""
         if self.configuration is None:
--- a/daemons/manager/src/coltsfootseam/manager/planning.py
+++ b/daemons/manager/src/coltsfootseam/manager/planning.py
@@ -9,16 +9,14 @@
     Plan,
     ReadyStep,
     Room,
+    chain_s,
     job_order_named,
     plan_starts,
-    remaining_chain_s,
     step_key,
-    whole_chain_s,
 )
 from coltsfootseam.workers import WorkerLink
 
 _MS_PER_S = 1000
-_MILLIS_PER_CORE = 1000
 
 
 class NewRun(msgspec.Struct, frozen=True):
@@ -103,8 +101,7 @@
         return ready
 
     def _due_occurrences(self, job: Job) -> list[Occurrence]:
-        early_ms = self._state.context.times.early_s * _MS_PER_S
-        now_ms = self._state.wall_ms() + early_ms
+        now_ms = self._state.wall_ms()
         due = []
         for number in range(job.request.occurrence_count()):
             if job.request.due_ms(number) > now_ms:
@@ -131,8 +128,7 @@
         since_ms = occurrence.due_ms or job.request.accepted_ms
         waited_s = (self._state.wall_ms() - since_ms) / _MS_PER_S
         objective_s = (
-            queue.stretch * whole_chain_s(job) * ratio
-            + queue.target_ms / _MS_PER_S
+            queue.stretch * chain_s(job) * ratio + queue.target_ms / _MS_PER_S
         )
         step = job.request.steps[number]
         return ReadyStep(
@@ -142,9 +138,8 @@
             step=step,
             queue=queue,
             waited_s=waited_s,
-            remaining_s=remaining_chain_s(job, occurrence) * ratio,
+            remaining_s=chain_s(job, occurrence) * ratio,
             objective_s=max(objective_s, 0.1),
-            work_core_s=_work_core_s(job, occurrence),
         )
 
     def _enter(self, plan: Plan) -> list[NewRun]:
@@ -172,14 +167,3 @@
         for member in members:
             member.checkpoint = saved
         return newest.last_run + 1
-
-
-def _work_core_s(job: Job, occurrence: Occurrence) -> float:
-    return sum(
-        occurrence.open_by_step[number]
-        * step.cpu_millis
-        / _MILLIS_PER_CORE
-        * step.estimate_ms
-        / _MS_PER_S
-        for number, step in enumerate(job.request.steps)
-    )
--- a/libs/scheduling/src/coltsfootseam/scheduling/__init__.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/__init__.py
@@ -12,10 +12,9 @@
 from coltsfootseam.scheduling.health import WorkerHealth
 from coltsfootseam.scheduling.ordering import (
     ReadyStep,
+    chain_s,
     job_order,
     job_order_named,
-    remaining_chain_s,
-    whole_chain_s,
 )
 from coltsfootseam.scheduling.pacing import PaceChange, plan_pace
 from coltsfootseam.scheduling.placement import (
@@ -48,6 +47,7 @@
     "StepKey",
     "WaveProgress",
     "WorkerHealth",
+    "chain_s",
     "choose_maintenance",
     "find_stalled",
     "job_order",
@@ -55,8 +55,6 @@
     "plan_moves",
     "plan_pace",
     "plan_starts",
-    "remaining_chain_s",
     "spare_counts",
     "step_key",
-    "whole_chain_s",
 ]
--- a/libs/scheduling/src/coltsfootseam/scheduling/ordering.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/ordering.py
@@ -25,7 +25,6 @@
         waited_s: Time since the job was accepted or due.
         remaining_s: Least time until the job can be done.
         objective_s: Time within which it is worth its full credit.
-        work_core_s: Work that is left in the job, in core-seconds.
     """
 
     job: Job
@@ -36,7 +35,6 @@
     waited_s: float
     remaining_s: float
     objective_s: float
-    work_core_s: float
 
     def slack_s(self) -> float:
         """Returns how long it can still wait within its objective."""
@@ -94,21 +92,19 @@
     return (2.0, float(is_worthless), -ready.waited_s / ready.objective_s)
 
 
-def remaining_chain_s(job: Job, occurrence: Occurrence) -> float:
-    """Returns the longest chain of open steps, by their estimates."""
+def chain_s(job: Job, occurrence: Occurrence | None = None) -> float:
+    """Returns the longest chain of a job's steps, by their estimates.
+
+    Args:
+        job: The job.
+        occurrence: If given, its steps that are done count as nothing.
+    """
     ends_s: list[float] = []
     for number, step in enumerate(job.request.steps):
         begin_s = max((ends_s[before] for before in step.after), default=0.0)
-        is_open = occurrence.open_by_step[number] > 0
-        own_s = step.estimate_ms / _MS_PER_S if is_open else 0.0
+        is_done = (
+            occurrence is not None and occurrence.open_by_step[number] == 0
+        )
+        own_s = 0.0 if is_done else step.estimate_ms / _MS_PER_S
         ends_s.append(begin_s + own_s)
     return max(ends_s, default=0.0)
-
-
-def whole_chain_s(job: Job) -> float:
-    """Returns the longest chain of all steps, by their estimates."""
-    ends_s: list[float] = []
-    for step in job.request.steps:
-        begin_s = max((ends_s[before] for before in step.after), default=0.0)
-        ends_s.append(begin_s + step.estimate_ms / _MS_PER_S)
-    return max(ends_s, default=0.0)
--- a/libs/store/src/coltsfootseam/store/journal.py
+++ b/libs/store/src/coltsfootseam/store/journal.py
@@ -39,7 +39,6 @@
         partition: Where the journal stands.
         epoch: Number of this ownership. It also fences orders to workers.
         claimed_s: When this ownership began, monotonic.
-        confirmed_s: When the store last confirmed the epoch, monotonic.
         lost: Whether another owner has claimed the journal since.
     """
 
@@ -49,7 +48,6 @@
         "_store",
         "_timers",
         "claimed_s",
-        "confirmed_s",
         "epoch",
         "lost",
         "partition",
@@ -70,7 +68,6 @@
         self._sequence = 0
         self.epoch = epoch
         self.claimed_s = timers.now_s()
-        self.confirmed_s = self.claimed_s
         self.lost = False
 
     async def commit(self, records: list[KeyedRecord]) -> Refusal | None:
@@ -85,12 +82,10 @@
         self._sequence += 1
         writer = Writer(self._name, self.epoch, self._sequence)
         while not self.lost:
-            sent_s = self._timers.now_s()
             result = await self._store.append(
                 self.partition, records, writer=writer
             )
             if isinstance(result, Appended):
-                self.confirmed_s = sent_s
                 return None
             if _is_fenced(result):
                 self.lost = True
--- a/tests/common/fleets.py
+++ b/tests/common/fleets.py
@@ -208,7 +208,7 @@
         self, timers: VirtualTimers, duration_of: Callable[[TaskId], float]
     ) -> None:
         self.timers = timers
-        self.times = Times(early_s=0.0)
+        self.times = Times()
         self.store = MemoryStore(timers)
         self.workers = MemoryWorkers(timers, duration_of)
         self.machines = MemoryMachines(timers, [])
