--- a/bench/scheduling.py
+++ b/bench/scheduling.py
@@ -48,10 +48,10 @@
 _SMALL = Step(cpu_millis=1000, estimate_ms=500)
 
 
-def _make_state(workers: int) -> PoolState:
+def _make_context() -> Context:
     timers = VirtualTimers()
     fleet_workers = MemoryWorkers(timers, lambda task: 1.0)
-    context = Context(
+    return Context(
         host_id="host",
         incarnation="host-1",
         address="10.0.0.1:1",
@@ -69,6 +69,10 @@
         counters=Counters(),
         times=Times(),
     )
+
+
+def _make_state(workers: int) -> PoolState:
+    context = _make_context()
     knowledge = Knowledge(context)
     queue = Queue(
         _QUEUE, "h", "/q/", _POOL, attempts=3, stretch=2.0, target_ms=600
@@ -77,7 +81,7 @@
         1, {_QUEUE: queue}, {_POOL: Pool(_POOL)}
     )
     journal = Journal(
-        context.ports.store, timers, Partition("pool", 1), "pool", 1
+        context.ports.store, context.timers, Partition("pool", 1), "pool", 1
     )
     state = PoolState(
         _POOL,
--- a/daemons/manager/src/coltsfootseam/manager/locator.py
+++ b/daemons/manager/src/coltsfootseam/manager/locator.py
@@ -15,6 +15,7 @@
 from coltsfootseam.results import Refusal, ResultCode
 
 _ASK_TIMEOUT_S = 0.3
+_TRIES = 2
 
 
 class Locator:
@@ -47,28 +48,23 @@
         Returns:
             The owner's reply, or a refusal with ``UNREACHABLE``.
         """
-        address = self._address_by_duty.get(duty)
-        if address is None:
-            address = self._directory.address_of(duty)
-        if address is not None:
-            reply = await self._context.peers.call(
-                address, method, request, timeout_s
-            )
-            if not isinstance(reply, Refusal) and is_from_owner(reply):
-                self._address_by_duty[duty] = address
-                return reply
-        self._address_by_duty.pop(duty, None)
-        self._directory.look_again()
-        found = await self.find(duty)
-        if found is None or found == address:
-            return Refusal(ResultCode.UNREACHABLE, f"{duty}: no owner answers")
-        reply = await self._context.peers.call(
-            found, method, request, timeout_s
-        )
-        if isinstance(reply, Refusal) or not is_from_owner(reply):
-            return Refusal(ResultCode.UNREACHABLE, f"{duty}: no owner answers")
-        self._address_by_duty[duty] = found
-        return reply
+        guess = self._address_by_duty.get(duty)
+        guess = guess or self._directory.address_of(duty)
+        for _ in range(_TRIES):
+            if guess is not None:
+                reply = await self._context.peers.call(
+                    guess, method, request, timeout_s
+                )
+                if not isinstance(reply, Refusal) and is_from_owner(reply):
+                    self._address_by_duty[duty] = guess
+                    return reply
+            self._address_by_duty.pop(duty, None)
+            self._directory.look_again()
+            found = await self.find(duty)
+            if found is None or found == guess:
+                break
+            guess = found
+        return Refusal(ResultCode.UNREACHABLE, f"{duty}: no owner answers")
 
     async def find(self, duty: str) -> str | None:
         """Asks all hosts which of them owns a duty."""
--- a/daemons/manager/src/coltsfootseam/manager/machine_rounds.py
+++ b/daemons/manager/src/coltsfootseam/manager/machine_rounds.py
@@ -14,6 +14,7 @@
 from coltsfootseam.scheduling import (
     DemandHistory,
     MachineSupply,
+    Move,
     PoolDemand,
     PoolRules,
     plan_moves,
@@ -108,6 +109,10 @@
         self._spare_by_pool = spare_counts(
             demands, self._history, supplies, self._rules
         )
+        await self._carry_out(due, moves)
+
+    async def _carry_out(self, due: list[str], moves: list[Move]) -> None:
+        """Empties machines and orders those that are empty."""
         targets_by_id = {move.machine_id: move.pool for move in moves}
         # The owners close the machines to new work before they are taken.
         await self._ask_pools(set(due) | set(targets_by_id))
--- a/daemons/manager/src/coltsfootseam/manager/manager.py
+++ b/daemons/manager/src/coltsfootseam/manager/manager.py
@@ -69,27 +69,10 @@
         times: Periods of the membership.
         serving: Serves calls of other hosts.
     """
-    knowledge = Knowledge(context)
-    membership = Membership(
-        context.ports.store,
-        context.timers,
-        member_name(context.address, context.incarnation),
-        lambda: duties.follow_deal(),
-        times,
-    )
-    directory = Directory(membership, context.duty_slots)
-    locator = Locator(context, directory)
-    duties = DutyKeeper(context, knowledge, membership, directory, locator)
-    jobs = JobService(context, knowledge, directory, locator, membership)
-    status = StatusPage(context, knowledge, duties)
-    manager = Manager(context, knowledge, membership, duties, jobs, status)
-
-    def on_configuration() -> None:
-        assert knowledge.configuration is not None
-        directory.configure(knowledge.configuration)
-        duties.follow_deal()
-
-    knowledge.listen(on_configuration)
+    manager = _build(context, times)
+    knowledge = manager.knowledge
+    membership = manager.membership
+    duties = manager.duties
     peer_calls = PeerCalls(context, duties, membership)
     async with serving(context.address, peer_calls.handlers()):
         with _running(
@@ -113,3 +96,27 @@
     finally:
         for task in tasks:
             task.cancel()
+
+
+def _build(context: Context, times: MembershipTimes) -> Manager:
+    knowledge = Knowledge(context)
+    membership = Membership(
+        context.ports.store,
+        context.timers,
+        member_name(context.address, context.incarnation),
+        lambda: duties.follow_deal(),
+        times,
+    )
+    directory = Directory(membership, context.duty_slots)
+    locator = Locator(context, directory)
+    duties = DutyKeeper(context, knowledge, membership, directory, locator)
+    jobs = JobService(context, knowledge, directory, locator, membership)
+    status = StatusPage(context, knowledge, duties)
+
+    def on_configuration() -> None:
+        assert knowledge.configuration is not None
+        directory.configure(knowledge.configuration)
+        duties.follow_deal()
+
+    knowledge.listen(on_configuration)
+    return Manager(context, knowledge, membership, duties, jobs, status)
--- a/libs/scheduling/src/coltsfootseam/scheduling/demand.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/demand.py
@@ -221,6 +221,30 @@
     moves: list[Move],
 ) -> None:
     """Brings machines to a pool that is short."""
+    for machine in _candidates(balance, machines, standby_pool, taken):
+        is_short = balance.shortage() > _SHORT_SHARE * machine.cores
+        is_few = balance.machine_count < balance.least_count
+        if not is_short and not is_few:
+            return
+        giver = balances_by_pool.get(machine.pool)
+        if machine.pool != standby_pool:
+            if giver is None or not giver.can_give(machine.cores):
+                continue
+            giver.supply_cores -= machine.cores
+            giver.machine_count -= 1
+        balance.supply_cores += machine.cores
+        balance.machine_count += 1
+        taken.add(machine.machine_id)
+        moves.append(Move(machine.machine_id, balance.pool))
+
+
+def _candidates(
+    balance: _Balance,
+    machines: list[MachineSupply],
+    standby_pool: str,
+    taken: set[str],
+) -> list[MachineSupply]:
+    """Returns the machines that a short pool may get, the best first."""
     candidates = [
         machine
         for machine in machines
@@ -238,21 +262,7 @@
             -machine.idle_s,
         )
     )
-    for machine in candidates:
-        is_short = balance.shortage() > _SHORT_SHARE * machine.cores
-        is_few = balance.machine_count < balance.least_count
-        if not is_short and not is_few:
-            return
-        giver = balances_by_pool.get(machine.pool)
-        if machine.pool != standby_pool:
-            if giver is None or not giver.can_give(machine.cores):
-                continue
-            giver.supply_cores -= machine.cores
-            giver.machine_count -= 1
-        balance.supply_cores += machine.cores
-        balance.machine_count += 1
-        taken.add(machine.machine_id)
-        moves.append(Move(machine.machine_id, balance.pool))
+    return candidates
 
 
 def _release(
