--- a/libs/store/src/coltsfootseam/store/journal.py
+++ b/libs/store/src/coltsfootseam/store/journal.py
@@ -90,10 +90,18 @@
             if _is_fenced(result):
                 self.lost = True
                 break
-            await self._timers.sleep(_RETRY_S)
+            if not _is_pending(result):
+                await self._timers.sleep(_RETRY_S)
         return Refusal(ResultCode.STALE_EPOCH, f"{self._name}: journal lost")
 
 
+def _is_pending(result: Appended | EndMoved | Refusal) -> bool:
+    return (
+        isinstance(result, Refusal)
+        and result.code is ResultCode.OUTCOME_PENDING
+    )
+
+
 def _is_fenced(result: Appended | EndMoved | Refusal) -> bool:
     return isinstance(result, Refusal) and result.code is ResultCode.STALE_EPOCH
 
--- a/tests/cover/test_adapter.py
+++ b/tests/cover/test_adapter.py
@@ -12,6 +12,7 @@
 from coltsfootseam.adapter.store import (
     _encode_record,
     _failed,
+    _Patience,
     _read_append,
     _read_page,
 )
@@ -242,3 +243,17 @@
     assert isinstance(refusal, Refusal)
     assert refusal.code is ResultCode.SETTINGS_INVALID
     assert str(path) in refusal.reason
+
+
+def test_a_lost_answer_is_noticed_soon_and_a_slow_store_gets_time() -> None:
+    patience = _Patience()
+    for _ in range(20):
+        patience.take(0.008, is_answered=True)
+    assert patience.limit_s() <= 0.3
+    patience.take(0.25, is_answered=False)
+    patience.take(0.5, is_answered=False)
+    assert patience.limit_s() >= 1.0
+    patience.take(0.33, is_answered=True)
+    for _ in range(20):
+        patience.take(0.33, is_answered=True)
+    assert patience.limit_s() >= 1.0
