Tell a cut host from a store that has just returned, and confirm epochs

An owner with nothing to store would not notice its successor and could extend leases beyond the bound that the successor waits.

Change: reach is judged by any answer of the store; a return gives all hosts a second; each pool's owner has its epoch confirmed when it stores nothing for 0.7 s and leaves if that fails for 2 s.

--- a/bench/scheduling.py
+++ b/bench/scheduling.py
@@ -29,7 +29,7 @@
 from coltsfootseam.standins.memory_machines import MemoryAdvice, MemoryMachines
 from coltsfootseam.standins.memory_store import MemoryStore
 from coltsfootseam.standins.memory_workers import MemoryWorkers
-from coltsfootseam.store import Journal, Partition
+from coltsfootseam.store import Journal, Partition, WatchedStore
 from coltsfootseam.timers import VirtualTimers
 from coltsfootseam.workers import LeaseTimes, WorkerEntry, WorkerLink
 from tests.common.fleets import (
@@ -58,7 +58,7 @@
         duty_slots=12,
         timers=timers,
         ports=Ports(
-            MemoryStore(timers).client(),
+            WatchedStore(MemoryStore(timers).client(), timers),
             fleet_workers.calls("host"),
             MemoryMachines(timers, []),
             MemoryAdvice(timers),
--- a/daemons/manager/src/coltsfootseam/manager/context.py
+++ b/daemons/manager/src/coltsfootseam/manager/context.py
@@ -10,8 +10,8 @@
 from coltsfootseam.store import (
     KeyedRecord,
     Partition,
-    Store,
     StoredRecord,
+    WatchedStore,
 )
 from coltsfootseam.timers import TimerService
 from coltsfootseam.workers import (
@@ -85,7 +85,7 @@
 class Ports(msgspec.Struct):
     """The manager's interfaces to the outside."""
 
-    store: Store
+    store: WatchedStore
     workers: WorkerCalls
     machines: MachineCalls
     advice: AdviceCalls
--- a/daemons/manager/src/coltsfootseam/manager/duty_keeper.py
+++ b/daemons/manager/src/coltsfootseam/manager/duty_keeper.py
@@ -24,6 +24,7 @@
 _OWNER_TIMEOUT_S = 0.25
 _HELD_PAUSE_S = 0.5
 _KEEP_S = 10.0
+_RETURN_S = 1.0
 
 
 class Duty(Protocol):
@@ -51,6 +52,7 @@
         "_begun_s_by_duty",
         "_context",
         "_directory",
+        "_down_for_all_s",
         "_knowledge",
         "_locator",
         "_membership",
@@ -76,6 +78,7 @@
         self._tasks_by_duty: dict[str, asyncio.Task[None]] = {}
         self._takeovers_by_duty: dict[str, asyncio.Task[None]] = {}
         self._begun_s_by_duty: dict[str, float] = {}
+        self._down_for_all_s = float("-inf")
         self.owners_by_pool: dict[str, PoolOwner] = {}
         self.is_stopping = False
 
@@ -196,14 +199,22 @@
             self._end(duty)
 
     async def _check_isolation(self) -> None:
-        membership = self._membership
-        silence_s = self._context.timers.now_s() - membership.joined_s
-        is_idle = membership.deal is None
+        """Gives all duties up where this host alone lost the store.
+
+        When the store returns to all, some hosts notice it a moment before
+        the others; that does not make the others isolated.
+        """
+        silence_s = self._context.ports.store.silence_s()
+        is_idle = self._membership.deal is None
         if is_idle or silence_s < self._context.times.isolation_s:
             return
+        now_s = self._context.timers.now_s()
         if await self._is_store_down_for_all():
+            self._down_for_all_s = now_s
+            return
+        if now_s - self._down_for_all_s < _RETURN_S:
             return
-        membership.deal = None
+        self._membership.deal = None
         self._context.log.write("host.isolated", silence_s=round(silence_s, 2))
 
     async def _is_store_down_for_all(self) -> bool:
--- a/daemons/manager/src/coltsfootseam/manager/peer_calls.py
+++ b/daemons/manager/src/coltsfootseam/manager/peer_calls.py
@@ -30,6 +30,7 @@
 from coltsfootseam.store import KeyedRecord, Membership
 
 _INBOX_AGE_S = 2.5
+_LONGEST_SILENCE_S = 1e6
 
 
 class PeerCalls:
@@ -88,8 +89,8 @@
     async def ask_reach(self, question: ReachQuestion) -> ReachReply:
         """Tells when the store last answered this host."""
         del question
-        now_s = self._context.timers.now_s()
-        return ReachReply(min(now_s - self._membership.joined_s, 1e6))
+        silence_s = self._context.ports.store.silence_s()
+        return ReachReply(min(silence_s, _LONGEST_SILENCE_S))
 
     async def relay(self, request: RelayRequest) -> RelayReply:
         """Appends to an inbox for a host that can't reach the store."""
--- a/daemons/manager/src/coltsfootseam/manager/pool_owner.py
+++ b/daemons/manager/src/coltsfootseam/manager/pool_owner.py
@@ -39,6 +39,8 @@
 _RETRY_S = 0.15
 _TICK_S = 0.1
 _LEAST_ROUND_S = 0.02
+_CONFIRM_S = 0.7
+_UNCONFIRMED_S = 2.0
 _INBOX_WAIT_S = 2.0
 _DROP_PERIOD_S = 5.0
 _DROP_MARGIN_S = 30.0
@@ -199,6 +201,9 @@
                 _DROP_PERIOD_S, lambda: self._drop_old(state, inbox)
             ),
             pacer.subscribe(),
+            self._context.timers.subscribe(
+                _CONFIRM_S, lambda: self._confirm(state)
+            ),
         ]
         try:
             while not state.journal.lost:
@@ -218,6 +223,23 @@
                 "pool.left", pool=self._pool, epoch=state.journal.epoch
             )
 
+    async def _confirm(self, state: PoolState) -> None:
+        """Makes sure that nobody else owns the pool by now.
+
+        An owner without anything to store would not notice it, and go on to
+        extend leases that its successor takes to have ended.
+        """
+        journal = state.journal
+        if state.now_s() - journal.confirmed_s < _CONFIRM_S:
+            return
+        await journal.confirm()
+        age_s = state.now_s() - journal.confirmed_s
+        is_answered = self._context.ports.store.silence_s() < _CONFIRM_S
+        if age_s > _UNCONFIRMED_S and is_answered:
+            self._context.log.write("pool.unconfirmed", pool=self._pool)
+            journal.lost = True
+            self._wake.set()
+
     async def _drop_old(self, state: PoolState, inbox: Tail) -> None:
         """Deletes what stands of jobs that ended long ago."""
         keep_ms = (
--- a/libs/store/src/coltsfootseam/store/__init__.py
+++ b/libs/store/src/coltsfootseam/store/__init__.py
@@ -22,6 +22,7 @@
 )
 from coltsfootseam.store.port import Store
 from coltsfootseam.store.tail import Tail
+from coltsfootseam.store.watched import WatchedStore
 
 __all__ = [
     "CLAIM_KEY",
@@ -41,6 +42,7 @@
     "Store",
     "StoredRecord",
     "Tail",
+    "WatchedStore",
     "Writer",
     "claim_journal",
 ]
--- a/libs/store/src/coltsfootseam/store/journal.py
+++ b/libs/store/src/coltsfootseam/store/journal.py
@@ -39,6 +39,8 @@
         partition: Where the journal stands.
         epoch: Number of this ownership. It also fences orders to workers.
         claimed_s: When this ownership began, monotonic.
+        confirmed_s: When a call was sent that the store answered under this
+            epoch, monotonic.
         lost: Whether another owner has claimed the journal since.
     """
 
@@ -48,6 +50,7 @@
         "_store",
         "_timers",
         "claimed_s",
+        "confirmed_s",
         "epoch",
         "lost",
         "partition",
@@ -68,6 +71,7 @@
         self._sequence = 0
         self.epoch = epoch
         self.claimed_s = timers.now_s()
+        self.confirmed_s = self.claimed_s
         self.lost = False
 
     async def commit(self, records: list[KeyedRecord]) -> Refusal | None:
@@ -82,10 +86,12 @@
         self._sequence += 1
         writer = Writer(self._name, self.epoch, self._sequence)
         while not self.lost:
+            sent_s = self._timers.now_s()
             result = await self._store.append(
                 self.partition, records, writer=writer
             )
             if isinstance(result, Appended):
+                self.confirmed_s = sent_s
                 return None
             if _is_fenced(result):
                 self.lost = True
@@ -94,6 +100,20 @@
                 await self._timers.sleep(_RETRY_S)
         return Refusal(ResultCode.STALE_EPOCH, f"{self._name}: journal lost")
 
+    async def confirm(self) -> None:
+        """Asks the store whether the epoch still holds.
+
+        The last append is repeated without its records; the store answers as
+        it did the first time, or refuses the epoch.
+        """
+        writer = Writer(self._name, self.epoch, self._sequence)
+        sent_s = self._timers.now_s()
+        result = await self._store.append(self.partition, [], writer=writer)
+        if isinstance(result, Appended):
+            self.confirmed_s = max(self.confirmed_s, sent_s)
+        elif _is_fenced(result):
+            self.lost = True
+
 
 def _is_pending(result: Appended | EndMoved | Refusal) -> bool:
     return (
--- a/libs/store/src/coltsfootseam/store/membership.py
+++ b/libs/store/src/coltsfootseam/store/membership.py
@@ -6,7 +6,7 @@
 
 from coltsfootseam.results import Refusal
 from coltsfootseam.store.messages import Deal, Holding
-from coltsfootseam.store.port import Store
+from coltsfootseam.store.watched import WatchedStore
 from coltsfootseam.timers import TimerService
 
 GROUP = "duties"
@@ -34,7 +34,6 @@
         member: This member's name; it holds the address for peers.
         deal: What this member holds, ``None`` while that isn't known.
         members_by_number: Which member holds which partition, as last read.
-        joined_s: When the store last answered a join, monotonic.
     """
 
     __slots__ = (
@@ -44,7 +43,6 @@
         "_times",
         "_wants_holdings",
         "deal",
-        "joined_s",
         "leaving",
         "member",
         "members_by_number",
@@ -52,7 +50,7 @@
 
     def __init__(
         self,
-        store: Store,
+        store: WatchedStore,
         timers: TimerService,
         member: str,
         on_change: Callable[[], None],
@@ -66,7 +64,6 @@
         self.member = member
         self.deal: Deal | None = None
         self.members_by_number: dict[int, str] = {}
-        self.joined_s = float("-inf")
         self.leaving = False
 
     def is_silent(self) -> bool:
@@ -74,7 +71,7 @@
 
         The group may take this member for lost by now.
         """
-        return self._timers.now_s() - self.joined_s > self._times.ttl_s
+        return self._store.silence_s() > self._times.ttl_s
 
     async def run(self) -> None:
         """Renews the membership until it is cancelled."""
@@ -85,13 +82,11 @@
     async def renew(self) -> None:
         """Joins once; a refusal leaves what was dealt as it is."""
         generation = self.deal.generation if self.deal is not None else 0
-        sent_s = self._timers.now_s()
         result = await self._store.join(
             GROUP, self.member, TOPIC, self._times.ttl_s, generation
         )
         if isinstance(result, Refusal) or self.leaving:
             return
-        self.joined_s = sent_s
         if result != self.deal:
             self.deal = result
             self._wants_holdings = True
--- /dev/null
+++ b/libs/store/src/coltsfootseam/store/watched.py
@@ -0,0 +1,92 @@
+"""A store whose last answer is remembered."""
+
+from collections.abc import Sequence
+from typing import TypeVar
+
+from coltsfootseam.results import Refusal, ResultCode
+from coltsfootseam.store.messages import (
+    Appended,
+    Deal,
+    EndMoved,
+    HistoryGone,
+    Holding,
+    KeyedRecord,
+    Newest,
+    Page,
+    Partition,
+    Writer,
+)
+from coltsfootseam.store.port import Store
+from coltsfootseam.timers import TimerService
+
+T = TypeVar("T")
+
+
+class WatchedStore:
+    """Passes calls on and notes when the store last answered one.
+
+    Attributes:
+        answered_s: When it last did what was asked, monotonic.
+    """
+
+    __slots__ = ("_store", "_timers", "answered_s")
+
+    def __init__(self, store: Store, timers: TimerService) -> None:
+        self._store = store
+        self._timers = timers
+        self.answered_s = float("-inf")
+
+    def silence_s(self) -> float:
+        """Returns for how long the store hasn't answered this process."""
+        return self._timers.now_s() - self.answered_s
+
+    async def append(
+        self,
+        partition: Partition,
+        records: Sequence[KeyedRecord],
+        at: int | None = None,
+        writer: Writer | None = None,
+    ) -> Appended | EndMoved | Refusal:
+        """Appends all records or none."""
+        return self._note(
+            await self._store.append(partition, records, at, writer)
+        )
+
+    async def read(
+        self, partition: Partition, from_offset: int, wait_s: float
+    ) -> Page | HistoryGone | Refusal:
+        """Reads records, waiting up to ``wait_s`` for the first one."""
+        return self._note(
+            await self._store.read(partition, from_offset, wait_s)
+        )
+
+    async def newest(
+        self, partition: Partition, after_key: str = "", limit: int = 0
+    ) -> Newest | Refusal:
+        """Reads the newest record of each key after ``after_key``."""
+        return self._note(await self._store.newest(partition, after_key, limit))
+
+    async def join(
+        self, group: str, member: str, topic: str, ttl_s: float, generation: int
+    ) -> Deal | Refusal:
+        """Joins a group that deals a topic's partitions, or stays in it."""
+        return self._note(
+            await self._store.join(group, member, topic, ttl_s, generation)
+        )
+
+    async def leave(self, group: str, member: str) -> Refusal | None:
+        """Leaves a group, so that its partitions are dealt anew."""
+        return await self._store.leave(group, member)
+
+    async def holdings(self, group: str) -> list[Holding] | Refusal:
+        """Tells which member holds which partition."""
+        return self._note(await self._store.holdings(group))
+
+    def _note(self, result: T) -> T:
+        is_answer = (
+            not isinstance(result, Refusal)
+            or result.code is ResultCode.STALE_EPOCH
+        )
+        if is_answer:
+            self.answered_s = self._timers.now_s()
+        return result
--- a/tests/common/fleets.py
+++ b/tests/common/fleets.py
@@ -35,6 +35,7 @@
     MembershipTimes,
     Partition,
     StoredRecord,
+    WatchedStore,
 )
 from coltsfootseam.timers import TimerService, VirtualTimers
 from coltsfootseam.workers import Machine, MachineState, WorkerEntry
@@ -183,7 +184,7 @@
             duty_slots=fleet.store.slots,
             timers=self.timers,
             ports=Ports(
-                self.store,
+                WatchedStore(self.store, self.timers),
                 fleet.workers.calls(self.host_id, self.timers),
                 fleet.machines,
                 fleet.advice,
--- a/tests/cover/test_jobs_path.py
+++ b/tests/cover/test_jobs_path.py
@@ -2,7 +2,8 @@
 
 from coltsfootseam.jobs import JobState, Step
 from coltsfootseam.results import OK, Refusal, ResultCode
-from tests.common.fleets import running_fleet
+from coltsfootseam.store import Claim, Partition, claim_journal
+from tests.common.fleets import POOL, running_fleet
 
 SMALL = Step(cpu_millis=1000, estimate_ms=500)
 
@@ -194,3 +195,42 @@
         await third.kill()
         await fleet.timers.advance(3.0)
         assert owner.owns()
+
+
+async def test_an_owner_with_nothing_to_store_notices_its_successor() -> None:
+    async with running_fleet(hosts=2, duration_of=lambda task: 1e9) as fleet:
+        await fleet.accept(fleet.hosts[0], "a" * 16, SMALL)
+        await fleet.wait_until(lambda: fleet.started("a" * 16) == 1)
+        owner = fleet.owner()
+        fleet.peers.cut_addresses = {owner.address}
+        claim = Claim("somebody", "10.0.0.9:1")
+        await fleet.run(
+            claim_journal(
+                fleet.store.client(),
+                fleet.timers,
+                Partition(f"pool.{POOL}", 1),
+                f"pool.{POOL}",
+                claim,
+            )
+        )
+        await fleet.timers.advance(1.5)
+        assert owner.manager is not None
+        state = owner.manager.duties.owners_by_pool.get(POOL)
+        assert (
+            state is None
+            or state.state is None
+            or (state.state.journal.epoch > 1)
+        )
+
+
+async def test_a_store_that_returns_finds_the_owners_as_they_were() -> None:
+    async with running_fleet(hosts=3) as fleet:
+        owner = fleet.owner()
+        for host in fleet.hosts:
+            host.store.faults.is_silent = True
+        await fleet.timers.advance(4.0)
+        for host in fleet.hosts:
+            host.store.faults.is_silent = False
+            await fleet.timers.advance(0.3)
+        await fleet.timers.advance(2.0)
+        assert owner.owns()
