Give a worker up at once when its machine is listed as down

Ruled out that cut workers are listed so: a trial with node_cut and srv_cut listed none.

Change: a life that was known two seconds before the list was asked for is over when its machine is listed as down; the fleet's owner tells the pool's owner.

--- a/daemons/manager/src/coltsfootseam/manager/machine_orders.py
+++ b/daemons/manager/src/coltsfootseam/manager/machine_orders.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from coltsfootseam.manager.context import Context
+from coltsfootseam.manager.lives import EndedLife
 from coltsfootseam.store import Journal, KeyedRecord, Newest
 from coltsfootseam.workers import (
     Holder,
@@ -128,6 +129,18 @@
                 del released[worker_id]
         return sorted(released)
 
+    def release(self, life: EndedLife) -> None:
+        """Takes note that the life of a worker is over, for its pool."""
+        released = self._released_by_pool.setdefault(life.pool, {})
+        if life.worker_id not in released:
+            self._context.log.write(
+                "machine.released",
+                machine=life.machine_id,
+                worker=life.worker_id,
+            )
+        keep_s = self._context.times.longest_lease_s
+        released[life.worker_id] = self._context.timers.now_s() + keep_s
+
     async def move(
         self, machine: Machine, pool: str, worker_id: str | None
     ) -> None:
@@ -172,6 +185,4 @@
         if outcome is MachineOutcome.FENCED:
             self._journal.lost = True
         if outcome is MachineOutcome.DONE and worker_id is not None:
-            keep_s = self._context.times.longest_lease_s
-            released = self._released_by_pool.setdefault(machine.pool, {})
-            released[worker_id] = self._context.timers.now_s() + keep_s
+            self.release(EndedLife(worker_id, machine.pool, machine.machine_id))
--- a/daemons/manager/src/coltsfootseam/manager/machine_rounds.py
+++ b/daemons/manager/src/coltsfootseam/manager/machine_rounds.py
@@ -7,6 +7,7 @@
 from coltsfootseam.manager.duties import pool_duty
 from coltsfootseam.manager.fleet_view import FleetView
 from coltsfootseam.manager.knowledge import Knowledge
+from coltsfootseam.manager.lives import Lives
 from coltsfootseam.manager.locator import Locator
 from coltsfootseam.manager.machine_orders import MachineOrders
 from coltsfootseam.manager.waves import Waves
@@ -37,6 +38,7 @@
         "_idle_since_s_by_id",
         "_journal",
         "_knowledge",
+        "_lives",
         "_locator",
         "_orders",
         "_rules",
@@ -59,6 +61,7 @@
         self._journal = journal
         self._orders = MachineOrders(context, journal)
         self._waves = Waves(context, knowledge, journal, self._orders)
+        self._lives = Lives()
         self._history = DemandHistory()
         self._rules = PoolRules()
         self._view = FleetView()
@@ -84,10 +87,15 @@
 
     async def play(self) -> None:
         """Plays one round."""
+        asked_s = self._context.timers.now_s()
+        entries = list(self._knowledge.workers_by_instance.values())
+        self._lives.note(entries, asked_s)
         machines = await self._context.ports.machines.list_machines()
         if isinstance(machines, Refusal):
             self._context.log.write("machines.unlisted", why=machines.reason)
             return
+        for life in self._lives.find_ended(machines, asked_s):
+            self._orders.release(life)
         self._view = FleetView(
             machines_by_id={item.machine_id: item for item in machines},
             workers_by_instance=self._knowledge.workers_by_instance,
--- a/tests/cover/test_machines.py
+++ b/tests/cover/test_machines.py
@@ -3,7 +3,9 @@
 import msgspec
 
 from coltsfootseam.jobs import JobState, Step, Wave
+from coltsfootseam.manager.lives import Lives
 from coltsfootseam.store import Partition
+from coltsfootseam.workers import Machine, MachineState, WorkerEntry
 from tests.common.fleets import OPERATOR, STATUS, Fleet, running_fleet
 
 JOB = "a" * 16
@@ -128,3 +130,37 @@
 
         await fleet.wait_until(is_over, 60.0)
         assert most <= 2
+
+
+async def test_a_worker_whose_machine_is_down_is_given_up_at_once() -> None:
+    async with running_fleet(workers=3, duration_of=lambda t: 5.0) as fleet:
+        await fleet.timers.advance(4.0)
+        await fleet.accept(fleet.hosts[0], JOB, Step(cpu_millis=1000))
+        await fleet.wait_until(lambda: fleet.started(JOB) == 1)
+        instance_id, worker = next(
+            (instance_id, worker)
+            for instance_id, worker in (
+                fleet.workers.workers_by_instance.items()
+            )
+            if worker.runs_by_task
+        )
+        fleet.workers.kill(instance_id)
+        machines = fleet.machines.machines_by_id
+        machine_id = worker.entry.machine_id
+        machines[machine_id] = msgspec.structs.replace(
+            machines[machine_id], state=MachineState.DOWN
+        )
+        await fleet.wait_until(lambda: fleet.started(JOB) == 2, 2.0)
+
+
+def test_a_young_life_is_not_ended_by_a_list_that_lags() -> None:
+    entry = WorkerEntry(
+        "i@2", "i", 2, "p", "a:1", "z", False, None, 1, 1, 0, (), "m-1"
+    )
+    machine = Machine("m-1", "p", MachineState.DOWN, "z", (), "", 1)
+    lives = Lives()
+    lives.note([entry], 10.0)
+    assert lives.find_ended([machine], 10.5) == []
+    assert [life.worker_id for life in lives.find_ended([machine], 13.0)] == [
+        "i@2"
+    ]
