--- /dev/null
+++ b/daemons/manager/src/coltsfootseam/manager/claiming.py
@@ -0,0 +1,28 @@
+"""Claiming the journal of a duty."""
+
+from coltsfootseam.manager.context import Context
+from coltsfootseam.store import Claim, Journal, Partition, claim_journal
+
+_RETRY_S = 0.15
+
+
+async def claim_duty(
+    context: Context, partition: Partition, name: str
+) -> Journal:
+    """Claims a journal, trying again until the store lets it.
+
+    Args:
+        context: What all parts of the process share.
+        partition: The journal's partition.
+        name: Name of the duty's writer.
+    """
+    claim = Claim(context.incarnation, context.address)
+    while True:
+        journal = await claim_journal(
+            context.ports.store, context.timers, partition, name, claim
+        )
+        if isinstance(journal, Journal):
+            context.log.write("duty.claimed", duty=name, epoch=journal.epoch)
+            return journal
+        context.log.write("duty.unclaimed", duty=name, why=journal.reason)
+        await context.timers.sleep(_RETRY_S)
--- a/daemons/manager/src/coltsfootseam/manager/pool_owner.py
+++ b/daemons/manager/src/coltsfootseam/manager/pool_owner.py
@@ -6,7 +6,6 @@
 
 from coltsfootseam.jobs import (
     JobBook,
-    JobState,
     Progress,
     cancel_key,
     decode_progress,
@@ -14,26 +13,24 @@
     parse_inbox_key,
     request_key,
 )
+from coltsfootseam.manager.claiming import claim_duty
 from coltsfootseam.manager.context import Context, inbox_of, journal_of
 from coltsfootseam.manager.knowledge import Knowledge
 from coltsfootseam.manager.orders import Orders
 from coltsfootseam.manager.pacer import Pacer
-from coltsfootseam.manager.planning import NewRun, Planner
 from coltsfootseam.manager.pool_state import PoolState
 from coltsfootseam.manager.reports import Reports
+from coltsfootseam.manager.rounds import Rounds
 from coltsfootseam.manager.tickets import TicketDesk
 from coltsfootseam.manager.vacating import Vacating
 from coltsfootseam.manager.workers_of_pool import WorkersOfPool
 from coltsfootseam.results import Refusal
-from coltsfootseam.scheduling import WorkerHealth, find_stalled
+from coltsfootseam.scheduling import WorkerHealth
 from coltsfootseam.store import (
     CLAIM_KEY,
-    Claim,
-    Journal,
     KeyedRecord,
     StoredRecord,
     Tail,
-    claim_journal,
 )
 
 _RETRY_S = 0.15
@@ -81,7 +78,9 @@
 
     async def run(self) -> None:
         """Claims the pool and owns it; returns when the journal is lost."""
-        journal = await self._claim()
+        journal = await claim_duty(
+            self._context, journal_of(self._pool), f"pool.{self._pool}"
+        )
         await self._load_journal()
         state = PoolState(
             pool=self._pool,
@@ -110,26 +109,6 @@
         )
         await self._own(state, inbox)
 
-    async def _claim(self) -> Journal:
-        claim = Claim(self._context.incarnation, self._context.address)
-        while True:
-            journal = await claim_journal(
-                self._context.ports.store,
-                self._context.timers,
-                journal_of(self._pool),
-                f"pool.{self._pool}",
-                claim,
-            )
-            if isinstance(journal, Journal):
-                self._context.log.write(
-                    "pool.claimed", pool=self._pool, epoch=journal.epoch
-                )
-                return journal
-            self._context.log.write(
-                "pool.claim_failed", pool=self._pool, why=journal.reason
-            )
-            await self._context.timers.sleep(_RETRY_S)
-
     async def _load_journal(self) -> None:
         """Reads how far each job was; nobody else can append any more."""
         while True:
@@ -192,7 +171,7 @@
         self.vacating = Vacating(state)
         self.inbox = inbox
         self.state = state
-        rounds = _Rounds(state, orders, workers, tickets, self.vacating)
+        rounds = Rounds(state, orders, workers, tickets, self.vacating)
         pacer = Pacer(state, orders)
         following = asyncio.ensure_future(inbox.run())
         subscriptions = [
@@ -268,85 +247,3 @@
             state.book.drop(job_id)
         for key in keys:
             inbox.forget(key)
-
-
-class _Rounds:
-    """One round: decide, store what was decided, then order it."""
-
-    __slots__ = ("_orders", "_planner", "_state", "_vacating", "_workers")
-
-    def __init__(
-        self,
-        state: PoolState,
-        orders: Orders,
-        workers: WorkersOfPool,
-        tickets: TicketDesk,
-        vacating: Vacating,
-    ) -> None:
-        self._state = state
-        self._orders = orders
-        self._workers = workers
-        self._vacating = vacating
-        self._planner = Planner(state, tickets)
-
-    async def play(self) -> None:
-        """Plays one round."""
-        state = self._state
-        self._workers.follow_entries()
-        self._vacating.plan()
-        self._stop_stalled()
-        new_runs = self._planner.plan_runs()
-        self._vacating.shortages = self._planner.plan.shortages
-        self._orders.send_stops()
-        ends_by_id = dict(state.ends_by_id)
-        documents_by_id = state.book.take_changes()
-        stored = {
-            job_id: state.book.jobs_by_id[job_id].state
-            for job_id in documents_by_id
-        }
-        if documents_by_id:
-            records = [
-                KeyedRecord(job_id, document)
-                for job_id, document in documents_by_id.items()
-            ]
-            problem = await state.journal.commit(records)
-            if problem is not None:
-                return
-        self._take_stored(stored, ends_by_id)
-        self._start(new_runs)
-
-    def _stop_stalled(self) -> None:
-        """Takes tasks off workers on which they stand still or crawl."""
-        state = self._state
-        ratio = state.health.estimate_ratio()
-        for worker_id, pairs in state.active_runs_by_worker().items():
-            stalled = find_stalled(pairs, ratio)
-            if not stalled:
-                continue
-            state.health.take_stall(worker_id, state.now_s())
-            state.context.log.write(
-                "worker.stalled", worker=worker_id, runs=len(stalled)
-            )
-            for task, run in stalled:
-                state.book.stop_run(task, run, "it made no progress")
-
-    def _take_stored(
-        self, stored: dict[str, JobState], ends_by_id: dict[str, int]
-    ) -> None:
-        state = self._state
-        for job_id, job_state in stored.items():
-            job = state.book.jobs_by_id.get(job_id)
-            if job is not None and job.stored_state != job_state:
-                job.stored_state = job_state
-                state.context.log.write(
-                    "job.state", job=job_id, state=job.stored_state.name
-                )
-        for worker_id, sequence in ends_by_id.items():
-            link = state.links_by_id.get(worker_id)
-            if link is not None:
-                link.acknowledge(sequence)
-
-    def _start(self, new_runs: list[NewRun]) -> None:
-        for new in new_runs:
-            if new.run in new.task.runs:
-                self._orders.send_start(new.task, new.run, new.ticket)
--- /dev/null
+++ b/daemons/manager/src/coltsfootseam/manager/rounds.py
@@ -0,0 +1,93 @@
+"""Rounds of a pool's owner: decide, store what was decided, then order it."""
+
+from coltsfootseam.jobs import JobState
+from coltsfootseam.manager.orders import Orders
+from coltsfootseam.manager.planning import NewRun, Planner
+from coltsfootseam.manager.pool_state import PoolState
+from coltsfootseam.manager.tickets import TicketDesk
+from coltsfootseam.manager.vacating import Vacating
+from coltsfootseam.manager.workers_of_pool import WorkersOfPool
+from coltsfootseam.scheduling import find_stalled
+from coltsfootseam.store import KeyedRecord
+
+
+class Rounds:
+    """Plays one round at a time."""
+
+    __slots__ = ("_orders", "_planner", "_state", "_vacating", "_workers")
+
+    def __init__(
+        self,
+        state: PoolState,
+        orders: Orders,
+        workers: WorkersOfPool,
+        tickets: TicketDesk,
+        vacating: Vacating,
+    ) -> None:
+        self._state = state
+        self._orders = orders
+        self._workers = workers
+        self._vacating = vacating
+        self._planner = Planner(state, tickets)
+
+    async def play(self) -> None:
+        """Plays one round."""
+        state = self._state
+        self._workers.follow_entries()
+        self._vacating.plan()
+        self._stop_stalled()
+        new_runs = self._planner.plan_runs()
+        self._vacating.shortages = self._planner.plan.shortages
+        self._orders.send_stops()
+        ends_by_id = dict(state.ends_by_id)
+        documents_by_id = state.book.take_changes()
+        stored = {
+            job_id: state.book.jobs_by_id[job_id].state
+            for job_id in documents_by_id
+        }
+        if documents_by_id:
+            records = [
+                KeyedRecord(job_id, document)
+                for job_id, document in documents_by_id.items()
+            ]
+            problem = await state.journal.commit(records)
+            if problem is not None:
+                return
+        self._take_stored(stored, ends_by_id)
+        self._start(new_runs)
+
+    def _stop_stalled(self) -> None:
+        """Takes tasks off workers on which they stand still or crawl."""
+        state = self._state
+        ratio = state.health.estimate_ratio()
+        for worker_id, pairs in state.active_runs_by_worker().items():
+            stalled = find_stalled(pairs, ratio)
+            if not stalled:
+                continue
+            state.health.take_stall(worker_id, state.now_s())
+            state.context.log.write(
+                "worker.stalled", worker=worker_id, runs=len(stalled)
+            )
+            for task, run in stalled:
+                state.book.stop_run(task, run, "it made no progress")
+
+    def _take_stored(
+        self, stored: dict[str, JobState], ends_by_id: dict[str, int]
+    ) -> None:
+        state = self._state
+        for job_id, job_state in stored.items():
+            job = state.book.jobs_by_id.get(job_id)
+            if job is not None and job.stored_state != job_state:
+                job.stored_state = job_state
+                state.context.log.write(
+                    "job.state", job=job_id, state=job.stored_state.name
+                )
+        for worker_id, sequence in ends_by_id.items():
+            link = state.links_by_id.get(worker_id)
+            if link is not None:
+                link.acknowledge(sequence)
+
+    def _start(self, new_runs: list[NewRun]) -> None:
+        for new in new_runs:
+            if new.run in new.task.runs:
+                self._orders.send_start(new.task, new.run, new.ticket)
