--- /dev/null
+++ b/tests/cover/test_book_machine.py
@@ -0,0 +1,152 @@
+"""The book of a pool's jobs under random events, repeats and takeovers."""
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from coltsfootseam.jobs import (
+    JobBook,
+    JobRequest,
+    JobState,
+    RunEnd,
+    Step,
+    Task,
+    decode_progress,
+    encode_progress,
+)
+
+ATTEMPTS = 2
+JOB_IDS = st.sampled_from(["a" * 16, "b" * 16])
+STEPS = (
+    Step(count=2, cpu_millis=100, estimate_ms=100),
+    Step(count=1, cpu_millis=100, estimate_ms=100, after=(0,)),
+)
+REQUEST = JobRequest("queue", "text", STEPS, accepted_ms=1)
+
+
+def attempts_of(queue: str) -> int:
+    del queue
+    return ATTEMPTS
+
+
+class BookMachine(RuleBasedStateMachine):
+    """Requests, cancels and ends in any order, and new owners in between."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.book = JobBook(attempts_of)
+        self.final_by_id: dict[str, JobState] = {}
+        self.done: set[object] = set()
+        self.cancelled: set[str] = set()
+        self.runs_by_task: dict[object, int] = {}
+
+    def waiting_tasks(self) -> list[Task]:
+        """Returns the tasks that a plan would start."""
+        return [
+            task
+            for job in self.book.active_by_id.values()
+            if not job.state.is_final
+            for task in job.tasks() or self.first_tasks(job.id)
+            if task.is_pending() and job.occurrence(0).is_step_ready(task.step)
+        ]
+
+    def first_tasks(self, job_id: str) -> list[Task]:
+        """Returns the tasks of a job that was never planned."""
+        job = self.book.jobs_by_id[job_id]
+        return [
+            task for tasks in job.occurrence(0).tasks_by_step for task in tasks
+        ]
+
+    @rule(job_id=JOB_IDS)
+    def add(self, job_id: str) -> None:
+        """A request arrives, perhaps not for the first time."""
+        self.book.add(job_id, REQUEST, 0.0)
+
+    @rule(job_id=JOB_IDS)
+    def cancel(self, job_id: str) -> None:
+        """A cancel arrives, perhaps before its request."""
+        self.book.cancel(job_id, 5)
+        self.cancelled.add(job_id)
+
+    @rule(data=st.data(), worker=st.sampled_from(["w1", "w2"]))
+    def order(self, data: st.DataObject, worker: str) -> None:
+        """A waiting task is ordered."""
+        tasks = self.waiting_tasks()
+        if not tasks:
+            return
+        task = data.draw(st.sampled_from(tasks))
+        assert task.id not in self.done
+        run = self.book.order_run(task, worker, 1.0)
+        assert run.number > self.runs_by_task.get(task.id, 0)
+        self.runs_by_task[task.id] = run.number
+
+    @rule(data=st.data(), end=st.sampled_from(list(RunEnd)))
+    def end(self, data: st.DataObject, end: RunEnd) -> None:
+        """A run ends in any way."""
+        pairs = [
+            (task, run)
+            for job in self.book.active_by_id.values()
+            for task in job.tasks()
+            for run in task.runs
+        ]
+        if not pairs:
+            return
+        task, run = data.draw(st.sampled_from(pairs))
+        if end is RunEnd.DONE:
+            self.done.add(task.id)
+        self.book.end_run(task, run, end, "saved", 9)
+
+    @rule()
+    def take_over(self) -> None:
+        """A new owner reads what the old one stored."""
+        heir = JobBook(attempts_of)
+        for job_id, job in self.book.jobs_by_id.items():
+            stored = encode_progress(job)
+            heir.add(job_id, job.request, 2.0, decode_progress(stored))
+            restored = heir.jobs_by_id[job_id]
+            assert restored.state is job.state
+            if not job.state.is_final:
+                assert encode_progress(restored) == stored
+        for job_id in self.cancelled:
+            heir.cancel(job_id, 5)
+        self.book = heir
+
+    @invariant()
+    def a_final_state_never_changes(self) -> None:
+        """What callers were shown stays true."""
+        for job_id, job in self.book.jobs_by_id.items():
+            known = self.final_by_id.get(job_id)
+            assert known is None or job.state is known
+            if job.state.is_final:
+                self.final_by_id[job_id] = job.state
+
+    @invariant()
+    def a_completed_job_has_all_tasks_done(self) -> None:
+        """Nothing is shown as completed too early."""
+        for job in self.book.jobs_by_id.values():
+            if job.state is JobState.COMPLETED and job.occurrences_by_number:
+                tasks = self.first_tasks(job.id)
+                assert all(task.id in self.done for task in tasks)
+
+    @invariant()
+    def a_cancelled_job_runs_nothing_new(self) -> None:
+        """A cancel holds as soon as it is known."""
+        for job_id in self.cancelled & set(self.book.jobs_by_id):
+            job = self.book.jobs_by_id[job_id]
+            assert job.state.is_final
+
+    @invariant()
+    def a_task_fails_no_more_often_than_its_queue_allows(self) -> None:
+        """A job fails with the last attempt, and only then."""
+        for job in self.book.jobs_by_id.values():
+            worst = max((task.failures for task in job.tasks()), default=0)
+            if worst >= ATTEMPTS:
+                assert job.state.is_final
+            if job.state is JobState.FAILED and job.tasks():
+                assert worst >= ATTEMPTS
+
+
+TestBookMachine = BookMachine.TestCase
+TestBookMachine.settings = settings(
+    derandomize=True, deadline=None, max_examples=60, stateful_step_count=30
+)
