--- a/bench/scheduling.py
+++ b/bench/scheduling.py
@@ -155,7 +155,7 @@
     began_s = time.process_time()
     for _ in range(_ROUNDS):
         planner.plan_runs()
-        state.active_runs_by_worker()
+        state.book.runs.all_runs()
     later_s = (time.process_time() - began_s) / _ROUNDS
     case = f"{workers} workers, {jobs} jobs"
     return [
--- a/daemons/manager/src/coltsfootseam/manager/duty_keeper.py
+++ b/daemons/manager/src/coltsfootseam/manager/duty_keeper.py
@@ -4,7 +4,6 @@
 from typing import Protocol
 
 from coltsfootseam.calls import (
-    ASK_OWNER,
     ASK_REACH,
     OwnerQuestion,
     OwnerReply,
@@ -21,7 +20,6 @@
 
 _CHECK_S = 0.2
 _ASK_TIMEOUT_S = 0.4
-_OWNER_TIMEOUT_S = 0.25
 _HELD_PAUSE_S = 0.5
 _KEEP_S = 10.0
 _RETURN_S = 1.0
@@ -134,7 +132,12 @@
             await self._membership.read_holdings()
             addresses = self._directory.peer_addresses()
             replies = await asyncio.gather(
-                *(self._ask_owner(address, duty) for address in addresses)
+                *(
+                    self._locator.is_owned_at(
+                        address, OwnerQuestion(duty, is_dealt=True)
+                    )
+                    for address in addresses
+                )
             )
             if not any(replies):
                 break
@@ -143,15 +146,6 @@
         if duty not in self._tasks_by_duty and not self.is_stopping:
             self._begin(duty)
 
-    async def _ask_owner(self, address: str, duty: str) -> bool:
-        reply = await self._context.peers.call(
-            address,
-            ASK_OWNER,
-            OwnerQuestion(duty, is_dealt=True),
-            _OWNER_TIMEOUT_S,
-        )
-        return isinstance(reply, OwnerReply) and reply.is_owner
-
     def _begin(self, duty: str) -> None:
         pool = pool_of_duty(duty)
         owner: Duty
--- a/daemons/manager/src/coltsfootseam/manager/job_service.py
+++ b/daemons/manager/src/coltsfootseam/manager/job_service.py
@@ -29,7 +29,12 @@
 from coltsfootseam.manager.knowledge import Knowledge
 from coltsfootseam.manager.locator import Locator
 from coltsfootseam.results import OK, Refusal, ResultCode
-from coltsfootseam.store import Appended, KeyedRecord, Membership
+from coltsfootseam.store import (
+    Appended,
+    KeyedRecord,
+    Membership,
+    StoredRecord,
+)
 
 _ASK_TIMEOUT_S = 0.4
 _RETRY_S = 0.1
@@ -316,8 +321,9 @@
             if isinstance(inbox, Refusal) or isinstance(journal, Refusal):
                 return None
             for record in journal.records:
-                if record.key == job_id and record.value:
-                    return decode_progress(record.value).state
+                state = self._decode_state(job_id, record)
+                if state is not None:
+                    return state
             keys = {record.key for record in inbox.records if record.value}
             if cancel_key(job_id) in keys and request_key(job_id) in keys:
                 return JobState.CANCELLED
@@ -326,6 +332,20 @@
             return JobState.QUEUED
         return Refusal(ResultCode.JOB_UNKNOWN, f"no job {job_id}")
 
+    def _decode_state(
+        self, job_id: str, record: StoredRecord
+    ) -> JobState | None:
+        if record.key != job_id or not record.value:
+            return None
+        try:
+            return decode_progress(record.value).state
+        except msgspec.DecodeError as error:
+            # An owner starts such a job anew, so it counts as not begun.
+            self._context.log.write(
+                "record.unreadable", key=record.key, why=str(error)
+            )
+            return None
+
     def _has_time(self, deadline_s: float) -> bool:
         return self._context.timers.now_s() < deadline_s - _LEAST_TIME_S
 
--- a/daemons/manager/src/coltsfootseam/manager/locator.py
+++ b/daemons/manager/src/coltsfootseam/manager/locator.py
@@ -14,7 +14,7 @@
 from coltsfootseam.manager.duties import Directory
 from coltsfootseam.results import Refusal, ResultCode
 
-_ASK_TIMEOUT_S = 0.3
+_ASK_TIMEOUT_S = 0.25
 _TRIES = 2
 
 
@@ -73,15 +73,19 @@
             *self._directory.peer_addresses(),
         ]
         replies = await asyncio.gather(
-            *(self._ask(address, duty) for address in addresses)
+            *(
+                self.is_owned_at(address, OwnerQuestion(duty))
+                for address in addresses
+            )
         )
-        for address, reply in zip(addresses, replies, strict=True):
-            if reply is not None and reply.is_owner:
+        for address, is_owner in zip(addresses, replies, strict=True):
+            if is_owner:
                 return address
         return None
 
-    async def _ask(self, address: str, duty: str) -> OwnerReply | None:
+    async def is_owned_at(self, address: str, question: OwnerQuestion) -> bool:
+        """Asks a host whether it owns a duty; one that is silent does not."""
         reply = await self._context.peers.call(
-            address, ASK_OWNER, OwnerQuestion(duty), _ASK_TIMEOUT_S
+            address, ASK_OWNER, question, _ASK_TIMEOUT_S
         )
-        return reply if isinstance(reply, OwnerReply) else None
+        return isinstance(reply, OwnerReply) and reply.is_owner
--- a/daemons/manager/src/coltsfootseam/manager/orders.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders.py
@@ -55,7 +55,7 @@
 
     def send_stops(self) -> None:
         """Orders the end of each run that is to be stopped."""
-        for task, run in self._state.active_runs():
+        for task, run in self._state.book.runs.all_runs():
             if run.phase is not RunPhase.STOPPING:
                 continue
             key = (task.id, run.number, run.worker_id)
@@ -185,17 +185,11 @@
                     run.settled_s = state.now_s()
                 break
             await state.context.timers.sleep(_RETRY_S)
-        self._stopping.discard((task.id, run.number, run.worker_id))
         if run in task.runs:
-            await self._await_end(task, run)
-
-    async def _await_end(self, task: Task, run: Run) -> None:
-        """Waits for a stopped run to be listed, then has it stopped again."""
-        key = (task.id, run.number, run.worker_id)
-        self._stopping.add(key)
-        await self._state.context.timers.sleep(self._state.context.times.stop_s)
-        self._stopping.discard(key)
-        self._on_change()
+            # Its end should be listed by then, or it has to be stopped again.
+            await state.context.timers.sleep(state.context.times.stop_s)
+            self._on_change()
+        self._stopping.discard((task.id, run.number, run.worker_id))
 
     async def _stop_row(self, link: WorkerLink, row: RunningRow) -> None:
         order = StopOrder(row.task, row.number, self._state.journal.epoch)
--- a/daemons/manager/src/coltsfootseam/manager/pacer.py
+++ b/daemons/manager/src/coltsfootseam/manager/pacer.py
@@ -1,6 +1,6 @@
 """Setting the speed of tasks that live on unused capacity."""
 
-from coltsfootseam.jobs import Run, RunPhase, Task
+from coltsfootseam.jobs import RunPair, RunPhase
 from coltsfootseam.manager.orders import Orders
 from coltsfootseam.manager.pool_state import PoolState
 from coltsfootseam.scheduling import plan_pace
@@ -24,14 +24,16 @@
 
     def play(self) -> None:
         """Decides once for each worker."""
-        runs_by_worker = self._state.active_runs_by_worker()
-        for pairs in runs_by_worker.values():
+        runs = self._state.book.runs
+        for worker_id in runs.worker_ids():
             at_work = [
-                pair for pair in pairs if pair[1].phase is RunPhase.RUNNING
+                pair
+                for pair in runs.runs_of(worker_id)
+                if pair[1].phase is RunPhase.RUNNING
             ]
             self._play_worker(at_work)
 
-    def _play_worker(self, pairs: list[tuple[Task, Run]]) -> None:
+    def _play_worker(self, pairs: list[RunPair]) -> None:
         filling = [pair for pair in pairs if pair[0].step.fills]
         if not filling:
             return
--- a/daemons/manager/src/coltsfootseam/manager/planning.py
+++ b/daemons/manager/src/coltsfootseam/manager/planning.py
@@ -57,9 +57,8 @@
             for link in self._state.links_by_id.values()
             if not link.is_gone
         }
-        for task, run in self._state.active_runs():
-            room = rooms_by_id.get(run.worker_id)
-            if room is not None:
+        for worker_id, room in rooms_by_id.items():
+            for task, _ in self._state.book.runs.runs_of(worker_id):
                 trial_slots = room.trial_slots
                 room.take(task.step, step_key(task.id))
                 if trial_slots is not None and task.step.long_running:
--- a/daemons/manager/src/coltsfootseam/manager/pool_state.py
+++ b/daemons/manager/src/coltsfootseam/manager/pool_state.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from coltsfootseam.jobs import Job, JobBook, Queue, Run, Task
+from coltsfootseam.jobs import Job, JobBook, Queue
 from coltsfootseam.manager.context import Context
 from coltsfootseam.manager.knowledge import Knowledge
 from coltsfootseam.scheduling import WorkerHealth
@@ -56,19 +56,3 @@
             if found is not None:
                 return found
         return Queue(job.request.queue, "", "", self.pool)
-
-    def active_runs(self) -> list[tuple[Task, Run]]:
-        """Returns all runs that may be at work."""
-        return [
-            (task, run)
-            for job in self.book.active_by_id.values()
-            for task in job.tasks()
-            for run in task.runs
-        ]
-
-    def active_runs_by_worker(self) -> dict[str, list[tuple[Task, Run]]]:
-        """Returns all runs that may be at work, by worker."""
-        runs_by_worker: dict[str, list[tuple[Task, Run]]] = {}
-        for task, run in self.active_runs():
-            runs_by_worker.setdefault(run.worker_id, []).append((task, run))
-        return runs_by_worker
--- a/daemons/manager/src/coltsfootseam/manager/reports.py
+++ b/daemons/manager/src/coltsfootseam/manager/reports.py
@@ -41,9 +41,8 @@
 
     def lose_worker(self, worker_id: str, reason: str) -> None:
         """Takes note that nothing runs on a worker any more."""
-        for task, run in self._state.active_runs():
-            if run.worker_id == worker_id:
-                self._end(task, run, RunEnd.LAPSED, run.saved, reason)
+        for task, run in self._state.book.runs.runs_of(worker_id):
+            self._end(task, run, RunEnd.LAPSED, run.saved, reason)
 
     def _take_end(self, link: WorkerLink, row: EndRow) -> None:
         state = self._state
@@ -81,9 +80,7 @@
         listed: set[tuple[TaskId, int]],
         sent_s: float,
     ) -> None:
-        for task, run in self._state.active_runs():
-            if run.worker_id != link.worker_id:
-                continue
+        for task, run in self._state.book.runs.runs_of(link.worker_id):
             if (task.id, run.number) in listed or run.settled_s is None:
                 continue
             if run.settled_s < sent_s:
--- a/daemons/manager/src/coltsfootseam/manager/rounds.py
+++ b/daemons/manager/src/coltsfootseam/manager/rounds.py
@@ -60,8 +60,8 @@
         """Takes tasks off workers on which they stand still or crawl."""
         state = self._state
         ratio = state.health.estimate_ratio()
-        for worker_id, pairs in state.active_runs_by_worker().items():
-            stalled = find_stalled(pairs, ratio)
+        for worker_id in state.book.runs.worker_ids():
+            stalled = find_stalled(state.book.runs.runs_of(worker_id), ratio)
             if not stalled:
                 continue
             state.health.take_stall(worker_id, state.now_s())
--- a/daemons/manager/src/coltsfootseam/manager/status.py
+++ b/daemons/manager/src/coltsfootseam/manager/status.py
@@ -143,7 +143,6 @@
 
 def _pool_status(state: PoolState) -> PoolStatus:
     active = state.book.active_by_id.values()
-    runs_by_worker = state.active_runs_by_worker()
     now_s = state.now_s()
     return PoolStatus(
         pool=state.pool,
@@ -160,7 +159,7 @@
                 is_draining=link.entry.is_draining,
                 is_vacating=link.worker_id in state.vacating_ids,
                 is_set_aside=state.health.is_aside(link.worker_id, now_s),
-                runs=len(runs_by_worker.get(link.worker_id, ())),
+                runs=len(state.book.runs.runs_of(link.worker_id)),
             )
             for link in state.links_by_id.values()
         ],
--- a/daemons/manager/src/coltsfootseam/manager/vacating.py
+++ b/daemons/manager/src/coltsfootseam/manager/vacating.py
@@ -1,7 +1,7 @@
 """Taking work off workers that leave or whose machines are wanted."""
 
 from coltsfootseam.calls import VacateReply, VacateRequest
-from coltsfootseam.jobs import Run, RunPhase, Task
+from coltsfootseam.jobs import Run, RunPair, RunPhase, Task
 from coltsfootseam.manager.pool_state import PoolState
 from coltsfootseam.scheduling import Shortage
 
@@ -36,25 +36,22 @@
             link = state.links_by_id.get(worker_id)
             if link is not None:
                 link.is_gone = True
-        runs_by_worker = state.active_runs_by_worker()
+        busy_ids = set(state.book.runs.worker_ids())
         shortages = [item for item in self.shortages if self._can_fit(item)]
-        state.spare_ids = self._choose_spare(
-            request.spare_count, runs_by_worker
-        )
+        state.spare_ids = self._choose_spare(request.spare_count)
         return VacateReply(
             is_owner=True,
             empty_ids=[
                 worker_id
                 for worker_id in request.worker_ids
-                if worker_id in state.links_by_id
-                and worker_id not in runs_by_worker
+                if worker_id in state.links_by_id and worker_id not in busy_ids
             ],
-            idle_ids=self._idle_ids(runs_by_worker),
+            idle_ids=self._idle_ids(busy_ids),
             waiting_cores=sum(_waiting_cores(item) for item in shortages),
             waiting_labels=sorted(
                 {item.ready.step.label for item in shortages} - {""}
             ),
-            used_cores=_used_cores(runs_by_worker),
+            used_cores=_used_cores(state.book.runs.all_runs()),
             worker_limit=self._worker_limit(),
         )
 
@@ -66,7 +63,7 @@
             state.vacating_ids = set()
             state.spare_ids = set()
         self._note_away()
-        for task, run in state.active_runs():
+        for task, run in state.book.runs.all_runs():
             if run.phase is RunPhase.STOPPING or run.settled_s is None:
                 continue
             link = state.links_by_id.get(run.worker_id)
@@ -143,12 +140,11 @@
             for entry in entries
         )
 
-    def _choose_spare(
-        self, count: int, runs_by_worker: dict[str, list[tuple[Task, Run]]]
-    ) -> set[str]:
+    def _choose_spare(self, count: int) -> set[str]:
         """Chooses the workers that become empty first, if left alone."""
         if count <= 0:
             return set()
+        runs = self._state.book.runs
         candidates = [
             link.worker_id
             for link in self._state.links_by_id.values()
@@ -156,13 +152,13 @@
             and not link.entry.is_draining
             and not any(
                 task.step.long_running
-                for task, _ in runs_by_worker.get(link.worker_id, ())
+                for task, _ in runs.runs_of(link.worker_id)
             )
         ]
         candidates.sort(
             key=lambda worker_id: (
                 worker_id not in self._state.spare_ids,
-                _left_core_s(runs_by_worker.get(worker_id, [])),
+                _left_core_s(runs.runs_of(worker_id)),
             )
         )
         return set(candidates[:count])
@@ -179,15 +175,13 @@
             default=0,
         )
 
-    def _idle_ids(
-        self, runs_by_worker: dict[str, list[tuple[Task, Run]]]
-    ) -> list[str]:
+    def _idle_ids(self, busy_ids: set[str]) -> list[str]:
         return [
             link.worker_id
             for link in self._state.links_by_id.values()
             if link.is_reachable
             and not link.entry.is_draining
-            and link.worker_id not in runs_by_worker
+            and link.worker_id not in busy_ids
         ]
 
 
@@ -205,19 +199,16 @@
     return shortage.count * step.cpu_millis / _MILLIS_PER_CORE
 
 
-def _left_core_s(pairs: list[tuple[Task, Run]]) -> float:
+def _left_core_s(pairs: list[RunPair]) -> float:
     return sum(
         task.step.cpu_millis / _MILLIS_PER_CORE * task.step.estimate_ms
         for task, _ in pairs
     )
 
 
-def _used_cores(
-    runs_by_worker: dict[str, list[tuple[Task, Run]]],
-) -> float:
+def _used_cores(pairs: list[RunPair]) -> float:
     return sum(
         task.step.cpu_millis / _MILLIS_PER_CORE
-        for pairs in runs_by_worker.values()
         for task, _ in pairs
         if not task.step.fills
     )
--- a/daemons/manager/src/coltsfootseam/manager/workers_of_pool.py
+++ b/daemons/manager/src/coltsfootseam/manager/workers_of_pool.py
@@ -118,9 +118,9 @@
         """Gives up runs on workers to which there is no link."""
         is_over = self._earlier_leases_have_ended()
         unlinked_ids = {
-            run.worker_id
-            for _, run in self._state.active_runs()
-            if run.worker_id not in self._state.links_by_id
+            worker_id
+            for worker_id in self._state.book.runs.worker_ids()
+            if worker_id not in self._state.links_by_id
         }
         for worker_id in sorted(unlinked_ids):
             if worker_id in self._state.gone_ids or self._is_reborn(worker_id):
--- a/libs/jobs/src/coltsfootseam/jobs/__init__.py
+++ b/libs/jobs/src/coltsfootseam/jobs/__init__.py
@@ -31,6 +31,7 @@
     Step,
     TaskId,
 )
+from coltsfootseam.jobs.run_index import RunIndex, RunPair
 
 __all__ = [
     "Advice",
@@ -47,6 +48,8 @@
     "QueueIndex",
     "Run",
     "RunEnd",
+    "RunIndex",
+    "RunPair",
     "RunPhase",
     "RunRow",
     "Step",
--- a/libs/jobs/src/coltsfootseam/jobs/book.py
+++ b/libs/jobs/src/coltsfootseam/jobs/book.py
@@ -15,6 +15,7 @@
     RunPhase,
     TaskId,
 )
+from coltsfootseam.jobs.run_index import RunIndex
 
 AttemptsOf = Callable[[str], int]
 """Returns how many runs of a task of a queue may fail."""
@@ -30,6 +31,7 @@
         jobs_by_id: All jobs whose request is known.
         active_by_id: Those of them that aren't final or still have runs.
         changed_ids: Jobs whose progress isn't stored yet.
+        runs: All runs that may be at work, by worker.
     """
 
     __slots__ = (
@@ -38,6 +40,7 @@
         "active_by_id",
         "changed_ids",
         "jobs_by_id",
+        "runs",
     )
 
     def __init__(self, attempts_of: AttemptsOf) -> None:
@@ -46,6 +49,7 @@
         self.jobs_by_id: dict[str, Job] = {}
         self.active_by_id: dict[str, Job] = {}
         self.changed_ids: set[str] = set()
+        self.runs = RunIndex()
 
     def add(
         self,
@@ -61,6 +65,9 @@
         job = Job(job_id, request, known_s=now_s)
         if progress is not None:
             restore_progress(job, progress, now_s)
+            for task in job.tasks():
+                for run in task.runs:
+                    self.runs.add(task, run)
         self.jobs_by_id[job_id] = job
         self._keep_active(job)
         if job_id in self._cancelled_early:
@@ -79,7 +86,10 @@
 
     def drop(self, job_id: str) -> None:
         """Forgets a job."""
-        self.jobs_by_id.pop(job_id, None)
+        job = self.jobs_by_id.pop(job_id, None)
+        for task in job.tasks() if job is not None else ():
+            for run in task.runs:
+                self.runs.remove(task, run)
         self.active_by_id.pop(job_id, None)
         self.changed_ids.discard(job_id)
         self._cancelled_early.discard(job_id)
@@ -108,6 +118,7 @@
             checkpoint=task.checkpoint,
         )
         task.runs = [*task.runs, run]
+        self.runs.add(task, run)
         job = self.jobs_by_id[task.id.job_id]
         job.has_begun = True
         if job.state is JobState.QUEUED:
@@ -135,6 +146,7 @@
         """Takes note of how a run ended."""
         job = self.jobs_by_id[task.id.job_id]
         task.runs = [other for other in task.runs if other is not run]
+        self.runs.remove(task, run)
         self.changed_ids.add(job.id)
         if saved:
             task.checkpoint = saved
@@ -192,12 +204,12 @@
             return
         task.failures += 1
         if task.step.gang:
-            self._count_gang_failure(job, task, run)
+            self._count_gang_failure(job, task)
         attempts = self._attempts_of(job.request.queue)
         if task.failures >= attempts and not job.state.is_final:
             self._finish(job, JobState.FAILED, now_ms)
 
-    def _count_gang_failure(self, job: Job, task: Task, run: Run) -> None:
+    def _count_gang_failure(self, job: Job, task: Task) -> None:
         """Counts a gang's failure once, whichever member reports it."""
         occurrence = job.occurrence(task.id.occurrence)
         for member in occurrence.tasks_by_step[task.id.step]:
--- /dev/null
+++ b/libs/jobs/src/coltsfootseam/jobs/run_index.py
@@ -0,0 +1,48 @@
+"""Runs that may be at work, by worker."""
+
+from coltsfootseam.jobs.entities import Run, Task
+from coltsfootseam.jobs.model import TaskId
+
+RunPair = tuple[Task, Run]
+"""A task and one of its runs."""
+
+_Key = tuple[TaskId, int]
+
+
+class RunIndex:
+    """Finds the runs of a worker without a walk over all jobs."""
+
+    __slots__ = ("_pairs_by_worker",)
+
+    def __init__(self) -> None:
+        self._pairs_by_worker: dict[str, dict[_Key, RunPair]] = {}
+
+    def add(self, task: Task, run: Run) -> None:
+        """Enters a run."""
+        pairs = self._pairs_by_worker.setdefault(run.worker_id, {})
+        pairs[task.id, run.number] = (task, run)
+
+    def remove(self, task: Task, run: Run) -> None:
+        """Takes a run out; one that isn't there is left out."""
+        pairs = self._pairs_by_worker.get(run.worker_id)
+        if pairs is None:
+            return
+        pairs.pop((task.id, run.number), None)
+        if not pairs:
+            del self._pairs_by_worker[run.worker_id]
+
+    def worker_ids(self) -> list[str]:
+        """Returns the workers on which anything may be at work."""
+        return list(self._pairs_by_worker)
+
+    def runs_of(self, worker_id: str) -> list[RunPair]:
+        """Returns what may be at work on a worker."""
+        return list(self._pairs_by_worker.get(worker_id, {}).values())
+
+    def all_runs(self) -> list[RunPair]:
+        """Returns everything that may be at work."""
+        return [
+            pair
+            for pairs in self._pairs_by_worker.values()
+            for pair in pairs.values()
+        ]
--- a/libs/routing/src/coltsfootseam/routing/__init__.py
+++ b/libs/routing/src/coltsfootseam/routing/__init__.py
@@ -6,6 +6,8 @@
     Dispatcher,
     Grant,
     SlotUse,
+)
+from coltsfootseam.routing.dispatchers import (
     find_dispatcher,
     registered_dispatchers,
 )
--- a/libs/routing/src/coltsfootseam/routing/dispatch.py
+++ b/libs/routing/src/coltsfootseam/routing/dispatch.py
@@ -152,22 +152,6 @@
     return register
 
 
-def registered_dispatchers() -> list[str]:
-    """Returns the names of all ways of dispatch."""
-    _load_registered_modules()
-    return sorted(_factories_by_name)
-
-
-def find_dispatcher(name: str) -> DispatcherFactory | None:
-    """Returns the way of dispatch with a name, ``None`` if there is none."""
-    _load_registered_modules()
-    return _factories_by_name.get(name)
-
-
-def _load_registered_modules() -> None:
-    # The modules register themselves when they are imported, and they import
-    # this one.
-    from coltsfootseam.routing.internal import granted, local
-
-    assert granted is not None
-    assert local is not None
+def registered_factories() -> dict[str, DispatcherFactory]:
+    """Returns the ways of dispatch that were registered so far, by name."""
+    return dict(_factories_by_name)
--- a/libs/scheduling/src/coltsfootseam/scheduling/pacing.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/pacing.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from coltsfootseam.jobs import Run, Task
+from coltsfootseam.jobs import Run, RunPair, Task
 
 _LOWER_AT = 0.85
 _RAISE_BELOW = 0.6
@@ -26,7 +26,7 @@
 
 
 def plan_pace(
-    serving: list[tuple[Task, Run]], filling: list[tuple[Task, Run]]
+    serving: list[RunPair], filling: list[RunPair]
 ) -> list[PaceChange]:
     """Decides the speed of the filling tasks of one worker.
 
--- a/libs/scheduling/src/coltsfootseam/scheduling/stalls.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/stalls.py
@@ -6,7 +6,7 @@
 
 import statistics
 
-from coltsfootseam.jobs import Run, RunPhase, Task
+from coltsfootseam.jobs import Run, RunPair, RunPhase, Task
 
 _MS_PER_S = 1000
 _FULL_PERCENT = 100
@@ -18,9 +18,7 @@
 _KEEP_FROM_PERCENT = 70
 
 
-def find_stalled(
-    pairs: list[tuple[Task, Run]], estimate_ratio: float
-) -> list[tuple[Task, Run]]:
+def find_stalled(pairs: list[RunPair], estimate_ratio: float) -> list[RunPair]:
     """Returns the runs of a worker that had better go elsewhere.
 
     Args:
--- a/libs/store/src/coltsfootseam/store/journal.py
+++ b/libs/store/src/coltsfootseam/store/journal.py
@@ -93,10 +93,10 @@
             if isinstance(result, Appended):
                 self.confirmed_s = sent_s
                 return None
-            if _is_fenced(result):
+            if _is_refused_with(ResultCode.STALE_EPOCH, result):
                 self.lost = True
                 break
-            if not _is_pending(result):
+            if not _is_refused_with(ResultCode.OUTCOME_PENDING, result):
                 await self._timers.sleep(_RETRY_S)
         return Refusal(ResultCode.STALE_EPOCH, f"{self._name}: journal lost")
 
@@ -111,19 +111,14 @@
         result = await self._store.append(self.partition, [], writer=writer)
         if isinstance(result, Appended):
             self.confirmed_s = max(self.confirmed_s, sent_s)
-        elif _is_fenced(result):
+        elif _is_refused_with(ResultCode.STALE_EPOCH, result):
             self.lost = True
 
 
-def _is_pending(result: Appended | EndMoved | Refusal) -> bool:
-    return (
-        isinstance(result, Refusal)
-        and result.code is ResultCode.OUTCOME_PENDING
-    )
-
-
-def _is_fenced(result: Appended | EndMoved | Refusal) -> bool:
-    return isinstance(result, Refusal) and result.code is ResultCode.STALE_EPOCH
+def _is_refused_with(
+    code: ResultCode, result: Appended | EndMoved | Refusal
+) -> bool:
+    return isinstance(result, Refusal) and result.code is code
 
 
 async def claim_journal(
--- a/tests/cover/test_jobs_path.py
+++ b/tests/cover/test_jobs_path.py
@@ -1,6 +1,7 @@
 """Jobs from their submission to their end, under failures of each part."""
 
 from coltsfootseam.jobs import JobState, Step
+from coltsfootseam.manager.context import journal_of
 from coltsfootseam.results import OK, Refusal, ResultCode
 from coltsfootseam.store import Claim, Partition, claim_journal
 from tests.common.fleets import POOL, running_fleet
@@ -234,3 +235,13 @@
             await fleet.timers.advance(0.3)
         await fleet.timers.advance(2.0)
         assert owner.owns()
+
+
+async def test_an_unreadable_progress_document_still_gets_an_answer() -> None:
+    async with running_fleet(workers=0) as fleet:
+        owner = fleet.owner()
+        other = fleet.other()
+        await fleet.accept(owner, "a" * 16)
+        fleet.store.put(journal_of(POOL), "a" * 16, b"\xc1")
+        await owner.kill()
+        assert await fleet.state(other, "a" * 16) is JobState.QUEUED
