Preempt by priority, copy slow tasks, and move a crawling task once only

Cause: priority only ordered lasting tasks, a step that allows copies ran once, and tasks far larger than their estimate were taken off worker after worker: the stand-in reported 100 % for every run, so no test could see that.

Ruled out: copies while others wait for room, and preemption of what saves nothing, as both throw work away that callers wait for.

The order puts priority before slack. Task.stalls keeps a task from being moved twice for being slow.

--- a/daemons/manager/src/coltsfootseam/manager/planning.py
+++ b/daemons/manager/src/coltsfootseam/manager/planning.py
@@ -3,9 +3,12 @@
 import msgspec
 
 from coltsfootseam.jobs import Job, Occurrence, Run, Task
+from coltsfootseam.manager.copies import Copies
 from coltsfootseam.manager.pool_state import PoolState
+from coltsfootseam.manager.preempting import preempt
 from coltsfootseam.manager.tickets import TicketDesk
 from coltsfootseam.scheduling import (
+    Placement,
     Plan,
     ReadyStep,
     Room,
@@ -30,25 +33,26 @@
 class Planner:
     """Plans the starts of one pool."""
 
-    __slots__ = ("_order", "_state", "_tickets", "plan")
+    __slots__ = ("_copies", "_order", "_state", "_tickets", "plan")
 
     def __init__(self, state: PoolState, tickets: TicketDesk) -> None:
         self._state = state
         self._tickets = tickets
+        self._copies = Copies(state, tickets)
         self._order = job_order_named("objective")
         self.plan = Plan()
 
     def plan_runs(self) -> list[NewRun]:
         """Decides what starts now and enters it in the book."""
         ready = sorted(self._ready_steps(), key=self._order)
-        if not ready:
-            self.plan = Plan()
-            return []
         rooms = self.rooms()
         now_s = self._state.now_s()
         self.plan = plan_starts(ready, rooms, now_s, self._tickets.find)
         self._tickets.ask_for(self.plan.shortages, rooms)
-        return self._enter(self.plan)
+        copies = [] if self.plan.shortages else self._copies.plan(rooms)
+        new_runs = self._enter(self.plan.placements + copies)
+        preempt(self._state, self.plan.shortages, rooms)
+        return new_runs
 
     def rooms(self) -> list[Room]:
         """Returns a snapshot of what is free on each worker."""
@@ -141,11 +145,11 @@
             objective_s=max(objective_s, 0.1),
         )
 
-    def _enter(self, plan: Plan) -> list[NewRun]:
+    def _enter(self, placements: list[Placement]) -> list[NewRun]:
         now_s = self._state.now_s()
         gang_numbers: dict[tuple[str, int, int], int] = {}
         new_runs = []
-        for placement in plan.placements:
+        for placement in placements:
             task = placement.task
             number = 0
             if task.step.gang:
--- /dev/null
+++ b/daemons/manager/src/coltsfootseam/manager/preempting.py
@@ -0,0 +1,49 @@
+"""Stopping runs of a low priority where a higher one finds no room."""
+
+from coltsfootseam.jobs import RunPair
+from coltsfootseam.manager.pool_state import PoolState
+from coltsfootseam.scheduling import Claim, Room, Shortage, plan_preemption
+
+
+def preempt(
+    state: PoolState, shortages: list[Shortage], rooms: list[Room]
+) -> None:
+    """Stops what has to make room; it goes on later from what it saved.
+
+    Args:
+        state: The pool.
+        shortages: What found no room in this round.
+        rooms: What is left free; used up.
+    """
+    if not shortages:
+        return
+    highest = min(item.ready.queue.priority for item in shortages)
+    lowest = max(
+        state.queue_of(job).priority for job in state.book.active_by_id.values()
+    )
+    if lowest <= highest:
+        return
+    claims_by_worker = {
+        room.worker_id: [
+            _to_claim(state, pair)
+            for pair in state.book.runs.runs_of(room.worker_id)
+        ]
+        for room in rooms
+    }
+    for claim in plan_preemption(shortages, rooms, claims_by_worker):
+        state.book.stop_run(
+            claim.task, claim.run, "a higher priority needs its room"
+        )
+
+
+def _to_claim(state: PoolState, pair: RunPair) -> Claim:
+    task, run = pair
+    job = state.book.jobs_by_id[task.id.job_id]
+    is_saved = task.step.checkpointing
+    age_s = state.now_s() - run.ordered_s
+    return Claim(
+        task,
+        run,
+        state.queue_of(job).priority,
+        unsaved_s=0.0 if is_saved else age_s,
+    )
--- a/daemons/manager/src/coltsfootseam/manager/rounds.py
+++ b/daemons/manager/src/coltsfootseam/manager/rounds.py
@@ -69,6 +69,7 @@
                 "worker.stalled", worker=worker_id, runs=len(stalled)
             )
             for task, run in stalled:
+                task.stalls += 1
                 state.book.stop_run(task, run, "it made no progress")
 
     def _take_stored(
--- a/libs/scheduling/src/coltsfootseam/scheduling/__init__.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/__init__.py
@@ -1,5 +1,12 @@
 """What runs where and when: decisions over snapshots, without a network."""
 
+from coltsfootseam.scheduling.copies import (
+    SlowRun,
+    copy_rule,
+    copy_rule_named,
+    find_single_runs,
+    plan_copies,
+)
 from coltsfootseam.scheduling.demand import (
     DemandHistory,
     MachineSupply,
@@ -23,6 +30,7 @@
     Shortage,
     plan_starts,
 )
+from coltsfootseam.scheduling.preemption import Claim, plan_preemption
 from coltsfootseam.scheduling.rooms import Room, StepKey, step_key
 from coltsfootseam.scheduling.stalls import find_stalled
 from coltsfootseam.scheduling.upkeep import (
@@ -32,6 +40,7 @@
 )
 
 __all__ = [
+    "Claim",
     "DemandHistory",
     "DueMachine",
     "MachineSupply",
@@ -44,16 +53,22 @@
     "ReadyStep",
     "Room",
     "Shortage",
+    "SlowRun",
     "StepKey",
     "WaveProgress",
     "WorkerHealth",
     "chain_s",
     "choose_maintenance",
+    "copy_rule",
+    "copy_rule_named",
+    "find_single_runs",
     "find_stalled",
     "job_order",
     "job_order_named",
+    "plan_copies",
     "plan_moves",
     "plan_pace",
+    "plan_preemption",
     "plan_starts",
     "spare_counts",
     "step_key",
--- /dev/null
+++ b/libs/scheduling/src/coltsfootseam/scheduling/copies.py
@@ -0,0 +1,164 @@
+"""Which slow tasks get a second run beside the first.
+
+Only steps that allow copies get any, and only on room that nothing else waits
+for. A copy is worth its room if a new run on a sound worker is expected to be
+done well before the first.
+"""
+
+from collections.abc import Callable
+
+import msgspec
+
+from coltsfootseam.jobs import Run, RunPhase, Task
+from coltsfootseam.scheduling.placement import Placement
+from coltsfootseam.scheduling.rooms import Room, step_key
+
+_MS_PER_S = 1000
+_FULL_PERCENT = 100
+_LEAST_GAIN = 1.5
+_LEAST_AGE_SHARE = 1.2
+_SOUND_SLOWNESS = 1.5
+
+
+class SlowRun(msgspec.Struct, frozen=True):
+    """A task whose only run is at work.
+
+    Attributes:
+        task: The task.
+        run: Its run.
+        expected_s: Time that a new run would take on a sound worker.
+        age_s: Time since its run began.
+    """
+
+    task: Task
+    run: Run
+    expected_s: float
+    age_s: float
+
+    def left_s(self) -> float:
+        """Returns how long the run still takes, by its progress so far."""
+        if self.run.progress <= 0:
+            return float("inf")
+        total_s = self.age_s * _FULL_PERCENT / self.run.progress
+        return total_s - self.age_s
+
+
+CopyRule = Callable[[SlowRun], bool]
+"""Tells whether a run had better get a copy."""
+
+_RULES_BY_NAME: dict[str, CopyRule] = {}
+
+
+def copy_rule(name: str) -> Callable[[CopyRule], CopyRule]:
+    """Registers a rule under a name."""
+
+    def register(rule: CopyRule) -> CopyRule:
+        _RULES_BY_NAME[name] = rule
+        return rule
+
+    return register
+
+
+def copy_rule_named(name: str) -> CopyRule:
+    """Returns a registered rule.
+
+    Raises:
+        ValueError: If no rule has that name.
+    """
+    if name not in _RULES_BY_NAME:
+        known = ", ".join(sorted(_RULES_BY_NAME))
+        raise ValueError(f"unknown copy rule {name!r}; known are {known}")
+    return _RULES_BY_NAME[name]
+
+
+@copy_rule("never")
+def copy_never(slow: SlowRun) -> bool:
+    """Runs each task once."""
+    del slow
+    return False
+
+
+@copy_rule("overdue")
+def copy_overdue(slow: SlowRun) -> bool:
+    """Copies what has taken longer than expected."""
+    return slow.age_s > _LEAST_AGE_SHARE * slow.expected_s
+
+
+@copy_rule("remaining")
+def copy_by_remaining(slow: SlowRun) -> bool:
+    """Copies what is overdue and has more left than a new run takes."""
+    is_overdue = copy_overdue(slow)
+    return is_overdue and slow.left_s() > _LEAST_GAIN * slow.expected_s
+
+
+def find_single_runs(
+    tasks: list[Task], estimate_ratio: float, now_s: float
+) -> list[SlowRun]:
+    """Returns the tasks of a step that may get a copy.
+
+    Args:
+        tasks: The tasks of a step.
+        estimate_ratio: The pool's run times against their estimates.
+        now_s: Monotonic time.
+    """
+    singles = []
+    for task in tasks:
+        if task.is_done or len(task.runs) != 1:
+            continue
+        run = task.runs[0]
+        if run.phase is not RunPhase.RUNNING or run.running_s is None:
+            continue
+        expected_s = task.step.estimate_ms * estimate_ratio / _MS_PER_S
+        singles.append(SlowRun(task, run, expected_s, now_s - run.running_s))
+    return singles
+
+
+def plan_copies(
+    singles: list[SlowRun],
+    rooms: list[Room],
+    rule: CopyRule,
+    tickets_by_worker: dict[str, str | None],
+) -> list[Placement]:
+    """Places a second run of each task that the rule finds slow.
+
+    Args:
+        singles: Tasks with one run, of steps that allow copies.
+        rooms: What is left free after the starts of this round; used up.
+        rule: Which of them get a copy.
+        tickets_by_worker: The step's ticket for each worker, empty where none
+            is needed; a worker without one gets no copy.
+    """
+    placements = []
+    allowed = [
+        room
+        for room in rooms
+        if tickets_by_worker.get(room.worker_id) is not None
+    ]
+    for slow in singles:
+        if not rule(slow):
+            continue
+        room = _room_for(slow, allowed)
+        if room is None:
+            continue
+        room.take(slow.task.step, step_key(slow.task.id))
+        ticket = tickets_by_worker[room.worker_id] or ""
+        placements.append(Placement(slow.task, room.worker_id, ticket))
+    return placements
+
+
+def _room_for(slow: SlowRun, rooms: list[Room]) -> Room | None:
+    """Returns the sound worker with the most room, but the run's own."""
+    step = slow.task.step
+    key = step_key(slow.task.id)
+    fitting = [
+        room
+        for room in rooms
+        if room.is_open
+        and room.trial_slots is None
+        and room.slowness < _SOUND_SLOWNESS
+        and room.worker_id != slow.run.worker_id
+        and room.worker_id not in slow.task.failed_on
+        and room.fits(step)
+        and room.may_run(step, key)
+    ]
+    return max(fitting, key=lambda room: room.free_cpu_millis, default=None)
--- a/libs/scheduling/src/coltsfootseam/scheduling/ordering.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/ordering.py
@@ -11,6 +11,9 @@
 
 _MS_PER_S = 1000
 _LATE_FACTOR = 3.0
+_IN_TIME = 0.0
+_LATE = 1.0
+_WORTHLESS = 2.0
 
 
 class ReadyStep(msgspec.Struct):
@@ -76,20 +79,22 @@
 
 @job_order("objective")
 def order_by_objective(ready: ReadyStep) -> tuple[float, ...]:
-    """Long-running tasks first, then jobs that can still be in time.
+    """Long-running tasks first, then by priority, then what can be in time.
 
     Among those in time the tightest goes first. Jobs whose objective is lost
     follow, the one that has waited longest against its size first, so that
     large jobs don't starve.
     """
+    priority = ready.queue.priority
     if ready.step.long_running and not ready.step.fills:
-        return (0.0, ready.queue.priority, -ready.waited_s)
+        return (0.0, priority, -ready.waited_s)
     if ready.step.fills:
-        return (3.0, ready.queue.priority, -ready.waited_s)
+        return (2.0, priority, -ready.waited_s)
     if ready.slack_s() >= 0:
-        return (1.0, ready.slack_s())
+        return (1.0, priority, _IN_TIME, ready.slack_s())
     is_worthless = ready.waited_s > _LATE_FACTOR * ready.objective_s
-    return (2.0, float(is_worthless), -ready.waited_s / ready.objective_s)
+    lateness = _WORTHLESS if is_worthless else _LATE
+    return (1.0, priority, lateness, -ready.waited_s / ready.objective_s)
 
 
 def chain_s(job: Job, occurrence: Occurrence | None = None) -> float:
--- a/libs/scheduling/src/coltsfootseam/scheduling/placement.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/placement.py
@@ -35,6 +35,11 @@
     count: int
     needs_ticket: bool = False
 
+    def key(self) -> StepKey:
+        """Returns the name of the step."""
+        ready = self.ready
+        return ready.job.id, ready.occurrence.number, ready.number
+
 
 class Plan(msgspec.Struct):
     """What is to be started, and what found no room."""
--- /dev/null
+++ b/libs/scheduling/src/coltsfootseam/scheduling/preemption.py
@@ -0,0 +1,153 @@
+"""Which runs make room for steps of a higher priority.
+
+Only work that saves its progress is stopped, and filling work that nobody
+counts on. The runs that have saved the most of their work go first.
+"""
+
+import msgspec
+
+from coltsfootseam.jobs import Run, RunPhase, Task
+from coltsfootseam.scheduling.placement import Shortage
+from coltsfootseam.scheduling.rooms import Room, step_key
+
+
+class Claim(msgspec.Struct, frozen=True):
+    """A run that holds room on a worker.
+
+    Attributes:
+        task: The task.
+        run: Its run.
+        priority: Priority of its queue; 0 comes first.
+        unsaved_s: Work that would be lost if it were stopped now.
+    """
+
+    task: Task
+    run: Run
+    priority: int
+    unsaved_s: float
+
+    def is_stopping(self) -> bool:
+        """Tells whether its room becomes free in a moment anyway."""
+        return self.run.phase is RunPhase.STOPPING
+
+
+class _Candidate(msgspec.Struct):
+    room: Room
+    victims: list[Claim]
+
+    def rank(self) -> tuple[float, int]:
+        lost_s = sum(victim.unsaved_s for victim in self.victims)
+        return lost_s, len(self.victims)
+
+
+class _State(msgspec.Struct):
+    rooms: list[Room]
+    claims_by_worker: dict[str, list[Claim]]
+
+    def copy(self) -> "_State":
+        return _State(
+            [_copy_of(room) for room in self.rooms],
+            dict(self.claims_by_worker),
+        )
+
+    def stop(self, room: Room, victims: list[Claim]) -> None:
+        self.claims_by_worker[room.worker_id] = [
+            claim
+            for claim in self.claims_by_worker.get(room.worker_id, ())
+            if claim not in victims
+        ]
+        for victim in victims:
+            room.release(victim.task.step, step_key(victim.task.id))
+
+
+def plan_preemption(
+    shortages: list[Shortage],
+    rooms: list[Room],
+    claims_by_worker: dict[str, list[Claim]],
+) -> list[Claim]:
+    """Chooses the runs that are to be stopped.
+
+    Args:
+        shortages: What found no room, the first to be served first.
+        rooms: What is left free after the starts of this round.
+        claims_by_worker: All runs that hold room.
+
+    Returns:
+        The runs to stop; tasks that runs already stopping make room for need
+        no other.
+    """
+    state = _State(
+        [room for room in rooms if room.is_open], dict(claims_by_worker)
+    )
+    stops: list[Claim] = []
+    for shortage in shortages:
+        if shortage.needs_ticket or shortage.ready.step.fills:
+            continue
+        trial = state.copy()
+        victims = _make_room(shortage, trial)
+        if victims is not None:
+            state = trial
+            stops.extend(victims)
+    return stops
+
+
+def _make_room(shortage: Shortage, state: _State) -> list[Claim] | None:
+    """Returns what has to be stopped, ``None`` if a gang can't start whole."""
+    stops: list[Claim] = []
+    step = shortage.ready.step
+    for _ in range(shortage.count):
+        best = _best_candidate(shortage, state)
+        if best is None:
+            return None if step.gang else stops
+        state.stop(best.room, best.victims)
+        best.room.take(step, shortage.key())
+        stops.extend(
+            victim for victim in best.victims if not victim.is_stopping()
+        )
+    return stops
+
+
+def _best_candidate(shortage: Shortage, state: _State) -> _Candidate | None:
+    candidates = []
+    for room in state.rooms:
+        if not room.may_run(shortage.ready.step, shortage.key()):
+            continue
+        claims = state.claims_by_worker.get(room.worker_id, [])
+        victims = _victims(shortage, room, claims)
+        if victims is not None:
+            candidates.append(_Candidate(room, victims))
+    return min(candidates, key=_Candidate.rank, default=None)
+
+
+def _victims(
+    shortage: Shortage, room: Room, claims: list[Claim]
+) -> list[Claim] | None:
+    """Returns what has to go for one task, ``None`` if that isn't enough."""
+    step = shortage.ready.step
+    usable = [claim for claim in claims if _may_go(claim, shortage)]
+    usable.sort(key=lambda claim: (not claim.is_stopping(), claim.unsaved_s))
+    free = _copy_of(room)
+    victims: list[Claim] = []
+    for claim in usable:
+        if free.fits(step):
+            break
+        free.release(claim.task.step, step_key(claim.task.id))
+        victims.append(claim)
+    return victims if free.fits(step) else None
+
+
+def _may_go(claim: Claim, shortage: Shortage) -> bool:
+    if claim.is_stopping():
+        return True
+    step = claim.task.step
+    if claim.priority <= shortage.ready.queue.priority or step.gang:
+        return False
+    if step.long_running:
+        return step.fills and step.may_miss is None
+    return step.checkpointing
+
+
+def _copy_of(room: Room) -> Room:
+    return msgspec.structs.replace(
+        room, counts_by_step=dict(room.counts_by_step)
+    )
--- a/libs/scheduling/src/coltsfootseam/scheduling/stalls.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/stalls.py
@@ -2,6 +2,8 @@
 
 A single task that is slow may be larger than its estimate. A worker on which
 all tasks are slow, or one that made no progress at all, is the worker's doing.
+A task that was moved once for being slow tells nothing more: on a second worker
+it is as likely that its estimate is wrong.
 """
 
 import statistics
@@ -26,18 +28,18 @@
         estimate_ratio: The pool's run times against their estimates.
     """
     judged = [pair for pair in pairs if _can_be_judged(*pair)]
-    if not judged:
+    unmoved = [pair for pair in judged if not pair[0].stalls]
+    slow = _slow_runs(unmoved, estimate_ratio)
+    still = [pair for pair in judged if _stands_still(pair[1])]
+    return [pair for pair in judged if pair in slow or pair in still]
+
+
+def _slow_runs(pairs: list[RunPair], estimate_ratio: float) -> list[RunPair]:
+    """Returns what is worth moving, if all of it is slow."""
+    speeds = [_speed(task, run) * estimate_ratio for task, run in pairs]
+    if len(pairs) < _LEAST_TASKS or statistics.median(speeds) >= _SLOW_SPEED:
         return []
-    speeds = [_speed(task, run) * estimate_ratio for task, run in judged]
-    is_worker_slow = (
-        len(judged) >= _LEAST_TASKS and statistics.median(speeds) < _SLOW_SPEED
-    )
-    return [
-        (task, run)
-        for task, run in judged
-        if (is_worker_slow and run.progress < _KEEP_FROM_PERCENT)
-        or _stands_still(run)
-    ]
+    return [pair for pair in pairs if pair[1].progress < _KEEP_FROM_PERCENT]
 
 
 def _can_be_judged(task: Task, run: Run) -> bool:
--- a/tests/cover/test_stalls.py
+++ b/tests/cover/test_stalls.py
@@ -1,7 +1,8 @@
 """Workers on which tasks stand still or crawl are told from large tasks."""
 
-from coltsfootseam.jobs import Run, RunPhase, Step, Task, TaskId
+from coltsfootseam.jobs import JobState, Run, RunPhase, Step, Task, TaskId
 from coltsfootseam.scheduling import find_stalled
+from tests.common.fleets import running_fleet
 
 
 def running(
@@ -37,6 +38,25 @@
     assert find_stalled([*slow, nearly], 1.0) == slow
 
 
+def test_tasks_that_were_moved_once_are_not_moved_again_for_being_slow() -> (
+    None
+):
+    slow = [running(1, 12, 1.0), running(2, 15, 1.0)]
+    still = running(3, 0, 1.5)
+    for task, _ in [*slow, still]:
+        task.stalls = 1
+    assert find_stalled([*slow, still], 1.0) == [still]
+
+
+async def test_tasks_far_larger_than_estimated_are_done_in_the_end() -> None:
+    job_id = "a" * 16
+    step = Step(count=4, cpu_millis=1000, estimate_ms=500)
+    async with running_fleet(duration_of=lambda task: 6.0) as fleet:
+        await fleet.accept(fleet.owner(), job_id, step)
+        await fleet.wait_for_state(job_id, JobState.COMPLETED)
+        assert fleet.started(job_id) <= 2 * step.count
+
+
 def test_a_young_task_is_not_judged() -> None:
     assert find_stalled([running(1, 0, 0.5), running(2, 0, 0.5)], 1.0) == []
 
