Let pools share topics of the store, and take settings over without a signal

Cause: each pool took a topic of the store, which has 100 at most, while 173 pools are planned; changed settings were read on SIGHUP only, though they may change without one.

Ruled out: a table of places agreed on in the store (one more thing to read before the first job); reading the settings by a clock without looking at the file, which costs a parse a second.

Change: places.place_of_pool puts a pool by a hash of its name; keys begin with the pool. FileWatch tells that a file changed, LiveSettings takes it over but for the length of leases, which a successor counts on. Copies count the left time from the progress report's own age and want half a second of gain.

--- a/daemons/manager/src/coltsfootseam/manager/context.py
+++ b/daemons/manager/src/coltsfootseam/manager/context.py
@@ -6,6 +6,7 @@
 
 from coltsfootseam.calls import Method
 from coltsfootseam.jobs import Configuration, Wave
+from coltsfootseam.manager.places import place_of_pool
 from coltsfootseam.observe import Counters, DecisionLog
 from coltsfootseam.store import (
     KeyedRecord,
@@ -99,7 +100,7 @@
         host_id: Name of this entry host.
         incarnation: Name of this start of the process, unique.
         address: Where peers call this process.
-        duty_slots: Number of partitions that duties are dealt by.
+        duty_slots: Number of partitions of a topic, which duties are dealt by.
         timers: Time.
         ports: Interfaces to the outside.
         peers: Calls to other entry hosts.
@@ -119,16 +120,10 @@
     counters: Counters
     times: Times
 
+    def inbox_of(self, pool: str) -> Partition:
+        """Returns the partition that holds a pool's requests and cancels."""
+        return place_of_pool("inbox", pool, self.duty_slots)
 
-def inbox_of(pool: str) -> Partition:
-    """Returns the partition of a pool's requests and cancels."""
-    return Partition(f"pool.{pool}", 0)
-
-
-def journal_of(pool: str) -> Partition:
-    """Returns the partition that only the owner of a pool appends to."""
-    return Partition(f"pool.{pool}", 1)
-
-
-FLEET_JOURNAL = Partition("fleet", 1)
-"""The partition that only the owner of the fleet's machines appends to."""
+    def journal_of(self, pool: str) -> Partition:
+        """Returns the partition that holds what a pool's owner appends."""
+        return place_of_pool("journal", pool, self.duty_slots)
--- a/daemons/manager/src/coltsfootseam/manager/fleet_owner.py
+++ b/daemons/manager/src/coltsfootseam/manager/fleet_owner.py
@@ -1,10 +1,11 @@
 """Owning the fleet: who orders machines to move and to be maintained."""
 
 from coltsfootseam.manager.claiming import claim_duty
-from coltsfootseam.manager.context import FLEET_JOURNAL, Context
+from coltsfootseam.manager.context import Context
 from coltsfootseam.manager.knowledge import Knowledge
 from coltsfootseam.manager.locator import Locator
 from coltsfootseam.manager.machine_rounds import MachineRounds
+from coltsfootseam.manager.places import FLEET_JOURNAL
 
 
 class FleetOwner:
--- a/daemons/manager/src/coltsfootseam/manager/job_service.py
+++ b/daemons/manager/src/coltsfootseam/manager/job_service.py
@@ -22,9 +22,9 @@
     cancel_key,
     decode_progress,
     encode_request,
-    request_key,
+    job_key,
 )
-from coltsfootseam.manager.context import Context, inbox_of, journal_of
+from coltsfootseam.manager.context import Context
 from coltsfootseam.manager.duties import Directory, pool_duty
 from coltsfootseam.manager.knowledge import Knowledge
 from coltsfootseam.manager.locator import Locator
@@ -122,7 +122,7 @@
                 ResultCode.OUTCOME_UNKNOWN, "its queue has just been moved"
             )
         outcome = await self._store(
-            pool, request_key(job_id), encode_request(request), deadline_s
+            pool, job_key(pool, job_id), encode_request(request), deadline_s
         )
         if outcome is OK:
             self._note_accepted(job_id)
@@ -154,7 +154,7 @@
         outcome = OK
         for pool in self._pools_of(queue):
             stored = await self._store(
-                pool, cancel_key(job_id), b"1", deadline_s
+                pool, cancel_key(pool, job_id), b"1", deadline_s
             )
             outcome = stored if outcome is OK else outcome
         self._context.log.write(
@@ -235,7 +235,7 @@
         while True:
             if not self._membership.is_silent():
                 result = await self._context.ports.store.append(
-                    inbox_of(pool), [record]
+                    self._context.inbox_of(pool), [record]
                 )
                 if isinstance(result, Appended):
                     return OK
@@ -311,31 +311,30 @@
     ) -> JobState | Refusal | None:
         """Reads a job's state from the store, where no owner answers."""
         store = self._context.ports.store
-        before = _just_before(job_id)
         is_known = False
         for pool in self._pools_of(queue):
+            key = job_key(pool, job_id)
+            before = _just_before(key)
             inbox, journal = await asyncio.gather(
-                store.newest(inbox_of(pool), before, limit=2),
-                store.newest(journal_of(pool), before, limit=1),
+                store.newest(self._context.inbox_of(pool), before, limit=2),
+                store.newest(self._context.journal_of(pool), before, limit=1),
             )
             if isinstance(inbox, Refusal) or isinstance(journal, Refusal):
                 return None
             for record in journal.records:
-                state = self._decode_state(job_id, record)
+                state = self._decode_state(key, record)
                 if state is not None:
                     return state
             keys = {record.key for record in inbox.records if record.value}
-            if cancel_key(job_id) in keys and request_key(job_id) in keys:
+            if cancel_key(pool, job_id) in keys and key in keys:
                 return JobState.CANCELLED
-            is_known = is_known or request_key(job_id) in keys
+            is_known = is_known or key in keys
         if is_known:
             return JobState.QUEUED
         return Refusal(ResultCode.JOB_UNKNOWN, f"no job {job_id}")
 
-    def _decode_state(
-        self, job_id: str, record: StoredRecord
-    ) -> JobState | None:
-        if record.key != job_id or not record.value:
+    def _decode_state(self, key: str, record: StoredRecord) -> JobState | None:
+        if record.key != key or not record.value:
             return None
         try:
             return decode_progress(record.value).state
--- a/daemons/manager/src/coltsfootseam/manager/peer_calls.py
+++ b/daemons/manager/src/coltsfootseam/manager/peer_calls.py
@@ -23,7 +23,7 @@
     VacateRequest,
 )
 from coltsfootseam.jobs import JobState
-from coltsfootseam.manager.context import Context, inbox_of
+from coltsfootseam.manager.context import Context
 from coltsfootseam.manager.duty_keeper import DutyKeeper
 from coltsfootseam.manager.pool_owner import PoolOwner
 from coltsfootseam.results import Refusal, ResultCode
@@ -97,7 +97,8 @@
         if self._membership.is_silent():
             return RelayReply(is_stored=False)
         result = await self._context.ports.store.append(
-            inbox_of(request.pool), [KeyedRecord(request.key, request.value)]
+            self._context.inbox_of(request.pool),
+            [KeyedRecord(request.key, request.value)],
         )
         if not isinstance(result, Refusal):
             return RelayReply(is_stored=True)
--- a/daemons/manager/src/coltsfootseam/manager/pool_owner.py
+++ b/daemons/manager/src/coltsfootseam/manager/pool_owner.py
@@ -10,11 +10,12 @@
     cancel_key,
     decode_progress,
     decode_request,
-    parse_inbox_key,
-    request_key,
+    job_key,
+    key_prefix,
+    parse_pool_key,
 )
 from coltsfootseam.manager.claiming import claim_duty
-from coltsfootseam.manager.context import Context, inbox_of, journal_of
+from coltsfootseam.manager.context import Context
 from coltsfootseam.manager.knowledge import Knowledge
 from coltsfootseam.manager.orders import Orders
 from coltsfootseam.manager.pacer import Pacer
@@ -27,7 +28,6 @@
 from coltsfootseam.results import Refusal
 from coltsfootseam.scheduling import WorkerHealth
 from coltsfootseam.store import (
-    CLAIM_KEY,
     KeyedRecord,
     StoredRecord,
     Tail,
@@ -79,7 +79,9 @@
     async def run(self) -> None:
         """Claims the pool and owns it; returns when the journal is lost."""
         journal = await claim_duty(
-            self._context, journal_of(self._pool), f"pool.{self._pool}"
+            self._context,
+            self._context.journal_of(self._pool),
+            f"pool.{self._pool}",
         )
         await self._load_journal()
         state = PoolState(
@@ -93,9 +95,10 @@
         inbox = Tail(
             self._context.ports.store,
             self._context.timers,
-            inbox_of(self._pool),
+            self._context.inbox_of(self._pool),
             lambda record: self._take_inbox(state, record),
             _INBOX_WAIT_S,
+            prefix=key_prefix(self._pool),
         )
         while await inbox.load() is not None:
             await self._context.timers.sleep(_RETRY_S)
@@ -113,13 +116,14 @@
         """Reads how far each job was; nobody else can append any more."""
         while True:
             newest = await self._context.ports.store.newest(
-                journal_of(self._pool)
+                self._context.journal_of(self._pool)
             )
             if not isinstance(newest, Refusal):
                 break
             await self._context.timers.sleep(_RETRY_S)
         for record in newest.records:
-            if record.key == CLAIM_KEY or not record.value:
+            key = parse_pool_key(self._pool, record.key)
+            if key is None or not record.value:
                 continue
             try:
                 progress = decode_progress(record.value)
@@ -128,11 +132,11 @@
                     "record.unreadable", key=record.key, why=str(error)
                 )
                 continue
-            self._progress_by_id[record.key] = progress
+            self._progress_by_id[key.job_id] = progress
 
     def _take_inbox(self, state: PoolState, record: StoredRecord) -> None:
-        key = parse_inbox_key(record.key)
-        if not record.value:
+        key = parse_pool_key(self._pool, record.key)
+        if key is None or not record.value:
             return
         if key.is_cancel:
             state.book.cancel(key.job_id, state.wall_ms())
@@ -236,10 +240,14 @@
         keys = [
             key
             for job_id in old_ids
-            for key in (request_key(job_id), cancel_key(job_id))
+            for key in (
+                job_key(self._pool, job_id),
+                cancel_key(self._pool, job_id),
+            )
         ]
         result = await store.append(
-            inbox_of(self._pool), [KeyedRecord(key) for key in keys]
+            self._context.inbox_of(self._pool),
+            [KeyedRecord(key) for key in keys],
         )
         if isinstance(result, Refusal):
             return
--- a/daemons/manager/src/coltsfootseam/manager/rounds.py
+++ b/daemons/manager/src/coltsfootseam/manager/rounds.py
@@ -1,6 +1,6 @@
 """Rounds of a pool's owner: decide, store what was decided, then order it."""
 
-from coltsfootseam.jobs import JobState
+from coltsfootseam.jobs import JobState, job_key
 from coltsfootseam.manager.orders import Orders
 from coltsfootseam.manager.planning import NewRun, Planner
 from coltsfootseam.manager.pool_state import PoolState
@@ -47,7 +47,7 @@
         }
         if documents_by_id:
             records = [
-                KeyedRecord(job_id, document)
+                KeyedRecord(job_key(state.pool, job_id), document)
                 for job_id, document in documents_by_id.items()
             ]
             problem = await state.journal.commit(records)
--- a/libs/jobs/src/coltsfootseam/jobs/__init__.py
+++ b/libs/jobs/src/coltsfootseam/jobs/__init__.py
@@ -10,7 +10,7 @@
     Wave,
 )
 from coltsfootseam.jobs.documents import (
-    InboxKey,
+    PoolKey,
     Progress,
     RunRow,
     TaskRow,
@@ -19,8 +19,9 @@
     decode_request,
     encode_progress,
     encode_request,
-    parse_inbox_key,
-    request_key,
+    job_key,
+    key_prefix,
+    parse_pool_key,
 )
 from coltsfootseam.jobs.entities import Job, Occurrence, Run, Task
 from coltsfootseam.jobs.model import (
@@ -36,13 +37,13 @@
 __all__ = [
     "Advice",
     "Configuration",
-    "InboxKey",
     "Job",
     "JobBook",
     "JobRequest",
     "JobState",
     "Occurrence",
     "Pool",
+    "PoolKey",
     "Progress",
     "Queue",
     "QueueIndex",
@@ -62,6 +63,7 @@
     "decode_request",
     "encode_progress",
     "encode_request",
-    "parse_inbox_key",
-    "request_key",
+    "job_key",
+    "key_prefix",
+    "parse_pool_key",
 ]
--- a/libs/jobs/src/coltsfootseam/jobs/documents.py
+++ b/libs/jobs/src/coltsfootseam/jobs/documents.py
@@ -2,7 +2,8 @@
 
 Entry hosts write requests and cancels into the pool's inbox, each under its
 own key, so that a repeat changes nothing. The pool's owner writes a progress
-document per job into the pool's journal.
+document per job into the pool's journal. Keys begin with the pool, as pools may
+share partitions.
 """
 
 import msgspec
@@ -43,28 +44,38 @@
     tasks: list[TaskRow] = []
 
 
-class InboxKey(msgspec.Struct, frozen=True):
-    """The meaning of a key in an inbox."""
+class PoolKey(msgspec.Struct, frozen=True):
+    """The meaning of a key in a pool's inbox or journal."""
 
     job_id: str
     is_cancel: bool
 
 
-def request_key(job_id: str) -> str:
-    """Returns the inbox key of a job's request."""
-    return job_id
+def key_prefix(pool: str) -> str:
+    """Returns how all keys of a pool begin."""
+    return f"{pool}/"
 
 
-def cancel_key(job_id: str) -> str:
-    """Returns the inbox key of a job's cancel."""
-    return job_id + _CANCEL_SUFFIX
+def job_key(pool: str, job_id: str) -> str:
+    """Returns the key of a job: its request and its progress document."""
+    return key_prefix(pool) + job_id
 
 
-def parse_inbox_key(key: str) -> InboxKey:
-    """Tells what an inbox key stands for."""
-    if key.endswith(_CANCEL_SUFFIX):
-        return InboxKey(key.removesuffix(_CANCEL_SUFFIX), is_cancel=True)
-    return InboxKey(key, is_cancel=False)
+def cancel_key(pool: str, job_id: str) -> str:
+    """Returns the key of a job's cancel."""
+    return job_key(pool, job_id) + _CANCEL_SUFFIX
+
+
+def parse_pool_key(pool: str, key: str) -> PoolKey | None:
+    """Tells what a key stands for, ``None`` if it is another pool's."""
+    prefix = key_prefix(pool)
+    if not key.startswith(prefix):
+        return None
+    rest = key.removeprefix(prefix)
+    job_id = rest.removesuffix(_CANCEL_SUFFIX)
+    if "/" in job_id:
+        return None
+    return PoolKey(job_id, is_cancel=job_id != rest)
 
 
 def encode_request(request: JobRequest) -> bytes:
--- a/libs/scheduling/src/coltsfootseam/scheduling/copies.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/copies.py
@@ -17,6 +17,7 @@
 _FULL_PERCENT = 100
 _LEAST_GAIN = 1.5
 _LEAST_AGE_SHARE = 1.2
+_LEAST_LEFT_S = 0.5
 _SOUND_SLOWNESS = 1.5
 
 
@@ -28,18 +29,20 @@
         run: Its run.
         expected_s: Time that a new run would take on a sound worker.
         age_s: Time since its run began.
+        reported_age_s: Age at which its progress was last reported.
     """
 
     task: Task
     run: Run
     expected_s: float
     age_s: float
+    reported_age_s: float
 
     def left_s(self) -> float:
         """Returns how long the run still takes, by its progress so far."""
         if self.run.progress <= 0:
             return float("inf")
-        total_s = self.age_s * _FULL_PERCENT / self.run.progress
+        total_s = self.reported_age_s * _FULL_PERCENT / self.run.progress
         return total_s - self.age_s
 
 
@@ -86,9 +89,13 @@
 
 @copy_rule("remaining")
 def copy_by_remaining(slow: SlowRun) -> bool:
-    """Copies what is overdue and has more left than a new run takes."""
-    is_overdue = copy_overdue(slow)
-    return is_overdue and slow.left_s() > _LEAST_GAIN * slow.expected_s
+    """Copies what is overdue and has more left than a new run takes.
+
+    What was reported before the run was overdue tells little of its rest.
+    """
+    overdue_s = _LEAST_AGE_SHARE * slow.expected_s
+    least_left_s = max(_LEAST_LEFT_S, _LEAST_GAIN * slow.expected_s)
+    return slow.reported_age_s > overdue_s and slow.left_s() > least_left_s
 
 
 def find_single_runs(
@@ -108,8 +115,15 @@
         run = task.runs[0]
         if run.phase is not RunPhase.RUNNING or run.running_s is None:
             continue
-        expected_s = task.step.estimate_ms * estimate_ratio / _MS_PER_S
-        singles.append(SlowRun(task, run, expected_s, now_s - run.running_s))
+        reported_s = run.progress_s or run.running_s
+        slow = SlowRun(
+            task,
+            run,
+            expected_s=task.step.estimate_ms * estimate_ratio / _MS_PER_S,
+            age_s=now_s - run.running_s,
+            reported_age_s=reported_s - run.running_s,
+        )
+        singles.append(slow)
     return singles
 
 
--- a/libs/settings/src/coltsfootseam/settings/__init__.py
+++ b/libs/settings/src/coltsfootseam/settings/__init__.py
@@ -8,10 +8,12 @@
     StatsdSettings,
     TimerSettings,
 )
+from coltsfootseam.settings.watching import FileWatch
 
 __all__ = [
     "Addresses",
     "EntrySettings",
+    "FileWatch",
     "RequestSettings",
     "StatsdSettings",
     "TimerSettings",
--- /dev/null
+++ b/libs/settings/src/coltsfootseam/settings/watching.py
@@ -0,0 +1,31 @@
+"""Noticing that a file has changed."""
+
+import os
+
+
+class FileWatch:
+    """Tells whether a file changed since it was last looked at."""
+
+    __slots__ = ("_path", "_seen")
+
+    def __init__(self, path: str) -> None:
+        self._path = path
+        self._seen = _signature(path)
+
+    def has_changed(self) -> bool:
+        """Looks at the file; true once for each change that is noticed."""
+        seen = _signature(self._path)
+        if seen == self._seen:
+            return False
+        self._seen = seen
+        return True
+
+
+def _signature(path: str) -> tuple[int, int, int] | None:
+    """Returns what tells one state of a file from another."""
+    try:
+        status = os.stat(path)
+    except OSError:
+        # A file that is being replaced is missing for a moment.
+        return None
+    return status.st_mtime_ns, status.st_size, status.st_ino
--- a/libs/standins/src/coltsfootseam/standins/memory_store.py
+++ b/libs/standins/src/coltsfootseam/standins/memory_store.py
@@ -25,14 +25,22 @@
 _POLL_S = 0.005
 
 
+class _WriterState(msgspec.Struct):
+    epoch: int = -1
+    sequence: int = -1
+    answers_by_sequence: dict[int, Appended] = {}
+
+
 class _Part(msgspec.Struct):
     first: int = 0
     end: int = 0
     records: list[StoredRecord] = []
     newest_by_key: dict[str, StoredRecord] = {}
-    epoch: int = -1
-    sequence: int = -1
-    answers_by_sequence: dict[int, Appended] = {}
+    # Epochs of one writer say nothing about those of another.
+    writers_by_name: dict[str, _WriterState] = {}
+
+    def writer(self, name: str) -> _WriterState:
+        return self.writers_by_name.setdefault(name, _WriterState())
 
 
 class _Member(msgspec.Struct):
@@ -116,7 +124,7 @@
         """Carries an append out."""
         part = self.part(partition)
         if writer is not None:
-            problem = self._check_writer(part, writer)
+            problem = self._check_writer(part.writer(writer.name), writer)
             if problem is not None:
                 return problem
         if at is not None and at != part.end:
@@ -131,23 +139,24 @@
             else:
                 part.newest_by_key.pop(record.key, None)
         if writer is not None:
-            part.epoch = writer.epoch
-            part.sequence = writer.sequence
-            part.answers_by_sequence[writer.sequence] = answer
+            known = part.writer(writer.name)
+            known.epoch = writer.epoch
+            known.sequence = writer.sequence
+            known.answers_by_sequence[writer.sequence] = answer
         self.appends += 1
         return answer
 
     def _check_writer(
-        self, part: _Part, writer: Writer
+        self, known: _WriterState, writer: Writer
     ) -> Appended | Refusal | None:
-        if writer.epoch < part.epoch:
+        if writer.epoch < known.epoch:
             return Refusal(ResultCode.STALE_EPOCH, "fenced")
-        if writer.epoch > part.epoch:
-            part.answers_by_sequence = {}
+        if writer.epoch > known.epoch:
+            known.answers_by_sequence = {}
             return None
-        if writer.sequence in part.answers_by_sequence:
-            return part.answers_by_sequence[writer.sequence]
-        if writer.sequence != part.sequence + 1:
+        if writer.sequence in known.answers_by_sequence:
+            return known.answers_by_sequence[writer.sequence]
+        if writer.sequence != known.sequence + 1:
             return Refusal(ResultCode.STALE_EPOCH, "sequence")
         return None
 
--- a/libs/store/src/coltsfootseam/store/__init__.py
+++ b/libs/store/src/coltsfootseam/store/__init__.py
@@ -1,7 +1,6 @@
 """The store: keyed partitions, journals of owners, and membership."""
 
 from coltsfootseam.store.journal import (
-    CLAIM_KEY,
     Claim,
     Journal,
     claim_journal,
@@ -25,7 +24,6 @@
 from coltsfootseam.store.watched import WatchedStore
 
 __all__ = [
-    "CLAIM_KEY",
     "Appended",
     "Claim",
     "Deal",
--- a/libs/store/src/coltsfootseam/store/journal.py
+++ b/libs/store/src/coltsfootseam/store/journal.py
@@ -20,7 +20,7 @@
 from coltsfootseam.store.port import Store
 from coltsfootseam.timers import TimerService
 
-CLAIM_KEY = "claim"
+_CLAIM_PREFIX = "/claim/"
 _RETRY_S = 0.1
 _CLAIM_TRIES = 8
 
@@ -133,8 +133,8 @@
     Args:
         store: Where the journal stands.
         timers: Time.
-        partition: The journal's partition; only its owners append to it.
-        name: Name of the role, the same for each owner.
+        partition: Where the journal stands; others may stand there as well.
+        name: Name of the role, the same for each owner of this journal.
         claim: Says who claims. The owner's name must be unique to this start
             of the process.
     """
@@ -144,7 +144,7 @@
         # The store answers a repeat of a numbered append without looking who
         # sends it, so the claim itself carries no number.
         result = await store.append(
-            partition, [KeyedRecord(CLAIM_KEY, body)], at=end
+            partition, [KeyedRecord(_CLAIM_PREFIX + name, body)], at=end
         )
         if isinstance(result, Refusal):
             return result
--- a/libs/store/src/coltsfootseam/store/tail.py
+++ b/libs/store/src/coltsfootseam/store/tail.py
@@ -38,6 +38,7 @@
         "_on_reload",
         "_partition",
         "_poll_s",
+        "_prefix",
         "_store",
         "_timers",
         "_wait_s",
@@ -54,6 +55,7 @@
         wait_s: float,
         poll_s: float = 0.0,
         on_reload: OnReload | None = None,
+        prefix: str = "",
     ) -> None:
         """Makes a tail that does not read yet.
 
@@ -66,12 +68,14 @@
             poll_s: Pause after a read that found something.
             on_reload: Called with all keys that exist, after the newest
                 records were read again because history was gone.
+            prefix: Records whose keys begin otherwise are passed over.
         """
         self._store = store
         self._timers = timers
         self._partition = partition
         self._on_record = on_record
         self._on_reload = on_reload
+        self._prefix = prefix
         self._wait_s = wait_s
         self._poll_s = poll_s
         self._next_offset = 0
@@ -138,6 +142,8 @@
             self.current_s = max(self.current_s, read_s)
 
     def _take(self, record: StoredRecord) -> None:
+        if not record.key.startswith(self._prefix):
+            return
         if record.offset <= self._offsets_by_key.get(record.key, -1):
             return
         self._offsets_by_key[record.key] = record.offset
--- a/tests/cover/test_adapter.py
+++ b/tests/cover/test_adapter.py
@@ -7,7 +7,7 @@
 import msgspec
 import pytest
 
-from coltsfootseam.adapter.boot import Boot, load_boot
+from coltsfootseam.adapter.boot import Boot, LiveSettings, load_boot
 from coltsfootseam.adapter.feeds import PlatformFeeds
 from coltsfootseam.adapter.store import (
     _encode_record,
@@ -32,6 +32,7 @@
     StoredRecord,
 )
 from coltsfootseam.workers import OrderOutcome
+from tests.common.fleets import running_fleet
 
 ROOT = pathlib.Path(__file__).parents[2]
 MOST_ADAPTER_LINES = 1500
@@ -245,6 +246,31 @@
     assert str(path) in refusal.reason
 
 
+async def test_changed_settings_are_taken_over_without_a_signal(
+    tmp_path: pathlib.Path,
+) -> None:
+    path = tmp_path / "boot.yaml"
+    path.write_text(BOOT)
+    boot = load_boot(str(path))
+    assert isinstance(boot, Boot)
+    async with running_fleet(hosts=1, workers=0) as fleet:
+        manager = fleet.hosts[0].manager
+        assert manager is not None
+        context = manager.context
+        settings = LiveSettings(str(path), boot, context)
+        before = context.times
+        settings.reload_if_changed()
+        assert context.times is before
+        changed = BOOT.replace("stop_ms: 400", "stop_ms: 700")
+        path.write_text(changed.replace("hold_max_ms: 10000", "hold_max_ms: 9"))
+        settings.reload_if_changed()
+        assert context.times.stop_s == 0.7
+        assert context.times.lease_s == before.lease_s
+        path.write_text("node: [")
+        settings.reload_if_changed()
+        assert context.times.stop_s == 0.7
+
+
 def test_a_lost_answer_is_noticed_soon_and_a_slow_store_gets_time() -> None:
     patience = _Patience()
     for _ in range(20):
--- a/tests/cover/test_jobs_path.py
+++ b/tests/cover/test_jobs_path.py
@@ -1,9 +1,8 @@
 """Jobs from their submission to their end, under failures of each part."""
 
-from coltsfootseam.jobs import JobState, Step
-from coltsfootseam.manager.context import journal_of
+from coltsfootseam.jobs import JobState, Step, job_key
 from coltsfootseam.results import OK, Refusal, ResultCode
-from coltsfootseam.store import Claim, Partition, claim_journal
+from coltsfootseam.store import Claim, claim_journal
 from tests.common.fleets import POOL, running_fleet
 
 SMALL = Step(cpu_millis=1000, estimate_ms=500)
@@ -206,17 +205,17 @@
         owner = fleet.owner()
         fleet.peers.cut_addresses = {owner.address}
         claim = Claim("somebody", "10.0.0.9:1")
+        assert owner.manager is not None
         await fleet.run(
             claim_journal(
                 fleet.store.client(),
                 fleet.timers,
-                Partition(f"pool.{POOL}", 1),
+                owner.manager.context.journal_of(POOL),
                 f"pool.{POOL}",
                 claim,
             )
         )
         await fleet.timers.advance(1.5)
-        assert owner.manager is not None
         state = owner.manager.duties.owners_by_pool.get(POOL)
         assert (
             state is None
@@ -243,6 +242,8 @@
         owner = fleet.owner()
         other = fleet.other()
         await fleet.accept(owner, "a" * 16)
-        fleet.store.put(journal_of(POOL), "a" * 16, b"\xc1")
+        assert owner.manager is not None
+        journal = owner.manager.context.journal_of(POOL)
+        fleet.store.put(journal, job_key(POOL, "a" * 16), b"\xc1")
         await owner.kill()
         assert await fleet.state(other, "a" * 16) is JobState.QUEUED
--- a/tests/cover/test_journals.py
+++ b/tests/cover/test_journals.py
@@ -16,13 +16,13 @@
 PLACE = Partition("pool.x", 1)
 
 
-async def claim(store: MemoryStore, owner: str) -> Journal:
+async def claim(
+    store: MemoryStore, owner: str, name: str = "pool.x"
+) -> Journal:
     timers = store.timers
     assert isinstance(timers, VirtualTimers)
     task = asyncio.ensure_future(
-        claim_journal(
-            store.client(), timers, PLACE, "pool.x", Claim(owner, "a:1")
-        )
+        claim_journal(store.client(), timers, PLACE, name, Claim(owner, "a:1"))
     )
     while not task.done():
         await timers.advance(0.01)
@@ -87,3 +87,15 @@
             epochs.append(journal.epoch)
     assert len(epochs) == len(set(epochs))
     assert epochs == sorted(epochs)
+
+
+async def test_owners_that_share_a_partition_leave_each_other() -> None:
+    store = MemoryStore(VirtualTimers())
+    first = await claim(store, "one", "pool.x")
+    other = await claim(store, "two", "pool.y")
+    assert await commit(store, first) is None
+    assert await commit(store, other) is None
+    later = await claim(store, "three", "pool.y")
+    assert await commit(store, other) is not None
+    assert await commit(store, first) is None
+    assert await commit(store, later) is None
--- /dev/null
+++ b/tests/cover/test_many_pools.py
@@ -0,0 +1,76 @@
+"""More pools than the store has topics."""
+
+import msgspec
+
+from coltsfootseam.jobs import Configuration, JobState, Pool, Queue
+from coltsfootseam.manager.places import place_of_pool
+from tests.common.fleets import OPERATOR, POOL, QUEUE, Fleet, running_fleet
+
+DESIGN_POOLS = 173
+STORE_TOPICS = 100
+PARTITIONS = 12
+OTHER_PARTITIONS_NEEDED = {"operator", "workers", "status", "fleet", "duties"}
+
+
+def test_the_pools_of_the_design_size_fit_into_the_topics_of_the_store() -> (
+    None
+):
+    pools = [f"pool-{number}" for number in range(10 * DESIGN_POOLS)]
+    topics = {
+        place_of_pool(kind, pool, PARTITIONS).topic
+        for kind in ("inbox", "journal")
+        for pool in pools
+    }
+    assert len(topics | OTHER_PARTITIONS_NEEDED) <= STORE_TOPICS
+
+
+def test_partitions_are_taken_evenly_and_exist() -> None:
+    pools = [f"pool-{number}" for number in range(DESIGN_POOLS)]
+    places = [place_of_pool("journal", pool, PARTITIONS) for pool in pools]
+    assert all(0 <= place.number < PARTITIONS for place in places)
+    assert max(places.count(place) for place in places) <= 5
+
+
+def _pool_beside(pool: str) -> str:
+    """Returns a pool that shares a partition with another."""
+    wanted = place_of_pool("journal", pool, PARTITIONS)
+    number = 0
+    while place_of_pool("journal", f"p{number}", PARTITIONS) != wanted:
+        number += 1
+    return f"p{number}"
+
+
+async def test_pools_that_share_a_partition_keep_their_jobs_apart() -> None:
+    beside = _pool_beside(POOL)
+    async with running_fleet(hosts=2, workers=2) as fleet:
+        _configure_two(fleet, beside)
+        await fleet.wait_until(
+            lambda: any(host.owns(beside) for host in fleet.hosts)
+        )
+        host = fleet.owner()
+        await fleet.accept(host, "a" * 16)
+        await fleet.accept(host, "b" * 16, path="/beside/x")
+        await fleet.wait_for_state("a" * 16, JobState.COMPLETED)
+        # No worker serves the other pool, and none of this one may.
+        await fleet.timers.advance(3.0)
+        assert fleet.started("b" * 16) == 0
+        owner = next(host for host in fleet.hosts if host.owns(beside))
+        assert owner.manager is not None
+        other = owner.manager.duties.owners_by_pool[beside].state
+        assert other is not None
+        assert list(other.book.jobs_by_id) == ["b" * 16]
+
+
+def _configure_two(fleet: Fleet, beside: str) -> None:
+    queues = (
+        Queue(QUEUE, "host", "/q/", POOL, attempts=3),
+        Queue("beside", "host", "/beside/", beside, attempts=3),
+    )
+    configuration = Configuration(
+        2,
+        {queue.name: queue for queue in queues},
+        {POOL: Pool(POOL), beside: Pool(beside)},
+    )
+    fleet.store.put(
+        OPERATOR, "configuration", msgspec.msgpack.encode(configuration)
+    )
--- a/tests/cover/test_slow_tasks.py
+++ b/tests/cover/test_slow_tasks.py
@@ -48,7 +48,7 @@
 
 
 def test_no_copy_goes_to_the_same_a_slow_or_a_full_worker() -> None:
-    slow = _slow_run(age_s=3.0, progress=10)
+    slow = _slow_run(age_s=3.0, reported_age_s=3.0, progress=10)
     rule = copy_rule_named("remaining")
     rooms = [
         _room("w1"),
@@ -67,20 +67,25 @@
 
 
 @pytest.mark.parametrize(
-    ("name", "age_s", "progress", "expected"),
+    ("name", "age_s", "reported_age_s", "progress", "expected"),
     [
-        ("never", 9.0, 0, False),
-        ("overdue", 1.1, 0, False),
-        ("overdue", 1.3, 90, True),
-        ("remaining", 1.3, 90, False),
-        ("remaining", 1.3, 40, True),
-        ("remaining", 1.3, 0, True),
+        ("never", 9.0, 9.0, 0, False),
+        ("overdue", 1.1, 1.1, 0, False),
+        ("overdue", 1.3, 0.1, 90, True),
+        ("remaining", 1.3, 1.3, 90, False),
+        ("remaining", 1.3, 1.3, 40, True),
+        ("remaining", 1.3, 1.3, 0, True),
+        ("remaining", 1.3, 0.3, 20, False),
     ],
 )
 def test_rules_by_age_and_progress(
-    name: str, age_s: float, progress: int, expected: bool
+    name: str,
+    age_s: float,
+    reported_age_s: float,
+    progress: int,
+    expected: bool,
 ) -> None:
-    slow = _slow_run(age_s, progress)
+    slow = _slow_run(age_s, reported_age_s, progress)
     assert copy_rule_named(name)(slow) is expected
 
 
@@ -95,9 +100,9 @@
         copy_rule_named("x")
 
 
-def _slow_run(age_s: float, progress: int) -> SlowRun:
+def _slow_run(age_s: float, reported_age_s: float, progress: int) -> SlowRun:
     task, run = a_running_task(JOB, "w1", STEP, progress=progress)
-    return SlowRun(task, run, expected_s=1.0, age_s=age_s)
+    return SlowRun(task, run, 1.0, age_s, reported_age_s)
 
 
 def _room(
