Ask about an epoch with a settled number, as the number under way loses records

An owner asks every 0.7 s whether its epoch holds, by repeating its last append without records. While an append waited for the store to return, that number was the append's own: the store took the empty repeat for it, and then the append for a repeat, and answered it as stored.

Ruled out: a store that loses records (the stand-in keeps what it acknowledged); skipping the question while an append is under way, as an owner whose appends alone don't get through must still leave.

Change: confirm() repeats the last settled number, and does not take a repeat that five appends overtook for a lost epoch. The stand-in remembers five answers, as the store does.

--- /dev/null
+++ b/bench/fuzz.py
@@ -0,0 +1,33 @@
+"""Plays random scenarios against managers in virtual time, with fresh seeds."""
+
+import json
+import random
+import sys
+
+import msgspec
+
+from tests.common.scenarios import play_scenario, random_events
+
+
+def main() -> None:
+    """Plays scenarios; the exit code is 1 if one broke a promise.
+
+    Arguments: the first seed and how many scenarios, each with the next seed.
+    """
+    first = int(sys.argv[1]) if len(sys.argv) > 1 else random.randrange(10**9)
+    count = int(sys.argv[2]) if len(sys.argv) > 2 else 100
+    failed = 0
+    for seed in range(first, first + count):
+        events = random_events(random.Random(seed))
+        try:
+            play_scenario(events)
+        except AssertionError as error:
+            failed += 1
+            shown = json.dumps(msgspec.to_builtins(events))
+            print(f"seed {seed}: {error!r}\n    {shown}", flush=True)
+    print(f"{count} scenarios from seed {first}: {failed} failed")
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/libs/scheduling/src/coltsfootseam/scheduling/placement.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/placement.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from coltsfootseam.jobs import Task
+from coltsfootseam.jobs import Step, Task
 from coltsfootseam.scheduling.ordering import ReadyStep
 from coltsfootseam.scheduling.rooms import Room, StepKey, step_key
 
@@ -107,7 +107,7 @@
             break
         room.take(task.step, key)
         placed.append((task, room))
-    if ready.step.gang and len(placed) < len(tasks):
+    if is_torn_gang(ready.step, len(placed), len(tasks)):
         for task, room in placed:
             room.release(task.step, key)
         return []
@@ -117,6 +117,11 @@
     ]
 
 
+def is_torn_gang(step: Step, placed: int, wanted: int) -> bool:
+    """Tells whether some members of a gang found room and others didn't."""
+    return step.gang and placed < wanted
+
+
 def _tickets(
     ready: ReadyStep, key: StepKey, rooms: list[Room], ticket_of: TicketOf
 ) -> dict[str, str]:
--- a/libs/standins/src/coltsfootseam/standins/memory_store.py
+++ b/libs/standins/src/coltsfootseam/standins/memory_store.py
@@ -23,6 +23,7 @@
 from coltsfootseam.timers import TimerService
 
 _POLL_S = 0.005
+_REMEMBERED_APPENDS = 5
 
 
 class _WriterState(msgspec.Struct):
@@ -143,6 +144,9 @@
             known.epoch = writer.epoch
             known.sequence = writer.sequence
             known.answers_by_sequence[writer.sequence] = answer
+            known.answers_by_sequence.pop(
+                writer.sequence - _REMEMBERED_APPENDS, None
+            )
         self.appends += 1
         return answer
 
--- a/libs/standins/src/coltsfootseam/standins/memory_workers.py
+++ b/libs/standins/src/coltsfootseam/standins/memory_workers.py
@@ -110,6 +110,8 @@
         starts: Starts that were carried out, in order.
         saving_jobs: Jobs whose tasks save their progress.
         duplicable_jobs: Jobs whose tasks may run twice at once.
+        loads_by_task: What workers report as a task's load.
+        paces: Orders on the speed of a run, in order.
     """
 
     __slots__ = (
@@ -118,6 +120,8 @@
         "_random",
         "_timers",
         "duplicable_jobs",
+        "loads_by_task",
+        "paces",
         "saving_jobs",
         "starts",
         "violations",
@@ -136,6 +140,8 @@
         self.starts: list[StartOrder] = []
         self.saving_jobs: set[str] = set()
         self.duplicable_jobs: set[str] = set()
+        self.loads_by_task: dict[TaskId, int] = {}
+        self.paces: list[PaceOrder] = []
         timers.subscribe(_TICK_S, self._tick)
 
     def add(self, entry: WorkerEntry) -> MemoryWorker:
@@ -243,7 +249,13 @@
             clock_ms=self.clock_ms(worker),
             born_ms=worker.entry.born_ms,
             running=[
-                RunningRow(run.task, run.number, "", run.progress(), 0)
+                RunningRow(
+                    run.task,
+                    run.number,
+                    "",
+                    run.progress(),
+                    self.loads_by_task.get(run.task, 0),
+                )
                 for run in worker.runs_by_task.values()
             ],
             ended=list(worker.ends),
@@ -357,11 +369,11 @@
         return OrderAnswer(outcome, self._workers.clock_ms(found))
 
     async def pace(self, worker: WorkerEntry, order: PaceOrder) -> OrderAnswer:
-        """Takes the order; speed is not modelled here."""
-        del order
+        """Takes note of the order; the speed stays as it is."""
         found = await self._reach(worker)
         if isinstance(found, OrderAnswer):
             return found
+        self._workers.paces.append(order)
         return OrderAnswer(OrderOutcome.DONE, self._workers.clock_ms(found))
 
     def forget(self, worker: WorkerEntry) -> None:
--- a/libs/store/src/coltsfootseam/store/journal.py
+++ b/libs/store/src/coltsfootseam/store/journal.py
@@ -23,6 +23,7 @@
 _CLAIM_PREFIX = "/claim/"
 _RETRY_S = 0.1
 _CLAIM_TRIES = 8
+_REMEMBERED_APPENDS = 5
 
 
 class Claim(msgspec.Struct, frozen=True):
@@ -47,6 +48,7 @@
     __slots__ = (
         "_name",
         "_sequence",
+        "_settled",
         "_store",
         "_timers",
         "claimed_s",
@@ -69,6 +71,7 @@
         self.partition = partition
         self._name = name
         self._sequence = 0
+        self._settled = 0
         self.epoch = epoch
         self.claimed_s = timers.now_s()
         self.confirmed_s = self.claimed_s
@@ -92,6 +95,7 @@
             )
             if isinstance(result, Appended):
                 self.confirmed_s = sent_s
+                self._settled = writer.sequence
                 return None
             if _is_refused_with(ResultCode.STALE_EPOCH, result):
                 self.lost = True
@@ -103,15 +107,20 @@
     async def confirm(self) -> None:
         """Asks the store whether the epoch still holds.
 
-        The last append is repeated without its records; the store answers as
-        it did the first time, or refuses the epoch.
+        The last settled append is repeated without its records; the store
+        answers as it did the first time, or refuses the epoch. The number of
+        an append under way must not be used: the store would take the repeat
+        for that append, and its records for a repeat.
         """
-        writer = Writer(self._name, self.epoch, self._sequence)
+        writer = Writer(self._name, self.epoch, self._settled)
         sent_s = self._timers.now_s()
         result = await self._store.append(self.partition, [], writer=writer)
         if isinstance(result, Appended):
             self.confirmed_s = max(self.confirmed_s, sent_s)
-        elif _is_refused_with(ResultCode.STALE_EPOCH, result):
+            return
+        # A repeat that was overtaken by several appends is refused as well.
+        is_recent = self._settled - writer.sequence < _REMEMBERED_APPENDS
+        if is_recent and _is_refused_with(ResultCode.STALE_EPOCH, result):
             self.lost = True
 
 
@@ -121,6 +130,11 @@
     return isinstance(result, Refusal) and result.code is code
 
 
+def epoch_of_claim(offset: int) -> int:
+    """Returns the epoch of the claim that stands at an offset."""
+    return offset + 1
+
+
 async def claim_journal(
     store: Store,
     timers: TimerService,
@@ -151,7 +165,7 @@
         if isinstance(result, EndMoved):
             end = result.end
             continue
-        epoch = result.offset + 1
+        epoch = epoch_of_claim(result.offset)
         taken = await store.append(partition, [], writer=Writer(name, epoch, 0))
         if isinstance(taken, Appended):
             return Journal(store, timers, partition, name, epoch)
--- /dev/null
+++ b/libs/testbed/src/coltsfootseam/testbed/entry_switches.py
@@ -0,0 +1,140 @@
+"""Mechanisms of the entry host that can be switched off."""
+
+import asyncio
+from typing import Any
+
+from coltsfootseam.entry import daemon
+from coltsfootseam.peers import KeyReservation, KeyVerdict
+from coltsfootseam.replication import Replica
+from coltsfootseam.results import Refusal
+from coltsfootseam.routing import KeyGuard, KeyStore, attempts
+from coltsfootseam.routing.internal import book, granted, service
+from coltsfootseam.routing.prober import Prober
+from coltsfootseam.routing.sink import AnswerSink, SinkState
+from coltsfootseam.state import HostClaimed, decode_state
+from coltsfootseam.state.internal import hosts
+from coltsfootseam.state.internal.registry import handlers_by_kind
+from coltsfootseam.testbed.switchboard import replace, switch
+
+
+@switch("availability-budget")
+def _drain_without_budget() -> None:
+    replace(hosts, "_count_down", lambda state, pool: -1_000_000)
+
+
+@switch("one-owner")
+def _claim_whoever_owns() -> None:
+    accept = handlers_by_kind[HostClaimed]
+
+    def claim(state: Any, offset: int, record: Any, body: Any) -> Refusal:
+        state.claims_by_host_id.pop(body.host_id, None)
+        return accept(state, offset, record, body)
+
+    handlers_by_kind[HostClaimed] = claim
+
+
+@switch("cut-answers")
+def _end_cut_answers_as_if_whole() -> None:
+    def detach(sink: AnswerSink) -> None:
+        sink.state = SinkState.DETACHED
+        response = sink.response()
+        if response is not None:
+            ending = asyncio.ensure_future(response.write_eof())
+            ending.add_done_callback(lambda task: task.exception())
+
+    replace(AnswerSink, "detach", detach)
+
+
+@switch("true-not-run")
+def _forget_attempts_that_may_have_run() -> None:
+    replace(
+        attempts, "_conclude_refused", lambda refusal, may_have_run: refusal
+    )
+
+
+@switch("idempotency-keys")
+def _reserve_every_key() -> None:
+    async def reserve(guard: KeyGuard, request: Any) -> KeyReservation:
+        return KeyReservation(KeyVerdict.NEW)
+
+    def reserve_here(store: KeyStore, *arguments: Any) -> KeyReservation:
+        return KeyReservation(KeyVerdict.NEW)
+
+    replace(KeyGuard, "reserve", reserve)
+    replace(KeyStore, "reserve", reserve_here)
+
+
+@switch("leaving-endpoints")
+def _trust_the_host_list_alone() -> None:
+    async def is_ready(runner: Any, grant: Any) -> bool:
+        return True
+
+    replace(attempts.AttemptRunner, "_is_ready", is_ready)
+    replace(Prober, "judge", lambda prober, endpoint, attempt: None)
+
+
+@switch("graceful-stop")
+def _stop_at_once() -> None:
+    async def stop(entry_host: Any, callers_site: Any) -> None:
+        await callers_site.stop()
+
+    replace(daemon, "_stop_gracefully", stop)
+
+
+@switch("never-back")
+def _take_over_any_state() -> None:
+    def restore(replica: Replica, data: bytes, origin: str) -> bool:
+        state = decode_state(data)
+        assert not isinstance(state, Refusal)
+        replica.state = state
+        return True
+
+    replace(Replica, "restore", restore)
+
+
+@switch("silent-members")
+def _grant_what_silent_members_may_hold() -> None:
+    def activate(dispatcher: Any) -> None:
+        dispatcher.active = True
+
+    replace(service, "most_slots_of_one_entry", lambda slots, members: slots)
+    replace(service.ServiceDispatcher, "_activate_if_majority", activate)
+    replace(book.SlotBook, "reported", _EveryMember())
+
+
+@switch("stale-grants")
+def _take_grants_of_any_term() -> None:
+    def take(dispatcher: Any, dispatcher_id: str, grant: Any) -> None:
+        waiter = dispatcher._waiters_by_request_id.get(grant.request_id)
+        if waiter is None or waiter.future.done():
+            return
+        made = dispatcher._make_grant(waiter.head, grant)
+        if made is None:
+            return
+        made.endpoint.in_use += 1
+        dispatcher._grants_by_request_id[grant.request_id] = made
+        waiter.future.set_result(made)
+
+    replace(granted.GrantedDispatcher, "_take_grant", take)
+
+
+class _EveryMember:
+    """Stands in for a set of reported members that holds everyone."""
+
+    def __get__(self, owner: Any, kind: type) -> "_EveryMember":
+        return self
+
+    def __set__(self, owner: Any, value: Any) -> None:
+        pass
+
+    def __contains__(self, member_id: str) -> bool:
+        return True
+
+    def __iter__(self) -> Any:
+        return iter(())
+
+    def add(self, member_id: str) -> None:
+        """Holds everyone already."""
+
+    def discard(self, member_id: str) -> None:
+        """Forgets nobody."""
--- /dev/null
+++ b/libs/testbed/src/coltsfootseam/testbed/manager_switches.py
@@ -0,0 +1,187 @@
+"""Mechanisms of the manager that can be switched off."""
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from coltsfootseam.jobs import (
+    JobBook,
+    JobRequest,
+    Occurrence,
+    Run,
+    RunEnd,
+    Task,
+)
+from coltsfootseam.manager import job_service, pacer
+from coltsfootseam.manager.knowledge import Knowledge
+from coltsfootseam.manager.machine_orders import MachineOrders
+from coltsfootseam.manager.peer_calls import PeerCalls
+from coltsfootseam.manager.vacating import Vacating
+from coltsfootseam.manager.waves import Waves
+from coltsfootseam.results import Refusal, ResultCode
+from coltsfootseam.scheduling import Room, placement
+from coltsfootseam.store import Journal, Tail, journal
+from coltsfootseam.testbed.switchboard import replace, switch
+from coltsfootseam.workers import WorkerLease
+
+
+@switch("unique-epochs")
+def _give_all_claims_one_epoch() -> None:
+    replace(journal, "epoch_of_claim", lambda offset: 1)
+
+
+@switch("journal-before-order")
+def _order_without_a_record() -> None:
+    async def commit(own: Journal, records: Any) -> None:
+        del records
+        own.confirmed_s = float("inf")
+
+    replace(Journal, "commit", commit)
+
+
+@switch("leases-waited-for")
+def _take_silent_workers_for_dead() -> None:
+    replace(WorkerLease, "has_ended", lambda lease: True)
+
+
+@switch("starts-shut-out")
+def _forget_starts_without_an_answer() -> None:
+    stop_run = JobBook.stop_run
+
+    def stop(book: JobBook, task: Task, run: Run, reason: str) -> None:
+        if reason == "start without an answer":
+            book.end_run(task, run, RunEnd.NEVER_STARTED, "", 0)
+        else:
+            stop_run(book, task, run, reason)
+
+    replace(JobBook, "stop_run", stop)
+
+
+@switch("step-order")
+def _start_steps_at_once() -> None:
+    replace(Occurrence, "is_step_ready", lambda occurrence, step: True)
+
+
+@switch("due-times")
+def _start_occurrences_at_once() -> None:
+    replace(JobRequest, "due_ms", lambda request, occurrence: 0)
+
+
+@switch("labels-and-limits")
+def _run_anywhere() -> None:
+    replace(Room, "may_run", lambda room, step, key: True)
+
+
+@switch("room-on-workers")
+def _fit_anything() -> None:
+    replace(Room, "fits", lambda room, step: True)
+
+
+@switch("whole-gangs")
+def _start_parts_of_gangs() -> None:
+    replace(placement, "is_torn_gang", lambda step, placed, wanted: False)
+
+
+@switch("attempts")
+def _try_forever() -> None:
+    replace(Knowledge, "attempts_of", lambda knowledge, queue: 1_000_000)
+
+
+@switch("cancels")
+def _ignore_cancels() -> None:
+    replace(JobBook, "cancel", lambda book, job_id, now_ms: None)
+
+
+@switch("unknown-is-not-refused")
+def _call_unknown_outcomes_not_run() -> None:
+    def refuse(code: ResultCode, reason: str) -> Refusal:
+        if code is ResultCode.OUTCOME_UNKNOWN:
+            code = ResultCode.NOT_RUN_OVERLOADED
+        return Refusal(code, reason)
+
+    replace(job_service, "Refusal", _RefusalMaker(refuse))
+
+
+@switch("newest-after-lost-history")
+def _go_on_without_the_lost_history() -> None:
+    take_newest = Tail._take_newest
+
+    def take(tail: Tail, newest: Any) -> None:
+        is_again = tail._next_offset > 0
+        records = [] if is_again else newest.records
+        take_newest(tail, msgspec.structs.replace(newest, records=records))
+
+    replace(Tail, "_take_newest", take)
+
+
+@switch("stored-before-shown")
+def _show_what_is_not_stored() -> None:
+    async def ask_job(calls: PeerCalls, question: Any) -> Any:
+        reply = await asked(calls, question)
+        owner = calls._owner(question.pool)
+        if owner is None or owner.state is None:
+            return reply
+        job = owner.state.book.jobs_by_id.get(question.job_id)
+        state = None if job is None else job.state
+        return msgspec.structs.replace(reply, state=state)
+
+    asked = PeerCalls.ask_job
+    replace(PeerCalls, "ask_job", ask_job)
+
+
+@switch("newer-configurations-only")
+def _take_any_configuration() -> None:
+    take_configuration = Knowledge._take_configuration
+
+    def take(knowledge: Knowledge, new: Any) -> None:
+        knowledge.configuration = None
+        take_configuration(knowledge, new)
+
+    replace(Knowledge, "_take_configuration", take)
+
+
+@switch("draining-workers")
+def _trust_draining_workers() -> None:
+    take_worker = Knowledge._take_worker
+
+    def take(knowledge: Knowledge, record: Any) -> None:
+        take_worker(knowledge, record)
+        entry = knowledge.workers_by_instance.get(record.key)
+        if entry is not None:
+            knowledge.workers_by_instance[record.key] = msgspec.structs.replace(
+                entry, is_draining=False
+            )
+
+    replace(Knowledge, "_take_worker", take)
+
+
+@switch("may-miss")
+def _take_any_number_away() -> None:
+    replace(Vacating, "_may_take_away", lambda vacating, task: True)
+
+
+@switch("orders-of-earlier-owners")
+def _forget_orders_of_earlier_owners() -> None:
+    replace(MachineOrders, "restore", lambda orders, newest: None)
+    replace(Waves, "restore", lambda waves, newest: None)
+
+
+@switch("pace")
+def _never_slow_down() -> None:
+    replace(pacer, "plan_pace", lambda serving, filling: [])
+
+
+class _RefusalMaker:
+    """Stands in for the class of refusals, and is still found to be it."""
+
+    def __init__(self, make: Callable[[ResultCode, str], Refusal]) -> None:
+        self._make = make
+
+    def __call__(self, code: ResultCode, reason: str) -> Refusal:
+        """Makes a refusal."""
+        return self._make(code, reason)
+
+    def __instancecheck__(self, value: Any) -> bool:
+        """Tells whether a value is a refusal."""
+        return isinstance(value, Refusal)
--- a/tests/common/fleets.py
+++ b/tests/common/fleets.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Callable, Coroutine
+from asyncio import FIRST_COMPLETED
+from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
 from typing import Any, TypeVar
 
 import msgspec
@@ -138,7 +139,22 @@
         if handlers is None or address in self.cut_addresses:
             await self._timers.sleep(timeout_s)
             return Refusal(ResultCode.UNREACHABLE, address)
-        return await handlers[method](request)
+        return await self._answer_in_time(
+            handlers[method](request), address, timeout_s
+        )
+
+    async def _answer_in_time(
+        self, answering: Awaitable[Any], address: str, timeout_s: float
+    ) -> Any:
+        """Waits for a host that may be frozen, as long as a caller would."""
+        answer = asyncio.ensure_future(answering)
+        late = asyncio.ensure_future(self._timers.sleep(timeout_s))
+        await asyncio.wait({answer, late}, return_when=FIRST_COMPLETED)
+        late.cancel()
+        if answer.done():
+            return answer.result()
+        answer.cancel()
+        return Refusal(ResultCode.UNREACHABLE, address)
 
 
 class Host:
--- /dev/null
+++ b/tests/common/scenarios.py
@@ -0,0 +1,253 @@
+"""Scenarios of random faults against managers in virtual time.
+
+A scenario plays a list of events and then heals everything. Whatever came
+before, accepted jobs end, refused ones never start, no task runs twice at once
+or again after its end, and a cancelled job starts nothing any more.
+"""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+
+import msgspec
+
+from coltsfootseam.jobs import JobState, Step
+from coltsfootseam.results import OK, ResultCode
+from coltsfootseam.standins.memory_workers import WorkerFaults
+from tests.common.fleets import Fleet, Host, running_fleet
+
+HOSTS = 3
+WORKERS = 4
+END_LIMIT_S = 60.0
+CANCEL_S = 3.0
+STEPS = (
+    Step(count=3, cpu_millis=1000, estimate_ms=600),
+    Step(count=1, cpu_millis=1000, estimate_ms=600, after=(0,)),
+)
+
+
+class Event(msgspec.Struct, frozen=True):
+    """Something that happens, to one host or worker, and the pause after."""
+
+    kind: str
+    number: int
+    pause_s: float
+
+
+class Scenario:
+    """Plays events and keeps account of what callers were told."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        self.submitted = 0
+        self.accepted: set[str] = set()
+        self.refused: set[str] = set()
+        self.cancelled: set[str] = set()
+        self.births_by_worker = dict.fromkeys(range(1, WORKERS + 1), 1)
+
+    async def play(self, event: Event) -> None:
+        """Plays one event."""
+        await HANDLERS_BY_KIND[event.kind](self, event.number)
+        await self.fleet.timers.advance(event.pause_s)
+
+    def host(self, number: int) -> Host:
+        """Returns a host."""
+        return self.fleet.hosts[number % HOSTS]
+
+    def worker_faults(self, number: int) -> WorkerFaults:
+        """Returns the faults of a worker."""
+        instance_id = f"i-{number % WORKERS + 1}"
+        return self.fleet.workers.workers_by_instance[instance_id].faults
+
+    async def submit(self, number: int) -> None:
+        """A caller submits a job and takes no answer for no decision."""
+        host = self.host(number)
+        if host.manager is None or host.timers.is_frozen:
+            return
+        self.submitted += 1
+        job_id = f"{self.submitted:016x}"
+        outcome = await self.fleet.submit(host, job_id, *STEPS)
+        if outcome is OK:
+            self.accepted.add(job_id)
+        elif outcome.code is ResultCode.NOT_RUN_OVERLOADED:
+            self.refused.add(job_id)
+
+    async def cancel(self, number: int) -> None:
+        """A caller cancels the newest job."""
+        host = self.host(number)
+        if host.manager is None or host.timers.is_frozen or not self.accepted:
+            return
+        job_id = max(self.accepted)
+        if await self.fleet.cancel(host, job_id) is OK:
+            self.cancelled.add(job_id)
+
+    async def kill_host(self, number: int) -> None:
+        """A process is killed."""
+        host = self.host(number)
+        if host.manager is not None:
+            host.timers.thaw()
+            await host.kill()
+
+    async def start_host(self, number: int) -> None:
+        """A process that was killed is started."""
+        host = self.host(number)
+        if host.manager is None:
+            host.start()
+            await self.fleet.wait_until(lambda: host.manager is not None)
+
+    async def freeze_host(self, number: int) -> None:
+        """A process pauses."""
+        self.host(number).timers.is_frozen = True
+
+    async def thaw_host(self, number: int) -> None:
+        """A process goes on."""
+        self.host(number).timers.thaw()
+
+    async def cut_store(self, number: int) -> None:
+        """One host loses the store."""
+        self.host(number).store.faults.is_silent = True
+
+    async def stop_store(self, number: int) -> None:
+        """The store refuses everybody."""
+        del number
+        for host in self.fleet.hosts:
+            host.store.faults.is_down = True
+
+    async def lose_answers(self, number: int) -> None:
+        """Answers to writes get lost, some writes are late."""
+        for host in self.fleet.hosts:
+            host.store.faults.lose_share = 0.4
+            host.store.faults.late_s = 0.6 * (number % 2)
+
+    async def heal_store(self, number: int) -> None:
+        """The store and all ways to it are well again."""
+        del number
+        for host in self.fleet.hosts:
+            host.store.faults.is_silent = False
+            host.store.faults.is_down = False
+            host.store.faults.lose_share = 0.0
+
+    async def forget_history(self, number: int) -> None:
+        """The store drops all but the newest records."""
+        del number
+        self.fleet.store.forget_history()
+
+    async def rebirth(self, number: int) -> None:
+        """A worker dies and starts again under its id."""
+        worker = number % WORKERS + 1
+        self.births_by_worker[worker] += 1
+        self.fleet.workers.kill(f"i-{worker}")
+        self.fleet.add_worker(worker, born_ms=self.births_by_worker[worker])
+
+    async def silence_worker(self, number: int) -> None:
+        """A worker is cut off and runs on."""
+        self.worker_faults(number).is_silent = True
+
+    async def fail_worker(self, number: int) -> None:
+        """A worker fails all that it starts."""
+        self.worker_faults(number).fails_all = True
+
+    async def slow_worker(self, number: int) -> None:
+        """A worker turns slow."""
+        self.worker_faults(number).slowness = 8.0
+
+    async def delay_starts(self, number: int) -> None:
+        """A worker carries out starts late, without an answer."""
+        self.worker_faults(number).late_share = 0.5
+
+    async def heal_workers(self, number: int) -> None:
+        """All workers are well again."""
+        del number
+        for index in range(WORKERS):
+            faults = self.worker_faults(index)
+            faults.is_silent = False
+            faults.fails_all = False
+            faults.slowness = 1.0
+            faults.late_share = 0.0
+
+    async def finish(self) -> None:
+        """Heals everything and checks what callers were promised."""
+        await self.heal_workers(0)
+        await self.heal_store(0)
+        for number in range(HOSTS):
+            await self.thaw_host(number)
+            await self.start_host(number)
+        await self.fleet.timers.advance(CANCEL_S)
+        starts = {job: self.fleet.started(job) for job in self.cancelled}
+        for job_id in sorted(self.accepted):
+            await self._wait_until_final(job_id)
+        for job_id, count in starts.items():
+            assert self.fleet.started(job_id) == count
+        for job_id in self.refused:
+            assert self.fleet.started(job_id) == 0
+
+    async def _wait_until_final(self, job_id: str) -> None:
+        await self.fleet.wait_until(lambda: self._is_final(job_id), END_LIMIT_S)
+
+    def _is_final(self, job_id: str) -> bool:
+        for host in self.fleet.hosts:
+            if host.manager is None:
+                continue
+            for owner in host.manager.duties.owners_by_pool.values():
+                job = owner.state and owner.state.book.jobs_by_id.get(job_id)
+                if job and job.stored_state.is_final:
+                    return self._is_expected(job_id, job.stored_state)
+        return False
+
+    def _is_expected(self, job_id: str, state: JobState) -> bool:
+        if job_id in self.cancelled:
+            assert state in (JobState.CANCELLED, JobState.COMPLETED)
+        else:
+            # Bad workers may use up all attempts of a task.
+            assert state in (JobState.COMPLETED, JobState.FAILED)
+        return True
+
+
+HANDLERS_BY_KIND: dict[str, Callable[[Scenario, int], Awaitable[None]]] = {
+    "submit": Scenario.submit,
+    "cancel": Scenario.cancel,
+    "kill_host": Scenario.kill_host,
+    "start_host": Scenario.start_host,
+    "freeze_host": Scenario.freeze_host,
+    "thaw_host": Scenario.thaw_host,
+    "cut_store": Scenario.cut_store,
+    "stop_store": Scenario.stop_store,
+    "lose_answers": Scenario.lose_answers,
+    "heal_store": Scenario.heal_store,
+    "forget_history": Scenario.forget_history,
+    "rebirth": Scenario.rebirth,
+    "silence_worker": Scenario.silence_worker,
+    "fail_worker": Scenario.fail_worker,
+    "slow_worker": Scenario.slow_worker,
+    "delay_starts": Scenario.delay_starts,
+    "heal_workers": Scenario.heal_workers,
+}
+
+PAUSES_S = (0.02, 0.3, 1.2, 3.0)
+FEWEST_EVENTS = 4
+MOST_EVENTS = 14
+
+
+def random_events(rng: random.Random) -> list[Event]:
+    """Draws the events of a scenario."""
+    kinds = ["submit", *HANDLERS_BY_KIND]
+    return [
+        Event(rng.choice(kinds), rng.randrange(12), rng.choice(PAUSES_S))
+        for _ in range(rng.randint(FEWEST_EVENTS, MOST_EVENTS))
+    ]
+
+
+async def _play(events: list[Event]) -> None:
+    async with running_fleet(
+        hosts=HOSTS, workers=WORKERS, duration_of=lambda task: 0.6
+    ) as fleet:
+        scenario = Scenario(fleet)
+        await scenario.submit(0)
+        for event in events:
+            await scenario.play(event)
+        await scenario.finish()
+
+
+def play_scenario(events: list[Event]) -> None:
+    """Plays events and checks what callers were promised."""
+    asyncio.run(_play(events))
--- a/tests/cover/test_jobs_path.py
+++ b/tests/cover/test_jobs_path.py
@@ -247,3 +247,40 @@
         fleet.store.put(journal, job_key(POOL, "a" * 16), b"\xc1")
         await owner.kill()
         assert await fleet.state(other, "a" * 16) is JobState.QUEUED
+
+
+async def test_what_may_yet_be_stored_is_not_called_not_run() -> None:
+    async with running_fleet() as fleet:
+        for host in fleet.hosts:
+            host.store.faults.lose_share = 1.0
+            host.store.faults.late_s = 0.7
+        outcome = await fleet.submit(fleet.hosts[0], "a" * 16, SMALL)
+        assert outcome.code is not ResultCode.NOT_RUN_OVERLOADED
+        for host in fleet.hosts:
+            host.store.faults.lose_share = 0.0
+        await fleet.wait_for_state("a" * 16, JobState.COMPLETED)
+
+
+async def test_a_job_is_not_shown_as_completed_before_that_is_stored() -> None:
+    async with running_fleet() as fleet:
+        await fleet.accept(fleet.hosts[0], "a" * 16, SMALL)
+        await fleet.wait_until(lambda: fleet.started("a" * 16) == 1)
+        owner = fleet.owner()
+        owner.store.faults.is_down = True
+        await fleet.timers.advance(1.0)
+        assert await fleet.state(owner, "a" * 16) is JobState.RUNNING
+        owner.store.faults.is_down = False
+        await fleet.wait_for_state("a" * 16, JobState.COMPLETED)
+
+
+async def test_a_configuration_never_goes_back_to_an_older_one() -> None:
+    async with running_fleet() as fleet:
+        fleet.configure(7)
+        await fleet.timers.advance(1.0)
+        fleet.configure(3)
+        await fleet.timers.advance(1.0)
+        for host in fleet.hosts:
+            assert host.manager is not None
+            configuration = host.manager.knowledge.configuration
+            assert configuration is not None
+            assert configuration.version == 7
--- a/tests/cover/test_journals.py
+++ b/tests/cover/test_journals.py
@@ -99,3 +99,29 @@
     assert await commit(store, other) is not None
     assert await commit(store, first) is None
     assert await commit(store, later) is None
+
+
+async def test_a_question_beside_an_append_under_way_does_not_replace_it() -> (
+    None
+):
+    timers = VirtualTimers()
+    store = MemoryStore(timers)
+    client = store.client()
+    claiming = asyncio.ensure_future(
+        claim_journal(client, timers, PLACE, "pool.x", Claim("one", "a:1"))
+    )
+    await timers.advance(0.1)
+    journal = claiming.result()
+    assert isinstance(journal, Journal)
+    client.faults.is_down = True
+    commit_task = asyncio.ensure_future(
+        journal.commit([KeyedRecord("k", b"v")])
+    )
+    await timers.advance(0.01)
+    client.faults.is_down = False
+    # The store is back, and the owner asks before its append is repeated.
+    confirming = asyncio.ensure_future(journal.confirm())
+    await timers.advance(1.0)
+    assert confirming.done()
+    assert commit_task.result() is None
+    assert store.part(PLACE).newest_by_key["k"].value == b"v"
--- /dev/null
+++ b/tests/cover/test_ownership_machine.py
@@ -0,0 +1,213 @@
+"""Ownership of a journal under lost, late and repeated appends."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any, TypeVar
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from coltsfootseam.results import Refusal
+from coltsfootseam.standins.memory_store import MemoryStore, MemoryStoreClient
+from coltsfootseam.store import (
+    Claim,
+    Journal,
+    KeyedRecord,
+    Partition,
+    claim_journal,
+)
+from coltsfootseam.timers import VirtualTimers
+
+PLACE = Partition("journal.1", 3)
+ROLE = "pool.x"
+KEYS = st.sampled_from(["a", "b", "c"])
+SECONDS = st.sampled_from([0.01, 0.1, 0.5, 2.0])
+FAULTS = st.sampled_from(["none", "lost", "late", "down", "silent"])
+
+T = TypeVar("T")
+
+
+class Owner:
+    """One claim that succeeded, and what its owner appends."""
+
+    def __init__(
+        self, number: int, client: MemoryStoreClient, journal: Journal
+    ) -> None:
+        self.number = number
+        self.client = client
+        self.journal = journal
+        self.pending: asyncio.Task[Refusal | None] | None = None
+        self.pending_record = KeyedRecord("", b"")
+
+
+class OwnershipMachine(RuleBasedStateMachine):
+    """Owners follow each other while the store misbehaves.
+
+    A record's value is the number of its owner and of its commit. What an
+    owner was told to be stored is kept, and nobody appends once a successor
+    has read the journal.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.loop = asyncio.new_event_loop()
+        self.timers = VirtualTimers()
+        self.store = MemoryStore(self.timers)
+        self.owners: list[Owner] = []
+        self.acknowledged: dict[str, tuple[int, int]] = {}
+        self.commits = 0
+        self.claims = 0
+        self.foreign = 0
+
+    def teardown(self) -> None:
+        """Ends what is under way."""
+        for owner in self.owners:
+            if owner.pending is not None:
+                owner.pending.cancel()
+        self.run(self.timers.advance(5.0))
+        self.loop.close()
+
+    def run(self, work: Coroutine[Any, Any, T]) -> T:
+        """Runs a coroutine on the machine's own loop."""
+        return self.loop.run_until_complete(work)
+
+    async def drive(self, work: Coroutine[Any, Any, T], limit_s: float) -> Any:
+        """Moves time on until a coroutine ends; ``None`` if it takes long."""
+        task = asyncio.ensure_future(work)
+        until_s = self.timers.now_s() + limit_s
+        while not task.done() and self.timers.now_s() < until_s:
+            await self.timers.advance(0.02)
+        if task.done():
+            return task.result()
+        task.cancel()
+        return None
+
+    @rule(fault=FAULTS)
+    def claim(self, fault: str) -> None:
+        """Somebody claims the journal, perhaps over a bad connection."""
+        self.claims += 1
+        client = self.store.client()
+        _set_fault(client, fault)
+        claim = Claim(f"owner-{self.claims}", "10.0.0.1:1")
+        journal = self.run(
+            self.drive(
+                claim_journal(client, self.timers, PLACE, ROLE, claim), 6.0
+            )
+        )
+        _set_fault(client, "none")
+        if not isinstance(journal, Journal):
+            return
+        owner = Owner(len(self.owners), client, journal)
+        self.owners.append(owner)
+        self.settle()
+        assert all(
+            other.journal.epoch < journal.epoch for other in self.owners[:-1]
+        )
+
+    @rule(data=st.data(), key=KEYS, fault=FAULTS, wait_s=SECONDS)
+    def commit(
+        self, data: st.DataObject, key: str, fault: str, wait_s: float
+    ) -> None:
+        """An owner, perhaps one long followed, stores something."""
+        idle = [owner for owner in self.owners if owner.pending is None]
+        if not idle:
+            return
+        owner = data.draw(st.sampled_from(idle))
+        _set_fault(owner.client, fault)
+        self.commits += 1
+        value = f"{owner.number} {self.commits}".encode()
+        owner.pending_record = KeyedRecord(key, value)
+        owner.pending = self.loop.create_task(
+            owner.journal.commit([owner.pending_record])
+        )
+        self.run(self.timers.advance(wait_s))
+        self.settle()
+
+    @rule(data=st.data(), fault=FAULTS, wait_s=SECONDS)
+    def change_fault(
+        self, data: st.DataObject, fault: str, wait_s: float
+    ) -> None:
+        """An owner's way to the store gets better or worse."""
+        if self.owners:
+            owner = data.draw(st.sampled_from(self.owners))
+            _set_fault(owner.client, fault)
+        self.run(self.timers.advance(wait_s))
+        self.settle()
+
+    @rule(data=st.data())
+    def confirm(self, data: st.DataObject) -> None:
+        """An owner without news asks whether it still is one."""
+        if not self.owners:
+            return
+        owner = data.draw(st.sampled_from(self.owners))
+        _set_fault(owner.client, "none")
+        self.run(self.drive(owner.journal.confirm(), 3.0))
+        self.settle()
+        is_newest = owner is self.owners[-1]
+        assert is_newest or owner.journal.lost
+
+    @rule()
+    def append_beside(self) -> None:
+        """The owner of another pool that shares the partition appends."""
+        self.foreign += 1
+        self.store.put(PLACE, f"y/{self.foreign % 3}", b"other")
+
+    @rule()
+    def forget_history(self) -> None:
+        """The store drops all but the newest record of each key."""
+        self.store.forget_history()
+
+    def settle(self) -> None:
+        """Takes note of the commits that have ended."""
+        for owner in self.owners:
+            if owner.pending is None or not owner.pending.done():
+                continue
+            if owner.pending.result() is None:
+                key = owner.pending_record.key
+                written = _parse(owner.pending_record.value)
+                newest = self.acknowledged.get(key, (-1, -1))
+                self.acknowledged[key] = max(newest, written)
+            owner.pending = None
+
+    @invariant()
+    def what_was_told_to_be_stored_is_there(self) -> None:
+        """No acknowledged record is replaced by an older owner's."""
+        newest_by_key = self.store.part(PLACE).newest_by_key
+        for key, acknowledged in self.acknowledged.items():
+            assert _parse(newest_by_key[key].value) >= acknowledged
+
+    @invariant()
+    def nobody_appends_after_a_successor_took_over(self) -> None:
+        """Owners' records stand in the order of their epochs."""
+        numbers = [
+            _parse(record.value)[0]
+            for record in self.store.part(PLACE).records
+            if record.key in ("a", "b", "c")
+        ]
+        assert numbers == sorted(numbers)
+
+    @invariant()
+    def no_two_owners_share_an_epoch(self) -> None:
+        """An epoch also fences orders, so it has to tell owners apart."""
+        epochs = [owner.journal.epoch for owner in self.owners]
+        assert len(epochs) == len(set(epochs))
+
+
+def _parse(value: bytes) -> tuple[int, int]:
+    owner, _, commit = value.decode().partition(" ")
+    return int(owner), int(commit)
+
+
+def _set_fault(client: MemoryStoreClient, fault: str) -> None:
+    faults = client.faults
+    faults.is_down = fault == "down"
+    faults.is_silent = fault == "silent"
+    faults.lose_share = 0.6 if fault in ("lost", "late") else 0.0
+    faults.late_s = 0.9 if fault == "late" else 0.0
+
+
+TestOwnershipMachine = OwnershipMachine.TestCase
+TestOwnershipMachine.settings = settings(
+    derandomize=True, deadline=None, max_examples=60, stateful_step_count=25
+)
--- /dev/null
+++ b/tests/cover/test_placement.py
@@ -0,0 +1,103 @@
+"""Placement never goes beyond what a worker has or a step allows."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from coltsfootseam.jobs import Queue, Step
+from coltsfootseam.scheduling import Plan, ReadyStep, Room, plan_starts
+from tests.common.plans import a_job
+
+STEPS = st.builds(
+    Step,
+    count=st.integers(1, 12),
+    cpu_millis=st.integers(100, 5000),
+    memory_mb=st.integers(0, 5000),
+    accelerators=st.integers(0, 2),
+    estimate_ms=st.just(1000),
+    gang=st.booleans(),
+    same_rack=st.booleans(),
+    label=st.sampled_from(["", "big"]),
+    rack=st.sampled_from(["", "r1"]),
+    per_worker_limit=st.integers(0, 3),
+    fills=st.booleans(),
+)
+SIZES = st.tuples(
+    st.integers(0, 16_000),
+    st.integers(0, 16_000),
+    st.integers(0, 4),
+    st.booleans(),
+)
+
+
+def _plan(steps: list[Step], sizes: list[tuple[int, int, int, bool]]) -> Plan:
+    queue = Queue("queue", "host", "/q/", "pool")
+    ready = []
+    for number, step in enumerate(steps):
+        job = a_job(f"{number:016x}", step)
+        ready.append(
+            ReadyStep(job, job.occurrence(0), 0, step, queue, 0.0, 1.0, 9.0)
+        )
+    return plan_starts(ready, _rooms(sizes), 0.0, lambda key, worker_id: "")
+
+
+def _rooms(sizes: list[tuple[int, int, int, bool]]) -> list[Room]:
+    return [
+        Room(
+            worker_id=f"w{number}",
+            zone="a",
+            rack=f"r{number % 2}",
+            labels=("big",) if is_big else (),
+            free_cpu_millis=cpu_millis,
+            free_memory_mb=memory_mb,
+            free_accelerators=accelerators,
+            counts_by_step={},
+        )
+        for number, (cpu_millis, memory_mb, accelerators, is_big) in enumerate(
+            sizes
+        )
+    ]
+
+
+@settings(derandomize=True, deadline=None, max_examples=200)
+@given(
+    steps=st.lists(STEPS, min_size=1, max_size=5),
+    sizes=st.lists(SIZES, max_size=5),
+)
+def test_no_plan_goes_beyond_a_worker_or_a_step(
+    steps: list[Step], sizes: list[tuple[int, int, int, bool]]
+) -> None:
+    plan = _plan(steps, sizes)
+    for number, (cpu_millis, memory_mb, accelerators, is_big) in enumerate(
+        sizes
+    ):
+        tasks = [
+            placement.task
+            for placement in plan.placements
+            if placement.worker_id == f"w{number}"
+        ]
+        counted = [task for task in tasks if not task.step.fills]
+        assert sum(task.step.cpu_millis for task in counted) <= cpu_millis
+        assert sum(task.step.memory_mb for task in tasks) <= memory_mb
+        assert sum(task.step.accelerators for task in tasks) <= accelerators
+        assert is_big or not any(task.step.label for task in tasks)
+        for task in tasks:
+            alike = [one for one in tasks if one.id.job_id == task.id.job_id]
+            limit = task.step.per_worker_limit
+            assert not limit or len(alike) <= limit
+
+
+@settings(derandomize=True, deadline=None, max_examples=100)
+@given(
+    steps=st.lists(STEPS, min_size=1, max_size=3),
+    sizes=st.lists(SIZES, max_size=5),
+)
+def test_a_gang_is_placed_whole_and_every_task_once(
+    steps: list[Step], sizes: list[tuple[int, int, int, bool]]
+) -> None:
+    plan = _plan(steps, sizes)
+    ids = [placement.task.id for placement in plan.placements]
+    assert len(ids) == len(set(ids))
+    for number, step in enumerate(steps):
+        placed = sum(1 for task in ids if task.job_id == f"{number:016x}")
+        if step.gang:
+            assert placed in (0, step.count)
--- /dev/null
+++ b/tests/nocover/test_random_faults.py
@@ -0,0 +1,37 @@
+"""Promises to callers under random faults, in virtual time."""
+
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from tests.common.scenarios import (
+    FEWEST_EVENTS,
+    HANDLERS_BY_KIND,
+    MOST_EVENTS,
+    PAUSES_S,
+    Event,
+    play_scenario,
+)
+
+EVENTS = st.lists(
+    st.builds(
+        Event,
+        kind=st.sampled_from(["submit", *HANDLERS_BY_KIND]),
+        number=st.integers(0, 11),
+        pause_s=st.sampled_from(PAUSES_S),
+    ),
+    min_size=FEWEST_EVENTS,
+    max_size=MOST_EVENTS,
+)
+
+
+@settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=30,
+    suppress_health_check=[HealthCheck.too_slow],
+)
+@given(events=EVENTS)
+def test_promises_to_callers_hold_under_random_faults(
+    events: list[Event],
+) -> None:
+    play_scenario(events)
