--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES := $(sort $(wildcard libs/*) $(wildcard daemons/*) platform)
 SOURCES := libs daemons platform deploy tests bench
 
-.PHONY: setup demo test faults lint format bench-control bench-requests bench-scheduling fuzz proofs proto
+.PHONY: setup demo test faults lint format bench-control bench-requests bench-placement bench-scheduling fuzz proofs proto
 
 setup: .venv/.installed
 
@@ -41,6 +41,9 @@
 bench-scheduling: setup
 	$(BIN)/python -m bench.scheduling
 
+bench-placement: setup
+	$(BIN)/python -m bench.placement
+
 fuzz: setup
 	$(BIN)/python -m bench.fuzz $(SEED) $(COUNT)
 
--- a/bench/prove.py
+++ b/bench/prove.py
@@ -89,6 +89,15 @@
         "unique-epochs",
         "tests/cover/test_journals.py::test_two_claims_never_share_an_epoch",
     ),
+    Proof(
+        "unique-epochs",
+        "tests/cover/test_ownership_machine.py::TestOwnershipMachine",
+    ),
+    Proof(
+        "leases-waited-for",
+        "tests/nocover/test_random_faults.py::"
+        "test_promises_to_callers_hold_under_random_faults",
+    ),
     Proof(
         "journal-before-order",
         "tests/cover/test_jobs_path.py::"
@@ -150,7 +159,7 @@
     ),
     Proof(
         "newest-after-lost-history",
-        "tests/cover/test_jobs_path.py::test_forgotten_history_loses_no_job",
+        "tests/cover/test_jobs_path.py::test_history_forgotten_behind_an_owner_s_back_loses_no_job",
     ),
     Proof(
         "stored-before-shown",
@@ -175,12 +184,7 @@
     Proof(
         "orders-of-earlier-owners",
         "tests/cover/test_machines.py::"
-        "test_a_killed_owner_s_orders_count_toward_the_limit",
-    ),
-    Proof(
-        "orders-of-earlier-owners",
-        "tests/cover/test_machines.py::"
-        "test_a_new_owner_leaves_just_ordered_machines_alone",
+        "test_an_order_that_outlives_its_owner_counts_toward_the_limit",
     ),
     Proof(
         "pace",
--- a/daemons/manager/src/coltsfootseam/manager/__init__.py
+++ b/daemons/manager/src/coltsfootseam/manager/__init__.py
@@ -3,6 +3,7 @@
 from coltsfootseam.manager.context import Context, Feeds, Ports, Times
 from coltsfootseam.manager.job_service import JobService
 from coltsfootseam.manager.manager import Manager, running_manager
+from coltsfootseam.manager.policy_settings import load_policies
 from coltsfootseam.manager.status import (
     JobStatus,
     ManagerStatus,
@@ -21,5 +22,6 @@
     "Ports",
     "Times",
     "WaveStatus",
+    "load_policies",
     "running_manager",
 ]
--- a/daemons/manager/src/coltsfootseam/manager/context.py
+++ b/daemons/manager/src/coltsfootseam/manager/context.py
@@ -8,6 +8,7 @@
 from coltsfootseam.jobs import Configuration, Wave
 from coltsfootseam.manager.places import place_of_pool
 from coltsfootseam.observe import Counters, DecisionLog
+from coltsfootseam.scheduling import Policies
 from coltsfootseam.store import (
     KeyedRecord,
     Partition,
@@ -107,6 +108,7 @@
         log: Lines of decisions.
         counters: Counters.
         times: Lengths and periods.
+        policies: Which policies decide.
     """
 
     host_id: str
@@ -119,6 +121,7 @@
     log: DecisionLog
     counters: Counters
     times: Times
+    policies: Policies = Policies()
 
     def inbox_of(self, pool: str) -> Partition:
         """Returns the partition that holds a pool's requests and cancels."""
--- a/daemons/manager/src/coltsfootseam/manager/copies.py
+++ b/daemons/manager/src/coltsfootseam/manager/copies.py
@@ -4,9 +4,9 @@
 from coltsfootseam.manager.pool_state import PoolState
 from coltsfootseam.manager.tickets import TicketDesk
 from coltsfootseam.scheduling import (
+    COPY_RULES,
     Placement,
     Room,
-    copy_rule_named,
     find_single_runs,
     plan_copies,
     step_key,
@@ -21,7 +21,7 @@
     def __init__(self, state: PoolState, tickets: TicketDesk) -> None:
         self._state = state
         self._tickets = tickets
-        self._rule = copy_rule_named("remaining")
+        self._rule = COPY_RULES.named(state.context.policies.copies)
 
     def plan(self, rooms: list[Room]) -> list[Placement]:
         """Places copies; what they take is taken from the rooms."""
--- a/daemons/manager/src/coltsfootseam/manager/machine_rounds.py
+++ b/daemons/manager/src/coltsfootseam/manager/machine_rounds.py
@@ -17,7 +17,6 @@
     MachineSupply,
     Move,
     PoolDemand,
-    PoolRules,
     plan_moves,
     spare_counts,
 )
@@ -63,7 +62,7 @@
         self._waves = Waves(context, knowledge, journal, self._orders)
         self._lives = Lives()
         self._history = DemandHistory()
-        self._rules = PoolRules()
+        self._rules = context.policies.pools
         self._view = FleetView()
         self._wanted_ids: set[str] = set()
         self._spare_by_pool: dict[str, int] = {}
--- a/daemons/manager/src/coltsfootseam/manager/planning.py
+++ b/daemons/manager/src/coltsfootseam/manager/planning.py
@@ -8,12 +8,13 @@
 from coltsfootseam.manager.preempting import preempt
 from coltsfootseam.manager.tickets import TicketDesk
 from coltsfootseam.scheduling import (
+    FITS,
+    JOB_ORDERS,
     Placement,
     Plan,
     ReadyStep,
     Room,
     chain_s,
-    job_order_named,
     plan_starts,
     step_key,
 )
@@ -33,13 +34,15 @@
 class Planner:
     """Plans the starts of one pool."""
 
-    __slots__ = ("_copies", "_order", "_state", "_tickets", "plan")
+    __slots__ = ("_copies", "_fit", "_order", "_state", "_tickets", "plan")
 
     def __init__(self, state: PoolState, tickets: TicketDesk) -> None:
         self._state = state
         self._tickets = tickets
         self._copies = Copies(state, tickets)
-        self._order = job_order_named("objective")
+        policies = state.context.policies
+        self._order = JOB_ORDERS.named(policies.job_order)
+        self._fit = FITS.named(policies.fit)
         self.plan = Plan()
 
     def plan_runs(self) -> list[NewRun]:
@@ -47,7 +50,9 @@
         ready = sorted(self._ready_steps(), key=self._order)
         rooms = self.rooms()
         now_s = self._state.now_s()
-        self.plan = plan_starts(ready, rooms, now_s, self._tickets.find)
+        self.plan = plan_starts(
+            ready, rooms, now_s, self._tickets.find, self._fit
+        )
         self._tickets.ask_for(self.plan.shortages, rooms)
         copies = [] if self.plan.shortages else self._copies.plan(rooms)
         new_runs = self._enter(self.plan.placements + copies)
--- /dev/null
+++ b/libs/calls/src/coltsfootseam/calls/server.py
@@ -0,0 +1,35 @@
+"""Serving HTTP at an address."""
+
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+from aiohttp import web
+
+_KEEPALIVE_S = 75.0
+_STOP_S = 0.05
+_BACKLOG = 512
+
+HttpHandler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
+
+
+@contextlib.asynccontextmanager
+async def serving_http(
+    handler: HttpHandler, address: str
+) -> AsyncIterator[None]:
+    """Serves HTTP while the context is open.
+
+    Args:
+        handler: Answers each request.
+        address: Host and port to listen on.
+    """
+    server = web.Server(
+        handler, access_log=None, keepalive_timeout=_KEEPALIVE_S
+    )
+    runner = web.ServerRunner(server, shutdown_timeout=_STOP_S)
+    await runner.setup()
+    host, _, port = address.partition(":")
+    await web.TCPSite(runner, host, int(port), backlog=_BACKLOG).start()
+    try:
+        yield
+    finally:
+        await runner.cleanup()
--- a/libs/scheduling/src/coltsfootseam/scheduling/__init__.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/__init__.py
@@ -1,16 +1,17 @@
 """What runs where and when: decisions over snapshots, without a network."""
 
 from coltsfootseam.scheduling.copies import (
+    COPY_RULES,
     SlowRun,
-    copy_rule,
-    copy_rule_named,
     find_single_runs,
     plan_copies,
 )
 from coltsfootseam.scheduling.demand import (
+    NEED_RULES,
     DemandHistory,
     MachineSupply,
     Move,
+    NeedRule,
     PoolDemand,
     PoolRules,
     plan_moves,
@@ -18,18 +19,19 @@
 )
 from coltsfootseam.scheduling.health import WorkerHealth
 from coltsfootseam.scheduling.ordering import (
+    JOB_ORDERS,
     ReadyStep,
     chain_s,
-    job_order,
-    job_order_named,
 )
 from coltsfootseam.scheduling.pacing import PaceChange, plan_pace
 from coltsfootseam.scheduling.placement import (
+    FITS,
     Placement,
     Plan,
     Shortage,
     plan_starts,
 )
+from coltsfootseam.scheduling.policies import Policies, find_problem
 from coltsfootseam.scheduling.preemption import Claim, plan_preemption
 from coltsfootseam.scheduling.rooms import Room, StepKey, step_key
 from coltsfootseam.scheduling.stalls import find_stalled
@@ -40,14 +42,20 @@
 )
 
 __all__ = [
+    "COPY_RULES",
+    "FITS",
+    "JOB_ORDERS",
+    "NEED_RULES",
     "Claim",
     "DemandHistory",
     "DueMachine",
     "MachineSupply",
     "Move",
+    "NeedRule",
     "PaceChange",
     "Placement",
     "Plan",
+    "Policies",
     "PoolDemand",
     "PoolRules",
     "ReadyStep",
@@ -59,12 +67,9 @@
     "WorkerHealth",
     "chain_s",
     "choose_maintenance",
-    "copy_rule",
-    "copy_rule_named",
+    "find_problem",
     "find_single_runs",
     "find_stalled",
-    "job_order",
-    "job_order_named",
     "plan_copies",
     "plan_moves",
     "plan_pace",
--- a/libs/scheduling/src/coltsfootseam/scheduling/copies.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/copies.py
@@ -11,6 +11,7 @@
 
 from coltsfootseam.jobs import Run, RunPhase, Task
 from coltsfootseam.scheduling.placement import Placement
+from coltsfootseam.scheduling.registry import Registry
 from coltsfootseam.scheduling.rooms import Room, step_key
 
 _MS_PER_S = 1000
@@ -49,45 +50,23 @@
 CopyRule = Callable[[SlowRun], bool]
 """Tells whether a run had better get a copy."""
 
-_RULES_BY_NAME: dict[str, CopyRule] = {}
+COPY_RULES: Registry[CopyRule] = Registry("copy rule")
 
 
-def copy_rule(name: str) -> Callable[[CopyRule], CopyRule]:
-    """Registers a rule under a name."""
-
-    def register(rule: CopyRule) -> CopyRule:
-        _RULES_BY_NAME[name] = rule
-        return rule
-
-    return register
-
-
-def copy_rule_named(name: str) -> CopyRule:
-    """Returns a registered rule.
-
-    Raises:
-        ValueError: If no rule has that name.
-    """
-    if name not in _RULES_BY_NAME:
-        known = ", ".join(sorted(_RULES_BY_NAME))
-        raise ValueError(f"unknown copy rule {name!r}; known are {known}")
-    return _RULES_BY_NAME[name]
-
-
-@copy_rule("never")
+@COPY_RULES.register("never")
 def copy_never(slow: SlowRun) -> bool:
     """Runs each task once."""
     del slow
     return False
 
 
-@copy_rule("overdue")
+@COPY_RULES.register("overdue")
 def copy_overdue(slow: SlowRun) -> bool:
     """Copies what has taken longer than expected."""
     return slow.age_s > _LEAST_AGE_SHARE * slow.expected_s
 
 
-@copy_rule("remaining")
+@COPY_RULES.register("remaining")
 def copy_by_remaining(slow: SlowRun) -> bool:
     """Copies what is overdue and has more left than a new run takes.
 
--- a/libs/scheduling/src/coltsfootseam/scheduling/demand.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/demand.py
@@ -7,9 +7,15 @@
 """
 
 import itertools
+from collections.abc import Callable
 
 import msgspec
 
+from coltsfootseam.scheduling.registry import Registry
+
+STILL = "still"
+"""Name of the rule under which no machine moves."""
+
 _FORESIGHT_S = 2.0
 _SHORT_SHARE = 0.25
 _MOST_HISTORY = 4
@@ -62,16 +68,55 @@
     """How the pools are sized; they follow from the contracts.
 
     Attributes:
+        need: Name of the rule that tells what a pool needs.
         headroom_cores: Processor that a pool keeps free, in cores.
         least_machines: Machines that a pool always keeps.
         idle_s: How long a machine is idle before it goes on standby.
     """
 
+    need: str = "foresight"
     headroom_cores: float = 16.0
     least_machines: int = 2
     idle_s: float = 1.2
 
 
+NeedRule = Callable[[PoolDemand, float, PoolRules], float]
+"""Returns what a pool needs, in cores, by its demand and growth in cores."""
+
+NEED_RULES: Registry[NeedRule] = Registry("rule of need")
+
+
+@NEED_RULES.register("foresight")
+def need_by_foresight(
+    demand: PoolDemand, growth_cores: float, rules: PoolRules
+) -> float:
+    """What runs, waits and will have come when a move is over, and some."""
+    return (
+        demand.used_cores
+        + demand.waiting_cores
+        + growth_cores
+        + rules.headroom_cores
+    )
+
+
+@NEED_RULES.register("queue")
+def need_by_queue(
+    demand: PoolDemand, growth_cores: float, rules: PoolRules
+) -> float:
+    """What runs and waits now."""
+    del growth_cores, rules
+    return demand.used_cores + demand.waiting_cores
+
+
+@NEED_RULES.register(STILL)
+def need_nothing(
+    demand: PoolDemand, growth_cores: float, rules: PoolRules
+) -> float:
+    """Nothing: each machine stays where it is."""
+    del demand, growth_cores, rules
+    return 0.0
+
+
 class Move(msgspec.Struct, frozen=True):
     """A machine that is to change its pool."""
 
@@ -148,6 +193,8 @@
         for demand in demands
     }
     moves: list[Move] = []
+    if rules.need == STILL:
+        return moves
     taken: set[str] = set()
     short = sorted(
         balances_by_pool.values(), key=_Balance.shortage, reverse=True
@@ -166,7 +213,9 @@
     rules: PoolRules,
 ) -> dict[str, int]:
     """Returns how many machines each pool could do without."""
-    counts_by_pool = {}
+    counts_by_pool: dict[str, int] = {}
+    if rules.need == STILL:
+        return counts_by_pool
     for demand in demands:
         balance = _balance(demand, history, machines, rules)
         count = 0
@@ -196,12 +245,8 @@
         for machine in machines
         if machine.pool == demand.pool and not machine.is_leaving
     ]
-    need_cores = (
-        demand.used_cores
-        + demand.waiting_cores
-        + history.growth_cores(demand.pool)
-        + rules.headroom_cores
-    )
+    need = NEED_RULES.named(rules.need)
+    need_cores = need(demand, history.growth_cores(demand.pool), rules)
     return _Balance(
         pool=demand.pool,
         need_cores=need_cores,
--- a/libs/scheduling/src/coltsfootseam/scheduling/ordering.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/ordering.py
@@ -1,6 +1,6 @@
 """In which order the ready steps of jobs get room.
 
-Ways are registered by name; :func:`job_order` fills the registry.
+Ways are registered by name in :data:`JOB_ORDERS`.
 """
 
 from collections.abc import Callable
@@ -8,6 +8,7 @@
 import msgspec
 
 from coltsfootseam.jobs import Job, Occurrence, Queue, Step
+from coltsfootseam.scheduling.registry import Registry
 
 _MS_PER_S = 1000
 _LATE_FACTOR = 3.0
@@ -46,38 +47,23 @@
 
 OrderKey = Callable[[ReadyStep], tuple[float, ...]]
 
-_ORDERS_BY_NAME: dict[str, OrderKey] = {}
+JOB_ORDERS: Registry[OrderKey] = Registry("job order")
+"""Ways to order ready steps; the lowest key goes first."""
 
 
-def job_order(name: str) -> Callable[[OrderKey], OrderKey]:
-    """Registers a way to order ready steps; the lowest key goes first."""
-
-    def register(key: OrderKey) -> OrderKey:
-        _ORDERS_BY_NAME[name] = key
-        return key
-
-    return register
-
-
-def job_order_named(name: str) -> OrderKey:
-    """Returns a registered way.
-
-    Raises:
-        ValueError: If no way has that name.
-    """
-    if name not in _ORDERS_BY_NAME:
-        known = ", ".join(sorted(_ORDERS_BY_NAME))
-        raise ValueError(f"unknown job order {name!r}; known are {known}")
-    return _ORDERS_BY_NAME[name]
-
-
-@job_order("arrival")
+@JOB_ORDERS.register("arrival")
 def order_by_arrival(ready: ReadyStep) -> tuple[float, ...]:
     """First come, first served."""
     return (-ready.waited_s,)
 
 
-@job_order("objective")
+@JOB_ORDERS.register("shortest")
+def order_by_remaining(ready: ReadyStep) -> tuple[float, ...]:
+    """The job with the least left to do goes first."""
+    return (float(ready.step.fills), ready.remaining_s)
+
+
+@JOB_ORDERS.register("objective")
 def order_by_objective(ready: ReadyStep) -> tuple[float, ...]:
     """Long-running tasks first, then by priority, then what can be in time.
 
--- a/libs/scheduling/src/coltsfootseam/scheduling/placement.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/placement.py
@@ -6,6 +6,7 @@
 
 from coltsfootseam.jobs import Step, Task
 from coltsfootseam.scheduling.ordering import ReadyStep
+from coltsfootseam.scheduling.registry import Registry
 from coltsfootseam.scheduling.rooms import Room, StepKey, step_key
 
 _FAILED_HERE = 1000.0
@@ -16,6 +17,31 @@
 _ALIKE_ON_RACK = 0.1
 _MILLIS_PER_CORE = 1000.0
 
+Fit = Callable[[Room], float]
+"""Returns what speaks against a worker; below 1 for all that is in use."""
+
+FITS: Registry[Fit] = Registry("fit")
+
+
+@FITS.register("tightest")
+def fit_tightest(room: Room) -> float:
+    """What is nearly full is filled first, so that others become empty."""
+    return room.free_cpu_millis / _MILLIS_PER_CORE / 100.0
+
+
+@FITS.register("widest")
+def fit_widest(room: Room) -> float:
+    """What has the most room is filled first, so that load is even."""
+    return -fit_tightest(room)
+
+
+@FITS.register("first")
+def fit_first(room: Room) -> float:
+    """The first worker with room will do."""
+    del room
+    return 0.0
+
+
 TicketOf = Callable[[StepKey, str], str | None]
 """Returns the ticket of a step for a worker, ``None`` if it has none."""
 
@@ -53,6 +79,7 @@
     rooms: list[Room],
     now_s: float,
     ticket_of: TicketOf,
+    fit: Fit | None = None,
 ) -> Plan:
     """Places the waiting tasks of ready steps, in the order given.
 
@@ -61,14 +88,17 @@
         rooms: Snapshot of the workers; it is used up.
         now_s: Monotonic time.
         ticket_of: Looks tickets up for queues whose policy asks for them.
+        fit: Chooses among workers that are otherwise as good, ``None`` for
+            the tightest fit.
     """
     plan = Plan()
+    fit = fit or fit_tightest
     open_rooms = [room for room in rooms if room.is_open]
     for ready in ready_steps:
         tasks = _waiting_tasks(ready, now_s)
         if not tasks:
             continue
-        placed = _place_step(ready, tasks, open_rooms, ticket_of)
+        placed = _place_step(ready, tasks, open_rooms, ticket_of, fit)
         plan.placements.extend(placed)
         missing = len(tasks) - len(placed)
         if missing:
@@ -94,6 +124,7 @@
     tasks: list[Task],
     rooms: list[Room],
     ticket_of: TicketOf,
+    fit: Fit,
 ) -> list[Placement]:
     key = step_key(tasks[0].id)
     tickets_by_worker = _tickets(ready, key, rooms, ticket_of)
@@ -102,7 +133,7 @@
         eligible = _one_rack(ready, tasks, eligible, key)
     placed: list[tuple[Task, Room]] = []
     for task in tasks:
-        room = _best_room(ready, task, eligible, key)
+        room = _best_room(task, eligible, key, fit)
         if room is None:
             break
         room.take(task.step, key)
@@ -136,9 +167,9 @@
 
 
 def _best_room(
-    ready: ReadyStep, task: Task, rooms: list[Room], key: StepKey
+    task: Task, rooms: list[Room], key: StepKey, fit: Fit
 ) -> Room | None:
-    step = ready.step
+    step = task.step
     best: Room | None = None
     best_cost = float("inf")
     for room in rooms:
@@ -146,14 +177,16 @@
             continue
         if not room.fits(step) or not room.may_run(step, key):
             continue
-        cost = _cost(task, room, rooms, key)
+        cost = _cost(task, room, rooms, key, fit)
         if cost < best_cost:
             best = room
             best_cost = cost
     return best
 
 
-def _cost(task: Task, room: Room, rooms: list[Room], key: StepKey) -> float:
+def _cost(
+    task: Task, room: Room, rooms: list[Room], key: StepKey, fit: Fit
+) -> float:
     step = task.step
     cost = _SLOW * max(0.0, room.slowness - 1.0)
     if room.worker_id in task.failed_on:
@@ -166,8 +199,7 @@
         cost += _ALIKE_ON_RACK * _alike_on_rack(room, rooms, key)
     if step.fills:
         return cost + room.filling_count - room.free_cpu_millis / 1e6
-    # Best fit: what is nearly full is filled first.
-    return cost + room.free_cpu_millis / _MILLIS_PER_CORE / 100.0
+    return cost + fit(room)
 
 
 def _alike_on_rack(room: Room, rooms: list[Room], key: StepKey) -> int:
--- /dev/null
+++ b/libs/scheduling/src/coltsfootseam/scheduling/policies.py
@@ -0,0 +1,39 @@
+"""Which of the registered policies are in force."""
+
+import msgspec
+
+from coltsfootseam.scheduling.copies import COPY_RULES
+from coltsfootseam.scheduling.demand import NEED_RULES, PoolRules
+from coltsfootseam.scheduling.ordering import JOB_ORDERS
+from coltsfootseam.scheduling.placement import FITS
+
+
+class Policies(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Names of policies, and figures that belong to them.
+
+    Attributes:
+        job_order: In which order ready steps get room.
+        fit: Which of several workers with room gets a task.
+        copies: Which slow tasks get a second run.
+        pools: How pools are sized.
+    """
+
+    job_order: str = "objective"
+    fit: str = "tightest"
+    copies: str = "remaining"
+    pools: PoolRules = PoolRules()
+
+
+def find_problem(policies: Policies) -> str:
+    """Returns what is wrong with policies, empty if nothing is."""
+    try:
+        JOB_ORDERS.named(policies.job_order)
+        FITS.named(policies.fit)
+        COPY_RULES.named(policies.copies)
+        NEED_RULES.named(policies.pools.need)
+    except ValueError as error:
+        return str(error)
+    pools = policies.pools
+    if min(pools.headroom_cores, pools.least_machines, pools.idle_s) < 0:
+        return "headroom_cores, least_machines and idle_s must not be negative"
+    return ""
--- a/libs/standins/src/coltsfootseam/standins/memory_machines.py
+++ b/libs/standins/src/coltsfootseam/standins/memory_machines.py
@@ -13,6 +13,7 @@
     Ticket,
 )
 
+_TIMEOUT_S = 0.5
 _ANSWER_S = 0.005
 
 
@@ -35,6 +36,9 @@
         is_down: Whether no call is answered.
         maintenance_s: How long a machine is down for its maintenance.
         lose_answers: How many of the next orders are done and not answered.
+        late_orders: How many of the next maintenances get no answer and are
+            carried out late.
+        late_s: How much later.
     """
 
     __slots__ = (
@@ -42,6 +46,8 @@
         "_timers",
         "_tokens_by_id",
         "is_down",
+        "late_orders",
+        "late_s",
         "lose_answers",
         "machines_by_id",
         "maintenance_s",
@@ -58,6 +64,8 @@
         self.is_down = False
         self.maintenance_s = 0.0
         self.lose_answers = 0
+        self.late_orders = 0
+        self.late_s = 0.0
         self._maintained: set[tuple[str, int]] = set()
 
     def down_count(self) -> int:
@@ -79,7 +87,8 @@
         self, holder: Holder, machine_id: str, pool: str
     ) -> MachineOutcome:
         """Moves a machine at once."""
-        outcome = await self._check(holder, machine_id)
+        await self._timers.sleep(_ANSWER_S)
+        outcome = self._judge(holder, machine_id)
         if outcome is MachineOutcome.DONE:
             machine = self.machines_by_id[machine_id]
             moved = msgspec.structs.replace(machine, pool=pool)
@@ -98,7 +107,30 @@
         if (machine_id, wave) in self._maintained:
             await self._timers.sleep(_ANSWER_S)
             return MachineOutcome.DONE
-        outcome = await self._check(holder, machine_id)
+        await self._timers.sleep(_ANSWER_S)
+        if self.late_orders:
+            self.late_orders -= 1
+            self._carry_out_late(holder, machine_id, wave)
+            await self._timers.sleep(_TIMEOUT_S)
+            return MachineOutcome.UNKNOWN
+        outcome = self._carry_out(holder, machine_id, wave)
+        if outcome is MachineOutcome.DONE and self.lose_answers:
+            self.lose_answers -= 1
+            return MachineOutcome.UNKNOWN
+        return outcome
+
+    def _carry_out_late(
+        self, holder: Holder, machine_id: str, wave: int
+    ) -> None:
+        def carry_out() -> None:
+            self._carry_out(holder, machine_id, wave)
+
+        self._timers.schedule(self.late_s, carry_out)
+
+    def _carry_out(
+        self, holder: Holder, machine_id: str, wave: int
+    ) -> MachineOutcome:
+        outcome = self._judge(holder, machine_id)
         if outcome is not MachineOutcome.DONE:
             return outcome
         self._maintained.add((machine_id, wave))
@@ -110,9 +142,6 @@
         self.orders.append(
             MachineOrder(self._timers.now_s(), holder, machine_id, wave=wave)
         )
-        if self.lose_answers:
-            self.lose_answers -= 1
-            return MachineOutcome.UNKNOWN
         return outcome
 
     def _set_state(self, machine_id: str, state: MachineState) -> None:
@@ -121,8 +150,7 @@
             machine, state=state
         )
 
-    async def _check(self, holder: Holder, machine_id: str) -> MachineOutcome:
-        await self._timers.sleep(_ANSWER_S)
+    def _judge(self, holder: Holder, machine_id: str) -> MachineOutcome:
         if self.is_down:
             return MachineOutcome.UNKNOWN
         machine = self.machines_by_id.get(machine_id)
--- /dev/null
+++ b/libs/testbed/src/coltsfootseam/testbed/model/__init__.py
@@ -0,0 +1,16 @@
+"""A model of the fleet in virtual time that the real decisions drive."""
+
+from coltsfootseam.testbed.model.fleet import FleetModel, ModelPlan
+from coltsfootseam.testbed.model.load import Arrival, JobKind, draw_arrivals
+from coltsfootseam.testbed.model.report import Report, Sample, make_report
+
+__all__ = [
+    "Arrival",
+    "FleetModel",
+    "JobKind",
+    "ModelPlan",
+    "Report",
+    "Sample",
+    "draw_arrivals",
+    "make_report",
+]
--- /dev/null
+++ b/libs/testbed/src/coltsfootseam/testbed/model/fleet.py
@@ -0,0 +1,356 @@
+"""The whole fleet of the model: pools, machines and their owner's rounds."""
+
+import random
+
+import msgspec
+
+from coltsfootseam.calls import VacateReply, VacateRequest
+from coltsfootseam.jobs import Configuration, Pool, Queue, Step
+from coltsfootseam.manager.knowledge import Knowledge
+from coltsfootseam.scheduling import (
+    DemandHistory,
+    MachineSupply,
+    Policies,
+    PoolDemand,
+    plan_moves,
+    spare_counts,
+)
+from coltsfootseam.testbed.model.context import ModelTimers, make_context
+from coltsfootseam.testbed.model.load import (
+    Arrival,
+    JobKind,
+    lasting_arrival,
+)
+from coltsfootseam.testbed.model.pool import PoolModel
+from coltsfootseam.testbed.model.report import Report, Sample, make_report
+from coltsfootseam.testbed.model.world import ModelWorker
+from coltsfootseam.workers import WorkerEntry
+
+STANDBY = "standby"
+
+_STEP_S = 0.05
+_FLEET_ROUND_S = 0.4
+_MOVE_S = 1.5
+_FINISH_S = 14.0
+_RACK = 4
+_ATTEMPTS = 3
+_MS_PER_S = 1000
+
+
+class ModelPlan(msgspec.Struct, frozen=True):
+    """What is modelled.
+
+    Attributes:
+        pools: Names of the pools.
+        machines: Machines in each pool at the start.
+        standby: Machines on standby at the start.
+        cores: Cores of a machine.
+        slow_share: Share of machines on which runs take three times as long.
+        failing_share: Share of machines on which every run fails.
+        hanging_share: Share of machines on which runs stand still.
+        seed: Seed that picks those machines.
+    """
+
+    pools: tuple[str, ...]
+    machines: int = 8
+    standby: int = 8
+    cores: int = 16
+    slow_share: float = 0.0
+    failing_share: float = 0.0
+    hanging_share: float = 0.0
+    seed: int = 1
+
+
+class _Machine(msgspec.Struct):
+    machine_id: str
+    pool: str
+    worker: ModelWorker
+    arrives_s: float | None = None
+    lives: int = 1
+    idle_since_s: float | None = None
+
+
+class FleetModel:
+    """Plays arrivals under policies.
+
+    Attributes:
+        samples: How each pool was at each round of the fleet's owner.
+    """
+
+    def __init__(self, plan: ModelPlan, policies: Policies) -> None:
+        self._plan = plan
+        self._timers = ModelTimers()
+        self._context = make_context(self._timers, policies)
+        self._knowledge = Knowledge(self._context)
+        self._pools = {
+            pool: PoolModel(pool, self._context, self._knowledge)
+            for pool in plan.pools
+        }
+        self._history = DemandHistory()
+        self._machines_by_id: dict[str, _Machine] = {}
+        self._wanted_ids: set[str] = set()
+        self._spare_by_pool: dict[str, int] = {}
+        self._queues_by_name: dict[str, Queue] = {}
+        self._next_round_s = 0.0
+        self._moves = 0
+        self._machine_s = 0.0
+        self.samples: list[Sample] = []
+        self._add_machines()
+
+    def play(self, arrivals: list[Arrival], length_s: float) -> Report:
+        """Plays arrivals to their end.
+
+        Args:
+            arrivals: Jobs in order of their arrival.
+            length_s: How long jobs arrive; some seconds more are played.
+        """
+        end_s = length_s + _FINISH_S
+        for arrival in arrivals:
+            self.advance(arrival.at_s - self.now_s())
+            self.submit(arrival)
+        self.advance(end_s - self.now_s())
+        pools = list(self._pools.values())
+        done_s_by_id: dict[str, float] = {}
+        for pool in pools:
+            done_s_by_id.update(pool.done_s_by_id)
+        return make_report(
+            arrivals,
+            done_s_by_id,
+            end_s,
+            sum(pool.wasted_core_s for pool in pools),
+            self._machine_s,
+            self._moves,
+            sum(pool.starts for pool in pools),
+        )
+
+    def now_s(self) -> float:
+        """Returns the time since the start of the model."""
+        return self._timers.now_s()
+
+    def submit(self, arrival: Arrival) -> None:
+        """Has a caller submit a job now."""
+        self._configure(arrival.kind)
+        self._pools[arrival.kind.pool].submit(arrival)
+
+    def advance(self, duration_s: float) -> None:
+        """Plays for a time, in whole steps."""
+        until_s = self.now_s() + duration_s
+        while self.now_s() < until_s:
+            self._play_step()
+
+    def started_s(self, pool: str, job_id: str) -> float | None:
+        """Returns when a job's first run was begun, if it was."""
+        return self._pools[pool].started_s_by_id.get(job_id)
+
+    def _play_step(self) -> None:
+        now_s = self.now_s()
+        self._let_machines_arrive(now_s)
+        for pool in self._pools.values():
+            pool.play(_STEP_S)
+        if now_s >= self._next_round_s:
+            self._next_round_s += _FLEET_ROUND_S
+            self._play_fleet_round()
+        self._machine_s += _STEP_S * self._paid_machines()
+        self._timers.move_on(_STEP_S)
+
+    def add_lasting(self, pool: str, step: Step) -> None:
+        """Has tasks run in a pool for the whole play."""
+        self.submit(lasting_arrival(pool, step))
+
+    def _configure(self, kind: JobKind) -> None:
+        """Adds the queue of a kind of job to the configuration."""
+        if kind.queue() in self._queues_by_name:
+            return
+        self._queues_by_name[kind.queue()] = Queue(
+            kind.queue(),
+            "host",
+            f"/{kind.queue()}/",
+            kind.pool,
+            priority=kind.priority,
+            attempts=_ATTEMPTS,
+            stretch=kind.stretch,
+            target_ms=round(kind.target_s * _MS_PER_S),
+        )
+        self._knowledge.configuration = Configuration(
+            1, self._queues_by_name, {pool: Pool(pool) for pool in self._pools}
+        )
+
+    def _add_machines(self) -> None:
+        plan = self._plan
+        places = [pool for pool in plan.pools for _ in range(plan.machines)]
+        places.extend([STANDBY] * plan.standby)
+        rng = random.Random(plan.seed)
+        for number, pool in enumerate(places):
+            machine_id = f"m-{number}"
+            worker = ModelWorker(
+                _entry(machine_id, pool, number, plan.cores, 1)
+            )
+            _spoil(worker, plan, rng.random())
+            machine = _Machine(machine_id, pool, worker)
+            self._machines_by_id[machine_id] = machine
+            if pool != STANDBY:
+                self._join(machine)
+
+    def _join(self, machine: _Machine) -> None:
+        entry = machine.worker.entry
+        self._knowledge.workers_by_instance[entry.instance_id] = entry
+        self._pools[machine.pool].add_worker(machine.worker)
+
+    def _let_machines_arrive(self, now_s: float) -> None:
+        for machine in self._machines_by_id.values():
+            if machine.arrives_s is None or machine.arrives_s > now_s:
+                continue
+            machine.arrives_s = None
+            machine.lives += 1
+            old = machine.worker.entry
+            machine.worker.entry = msgspec.structs.replace(
+                old,
+                pool=machine.pool,
+                worker_id=f"{old.instance_id}@{machine.lives}",
+                born_ms=machine.lives,
+            )
+            if machine.pool != STANDBY:
+                self._join(machine)
+
+    def _paid_machines(self) -> int:
+        return sum(
+            1
+            for machine in self._machines_by_id.values()
+            if machine.pool != STANDBY
+        )
+
+    def _play_fleet_round(self) -> None:
+        rules = self._context.policies.pools
+        replies = self._ask_pools()
+        self._note_idle(replies)
+        demands = self._demands(replies)
+        supplies = self._supplies()
+        moves = plan_moves(demands, self._history, supplies, STANDBY, rules)
+        self._spare_by_pool = spare_counts(
+            demands, self._history, supplies, rules
+        )
+        self._wanted_ids = {move.machine_id for move in moves}
+        replies = self._ask_pools()
+        empty_ids = {
+            worker_id
+            for reply in replies.values()
+            for worker_id in reply.empty_ids
+        }
+        for move in moves:
+            machine = self._machines_by_id[move.machine_id]
+            worker_id = machine.worker.entry.worker_id
+            if machine.pool == STANDBY or worker_id in empty_ids:
+                self._move(machine, move.pool)
+        self._wanted_ids = set()
+
+    def _ask_pools(self) -> dict[str, VacateReply]:
+        replies = {}
+        for name, pool in self._pools.items():
+            worker_ids = [
+                machine.worker.entry.worker_id
+                for machine in self._machines_by_id.values()
+                if machine.machine_id in self._wanted_ids
+                and machine.pool == name
+            ]
+            spare = self._spare_by_pool.get(name, 0)
+            replies[name] = pool.ask(VacateRequest(name, worker_ids, [], spare))
+        return replies
+
+    def _note_idle(self, replies: dict[str, VacateReply]) -> None:
+        idle = {
+            worker_id
+            for reply in replies.values()
+            for worker_id in reply.idle_ids
+        }
+        now_s = self.now_s()
+        for machine in self._machines_by_id.values():
+            if machine.worker.entry.worker_id not in idle:
+                machine.idle_since_s = None
+            elif machine.idle_since_s is None:
+                machine.idle_since_s = now_s
+
+    def _demands(self, replies: dict[str, VacateReply]) -> list[PoolDemand]:
+        now_s = self.now_s()
+        demands = []
+        for pool, reply in replies.items():
+            demand = PoolDemand(
+                pool, reply.waiting_cores, reply.used_cores, reply.worker_limit
+            )
+            self._history.add(demand, now_s)
+            demands.append(demand)
+            machines = sum(
+                1
+                for machine in self._machines_by_id.values()
+                if machine.pool == pool
+            )
+            self.samples.append(
+                Sample(
+                    now_s,
+                    pool,
+                    reply.used_cores,
+                    reply.waiting_cores,
+                    machines,
+                )
+            )
+        return demands
+
+    def _supplies(self) -> list[MachineSupply]:
+        now_s = self.now_s()
+        return [
+            MachineSupply(
+                machine.machine_id,
+                machine.pool,
+                float(self._plan.cores),
+                is_free=machine.arrives_s is None
+                and (
+                    machine.pool == STANDBY or machine.idle_since_s is not None
+                ),
+                idle_s=0.0
+                if machine.idle_since_s is None
+                else now_s - machine.idle_since_s,
+            )
+            for machine in self._machines_by_id.values()
+        ]
+
+    def _move(self, machine: _Machine, pool: str) -> None:
+        if machine.pool != STANDBY:
+            self._pools[machine.pool].remove_worker(
+                machine.worker.entry.worker_id
+            )
+        self._moves += 1
+        machine.pool = pool
+        machine.idle_since_s = None
+        machine.arrives_s = self.now_s() + _MOVE_S
+
+
+def _spoil(worker: ModelWorker, plan: ModelPlan, luck: float) -> None:
+    """Makes some of the machines bad, by a figure from 0 to 1."""
+    if luck < plan.slow_share:
+        worker.slowness = 3.0
+        return
+    luck -= plan.slow_share
+    if luck < plan.failing_share:
+        worker.fails = True
+        return
+    luck -= plan.failing_share
+    worker.hangs = luck < plan.hanging_share
+
+
+def _entry(
+    machine_id: str, pool: str, number: int, cores: int, life: int
+) -> WorkerEntry:
+    return WorkerEntry(
+        worker_id=f"i-{number}@{life}",
+        instance_id=f"i-{number}",
+        born_ms=life,
+        pool=pool,
+        address=f"10.1.0.{number}:80",
+        zone="a",
+        is_draining=False,
+        remaining_ms=None,
+        cpu_millis=cores * 1000,
+        memory_mb=65_536,
+        accelerators=0,
+        labels=("kind", f"r{number // _RACK}"),
+        machine_id=machine_id,
+    )
--- /dev/null
+++ b/libs/testbed/src/coltsfootseam/testbed/model/load.py
@@ -0,0 +1,159 @@
+"""Arrivals of jobs whose demand rises and falls by turns."""
+
+import math
+import random
+
+import msgspec
+
+from coltsfootseam.jobs import Step
+
+_TURN_FACTOR = 5.0
+_REST_FACTOR = 0.05
+_MS_PER_S = 1000
+
+
+class JobKind(msgspec.Struct, frozen=True):
+    """Jobs that are alike.
+
+    Attributes:
+        pool: Pool whose workers run them.
+        per_s: Mean arrivals a second.
+        steps: Mean number of steps, each after the one before.
+        width: Mean number of tasks a step.
+        task_s: Mean duration of a task.
+        cpu_millis: Mean processor of a task, in thousandths of a core.
+        memory_mb: Mean memory of a task.
+        tail_share: Share of tasks that are far larger than estimated.
+        tail_factor: How much larger.
+        duplicable_share: Share of jobs whose steps allow copies.
+        saving_share: Share of jobs whose tasks save their progress.
+        stretch: Factor on the longest chain within a job's objective.
+        target_s: What the objective allows beyond that.
+        priority: Priority of its queue.
+    """
+
+    pool: str
+    per_s: float
+    steps: float
+    width: float
+    task_s: float
+    cpu_millis: float
+    memory_mb: float = 2000.0
+    tail_share: float = 0.03
+    tail_factor: float = 7.0
+    duplicable_share: float = 0.0
+    saving_share: float = 0.0
+    stretch: float = 1.6
+    target_s: float = 0.6
+    priority: int = 0
+
+    def queue(self) -> str:
+        """Returns the name of the queue that such jobs come through."""
+        return f"{self.pool}-{self.priority}"
+
+
+class Arrival(msgspec.Struct, frozen=True):
+    """A job that a caller submits.
+
+    Attributes:
+        at_s: When, from the start of the model.
+        job_id: Its id.
+        kind: What it is like.
+        steps: Its steps, with estimates.
+        durations_s: True durations by step and task, on a sound worker.
+    """
+
+    at_s: float
+    job_id: str
+    kind: JobKind
+    steps: tuple[Step, ...]
+    durations_s: tuple[tuple[float, ...], ...]
+
+    def chain_s(self) -> float:
+        """Returns the longest chain of its true work."""
+        return sum(max(tasks) for tasks in self.durations_s)
+
+    def objective_s(self) -> float:
+        """Returns the time within which it is worth its full credit."""
+        return self.kind.stretch * self.chain_s() + self.kind.target_s
+
+    def core_s(self) -> float:
+        """Returns its work, in seconds of a core."""
+        return sum(
+            step.cpu_millis / 1000 * sum(tasks)
+            for step, tasks in zip(self.steps, self.durations_s, strict=True)
+        )
+
+
+def lasting_arrival(pool: str, step: Step) -> Arrival:
+    """Returns a job whose tasks last, submitted at the start."""
+    kind = JobKind(pool, 0.0, 1.0, step.count, 1.0, step.cpu_millis)
+    durations_s = (math.inf,) * step.count
+    return Arrival(0.0, f"{pool}-lasting", kind, (step,), (durations_s,))
+
+
+def draw_arrivals(
+    kinds: list[JobKind], length_s: float, turn_s: float, seed: int
+) -> list[Arrival]:
+    """Draws arrivals: each kind in its turn asks for five times its mean.
+
+    Args:
+        kinds: Kinds of jobs; they take turns in this order.
+        length_s: How long jobs arrive.
+        turn_s: Length of a turn.
+        seed: Seed of all that is random.
+    """
+    rng = random.Random(seed)
+    arrivals: list[Arrival] = []
+    for number, kind in enumerate(kinds):
+        at_s = 0.0
+        while True:
+            at_s += rng.expovariate(_TURN_FACTOR * kind.per_s)
+            if at_s >= length_s:
+                break
+            is_turn = int(at_s / turn_s) % len(kinds) == number
+            if not is_turn and rng.random() > _REST_FACTOR / _TURN_FACTOR:
+                continue
+            arrivals.append(_draw(rng, kind, at_s, len(arrivals)))
+    return sorted(arrivals, key=lambda arrival: arrival.at_s)
+
+
+def _draw(
+    rng: random.Random, kind: JobKind, at_s: float, number: int
+) -> Arrival:
+    count = max(1, round(_spread(rng, kind.steps, 0.4)))
+    is_duplicable = rng.random() < kind.duplicable_share
+    is_saving = rng.random() < kind.saving_share
+    steps = []
+    durations = []
+    for position in range(count):
+        mean_s = _spread(rng, kind.task_s, 0.5)
+        width = max(1, round(_spread(rng, kind.width, 0.6)))
+        steps.append(
+            Step(
+                count=width,
+                cpu_millis=round(_spread(rng, kind.cpu_millis, 0.45)),
+                memory_mb=round(_spread(rng, kind.memory_mb, 0.6)),
+                estimate_ms=round(_spread(rng, mean_s, 0.2) * _MS_PER_S),
+                after=(position - 1,) if position else (),
+                duplicable=is_duplicable,
+                checkpointing=is_saving,
+            )
+        )
+        durations.append(
+            tuple(_draw_duration(rng, kind, mean_s) for _ in range(width))
+        )
+    return Arrival(at_s, f"{number:016x}", kind, tuple(steps), tuple(durations))
+
+
+def _draw_duration(rng: random.Random, kind: JobKind, mean_s: float) -> float:
+    duration_s = _spread(rng, mean_s, 0.3)
+    if rng.random() < kind.tail_share:
+        duration_s *= kind.tail_factor
+    return max(0.05, duration_s)
+
+
+def _spread(rng: random.Random, mean: float, spread: float) -> float:
+    """Draws a figure with a mean and a relative spread, above zero."""
+    sigma = math.sqrt(math.log(1 + spread * spread))
+    return rng.lognormvariate(math.log(mean) - sigma * sigma / 2, sigma)
--- /dev/null
+++ b/libs/testbed/src/coltsfootseam/testbed/model/pool.py
@@ -0,0 +1,169 @@
+"""One pool of the model: its book, its planner and its workers."""
+
+import asyncio
+
+from coltsfootseam.calls import VacateReply, VacateRequest
+from coltsfootseam.jobs import JobBook, JobRequest, RunEnd, RunPhase
+from coltsfootseam.manager.context import Context
+from coltsfootseam.manager.knowledge import Knowledge
+from coltsfootseam.manager.planning import Planner
+from coltsfootseam.manager.pool_state import PoolState
+from coltsfootseam.manager.tickets import TicketDesk
+from coltsfootseam.manager.vacating import Vacating
+from coltsfootseam.scheduling import WorkerHealth, find_stalled
+from coltsfootseam.store import Journal, Partition
+from coltsfootseam.testbed.model.load import Arrival
+from coltsfootseam.testbed.model.world import ModelRun, ModelWorker
+from coltsfootseam.workers import LeaseTimes, WorkerLink
+
+_MS_PER_S = 1000
+_REPORT_S = 1.0
+
+
+class PoolModel:
+    """Plays the rounds of a pool's owner against workers of the model.
+
+    Attributes:
+        state: The owner's state.
+        workers_by_id: The workers, by the name of their life.
+        done_s_by_id: When each job was done.
+        wasted_core_s: Work thrown away.
+        starts: Runs that were begun.
+        started_s_by_id: When each job's first run was begun.
+    """
+
+    def __init__(
+        self, pool: str, context: Context, knowledge: Knowledge
+    ) -> None:
+        journal = Journal(
+            context.ports.store, context.timers, Partition(pool), pool, 1
+        )
+        self.state = PoolState(
+            pool,
+            context,
+            knowledge,
+            journal,
+            JobBook(knowledge.attempts_of),
+            WorkerHealth(),
+            links_by_id={},
+            ends_by_id={},
+            gone_ids=set(),
+        )
+        tickets = TicketDesk(self.state, asyncio.Event())
+        self._planner = Planner(self.state, tickets)
+        self._vacating = Vacating(self.state)
+        self._arrivals_by_id: dict[str, Arrival] = {}
+        self.workers_by_id: dict[str, ModelWorker] = {}
+        self.done_s_by_id: dict[str, float] = {}
+        self.wasted_core_s = 0.0
+        self.starts = 0
+        self.started_s_by_id: dict[str, float] = {}
+
+    def add_worker(self, worker: ModelWorker) -> None:
+        """Adds a worker, reachable at once."""
+        context = self.state.context
+        link = WorkerLink(
+            worker.entry,
+            context.ports.workers,
+            context.timers,
+            LeaseTimes(context.times.lease_s, 0.0),
+            1,
+            1.0,
+            lambda *report: None,
+        )
+        link.is_reachable = True
+        self.state.links_by_id[link.worker_id] = link
+        self.workers_by_id[link.worker_id] = worker
+
+    def remove_worker(self, worker_id: str) -> None:
+        """Takes a worker out that runs nothing."""
+        assert not self.workers_by_id[worker_id].runs_by_key
+        del self.workers_by_id[worker_id]
+        del self.state.links_by_id[worker_id]
+        self.state.health.forget(worker_id)
+
+    def submit(self, arrival: Arrival) -> None:
+        """Enters a job."""
+        state = self.state
+        request = JobRequest(
+            arrival.kind.queue(), "", arrival.steps, state.wall_ms()
+        )
+        self._arrivals_by_id[arrival.job_id] = arrival
+        state.book.add(arrival.job_id, request, state.now_s())
+
+    def play(self, step_s: float) -> None:
+        """Lets time pass on the workers, then plays a round."""
+        self._advance_workers(step_s)
+        self._vacating.plan()
+        self._move_stalled()
+        for new in self._planner.plan_runs():
+            self.starts += 1
+            job_id = new.task.id.job_id
+            self.started_s_by_id.setdefault(job_id, self.state.now_s())
+            run = new.run
+            run.settled_s = self.state.now_s()
+            self.state.book.confirm_run(run, self.state.now_s())
+            arrival = self._arrivals_by_id[job_id]
+            total_s = arrival.durations_s[new.task.id.step][new.task.id.index]
+            self.workers_by_id[run.worker_id].start(new.task, run, total_s)
+        self._vacating.shortages = self._planner.plan.shortages
+        self._carry_out_stops()
+        self.state.book.take_changes()
+
+    def ask(self, request: VacateRequest) -> VacateReply:
+        """Asks the owner what the fleet's owner asks."""
+        return self._vacating.take(request)
+
+    def _advance_workers(self, step_s: float) -> None:
+        now_s = self.state.now_s()
+        for worker in self.workers_by_id.values():
+            ended = worker.advance(step_s)
+            if ended or now_s - worker.reported_s >= _REPORT_S:
+                worker.report(now_s)
+            for item, end in ended:
+                self._take_end(worker, item, end)
+
+    def _take_end(
+        self, worker: ModelWorker, item: ModelRun, end: RunEnd
+    ) -> None:
+        state = self.state
+        task = item.task
+        worker_id = worker.entry.worker_id
+        if end is RunEnd.FAILED or task.is_done:
+            self._waste(item)
+        state.health.take_end(worker_id, end, not task.failed_on, state.now_s())
+        estimate_ms = task.step.estimate_ms
+        if end is RunEnd.DONE and not item.run.checkpoint:
+            lasted_ms = (state.now_s() - item.run.ordered_s) * _MS_PER_S
+            state.health.take_duration(worker_id, lasted_ms / estimate_ms)
+        state.book.end_run(task, item.run, end, "", state.wall_ms())
+        job = state.book.jobs_by_id[task.id.job_id]
+        if job.state.is_final:
+            self.done_s_by_id.setdefault(job.id, state.now_s())
+
+    def _waste(self, item: ModelRun) -> None:
+        done_s = item.total_s - max(0.0, item.left_s)
+        self.wasted_core_s += done_s * item.task.step.cpu_millis / 1000
+
+    def _move_stalled(self) -> None:
+        state = self.state
+        ratio = state.health.estimate_ratio()
+        for worker_id in state.book.runs.worker_ids():
+            stalled = find_stalled(state.book.runs.runs_of(worker_id), ratio)
+            if stalled:
+                state.health.take_stall(worker_id, state.now_s())
+            for task, run in stalled:
+                task.stalls += 1
+                state.book.stop_run(task, run, "it made no progress")
+
+    def _carry_out_stops(self) -> None:
+        state = self.state
+        for task, run in state.book.runs.all_runs():
+            if run.phase is not RunPhase.STOPPING:
+                continue
+            worker = self.workers_by_id[run.worker_id]
+            saved, wasted_core_s = worker.stop(task, run)
+            self.wasted_core_s += wasted_core_s
+            state.book.end_run(
+                task, run, RunEnd.STOPPED, saved, state.wall_ms()
+            )
--- a/tests/common/scenarios.py
+++ b/tests/common/scenarios.py
@@ -62,7 +62,8 @@
     async def submit(self, number: int) -> None:
         """A caller submits a job and takes no answer for no decision."""
         host = self.host(number)
-        if host.manager is None or host.timers.is_frozen:
+        is_up = host.manager is not None and host.manager.is_ready()
+        if not is_up or host.timers.is_frozen:
             return
         self.submitted += 1
         job_id = f"{self.submitted:016x}"
--- a/tests/cover/test_jobs_path.py
+++ b/tests/cover/test_jobs_path.py
@@ -14,6 +14,20 @@
         first = Step(count=3, cpu_millis=1000, estimate_ms=500)
         second = Step(count=2, cpu_millis=500, estimate_ms=500, after=(0,))
         await fleet.accept(fleet.hosts[0], "a" * 16, first, second)
+        most_steps = 0
+
+        def is_second_begun() -> bool:
+            nonlocal most_steps
+            running = {
+                task.step
+                for worker in fleet.workers.workers_by_instance.values()
+                for task in worker.runs_by_task
+            }
+            most_steps = max(most_steps, len(running))
+            return 1 in running
+
+        await fleet.wait_until(is_second_begun)
+        assert most_steps == 1
         await fleet.wait_for_state("a" * 16, JobState.COMPLETED)
         steps = [order.task.step for order in fleet.workers.starts]
         assert steps == [0, 0, 0, 1, 1]
@@ -144,6 +158,19 @@
         await fleet.wait_for_state("8" * 16, JobState.COMPLETED)
 
 
+async def test_history_forgotten_behind_an_owner_s_back_loses_no_job() -> None:
+    async with running_fleet() as fleet:
+        owner = fleet.owner()
+        await fleet.accept(owner, "7" * 16, SMALL)
+        await fleet.wait_for_state("7" * 16, JobState.COMPLETED)
+        owner.store.faults.is_down = True
+        await fleet.accept(fleet.other(), "8" * 16, SMALL)
+        fleet.store.forget_history()
+        await fleet.timers.advance(0.3)
+        owner.store.faults.is_down = False
+        await fleet.wait_for_state("8" * 16, JobState.COMPLETED)
+
+
 async def test_loss_of_all_hosts_loses_no_accepted_job() -> None:
     async with running_fleet(duration_of=lambda task: 2.0) as fleet:
         await fleet.accept(fleet.hosts[0], "9" * 16, SMALL)
--- a/tests/cover/test_machines.py
+++ b/tests/cover/test_machines.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from coltsfootseam.jobs import JobState, Step, Wave
+from coltsfootseam.manager.duties import FLEET_DUTY
 from coltsfootseam.manager.lives import Lives
 from coltsfootseam.store import Partition
 from coltsfootseam.workers import Machine, MachineState, WorkerEntry
@@ -70,15 +71,9 @@
         )
         await owner.kill()
         await fleet.wait_until(lambda: status_of_wave(fleet) == b"completed")
-        orders = fleet.machines.orders
-        tokens = {order.holder.token for order in orders}
+        tokens = {order.holder.token for order in fleet.machines.orders}
         assert len(tokens) >= 2
-        for earlier in orders:
-            for later in orders:
-                is_other = earlier.holder != later.holder
-                if earlier.machine_id == later.machine_id and is_other:
-                    gap_s = abs(later.at_s - earlier.at_s)
-                    assert gap_s >= fleet.times.machine_lease_s
+        _assert_no_turns(fleet)
 
 
 async def test_notes_of_orders_do_not_pile_up() -> None:
@@ -115,6 +110,48 @@
         assert most <= 3
 
 
+async def test_an_order_that_outlives_its_owner_counts_toward_the_limit() -> (
+    None
+):
+    async with running_fleet(hosts=3, workers=6) as fleet:
+        await fleet.timers.advance(4.0)
+        fleet.machines.maintenance_s = 3.0
+        fleet.machines.late_orders = 1
+        fleet.machines.late_s = 2.4
+        ask_for_wave(fleet, "m-1", "m-2", "m-3", "m-4", limit=1)
+        await fleet.wait_until(lambda: not fleet.machines.late_orders)
+        owner = next(
+            host
+            for host in fleet.hosts
+            if host.manager and FLEET_DUTY in host.manager.duties.held()
+        )
+        await owner.kill()
+        # The next owner would begin with another machine than the last one.
+        fleet.add_worker(0)
+        ask_for_wave(fleet, "m-0", "m-1", "m-2", "m-3", "m-4", limit=1)
+        most = 0
+
+        def is_over() -> bool:
+            nonlocal most
+            most = max(most, fleet.machines.down_count())
+            return status_of_wave(fleet) == b"completed"
+
+        await fleet.wait_until(is_over, 60.0)
+        assert most == 1
+        _assert_no_turns(fleet)
+
+
+def _assert_no_turns(fleet: Fleet) -> None:
+    """No machine has orders of two holders within their lease."""
+    orders = fleet.machines.orders
+    for earlier in orders:
+        for later in orders:
+            is_other = earlier.holder != later.holder
+            if earlier.machine_id == later.machine_id and is_other:
+                gap_s = abs(later.at_s - earlier.at_s)
+                assert gap_s >= fleet.times.machine_lease_s
+
+
 async def test_an_order_without_an_answer_counts_toward_the_limit() -> None:
     async with running_fleet(hosts=2, workers=6) as fleet:
         await fleet.timers.advance(4.0)
--- a/tests/cover/test_priorities.py
+++ b/tests/cover/test_priorities.py
@@ -4,11 +4,11 @@
 
 from coltsfootseam.jobs import JobState, Queue, RunPair, Step, TaskId
 from coltsfootseam.scheduling import (
+    JOB_ORDERS,
     Claim,
     ReadyStep,
     Room,
     Shortage,
-    job_order_named,
     plan_preemption,
     step_key,
 )
@@ -84,7 +84,7 @@
 
 
 def test_priority_goes_before_slack() -> None:
-    order = job_order_named("objective")
+    order = JOB_ORDERS.named("objective")
     urgent = _ready(URGENT, priority=0, objective_s=9.0)
     tight = _ready(PATIENT, priority=1, objective_s=0.1)
     assert sorted([tight, urgent], key=order) == [urgent, tight]
--- a/tests/cover/test_slow_tasks.py
+++ b/tests/cover/test_slow_tasks.py
@@ -5,9 +5,9 @@
 
 from coltsfootseam.jobs import JobState, Step
 from coltsfootseam.scheduling import (
+    COPY_RULES,
     Room,
     SlowRun,
-    copy_rule_named,
     find_single_runs,
     plan_copies,
 )
@@ -49,7 +49,7 @@
 
 def test_no_copy_goes_to_the_same_a_slow_or_a_full_worker() -> None:
     slow = _slow_run(age_s=3.0, reported_age_s=3.0, progress=10)
-    rule = copy_rule_named("remaining")
+    rule = COPY_RULES.named("remaining")
     rooms = [
         _room("w1"),
         _room("w2", slowness=2.0),
@@ -86,7 +86,7 @@
     expected: bool,
 ) -> None:
     slow = _slow_run(age_s, reported_age_s, progress)
-    assert copy_rule_named(name)(slow) is expected
+    assert COPY_RULES.named(name)(slow) is expected
 
 
 def test_a_task_with_two_runs_gets_no_third() -> None:
@@ -97,7 +97,7 @@
 
 def test_an_unknown_rule_is_named() -> None:
     with pytest.raises(ValueError, match="unknown copy rule 'x'"):
-        copy_rule_named("x")
+        COPY_RULES.named("x")
 
 
 def _slow_run(age_s: float, reported_age_s: float, progress: int) -> SlowRun:
