--- a/daemons/manager/src/coltsfootseam/manager/copies.py
+++ b/daemons/manager/src/coltsfootseam/manager/copies.py
@@ -1,5 +1,7 @@
 """Second runs of slow tasks, where their step allows copies."""
 
+import msgspec
+
 from coltsfootseam.jobs import Job, Task
 from coltsfootseam.manager.pool_state import PoolState
 from coltsfootseam.manager.tickets import TicketDesk
@@ -7,12 +9,22 @@
     COPY_RULES,
     Placement,
     Room,
-    find_single_runs,
+    SlowRun,
+    StepKey,
+    find_slow_runs,
     plan_copies,
     step_key,
 )
 
 
+class SlowStep(msgspec.Struct, frozen=True):
+    """Tasks of one step that had better get a second run."""
+
+    job: Job
+    key: StepKey
+    runs: list[SlowRun]
+
+
 class Copies:
     """Plans copies on room that nothing else waits for."""
 
@@ -23,33 +35,40 @@
         self._tickets = tickets
         self._rule = COPY_RULES.named(state.context.policies.copies)
 
-    def plan(self, rooms: list[Room]) -> list[Placement]:
-        """Places copies; what they take is taken from the rooms."""
-        placements = []
-        for job in self._state.book.active_by_id.values():
+    def find_slow(self) -> list[SlowStep]:
+        """Returns the slow tasks of all steps that allow copies."""
+        state = self._state
+        ratio = state.health.estimate_ratio()
+        now_s = state.now_s()
+        found = []
+        for job in state.book.active_by_id.values():
             if job.state.is_final:
                 continue
             for tasks in _duplicable_steps(job):
-                placements.extend(self._plan_step(job, tasks, rooms))
-        return placements
+                runs = find_slow_runs(tasks, ratio, now_s, self._rule)
+                if runs:
+                    found.append(SlowStep(job, step_key(tasks[0].id), runs))
+        return found
 
-    def _plan_step(
-        self, job: Job, tasks: list[Task], rooms: list[Room]
+    def place(
+        self, steps: list[SlowStep], rooms: list[Room]
     ) -> list[Placement]:
-        state = self._state
-        ratio = state.health.estimate_ratio()
-        singles = find_single_runs(tasks, ratio, state.now_s())
-        if not singles:
-            return []
-        key = step_key(tasks[0].id)
-        advice = state.queue_of(job).advice
-        tickets_by_worker = {
-            room.worker_id: self._tickets.find(key, room.worker_id)
-            if advice is not None
-            else ""
+        """Places copies; what they take is taken from the rooms."""
+        placements = []
+        for step in steps:
+            tickets = self._tickets_by_worker(step, rooms)
+            placements.extend(plan_copies(step.runs, rooms, tickets))
+        return placements
+
+    def _tickets_by_worker(
+        self, step: SlowStep, rooms: list[Room]
+    ) -> dict[str, str | None]:
+        if self._state.queue_of(step.job).advice is None:
+            return {room.worker_id: "" for room in rooms}
+        return {
+            room.worker_id: self._tickets.find(step.key, room.worker_id)
             for room in rooms
         }
-        return plan_copies(singles, rooms, self._rule, tickets_by_worker)
 
 
 def _duplicable_steps(job: Job) -> list[list[Task]]:
--- a/daemons/manager/src/coltsfootseam/manager/planning.py
+++ b/daemons/manager/src/coltsfootseam/manager/planning.py
@@ -48,13 +48,19 @@
     def plan_runs(self) -> list[NewRun]:
         """Decides what starts now and enters it in the book."""
         ready = sorted(self._ready_steps(), key=self._order)
+        slow = self._copies.find_slow()
+        if not ready and not slow:
+            self.plan = Plan()
+            return []
         rooms = self.rooms()
         now_s = self._state.now_s()
         self.plan = plan_starts(
             ready, rooms, now_s, self._tickets.find, self._fit
         )
         self._tickets.ask_for(self.plan.shortages, rooms)
-        copies = [] if self.plan.shortages else self._copies.plan(rooms)
+        copies = []
+        if not self.plan.shortages:
+            copies = self._copies.place(slow, rooms)
         new_runs = self._enter(self.plan.placements + copies)
         preempt(self._state, self.plan.shortages, rooms)
         return new_runs
--- a/libs/scheduling/src/coltsfootseam/scheduling/__init__.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/__init__.py
@@ -3,7 +3,7 @@
 from coltsfootseam.scheduling.copies import (
     COPY_RULES,
     SlowRun,
-    find_single_runs,
+    find_slow_runs,
     plan_copies,
 )
 from coltsfootseam.scheduling.demand import (
@@ -68,7 +68,7 @@
     "chain_s",
     "choose_maintenance",
     "find_problem",
-    "find_single_runs",
+    "find_slow_runs",
     "find_stalled",
     "plan_copies",
     "plan_moves",
--- a/libs/scheduling/src/coltsfootseam/scheduling/copies.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/copies.py
@@ -77,17 +77,18 @@
     return slow.reported_age_s > overdue_s and slow.left_s() > least_left_s
 
 
-def find_single_runs(
-    tasks: list[Task], estimate_ratio: float, now_s: float
+def find_slow_runs(
+    tasks: list[Task], estimate_ratio: float, now_s: float, rule: CopyRule
 ) -> list[SlowRun]:
-    """Returns the tasks of a step that may get a copy.
+    """Returns the tasks of a step that had better get a copy.
 
     Args:
-        tasks: The tasks of a step.
+        tasks: The tasks of a step that allows copies.
         estimate_ratio: The pool's run times against their estimates.
         now_s: Monotonic time.
+        rule: Which of those with one run are slow.
     """
-    singles = []
+    slow_runs = []
     for task in tasks:
         if task.is_done or len(task.runs) != 1:
             continue
@@ -102,22 +103,21 @@
             age_s=now_s - run.running_s,
             reported_age_s=reported_s - run.running_s,
         )
-        singles.append(slow)
-    return singles
+        if rule(slow):
+            slow_runs.append(slow)
+    return slow_runs
 
 
 def plan_copies(
-    singles: list[SlowRun],
+    slow_runs: list[SlowRun],
     rooms: list[Room],
-    rule: CopyRule,
     tickets_by_worker: dict[str, str | None],
 ) -> list[Placement]:
-    """Places a second run of each task that the rule finds slow.
+    """Places a second run of each slow task.
 
     Args:
-        singles: Tasks with one run, of steps that allow copies.
+        slow_runs: Slow tasks of one step.
         rooms: What is left free after the starts of this round; used up.
-        rule: Which of them get a copy.
         tickets_by_worker: The step's ticket for each worker, empty where none
             is needed; a worker without one gets no copy.
     """
@@ -127,9 +127,7 @@
         for room in rooms
         if tickets_by_worker.get(room.worker_id) is not None
     ]
-    for slow in singles:
-        if not rule(slow):
-            continue
+    for slow in slow_runs:
         room = _room_for(slow, allowed)
         if room is None:
             continue
--- a/tests/cover/test_slow_tasks.py
+++ b/tests/cover/test_slow_tasks.py
@@ -8,7 +8,7 @@
     COPY_RULES,
     Room,
     SlowRun,
-    find_single_runs,
+    find_slow_runs,
     plan_copies,
 )
 from tests.common.fleets import Fleet, running_fleet
@@ -49,7 +49,6 @@
 
 def test_no_copy_goes_to_the_same_a_slow_or_a_full_worker() -> None:
     slow = _slow_run(age_s=3.0, reported_age_s=3.0, progress=10)
-    rule = COPY_RULES.named("remaining")
     rooms = [
         _room("w1"),
         _room("w2", slowness=2.0),
@@ -57,11 +56,11 @@
         _room("w4", is_open=False),
     ]
     tickets: dict[str, str | None] = {room.worker_id: "" for room in rooms}
-    assert plan_copies([slow], rooms, rule, tickets) == []
+    assert plan_copies([slow], rooms, tickets) == []
     rooms.append(_room("w5"))
-    assert plan_copies([slow], rooms, rule, tickets) == []
+    assert plan_copies([slow], rooms, tickets) == []
     tickets["w5"] = "ticket"
-    (copy,) = plan_copies([slow], rooms, rule, tickets)
+    (copy,) = plan_copies([slow], rooms, tickets)
     assert copy.worker_id == "w5"
     assert copy.ticket == "ticket"
 
@@ -92,7 +91,10 @@
 def test_a_task_with_two_runs_gets_no_third() -> None:
     task, run = a_running_task(JOB, "w1", STEP)
     task.runs = [run, run]
-    assert find_single_runs([task], 1.0, 5.0) == []
+    rule = COPY_RULES.named("overdue")
+    assert find_slow_runs([task], 1.0, 5.0, rule) == []
+    task.runs = [run]
+    assert len(find_slow_runs([task], 1.0, 5.0, rule)) == 1
 
 
 def test_an_unknown_rule_is_named() -> None:
