Place the tasks of a step together, and skip steps that fit nowhere

A round looked at every worker for every task, and at every worker for every step that fits nowhere. 680 workers and 680 jobs at once took longer than urgent work may wait.

Ruled out: a limit of tasks a round, which puts waiting off to the next round; planning in a thread, as one loop on one thread is the house rule.

Change: tasks of a step that are alike share one heap of workers, of which only the worker taken is looked at again; LargestRoom answers for steps that fit nowhere. A property test holds the result equal to one task after the other.

--- a/libs/scheduling/src/coltsfootseam/scheduling/placement.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/placement.py
@@ -1,5 +1,6 @@
 """Which worker runs a task."""
 
+import heapq
 from collections.abc import Callable
 
 import msgspec
@@ -7,7 +8,12 @@
 from coltsfootseam.jobs import Step, Task
 from coltsfootseam.scheduling.ordering import ReadyStep
 from coltsfootseam.scheduling.registry import Registry
-from coltsfootseam.scheduling.rooms import Room, StepKey, step_key
+from coltsfootseam.scheduling.rooms import (
+    LargestRoom,
+    Room,
+    StepKey,
+    step_key,
+)
 
 _FAILED_HERE = 1000.0
 _REMOTE = 50.0
@@ -94,11 +100,15 @@
     plan = Plan()
     fit = fit or fit_tightest
     open_rooms = [room for room in rooms if room.is_open]
+    largest = LargestRoom(open_rooms)
     for ready in ready_steps:
         tasks = _waiting_tasks(ready, now_s)
         if not tasks:
             continue
-        placed = _place_step(ready, tasks, open_rooms, ticket_of, fit)
+        placed: list[Placement] = []
+        if largest.may_fit(ready.step):
+            placed = _place_step(ready, tasks, open_rooms, ticket_of, fit)
+            largest.note_taken(len(placed))
         plan.placements.extend(placed)
         missing = len(tasks) - len(placed)
         if missing:
@@ -128,26 +138,82 @@
 ) -> list[Placement]:
     key = step_key(tasks[0].id)
     tickets_by_worker = _tickets(ready, key, rooms, ticket_of)
-    eligible = [room for room in rooms if room.worker_id in tickets_by_worker]
+    eligible = rooms
+    if tickets_by_worker is not None:
+        eligible = [
+            room for room in rooms if room.worker_id in tickets_by_worker
+        ]
     if ready.step.same_rack:
         eligible = _one_rack(ready, tasks, eligible, key)
-    placed: list[tuple[Task, Room]] = []
-    for task in tasks:
-        room = _best_room(task, eligible, key, fit)
-        if room is None:
-            break
-        room.take(task.step, key)
-        placed.append((task, room))
+    place = _place_alike if _are_alike(tasks) else _place_one_by_one
+    placed = place(tasks, eligible, key, fit)
     if is_torn_gang(ready.step, len(placed), len(tasks)):
         for task, room in placed:
             room.release(task.step, key)
         return []
+    tickets = tickets_by_worker or {}
     return [
-        Placement(task, room.worker_id, tickets_by_worker[room.worker_id])
+        Placement(task, room.worker_id, tickets.get(room.worker_id, ""))
         for task, room in placed
     ]
 
 
+def _are_alike(tasks: list[Task]) -> bool:
+    """Tells whether a worker suits all tasks of a step as well.
+
+    A task that lasts looks at where its like is, one that failed at where.
+    """
+    return not tasks[0].step.long_running and not any(
+        task.failed_on for task in tasks
+    )
+
+
+def _place_alike(
+    tasks: list[Task], rooms: list[Room], key: StepKey, fit: Fit
+) -> list[tuple[Task, Room]]:
+    """Places tasks for which only the room that was taken changes its cost."""
+    first = tasks[0]
+    costs = [
+        (_cost(first, room, rooms, key, fit), index)
+        for index, room in enumerate(rooms)
+        if _can_take(room, first.step, key)
+    ]
+    heapq.heapify(costs)
+    placed = []
+    for task in tasks:
+        if not costs:
+            break
+        _, index = costs[0]
+        room = rooms[index]
+        room.take(task.step, key)
+        placed.append((task, room))
+        if _can_take(room, task.step, key):
+            cost = _cost(task, room, rooms, key, fit)
+            heapq.heapreplace(costs, (cost, index))
+        else:
+            heapq.heappop(costs)
+    return placed
+
+
+def _place_one_by_one(
+    tasks: list[Task], rooms: list[Room], key: StepKey, fit: Fit
+) -> list[tuple[Task, Room]]:
+    placed = []
+    for task in tasks:
+        room = _best_room(task, rooms, key, fit)
+        if room is None:
+            break
+        room.take(task.step, key)
+        placed.append((task, room))
+    return placed
+
+
+def _can_take(room: Room, step: Step, key: StepKey) -> bool:
+    if room.trial_slots is not None and room.trial_slots <= 0:
+        return False
+    return room.fits(step) and room.may_run(step, key)
+
+
 def is_torn_gang(step: Step, placed: int, wanted: int) -> bool:
     """Tells whether some members of a gang found room and others didn't."""
     return step.gang and placed < wanted
@@ -155,9 +221,10 @@
 
 def _tickets(
     ready: ReadyStep, key: StepKey, rooms: list[Room], ticket_of: TicketOf
-) -> dict[str, str]:
+) -> dict[str, str] | None:
+    """Returns the tickets that are held, ``None`` if none is needed."""
     if ready.queue.advice is None:
-        return {room.worker_id: "" for room in rooms}
+        return None
     found = {room.worker_id: ticket_of(key, room.worker_id) for room in rooms}
     return {
         worker_id: ticket
@@ -173,9 +240,7 @@
     best: Room | None = None
     best_cost = float("inf")
     for room in rooms:
-        if room.trial_slots is not None and room.trial_slots <= 0:
-            continue
-        if not room.fits(step) or not room.may_run(step, key):
+        if not _can_take(room, step, key):
             continue
         cost = _cost(task, room, rooms, key, fit)
         if cost < best_cost:
--- a/libs/scheduling/src/coltsfootseam/scheduling/rooms.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/rooms.py
@@ -87,3 +87,44 @@
         self.counts_by_step[key] -= 1
         if self.trial_slots is not None:
             self.trial_slots += 1
+
+
+class LargestRoom:
+    """Tells cheaply that no worker has room for a task.
+
+    What is free only shrinks while a round is planned, so an old answer of yes
+    may be wrong and an old answer of no stays right.
+    """
+
+    __slots__ = ("_accelerators", "_cpu_millis", "_is_old", "_memory", "_rooms")
+
+    def __init__(self, rooms: list[Room]) -> None:
+        self._rooms = rooms
+        self._is_old = False
+        self._look()
+
+    def may_fit(self, step: Step) -> bool:
+        """Tells whether a task of the step may have room somewhere."""
+        if self._fits(step) and self._is_old:
+            self._look()
+        return self._fits(step)
+
+    def note_taken(self, count: int) -> None:
+        """Takes note that room was claimed."""
+        self._is_old = self._is_old or count > 0
+
+    def _fits(self, step: Step) -> bool:
+        if step.memory_mb > self._memory:
+            return False
+        if step.accelerators > self._accelerators:
+            return False
+        return step.fills or step.cpu_millis <= self._cpu_millis
+
+    def _look(self) -> None:
+        rooms = self._rooms
+        self._cpu_millis = max((r.free_cpu_millis for r in rooms), default=-1)
+        self._memory = max((r.free_memory_mb for r in rooms), default=-1)
+        self._accelerators = max(
+            (r.free_accelerators for r in rooms), default=-1
+        )
+        self._is_old = False
--- a/tests/cover/test_placement.py
+++ b/tests/cover/test_placement.py
@@ -1,10 +1,17 @@
 """Placement never goes beyond what a worker has or a step allows."""
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from coltsfootseam.jobs import Queue, Step
-from coltsfootseam.scheduling import Plan, ReadyStep, Room, plan_starts
+from coltsfootseam.scheduling import (
+    Plan,
+    ReadyStep,
+    Room,
+    placement,
+    plan_starts,
+)
 from tests.common.plans import a_job
 
 STEPS = st.builds(
@@ -86,6 +93,23 @@
             assert not limit or len(alike) <= limit
 
 
+@settings(derandomize=True, deadline=None, max_examples=150)
+@given(
+    steps=st.lists(STEPS, min_size=1, max_size=4),
+    sizes=st.lists(SIZES, max_size=5),
+)
+def test_tasks_placed_together_go_where_each_alone_would(
+    steps: list[Step], sizes: list[tuple[int, int, int, bool]]
+) -> None:
+    together = _plan(steps, sizes)
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(placement, "_are_alike", lambda tasks: False)
+        alone = _plan(steps, sizes)
+    assert [(one.task.id, one.worker_id) for one in together.placements] == [
+        (one.task.id, one.worker_id) for one in alone.placements
+    ]
+
+
 @settings(derandomize=True, deadline=None, max_examples=100)
 @given(
     steps=st.lists(STEPS, min_size=1, max_size=3),
