--- a/libs/scheduling/src/coltsfootseam/scheduling/__init__.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/__init__.py
@@ -17,6 +17,7 @@
     plan_moves,
     spare_counts,
 )
+from coltsfootseam.scheduling.fits import FITS
 from coltsfootseam.scheduling.health import WorkerHealth
 from coltsfootseam.scheduling.ordering import (
     JOB_ORDERS,
@@ -25,7 +26,6 @@
 )
 from coltsfootseam.scheduling.pacing import PaceChange, plan_pace
 from coltsfootseam.scheduling.placement import (
-    FITS,
     Placement,
     Plan,
     Shortage,
--- a/libs/scheduling/src/coltsfootseam/scheduling/placement.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/placement.py
@@ -6,8 +6,9 @@
 import msgspec
 
 from coltsfootseam.jobs import Step, Task
+from coltsfootseam.scheduling.fits import Fit, fit_tightest
 from coltsfootseam.scheduling.ordering import ReadyStep
-from coltsfootseam.scheduling.registry import Registry
+from coltsfootseam.scheduling.racks import choose_rack
 from coltsfootseam.scheduling.rooms import (
     LargestRoom,
     Room,
@@ -21,32 +22,6 @@
 _SLOW = 20.0
 _EMPTY_WORKER = 1.0
 _ALIKE_ON_RACK = 0.1
-_MILLIS_PER_CORE = 1000.0
-
-Fit = Callable[[Room], float]
-"""Returns what speaks against a worker; below 1 for all that is in use."""
-
-FITS: Registry[Fit] = Registry("fit")
-
-
-@FITS.register("tightest")
-def fit_tightest(room: Room) -> float:
-    """What is nearly full is filled first, so that others become empty."""
-    return room.free_cpu_millis / _MILLIS_PER_CORE / 100.0
-
-
-@FITS.register("widest")
-def fit_widest(room: Room) -> float:
-    """What has the most room is filled first, so that load is even."""
-    return -fit_tightest(room)
-
-
-@FITS.register("first")
-def fit_first(room: Room) -> float:
-    """The first worker with room will do."""
-    del room
-    return 0.0
-
 
 TicketOf = Callable[[StepKey, str], str | None]
 """Returns the ticket of a step for a worker, ``None`` if it has none."""
@@ -144,7 +119,7 @@
             room for room in rooms if room.worker_id in tickets_by_worker
         ]
     if ready.step.same_rack:
-        eligible = _one_rack(ready, tasks, eligible, key)
+        eligible = choose_rack(ready, tasks, eligible, key)
     place = _place_alike if _are_alike(tasks) else _place_one_by_one
     placed = place(tasks, eligible, key, fit)
     if is_torn_gang(ready.step, len(placed), len(tasks)):
@@ -273,46 +248,3 @@
         for other in rooms
         if other.rack == room.rack
     )
-
-
-def _one_rack(
-    ready: ReadyStep, tasks: list[Task], rooms: list[Room], key: StepKey
-) -> list[Room]:
-    """Returns the rooms of the rack that takes most of the tasks."""
-    rooms_by_rack: dict[str, list[Room]] = {}
-    for room in rooms:
-        rooms_by_rack.setdefault(room.rack, []).append(room)
-    taken_by_rack = {
-        rack: sum(room.counts_by_step.get(key, 0) for room in members)
-        for rack, members in rooms_by_rack.items()
-    }
-    for rack, count in taken_by_rack.items():
-        if count:
-            return rooms_by_rack[rack]
-    best = max(
-        rooms_by_rack,
-        key=lambda rack: (
-            min(_capacity(rooms_by_rack[rack], ready, key), len(tasks)),
-            rack == ready.step.rack,
-        ),
-        default=None,
-    )
-    return [] if best is None else rooms_by_rack[best]
-
-
-def _capacity(rooms: list[Room], ready: ReadyStep, key: StepKey) -> int:
-    """Returns how many tasks of a step fit into rooms."""
-    step = ready.step
-    count = 0
-    for room in rooms:
-        if not room.may_run(step, key):
-            continue
-        fit = room.free_memory_mb // max(1, step.memory_mb)
-        if not step.fills:
-            fit = min(fit, room.free_cpu_millis // max(1, step.cpu_millis))
-        if step.accelerators:
-            fit = min(fit, room.free_accelerators // step.accelerators)
-        if step.per_worker_limit:
-            fit = min(fit, step.per_worker_limit)
-        count += max(0, fit)
-    return count
--- /dev/null
+++ b/libs/scheduling/src/coltsfootseam/scheduling/racks.py
@@ -0,0 +1,48 @@
+"""Keeping the tasks of a step on one rack."""
+
+from coltsfootseam.jobs import Task
+from coltsfootseam.scheduling.ordering import ReadyStep
+from coltsfootseam.scheduling.rooms import Room, StepKey
+
+
+def choose_rack(
+    ready: ReadyStep, tasks: list[Task], rooms: list[Room], key: StepKey
+) -> list[Room]:
+    """Returns the rooms of the rack that takes most of the tasks."""
+    rooms_by_rack: dict[str, list[Room]] = {}
+    for room in rooms:
+        rooms_by_rack.setdefault(room.rack, []).append(room)
+    taken_by_rack = {
+        rack: sum(room.counts_by_step.get(key, 0) for room in members)
+        for rack, members in rooms_by_rack.items()
+    }
+    for rack, count in taken_by_rack.items():
+        if count:
+            return rooms_by_rack[rack]
+    best = max(
+        rooms_by_rack,
+        key=lambda rack: (
+            min(_capacity(rooms_by_rack[rack], ready, key), len(tasks)),
+            rack == ready.step.rack,
+        ),
+        default=None,
+    )
+    return [] if best is None else rooms_by_rack[best]
+
+
+def _capacity(rooms: list[Room], ready: ReadyStep, key: StepKey) -> int:
+    """Returns how many tasks of a step fit into rooms."""
+    step = ready.step
+    count = 0
+    for room in rooms:
+        if not room.may_run(step, key):
+            continue
+        fit = room.free_memory_mb // max(1, step.memory_mb)
+        if not step.fills:
+            fit = min(fit, room.free_cpu_millis // max(1, step.cpu_millis))
+        if step.accelerators:
+            fit = min(fit, room.free_accelerators // step.accelerators)
+        if step.per_worker_limit:
+            fit = min(fit, step.per_worker_limit)
+        count += max(0, fit)
+    return count
--- a/libs/testbed/src/coltsfootseam/testbed/model/__init__.py
+++ b/libs/testbed/src/coltsfootseam/testbed/model/__init__.py
@@ -1,7 +1,8 @@
 """A model of the fleet in virtual time that the real decisions drive."""
 
-from coltsfootseam.testbed.model.fleet import FleetModel, ModelPlan
+from coltsfootseam.testbed.model.fleet import FleetModel
 from coltsfootseam.testbed.model.load import Arrival, JobKind, draw_arrivals
+from coltsfootseam.testbed.model.machines import ModelPlan
 from coltsfootseam.testbed.model.report import Report, Sample, make_report
 
 __all__ = [
--- /dev/null
+++ b/libs/testbed/src/coltsfootseam/testbed/model/machines.py
@@ -0,0 +1,100 @@
+"""Machines of the model."""
+
+import random
+
+import msgspec
+
+from coltsfootseam.testbed.model.world import ModelWorker
+from coltsfootseam.workers import WorkerEntry
+
+STANDBY = "standby"
+_RACK = 4
+
+
+class ModelPlan(msgspec.Struct, frozen=True):
+    """What is modelled.
+
+    Attributes:
+        pools: Names of the pools.
+        machines: Machines in each pool at the start.
+        standby: Machines on standby at the start.
+        cores: Cores of a machine.
+        slow_share: Share of machines on which runs take three times as long.
+        failing_share: Share of machines on which every run fails.
+        hanging_share: Share of machines on which runs stand still.
+        seed: Seed that picks those machines.
+    """
+
+    pools: tuple[str, ...]
+    machines: int = 8
+    standby: int = 8
+    cores: int = 16
+    slow_share: float = 0.0
+    failing_share: float = 0.0
+    hanging_share: float = 0.0
+    seed: int = 1
+
+
+class ModelMachine(msgspec.Struct):
+    """A machine, its worker and where it is or is going.
+
+    Attributes:
+        machine_id: Its name.
+        pool: Its pool, or where it moves to.
+        worker: What is true of the worker on it.
+        arrives_s: When its move is over, ``None`` if it doesn't move.
+        lives: How many lives its worker has had.
+        idle_since_s: Since when it runs nothing, ``None`` if it does.
+    """
+
+    machine_id: str
+    pool: str
+    worker: ModelWorker
+    arrives_s: float | None = None
+    lives: int = 1
+    idle_since_s: float | None = None
+
+
+def make_machines(plan: ModelPlan) -> list[ModelMachine]:
+    """Returns the machines of a plan, some of them bad."""
+    places = [pool for pool in plan.pools for _ in range(plan.machines)]
+    places.extend([STANDBY] * plan.standby)
+    rng = random.Random(plan.seed)
+    machines = []
+    for number, pool in enumerate(places):
+        machine_id = f"m-{number}"
+        worker = ModelWorker(_entry(machine_id, pool, number, plan.cores))
+        _spoil(worker, plan, rng.random())
+        machines.append(ModelMachine(machine_id, pool, worker))
+    return machines
+
+
+def _spoil(worker: ModelWorker, plan: ModelPlan, luck: float) -> None:
+    """Makes some of the machines bad, by a figure from 0 to 1."""
+    if luck < plan.slow_share:
+        worker.slowness = 3.0
+        return
+    luck -= plan.slow_share
+    if luck < plan.failing_share:
+        worker.fails = True
+        return
+    luck -= plan.failing_share
+    worker.hangs = luck < plan.hanging_share
+
+
+def _entry(machine_id: str, pool: str, number: int, cores: int) -> WorkerEntry:
+    return WorkerEntry(
+        worker_id=f"i-{number}@1",
+        instance_id=f"i-{number}",
+        born_ms=1,
+        pool=pool,
+        address=f"10.1.0.{number}:80",
+        zone="a",
+        is_draining=False,
+        remaining_ms=None,
+        cpu_millis=cores * 1000,
+        memory_mb=65_536,
+        accelerators=0,
+        labels=("kind", f"r{number // _RACK}"),
+        machine_id=machine_id,
+    )
--- a/tests/cover/test_machines.py
+++ b/tests/cover/test_machines.py
@@ -30,6 +30,19 @@
     return b"" if record is None else record.value
 
 
+async def most_down_until_complete(fleet: Fleet) -> int:
+    """Returns the most machines that were down at once in a wave."""
+    most = 0
+
+    def is_over() -> bool:
+        nonlocal most
+        most = max(most, fleet.machines.down_count())
+        return status_of_wave(fleet) == b"completed"
+
+    await fleet.wait_until(is_over, 60.0)
+    return most
+
+
 async def test_a_wave_maintains_every_machine_and_says_so() -> None:
     async with running_fleet(workers=4) as fleet:
         await fleet.timers.advance(4.0)
@@ -99,14 +112,7 @@
             host for host in fleet.hosts if first.startswith(f"{host.host_id}-")
         )
         await owner.kill()
-        most = 0
-
-        def is_over() -> bool:
-            nonlocal most
-            most = max(most, fleet.machines.down_count())
-            return status_of_wave(fleet) == b"completed"
-
-        await fleet.wait_until(is_over, 60.0)
+        most = await most_down_until_complete(fleet)
         assert most <= 3
 
 
@@ -129,14 +135,7 @@
         # The next owner would begin with another machine than the last one.
         fleet.add_worker(0)
         ask_for_wave(fleet, "m-0", "m-1", "m-2", "m-3", "m-4", limit=1)
-        most = 0
-
-        def is_over() -> bool:
-            nonlocal most
-            most = max(most, fleet.machines.down_count())
-            return status_of_wave(fleet) == b"completed"
-
-        await fleet.wait_until(is_over, 60.0)
+        most = await most_down_until_complete(fleet)
         assert most == 1
         _assert_no_turns(fleet)
 
@@ -158,14 +157,7 @@
         fleet.machines.maintenance_s = 2.0
         fleet.machines.lose_answers = 3
         ask_for_wave(fleet, "m-1", "m-2", "m-3", "m-4", "m-5", limit=2)
-        most = 0
-
-        def is_over() -> bool:
-            nonlocal most
-            most = max(most, fleet.machines.down_count())
-            return status_of_wave(fleet) == b"completed"
-
-        await fleet.wait_until(is_over, 60.0)
+        most = await most_down_until_complete(fleet)
         assert most <= 2
 
 
