Send starts a few at a time, and test the model

All starts of a round were begun at once; their time limits ran while they waited for the processor of a host with half a core and for the three connections to each worker. Each such start had to be shut out by a stop before its task could run elsewhere.

Change: at most 64 starts of a pool's owner are on their way, and a start's limits count from its sending. A start that waited is sent only if it is still wanted.

--- a/daemons/manager/src/coltsfootseam/manager/orders.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders.py
@@ -22,6 +22,7 @@
 
 _RETRY_S = 0.1
 _START_TRIES_S = 1.0
+_MOST_STARTS_AT_ONCE = 64
 _REFUSED_PAUSE_S = 0.1
 _MALFORMED_PAUSE_S = 2.0
 
@@ -40,11 +41,19 @@
 class Orders:
     """Orders of one pool's owner that are under way."""
 
-    __slots__ = ("_on_change", "_state", "_stopping", "_tasks", "_unknown")
+    __slots__ = (
+        "_on_change",
+        "_sending",
+        "_state",
+        "_stopping",
+        "_tasks",
+        "_unknown",
+    )
 
     def __init__(self, state: PoolState, on_change: Callable[[], None]) -> None:
         self._state = state
         self._on_change = on_change
+        self._sending = asyncio.Semaphore(_MOST_STARTS_AT_ONCE)
         self._tasks: set[asyncio.Task[None]] = set()
         self._stopping: set[tuple[object, int, str]] = set()
         self._unknown: set[tuple[object, int, str]] = set()
@@ -94,15 +103,20 @@
         outcome = OrderOutcome.UNKNOWN
         order: StartOrder | None = None
         tries = 0
-        while run in task.runs and run.phase is RunPhase.ORDERED:
-            link = self._link(run)
-            if link is None or state.journal.lost:
-                return
-            if order is None:
-                order = self._start_order(link, task, run, ticket)
-            if order is not None:
-                tries += 1
-                outcome = await link.start(order)
+        while _is_wanted(task, run):
+            async with self._sending:
+                link = self._link(run)
+                if link is None or state.journal.lost:
+                    return
+                if not _is_wanted(task, run):
+                    break
+                if order is None:
+                    order = self._start_order(link, task, run, ticket)
+                    # The time limit counts from the sending, not the waiting.
+                    began_s = state.now_s() if order is not None else began_s
+                if order is not None:
+                    tries += 1
+                    outcome = await link.start(order)
             if outcome is not OrderOutcome.UNKNOWN:
                 break
             if state.now_s() - began_s > _START_TRIES_S:
@@ -207,3 +221,8 @@
         outcome = await link.pace(order)
         if outcome is OrderOutcome.DONE:
             run.pace = percent
+
+
+def _is_wanted(task: Task, run: Run) -> bool:
+    """Tells whether a run is still to be started."""
+    return run in task.runs and run.phase is RunPhase.ORDERED
--- a/libs/standins/src/coltsfootseam/standins/memory_workers.py
+++ b/libs/standins/src/coltsfootseam/standins/memory_workers.py
@@ -108,6 +108,8 @@
         workers_by_instance: Workers by their own id.
         violations: What must not have happened.
         starts: Starts that were carried out, in order.
+        starting: Starts that are on their way now.
+        most_starting: The most that ever were.
         saving_jobs: Jobs whose tasks save their progress.
         duplicable_jobs: Jobs whose tasks may run twice at once.
         loads_by_task: What workers report as a task's load.
@@ -121,8 +123,10 @@
         "_timers",
         "duplicable_jobs",
         "loads_by_task",
+        "most_starting",
         "paces",
         "saving_jobs",
+        "starting",
         "starts",
         "violations",
         "workers_by_instance",
@@ -138,6 +142,8 @@
         self.workers_by_instance: dict[str, MemoryWorker] = {}
         self.violations: list[Violation] = []
         self.starts: list[StartOrder] = []
+        self.starting = 0
+        self.most_starting = 0
         self.saving_jobs: set[str] = set()
         self.duplicable_jobs: set[str] = set()
         self.loads_by_task: dict[TaskId, int] = {}
@@ -350,6 +356,17 @@
         self, worker: WorkerEntry, order: StartOrder
     ) -> OrderAnswer:
         """Orders a run."""
+        workers = self._workers
+        workers.starting += 1
+        workers.most_starting = max(workers.most_starting, workers.starting)
+        try:
+            return await self._start(worker, order)
+        finally:
+            workers.starting -= 1
+
+    async def _start(
+        self, worker: WorkerEntry, order: StartOrder
+    ) -> OrderAnswer:
         found = await self._reach(worker)
         if isinstance(found, OrderAnswer):
             return found
--- /dev/null
+++ b/tests/cover/test_fleet_model.py
@@ -0,0 +1,83 @@
+"""The model of the fleet: its arrivals, its figures, bad machines."""
+
+import math
+
+from coltsfootseam.jobs import Step
+from coltsfootseam.scheduling import Policies, PoolRules
+from coltsfootseam.testbed.model import (
+    FleetModel,
+    JobKind,
+    ModelPlan,
+    Report,
+    draw_arrivals,
+)
+
+KIND = JobKind("a", 2.0, 1.6, 6, 0.85, 880)
+LASTING = Step(
+    count=3,
+    cpu_millis=1000,
+    estimate_ms=900,
+    long_running=True,
+    per_worker_limit=1,
+)
+LENGTH_S = 10.0
+STILL = Policies(pools=PoolRules(need="still"))
+
+
+def play(plan: ModelPlan, policies: Policies = STILL) -> Report:
+    model = FleetModel(plan, policies)
+    model.add_lasting("a", LASTING)
+    arrivals = draw_arrivals([KIND], LENGTH_S, 4.0, seed=1)
+    return model.play(arrivals, LENGTH_S)
+
+
+def test_arrivals_repeat_with_their_seed() -> None:
+    first = draw_arrivals([KIND], LENGTH_S, 4.0, seed=3)
+    again = draw_arrivals([KIND], LENGTH_S, 4.0, seed=3)
+    other = draw_arrivals([KIND], LENGTH_S, 4.0, seed=4)
+    assert first == again
+    assert first != other
+    assert [one.at_s for one in first] == sorted(one.at_s for one in first)
+
+
+def test_each_kind_asks_most_in_its_turn() -> None:
+    second = JobKind("b", 2.0, 1.6, 6, 0.85, 880)
+    arrivals = draw_arrivals([KIND, second], 40.0, 10.0, seed=1)
+    in_turn = [
+        one
+        for one in arrivals
+        if one.kind.pool == ("a", "b")[int(one.at_s / 10) % 2]
+    ]
+    assert len(in_turn) > 0.9 * len(arrivals)
+
+
+def test_sound_machines_serve_everything_in_time() -> None:
+    report = play(ModelPlan(("a",), machines=20, standby=0))
+    assert report.credit > 0.99
+    assert report.moves == 0
+    assert math.isfinite(report.wasted_core_s)
+
+
+def test_bad_machines_cost_waiting_but_lose_nothing() -> None:
+    sound = play(ModelPlan(("a",), machines=20, standby=0))
+    bad = play(
+        ModelPlan(
+            ("a",),
+            machines=20,
+            standby=0,
+            slow_share=0.2,
+            failing_share=0.1,
+            hanging_share=0.1,
+        )
+    )
+    assert bad.mean_wait_s > sound.mean_wait_s
+    assert bad.credit > 0.5
+    assert math.isfinite(bad.wasted_core_s)
+
+
+def test_machines_that_move_cost_fewer_seconds() -> None:
+    plan = ModelPlan(("a",), machines=20, standby=0)
+    still = play(plan)
+    moving = play(plan, Policies())
+    assert moving.machine_s < still.machine_s
+    assert moving.moves > 0
