--- a/bench/placement.py
+++ b/bench/placement.py
@@ -233,6 +233,7 @@
         legend_at_bottom=True,
         disable_xml_declaration=True,
         js=[],
+        no_prefix=True,
     )
     for pool in trace.plan.pools:
         samples = [one for one in model.samples if one.pool == pool]
