Prove recovery, complete waves and acknowledged ends without their mechanism

Cause: three rules had no row in make proofs.

Ruled out: a row for requests in progress at a planned stop: the switches are not taken into real managers.

--- a/bench/prove.py
+++ b/bench/prove.py
@@ -186,6 +186,21 @@
         "tests/cover/test_pace.py::"
         "test_filling_tasks_slow_down_before_a_tail_reaches_its_target",
     ),
+    Proof(
+        "read-back-at-start",
+        "tests/cover/test_jobs_path.py::"
+        "test_loss_of_all_hosts_loses_no_accepted_job",
+    ),
+    Proof(
+        "waves-seen-through",
+        "tests/cover/test_machines.py::"
+        "test_a_wave_maintains_every_machine_and_says_so",
+    ),
+    Proof(
+        "ends-acknowledged",
+        "tests/cover/test_jobs_path.py::"
+        "test_ends_are_acknowledged_soon_and_forgotten_by_workers",
+    ),
 ]
 
 
--- a/libs/testbed/src/coltsfootseam/testbed/manager_switches.py
+++ b/libs/testbed/src/coltsfootseam/testbed/manager_switches.py
@@ -23,7 +23,7 @@
 from coltsfootseam.scheduling import Room, placement
 from coltsfootseam.store import Journal, Tail, journal
 from coltsfootseam.testbed.switchboard import replace, switch
-from coltsfootseam.workers import WorkerLease
+from coltsfootseam.workers import WorkerLease, WorkerLink
 
 
 @switch("unique-epochs")
@@ -115,6 +115,26 @@
     replace(Tail, "_take_newest", take)
 
 
+@switch("read-back-at-start")
+def _begin_without_what_is_stored() -> None:
+    take_newest = Tail._take_newest
+
+    def take(tail: Tail, newest: Any) -> None:
+        take_newest(tail, msgspec.structs.replace(newest, records=[]))
+
+    replace(Tail, "_take_newest", take)
+
+
+@switch("waves-seen-through")
+def _call_waves_complete_at_once() -> None:
+    replace(Waves, "_is_over", lambda waves, wave, progress, view: True)
+
+
+@switch("ends-acknowledged")
+def _acknowledge_no_end() -> None:
+    replace(WorkerLink, "acknowledge", lambda link, sequence: None)
+
+
 @switch("stored-before-shown")
 def _show_what_is_not_stored() -> None:
     async def ask_job(calls: PeerCalls, question: Any) -> Any:
--- a/tests/cover/test_jobs_path.py
+++ b/tests/cover/test_jobs_path.py
@@ -311,3 +311,12 @@
             configuration = host.manager.knowledge.configuration
             assert configuration is not None
             assert configuration.version == 7
+
+
+async def test_ends_are_acknowledged_soon_and_forgotten_by_workers() -> None:
+    async with running_fleet() as fleet:
+        await fleet.accept(fleet.owner(), "a" * 16, SMALL)
+        await fleet.wait_for_state("a" * 16, JobState.COMPLETED)
+        await fleet.timers.advance(1.0)
+        for worker in fleet.workers.workers_by_instance.values():
+            assert worker.ends == []
