Count a job as pending until something of it is known to have started

The owner counted jobs that nothing had been ordered of; since starts are sent a few at a time, an order can wait for seconds to be sent.

Ruled out: a count that was old (it is kept for 1 s, the jobs had waited for 5).

Change: Job.has_started looks at runs that a worker has confirmed and at ends; pending counts jobs without any. Job.has_begun, read by nobody, is gone.

Before/after: the new test of test_bursts failed before (0 pending) and passes.

--- a/daemons/manager/src/coltsfootseam/manager/peer_calls.py
+++ b/daemons/manager/src/coltsfootseam/manager/peer_calls.py
@@ -22,7 +22,6 @@
     VacateReply,
     VacateRequest,
 )
-from coltsfootseam.jobs import JobState
 from coltsfootseam.manager.context import Context
 from coltsfootseam.manager.duty_keeper import DutyKeeper
 from coltsfootseam.manager.pool_owner import PoolOwner
@@ -74,7 +73,7 @@
         return self._duties.answer_owner(question)
 
     async def ask_pending(self, question: PendingQuestion) -> PendingReply:
-        """Counts the jobs of a queue that haven't begun."""
+        """Counts the jobs of a queue of which nothing has started."""
         owner = self._owner(question.pool)
         if owner is None or owner.state is None:
             return PendingReply()
@@ -82,7 +81,8 @@
             1
             for job in owner.state.book.active_by_id.values()
             if job.request.queue == question.queue
-            and job.state is JobState.QUEUED
+            and not job.state.is_final
+            and not job.has_started()
         )
         return PendingReply(count)
 
--- a/libs/jobs/src/coltsfootseam/jobs/book.py
+++ b/libs/jobs/src/coltsfootseam/jobs/book.py
@@ -120,7 +120,6 @@
         task.runs = [*task.runs, run]
         self.runs.add(task, run)
         job = self.jobs_by_id[task.id.job_id]
-        job.has_begun = True
         if job.state is JobState.QUEUED:
             job.state = JobState.RUNNING
         self.changed_ids.add(job.id)
--- a/libs/jobs/src/coltsfootseam/jobs/documents.py
+++ b/libs/jobs/src/coltsfootseam/jobs/documents.py
@@ -118,7 +118,6 @@
     job.stored_state = progress.state
     job.ended_ms = progress.ended_ms
     job.finished_occurrences = set(progress.finished_occurrences)
-    job.has_begun = bool(progress.tasks) or progress.state.is_final
     for row in progress.tasks:
         _restore_task(job, row, now_s)
 
--- a/libs/jobs/src/coltsfootseam/jobs/entities.py
+++ b/libs/jobs/src/coltsfootseam/jobs/entities.py
@@ -127,7 +127,6 @@
         finished_occurrences: Occurrences whose tasks are all done.
         ended_ms: When it reached a final state, Unix milliseconds.
         known_s: When this process learned of it, monotonic seconds.
-        has_begun: Whether any task has been ordered.
     """
 
     id: str
@@ -138,7 +137,6 @@
     finished_occurrences: set[int] = set()
     ended_ms: int = 0
     known_s: float = 0.0
-    has_begun: bool = False
 
     def tasks(self) -> list[Task]:
         """Returns all tasks of the occurrences that were begun."""
@@ -149,6 +147,18 @@
             for task in tasks
         ]
 
+    def has_started(self) -> bool:
+        """Tells whether a task is known to have started on a worker.
+
+        An order that is written down may still wait to be sent.
+        """
+        return bool(self.finished_occurrences) or any(
+            task.is_done
+            or task.failures
+            or any(run.running_s is not None for run in task.runs)
+            for task in self.tasks()
+        )
+
     def occurrence(self, number: int) -> Occurrence:
         """Returns an occurrence, making its tasks where it is new."""
         found = self.occurrences_by_number.get(number)
--- a/tests/cover/test_bursts.py
+++ b/tests/cover/test_bursts.py
@@ -1,6 +1,6 @@
 """Many tasks start at once."""
 
-from coltsfootseam.jobs import JobState, Step
+from coltsfootseam.jobs import JobState, Queue, Step
 from tests.common.fleets import running_fleet
 
 JOB = "a" * 16
@@ -37,3 +37,22 @@
             worker.faults.late_share = 0.0
         await fleet.timers.advance(5.0)
         assert fleet.started(JOB) == 0
+
+
+async def test_jobs_whose_starts_wait_to_be_sent_still_count_as_pending() -> (
+    None
+):
+    async with running_fleet(workers=0, duration_of=lambda task: 30.0) as fleet:
+        fleet.add_worker(1, cores=100)
+        await fleet.timers.advance(1.0)
+        worker = fleet.workers.workers_by_instance["i-1"]
+        worker.faults.late_share = 1.0
+        worker.faults.late_s = 60.0
+        host = fleet.owner()
+        await fleet.accept(host, JOB)
+        await fleet.wait_until(lambda: fleet.workers.starting > 0)
+        assert host.manager is not None
+        jobs = host.manager.jobs
+        queue = jobs.find_queue("host", "/q/x")
+        assert isinstance(queue, Queue)
+        assert await fleet.run(jobs.pending(queue)) == 1
