Keep lines about duties when lines about jobs use the limit up

Cause: all lines share a limit of 400 a second, and a load writes a line for each job before its own. Now the first 20 lines of each subject in a second always find a place; the buffer stays at 2,000 lines. The test failed before: the line was dropped in each of ten seconds.

--- a/libs/observe/src/coltsfootseam/observe/decisions.py
+++ b/libs/observe/src/coltsfootseam/observe/decisions.py
@@ -1,19 +1,24 @@
 """Lines on standard output, one for each decision, bounded in volume.
 
 Writing never blocks: lines wait in a bounded buffer, what a full pipe does not
-take stays there, and what finds no place is counted and reported.
+take stays there, and what finds no place is counted and reported. The subject
+of a line is the first word of its event. The first lines of each subject in a
+second find a place even when lines of another subject have used the limit up,
+so that thousands of lines about jobs never displace one about a duty.
 """
 
 import os
-from collections import deque
+from collections import Counter, deque
 
 import msgspec
 
 from coltsfootseam.timers import TimerService
 
 _FLUSH_S = 0.1
-_MOST_WAITING = 2000
+_MOST_WAITING = 1500
 _MOST_PER_S = 400
+_SURE_PER_SUBJECT_AND_S = 20
+_MOST_WAITING_AT_ALL = 2000
 _MOST_BYTES_A_WRITE = 32_768
 
 
@@ -31,6 +36,7 @@
         "_rest",
         "_second",
         "_timers",
+        "_written_by_subject",
         "_written_in_second",
         "dropped",
     )
@@ -53,6 +59,7 @@
         self._rest = b""
         self._second = 0
         self._written_in_second = 0
+        self._written_by_subject: Counter[str] = Counter()
         self.dropped = 0
         if fd is not None:
             os.set_blocking(fd, False)
@@ -60,13 +67,7 @@
 
     def write(self, event: str, **fields: object) -> None:
         """Writes a line: what was decided, on which inputs, the outcome."""
-        second = int(self._timers.now_s())
-        if second != self._second:
-            self._second = second
-            self._written_in_second = 0
-        self._written_in_second += 1
-        is_full = len(self._lines) >= _MOST_WAITING
-        if is_full or self._written_in_second > _MOST_PER_S:
+        if not self._has_place(event.partition(".")[0]):
             self.dropped += 1
             return
         line = {
@@ -77,6 +78,20 @@
         }
         self._lines.append(msgspec.json.encode(line, enc_hook=str) + b"\n")
 
+    def _has_place(self, subject: str) -> bool:
+        second = int(self._timers.now_s())
+        if second != self._second:
+            self._second = second
+            self._written_in_second = 0
+            self._written_by_subject.clear()
+        self._written_in_second += 1
+        self._written_by_subject[subject] += 1
+        waiting = len(self._lines)
+        if self._written_by_subject[subject] <= _SURE_PER_SUBJECT_AND_S:
+            return waiting < _MOST_WAITING_AT_ALL
+        is_full = waiting >= _MOST_WAITING
+        return not is_full and self._written_in_second <= _MOST_PER_S
+
     def flush(self) -> None:
         """Writes as much as the reader takes without waiting."""
         if self._fd is None:
--- a/tests/cover/test_decision_log.py
+++ b/tests/cover/test_decision_log.py
@@ -41,3 +41,20 @@
     assert [json.loads(line)["number"] for line in lines] == list(range(50))
     os.close(read_fd)
     os.close(write_fd)
+
+
+# Guards against an owner that comes to work, or never does, without a line:
+# a pool's load writes a line for each job, which used up the whole limit.
+async def test_a_flood_about_jobs_does_not_displace_a_line_about_a_pool() -> (
+    None
+):
+    timers = VirtualTimers()
+    log = DecisionLog(timers, "host")
+    for second in range(10):
+        for number in range(1000):
+            log.write("job.learned", number=number)
+        before = log.dropped
+        log.write("pool.loaded", second=second)
+        assert log.dropped == before
+        await timers.advance(1.0)
+    assert log.waiting() <= 2000
