--- a/daemons/manager/src/coltsfootseam/manager/pool_owner.py
+++ b/daemons/manager/src/coltsfootseam/manager/pool_owner.py
@@ -100,8 +100,7 @@
             _INBOX_WAIT_S,
             prefix=key_prefix(self._pool),
         )
-        while await inbox.load() is not None:
-            await self._context.timers.sleep(_RETRY_S)
+        await self._load_inbox(inbox)
         self._progress_by_id.clear()
         self._context.log.write(
             "pool.loaded",
@@ -114,12 +113,14 @@
 
     async def _load_journal(self) -> None:
         """Reads how far each job was; nobody else can append any more."""
+        began_s = self._context.timers.now_s()
         while True:
             newest = await self._context.ports.store.newest(
                 self._context.journal_of(self._pool)
             )
             if not isinstance(newest, Refusal):
                 break
+            self._note_failed_load("journal", newest, began_s)
             await self._context.timers.sleep(_RETRY_S)
         for record in newest.records:
             key = parse_pool_key(self._pool, record.key)
@@ -134,6 +135,30 @@
                 continue
             self._progress_by_id[key.job_id] = progress
 
+    async def _load_inbox(self, inbox: Tail) -> None:
+        """Reads all requests and cancels."""
+        began_s = self._context.timers.now_s()
+        while True:
+            problem = await inbox.load()
+            if problem is None:
+                return
+            self._note_failed_load("inbox", problem, began_s)
+            await self._context.timers.sleep(_RETRY_S)
+
+    def _note_failed_load(
+        self, part: str, problem: Refusal, began_s: float
+    ) -> None:
+        since_s = self._context.timers.now_s() - began_s
+        self._context.log.write(
+            "pool.load_failed",
+            pool=self._pool,
+            part=part,
+            code=problem.code.name,
+            why=problem.reason,
+            since_ms=round(since_s * _MS_PER_S),
+        )
+        self._context.counters.increment("pool.load_failed")
+
     def _take_inbox(self, state: PoolState, record: StoredRecord) -> None:
         key = parse_pool_key(self._pool, record.key)
         if key is None or not record.value:
