--- a/daemons/manager/src/coltsfootseam/manager/job_service.py
+++ b/daemons/manager/src/coltsfootseam/manager/job_service.py
@@ -316,8 +316,8 @@
             key = job_key(pool, job_id)
             before = _just_before(key)
             inbox, journal = await asyncio.gather(
-                store.newest(self._context.inbox_of(pool), before, limit=2),
-                store.newest(self._context.journal_of(pool), before, limit=1),
+                store.newest_page(self._context.inbox_of(pool), before),
+                store.newest_page(self._context.journal_of(pool), before),
             )
             if isinstance(inbox, Refusal) or isinstance(journal, Refusal):
                 return None
--- a/daemons/manager/src/coltsfootseam/manager/machine_rounds.py
+++ b/daemons/manager/src/coltsfootseam/manager/machine_rounds.py
@@ -20,7 +20,7 @@
     plan_moves,
     spare_counts,
 )
-from coltsfootseam.store import Journal
+from coltsfootseam.store import Journal, NewestReader
 from coltsfootseam.workers import MachineState
 
 _ROUND_S = 0.4
@@ -70,15 +70,24 @@
 
     async def run(self) -> None:
         """Plays rounds until the journal is lost."""
-        while not await self._restore():
+        reader = NewestReader(
+            self._context.ports.store, self._journal.partition
+        )
+        while not await self._restore(reader):
             await self._context.timers.sleep(_ROUND_S)
         while not self._journal.lost:
             await self.play()
             await self._context.timers.sleep(_ROUND_S)
 
-    async def _restore(self) -> bool:
-        newest = await self._context.ports.store.newest(self._journal.partition)
+    async def _restore(self, reader: NewestReader) -> bool:
+        newest = await reader.read()
         if isinstance(newest, Refusal):
+            self._context.log.write(
+                "fleet.load_failed",
+                code=newest.code.name,
+                why=newest.reason,
+                pages=reader.pages,
+            )
             return False
         self._waves.restore(newest)
         self._orders.restore(newest)
--- a/daemons/manager/src/coltsfootseam/manager/pool_owner.py
+++ b/daemons/manager/src/coltsfootseam/manager/pool_owner.py
@@ -29,6 +29,7 @@
 from coltsfootseam.scheduling import WorkerHealth
 from coltsfootseam.store import (
     KeyedRecord,
+    NewestReader,
     StoredRecord,
     Tail,
 )
@@ -114,10 +115,11 @@
     async def _load_journal(self) -> None:
         """Reads how far each job was; nobody else can append any more."""
         began_s = self._context.timers.now_s()
+        reader = NewestReader(
+            self._context.ports.store, self._context.journal_of(self._pool)
+        )
         while True:
-            newest = await self._context.ports.store.newest(
-                self._context.journal_of(self._pool)
-            )
+            newest = await reader.read()
             if not isinstance(newest, Refusal):
                 break
             self._note_failed_load("journal", newest, began_s)
--- a/libs/standins/src/coltsfootseam/standins/memory_store.py
+++ b/libs/standins/src/coltsfootseam/standins/memory_store.py
@@ -14,7 +14,7 @@
     HistoryGone,
     Holding,
     KeyedRecord,
-    Newest,
+    NewestPage,
     Page,
     Partition,
     StoredRecord,
@@ -24,6 +24,7 @@
 
 _POLL_S = 0.005
 _REMEMBERED_APPENDS = 5
+_PAGE_RECORDS = 500
 
 
 class _WriterState(msgspec.Struct):
@@ -64,6 +65,8 @@
         lose_share: Share of the writes that are done and not answered.
         late_s: Such writes are done this much later.
         answer_s: Time that a call takes.
+        fail_every_page: Each so-manieth page of newest records is cut off;
+            0 for none.
     """
 
     is_down: bool = False
@@ -71,6 +74,7 @@
     lose_share: float = 0.0
     late_s: float = 0.0
     answer_s: float = 0.004
+    fail_every_page: int = 0
 
 
 class MemoryStore:
@@ -79,9 +83,18 @@
     Attributes:
         slots: Partitions of a topic that a group deals.
         appends: How many appends took effect.
+        page_records: Most records on a page of newest ones.
     """
 
-    __slots__ = ("_groups", "_parts", "_random", "appends", "slots", "timers")
+    __slots__ = (
+        "_groups",
+        "_parts",
+        "_random",
+        "appends",
+        "page_records",
+        "slots",
+        "timers",
+    )
 
     def __init__(
         self, timers: TimerService, slots: int = 12, seed: int = 1
@@ -89,6 +102,7 @@
         self.timers = timers
         self.slots = slots
         self.appends = 0
+        self.page_records = _PAGE_RECORDS
         self._parts: dict[Partition, _Part] = {}
         self._groups: dict[str, _Group] = {}
         self._random = random.Random(seed)
@@ -215,7 +229,7 @@
         faults: What goes wrong for this host.
     """
 
-    __slots__ = ("_random", "_store", "_timers", "faults")
+    __slots__ = ("_pages_asked", "_random", "_store", "_timers", "faults")
 
     def __init__(
         self, store: MemoryStore, rng: random.Random, timers: TimerService
@@ -224,6 +238,7 @@
         self._timers = timers
         self._random = rng
         self.faults = StoreFaults()
+        self._pages_asked = 0
 
     async def append(
         self,
@@ -274,18 +289,25 @@
                 return Page(part.end, part.first, part.end, list(records))
             await self._timers.sleep(_POLL_S)
 
-    async def newest(
-        self, partition: Partition, after_key: str = "", limit: int = 0
-    ) -> Newest | Refusal:
-        """Reads the newest record of each key after ``after_key``."""
+    async def newest_page(
+        self, partition: Partition, after_key: str = ""
+    ) -> NewestPage | Refusal:
+        """Reads the newest records of the first keys after ``after_key``."""
+        self._pages_asked += 1
+        every = self.faults.fail_every_page
+        if every and self._pages_asked % every == 0:
+            return Refusal(ResultCode.OUTCOME_PENDING, "page cut off")
         problem = await self._reach()
         if problem is not None:
             return problem
         part = self._store.part(partition)
         keys = sorted(key for key in part.newest_by_key if key > after_key)
-        if limit:
-            keys = keys[:limit]
-        return Newest(part.end, [part.newest_by_key[key] for key in keys])
+        page_keys = keys[: self._store.page_records]
+        return NewestPage(
+            part.end,
+            [part.newest_by_key[key] for key in page_keys],
+            page_keys[-1] if len(page_keys) < len(keys) else None,
+        )
 
     async def join(
         self, group: str, member: str, topic: str, ttl_s: float, generation: int
--- a/libs/store/src/coltsfootseam/store/__init__.py
+++ b/libs/store/src/coltsfootseam/store/__init__.py
@@ -14,11 +14,13 @@
     Holding,
     KeyedRecord,
     Newest,
+    NewestPage,
     Page,
     Partition,
     StoredRecord,
     Writer,
 )
+from coltsfootseam.store.newest import NewestReader
 from coltsfootseam.store.port import Store
 from coltsfootseam.store.tail import Tail
 from coltsfootseam.store.watched import WatchedStore
@@ -35,6 +37,8 @@
     "Membership",
     "MembershipTimes",
     "Newest",
+    "NewestPage",
+    "NewestReader",
     "Page",
     "Partition",
     "Store",
--- a/libs/store/src/coltsfootseam/store/messages.py
+++ b/libs/store/src/coltsfootseam/store/messages.py
@@ -90,6 +90,20 @@
     records: list[StoredRecord]
 
 
+class NewestPage(msgspec.Struct, frozen=True):
+    """Newest records of some keys, in the order of the keys.
+
+    Attributes:
+        end: Offset that the next appended record will get.
+        records: One record a key.
+        next_key: The next page begins after this key, ``None`` on the last.
+    """
+
+    end: int
+    records: list[StoredRecord]
+    next_key: str | None = None
+
+
 class Deal(msgspec.Struct, frozen=True):
     """What a group dealt to a member.
 
--- /dev/null
+++ b/libs/store/src/coltsfootseam/store/newest.py
@@ -0,0 +1,55 @@
+"""Reading the newest record of every key of a partition, page by page."""
+
+from coltsfootseam.results import Refusal
+from coltsfootseam.store.messages import Newest, Partition, StoredRecord
+from coltsfootseam.store.port import Store
+
+
+class NewestReader:
+    """Reads a partition's newest records; a failure costs one page only.
+
+    A partition can be larger than what a narrow link carries between two
+    failures, so that a read which starts over might never come to its end.
+
+    Attributes:
+        pages: How many pages were read so far.
+    """
+
+    __slots__ = (
+        "_after_key",
+        "_end",
+        "_partition",
+        "_records",
+        "_store",
+        "pages",
+    )
+
+    def __init__(self, store: Store, partition: Partition) -> None:
+        self._store = store
+        self._partition = partition
+        self._records: list[StoredRecord] = []
+        self._end = 0
+        self._after_key = ""
+        self.pages = 0
+
+    async def read(self) -> Newest | Refusal:
+        """Reads the pages that are missing.
+
+        Returns:
+            All records, or why the next page could not be read. What was read
+            is kept: a further call goes on there.
+        """
+        while True:
+            page = await self._store.newest_page(
+                self._partition, self._after_key
+            )
+            if isinstance(page, Refusal):
+                return page
+            if not self.pages:
+                # Later pages may miss what was appended since the first one.
+                self._end = page.end
+            self.pages += 1
+            self._records.extend(page.records)
+            if page.next_key is None:
+                return Newest(self._end, self._records)
+            self._after_key = page.next_key
--- a/libs/store/src/coltsfootseam/store/port.py
+++ b/libs/store/src/coltsfootseam/store/port.py
@@ -11,7 +11,7 @@
     HistoryGone,
     Holding,
     KeyedRecord,
-    Newest,
+    NewestPage,
     Page,
     Partition,
     Writer,
@@ -47,15 +47,14 @@
     ) -> Page | HistoryGone | Refusal:
         """Reads records, waiting up to ``wait_s`` for the first one."""
 
-    async def newest(
-        self, partition: Partition, after_key: str = "", limit: int = 0
-    ) -> Newest | Refusal:
-        """Reads the newest record of each key after ``after_key``.
+    async def newest_page(
+        self, partition: Partition, after_key: str = ""
+    ) -> NewestPage | Refusal:
+        """Reads the newest records of the first keys after ``after_key``.
 
         Args:
             partition: Where to read.
             after_key: Keys up to this one are left out.
-            limit: If above 0, stop once so many records were read.
         """
 
     async def join(
--- a/libs/store/src/coltsfootseam/store/tail.py
+++ b/libs/store/src/coltsfootseam/store/tail.py
@@ -10,6 +10,7 @@
     Partition,
     StoredRecord,
 )
+from coltsfootseam.store.newest import NewestReader
 from coltsfootseam.store.port import Store
 from coltsfootseam.timers import TimerService
 
@@ -32,6 +33,7 @@
     """
 
     __slots__ = (
+        "_load_began_s",
         "_next_offset",
         "_offsets_by_key",
         "_on_record",
@@ -39,6 +41,7 @@
         "_partition",
         "_poll_s",
         "_prefix",
+        "_reader",
         "_store",
         "_timers",
         "_wait_s",
@@ -79,18 +82,28 @@
         self._wait_s = wait_s
         self._poll_s = poll_s
         self._next_offset = 0
+        self._reader: NewestReader | None = None
+        self._load_began_s = 0.0
         self._offsets_by_key: dict[str, int] = {}
         self.loaded = False
         self.current_s = float("-inf")
 
     async def load(self) -> Refusal | None:
-        """Reads the newest record of each key and goes on from there."""
-        started_s = self._timers.now_s()
-        newest = await self._store.newest(self._partition)
+        """Reads the newest record of each key and goes on from there.
+
+        Returns:
+            ``None``, or what kept it from reading on. A further call goes on
+            with the page that failed.
+        """
+        if self._reader is None:
+            self._reader = NewestReader(self._store, self._partition)
+            self._load_began_s = self._timers.now_s()
+        newest = await self._reader.read()
         if isinstance(newest, Refusal):
             return newest
+        self._reader = None
         self._take_newest(newest)
-        self.current_s = started_s
+        self.current_s = self._load_began_s
         return None
 
     async def run(self) -> None:
--- a/libs/store/src/coltsfootseam/store/watched.py
+++ b/libs/store/src/coltsfootseam/store/watched.py
@@ -11,7 +11,7 @@
     HistoryGone,
     Holding,
     KeyedRecord,
-    Newest,
+    NewestPage,
     Page,
     Partition,
     Writer,
@@ -60,11 +60,11 @@
             await self._store.read(partition, from_offset, wait_s)
         )
 
-    async def newest(
-        self, partition: Partition, after_key: str = "", limit: int = 0
-    ) -> Newest | Refusal:
-        """Reads the newest record of each key after ``after_key``."""
-        return self._note(await self._store.newest(partition, after_key, limit))
+    async def newest_page(
+        self, partition: Partition, after_key: str = ""
+    ) -> NewestPage | Refusal:
+        """Reads the newest records of the first keys after ``after_key``."""
+        return self._note(await self._store.newest_page(partition, after_key))
 
     async def join(
         self, group: str, member: str, topic: str, ttl_s: float, generation: int
--- /dev/null
+++ b/tests/cover/test_loading.py
@@ -0,0 +1,77 @@
+"""Reading a pool back whose pages don't all arrive."""
+
+import asyncio
+
+from coltsfootseam.jobs import JobState
+from coltsfootseam.standins.memory_store import MemoryStore
+from coltsfootseam.store import Newest, NewestReader, Partition
+from coltsfootseam.timers import VirtualTimers
+from tests.common.fleets import running_fleet
+
+PARTITION = Partition("journal.1", 3)
+
+
+async def read_on(reader: NewestReader, timers: VirtualTimers) -> Newest | None:
+    """Reads until all pages are there, for 100 tries at most."""
+    for _ in range(100):
+        reading = asyncio.ensure_future(reader.read())
+        while not reading.done():
+            await timers.advance(0.01)
+        newest = reading.result()
+        if isinstance(newest, Newest):
+            return newest
+    return None
+
+
+# Guards against LOST after a takeover: a read that starts over at the first
+# page never ends where each page fails now and then.
+async def test_a_read_whose_pages_fail_now_and_then_comes_to_its_end() -> None:
+    timers = VirtualTimers()
+    store = MemoryStore(timers)
+    store.page_records = 2
+    keys = [f"pool/{number:04}" for number in range(20)]
+    for key in keys:
+        store.put(PARTITION, key, b"value")
+    client = store.client()
+    client.faults.fail_every_page = 3
+    newest = await read_on(NewestReader(client, PARTITION), timers)
+    assert newest is not None
+    assert [record.key for record in newest.records] == keys
+    assert newest.end == len(keys)
+
+
+# Guards against LOST after a takeover: records appended while the pages were
+# read must not be passed over by who follows the partition from their end on.
+async def test_the_end_of_a_read_is_that_of_its_first_page() -> None:
+    timers = VirtualTimers()
+    store = MemoryStore(timers)
+    store.page_records = 1
+    store.put(PARTITION, "pool/1", b"value")
+    store.put(PARTITION, "pool/2", b"value")
+    client = store.client()
+    client.faults.fail_every_page = 2
+    reader = NewestReader(client, PARTITION)
+    first_try = asyncio.ensure_future(reader.read())
+    while not first_try.done():
+        await timers.advance(0.01)
+    assert reader.pages == 1
+    store.put(PARTITION, "pool/0", b"value")
+    newest = await read_on(reader, timers)
+    assert newest is not None
+    assert newest.end == 2
+
+
+# Guards against LOST after a takeover: an owner that can't read its pool in
+# one go owned it for ever, and its jobs never ran.
+async def test_a_pool_is_owned_though_pages_fail_now_and_then() -> None:
+    async with running_fleet(hosts=2) as fleet:
+        fleet.store.page_records = 2
+        for number in range(20):
+            await fleet.accept(fleet.hosts[0], f"job-{number:02}")
+        owner = fleet.owner()
+        other = fleet.other()
+        other.store.faults.fail_every_page = 3
+        await owner.kill()
+        await fleet.accept(other, "job-late")
+        await fleet.wait_until(other.owns, limit_s=20.0)
+        await fleet.wait_for_state("job-late", JobState.COMPLETED)
--- a/tests/nocover/test_narrow_links.py
+++ b/tests/nocover/test_narrow_links.py
@@ -7,7 +7,10 @@
 import msgspec
 from aiohttp import web
 
+from coltsfootseam.adapter.store import StoreClient
 from coltsfootseam.calls.http import HttpLine, NoReply, Reply
+from coltsfootseam.store import NewestPage, Partition
+from coltsfootseam.timers import LoopTimers
 from tests.common.wire import serving
 
 ADDRESS = "127.135.77.1:9100"
@@ -58,6 +61,17 @@
     return app
 
 
+# Guards against LOST after a takeover: a page that takes 1.6 s on a narrow
+# link was cut off after 1.2 s each time, so the owner never read its pool.
+async def test_a_page_that_keeps_coming_is_not_cut_off() -> None:
+    store = StoreClient(ADDRESS, LoopTimers())
+    async with serving(application(), ADDRESS):
+        page = await store.newest_page(Partition("inbox.1"))
+        await store.close()
+    assert isinstance(page, NewestPage)
+    assert len(page.records) == 100
+
+
 # Guards against LOST after a takeover: a silent call beside a large answer
 # closed the connection under it.
 async def test_a_silent_call_does_not_cut_off_a_large_answer() -> None:
