Leave hosts out of the dealing that larger ones can do without

Cause: the group deals duties evenly over unequal entry hosts. Besides, the group lists the holders of 12 slots among 29 hosts, so owners without a slot were not found after a deal and lost their duties.

Change: a member's name tells its capacity. A host stands by, outside the group, while two or more members of twice its capacity have room for all duties, and joins when two readings say otherwise. Hosts that stand by make themselves known to members, which ask them when the store is silent, so that members that are cut off together notice it.

Failed before: a deal anew moved pools to small hosts, a small host that was first kept its pools, owners changed over an outage of the store.

--- a/daemons/manager/src/coltsfootseam/manager/context.py
+++ b/daemons/manager/src/coltsfootseam/manager/context.py
@@ -109,6 +109,7 @@
         counters: Counters.
         times: Lengths and periods.
         policies: Which policies decide.
+        millicores: Processor capacity of this host, 0 if that isn't known.
     """
 
     host_id: str
@@ -122,6 +123,7 @@
     counters: Counters
     times: Times
     policies: Policies = Policies()
+    millicores: int = 0
 
     def inbox_of(self, pool: str) -> Partition:
         """Returns the partition that holds a pool's requests and cancels."""
--- a/daemons/manager/src/coltsfootseam/manager/duties.py
+++ b/daemons/manager/src/coltsfootseam/manager/duties.py
@@ -1,6 +1,8 @@
 """Which duty belongs to which entry host."""
 
 from coltsfootseam.jobs import Configuration
+from coltsfootseam.manager.members import address_of_member
+from coltsfootseam.manager.standby import Standby
 from coltsfootseam.store import Membership
 
 FLEET_DUTY = "fleet"
@@ -44,10 +46,13 @@
 class Directory:
     """Finds the host that holds a duty."""
 
-    __slots__ = ("_membership", "_slots", "_slots_by_duty")
+    __slots__ = ("_membership", "_slots", "_slots_by_duty", "_standby")
 
-    def __init__(self, membership: Membership, slots: int) -> None:
+    def __init__(
+        self, membership: Membership, standby: Standby, slots: int
+    ) -> None:
         self._membership = membership
+        self._standby = standby
         self._slots = slots
         self._slots_by_duty: dict[str, int] = {}
 
@@ -80,21 +85,19 @@
         return None if member is None else address_of_member(member)
 
     def peer_addresses(self) -> list[str]:
-        """Returns the addresses of all other members, as last heard."""
+        """Returns the addresses of all other members, as last heard.
+
+        While the store is silent, hosts that stand by come first: the members
+        may be cut off from it as well, and those that stood by have become
+        their successors.
+        """
         members = set(self._membership.members_by_number.values())
         members.discard(self._membership.member)
-        return sorted(address_of_member(member) for member in members)
+        addresses = sorted(address_of_member(member) for member in members)
+        if self._membership.is_silent():
+            return [*self._standby.addresses(), *addresses]
+        return addresses
 
     def look_again(self) -> None:
         """Has the holders read again, as one of them looks wrong."""
         self._membership.want_holdings()
-
-
-def member_name(address: str, incarnation: str) -> str:
-    """Returns the name under which a process joins the group."""
-    return f"{address}/{incarnation}"
-
-
-def address_of_member(member: str) -> str:
-    """Returns the address for peers that a member's name holds."""
-    return member.split("/", 1)[0]
--- a/daemons/manager/src/coltsfootseam/manager/manager.py
+++ b/daemons/manager/src/coltsfootseam/manager/manager.py
@@ -9,12 +9,14 @@
 
 from coltsfootseam.calls import Handler, Method, serving_calls
 from coltsfootseam.manager.context import Context
-from coltsfootseam.manager.duties import Directory, member_name
+from coltsfootseam.manager.duties import Directory
 from coltsfootseam.manager.duty_keeper import DutyKeeper
 from coltsfootseam.manager.job_service import JobService
 from coltsfootseam.manager.knowledge import Knowledge
 from coltsfootseam.manager.locator import Locator
+from coltsfootseam.manager.members import member_name
 from coltsfootseam.manager.peer_calls import PeerCalls
+from coltsfootseam.manager.standby import Standby
 from coltsfootseam.manager.status import StatusPage
 from coltsfootseam.store import Membership, MembershipTimes
 
@@ -31,6 +33,7 @@
         context: What all parts share.
         knowledge: Configuration, waves and workers.
         membership: This host's place in the group.
+        standby: Whether it stands by, and which others do.
         duties: The duties that it holds.
         jobs: What callers are answered.
         status: What operators are shown.
@@ -40,6 +43,7 @@
     context: Context
     knowledge: Knowledge
     membership: Membership
+    standby: Standby
     duties: DutyKeeper
     jobs: JobService
     status: StatusPage
@@ -73,12 +77,14 @@
     knowledge = manager.knowledge
     membership = manager.membership
     duties = manager.duties
-    peer_calls = PeerCalls(context, duties, membership)
+    standby = manager.standby
+    peer_calls = PeerCalls(context, duties, membership, standby)
     async with serving(context.address, peer_calls.handlers()):
         with _running(
             knowledge.run(),
             membership.run(),
             membership.run_holdings(),
+            standby.run(),
             duties.run(),
         ):
             try:
@@ -103,11 +109,13 @@
     membership = Membership(
         context.ports.store,
         context.timers,
-        member_name(context.address, context.incarnation),
+        member_name(context.address, context.incarnation, context.millicores),
         lambda: duties.follow_deal(),
         times,
+        lambda: standby.is_spare(len(directory.all_duties())),
     )
-    directory = Directory(membership, context.duty_slots)
+    standby = Standby(context, membership)
+    directory = Directory(membership, standby, context.duty_slots)
     locator = Locator(context, directory)
     duties = DutyKeeper(context, knowledge, membership, directory, locator)
     jobs = JobService(context, knowledge, directory, locator, membership)
@@ -119,4 +127,6 @@
         duties.follow_deal()
 
     knowledge.listen(on_configuration)
-    return Manager(context, knowledge, membership, duties, jobs, status)
+    return Manager(
+        context, knowledge, membership, standby, duties, jobs, status
+    )
--- /dev/null
+++ b/daemons/manager/src/coltsfootseam/manager/members.py
@@ -0,0 +1,26 @@
+"""What the name says under which a process is a member of the group.
+
+The group lists nothing of a member but its name, so the name carries what the
+other hosts have to know: where to call it and what it can bear.
+"""
+
+_SEPARATOR = "/"
+_PARTS = 3
+
+
+def member_name(address: str, incarnation: str, millicores: int) -> str:
+    """Returns the name under which a process joins the group."""
+    return _SEPARATOR.join((address, incarnation, str(millicores)))
+
+
+def address_of_member(member: str) -> str:
+    """Returns the address for peers that a member's name holds."""
+    return member.split(_SEPARATOR, 1)[0]
+
+
+def millicores_of_member(member: str) -> int:
+    """Returns a member's capacity, 0 if its name doesn't tell."""
+    parts = member.split(_SEPARATOR)
+    if len(parts) != _PARTS or not parts[-1].isdecimal():
+        return 0
+    return int(parts[-1])
--- a/daemons/manager/src/coltsfootseam/manager/peer_calls.py
+++ b/daemons/manager/src/coltsfootseam/manager/peer_calls.py
@@ -25,6 +25,7 @@
 from coltsfootseam.manager.context import Context
 from coltsfootseam.manager.duty_keeper import DutyKeeper
 from coltsfootseam.manager.pool_owner import PoolOwner
+from coltsfootseam.manager.standby import Standby
 from coltsfootseam.results import Refusal, ResultCode
 from coltsfootseam.store import KeyedRecord, Membership
 
@@ -35,12 +36,17 @@
 class PeerCalls:
     """Answers calls of other entry hosts."""
 
-    __slots__ = ("_context", "_duties", "_membership")
+    __slots__ = ("_context", "_duties", "_membership", "_standby")
 
     def __init__(
-        self, context: Context, duties: DutyKeeper, membership: Membership
+        self,
+        context: Context,
+        duties: DutyKeeper,
+        membership: Membership,
+        standby: Standby,
     ) -> None:
         self._context = context
+        self._standby = standby
         self._duties = duties
         self._membership = membership
 
@@ -88,7 +94,8 @@
 
     async def ask_reach(self, question: ReachQuestion) -> ReachReply:
         """Tells when the store last answered this host."""
-        del question
+        if question.standby_address:
+            self._standby.note(question.standby_address)
         silence_s = self._context.ports.store.silence_s()
         return ReachReply(min(silence_s, _LONGEST_SILENCE_S))
 
--- a/libs/calls/src/coltsfootseam/calls/messages.py
+++ b/libs/calls/src/coltsfootseam/calls/messages.py
@@ -73,7 +73,13 @@
 
 
 class ReachQuestion(msgspec.Struct, frozen=True, array_like=True):
-    """Asks whether a peer reaches the store."""
+    """Asks whether a peer reaches the store.
+
+    Attributes:
+        standby_address: Where the asking host is called, if it stands by.
+    """
+
+    standby_address: str = ""
 
 
 class ReachReply(msgspec.Struct, frozen=True, array_like=True):
--- a/libs/standins/src/coltsfootseam/standins/memory_store.py
+++ b/libs/standins/src/coltsfootseam/standins/memory_store.py
@@ -183,6 +183,12 @@
         found.members = [item for item in found.members if item.name != member]
         found.generation += 1
 
+    def deal_anew(self, group: str) -> None:
+        """Deals all partitions to others, which no member asked for."""
+        found = self._groups[group]
+        found.members = [*found.members[1:], found.members[0]]
+        found.generation += 1
+
     def do_holdings(self, group: str) -> list[Holding]:
         """Tells who holds what."""
         found = self._groups.setdefault(group, _Group())
--- a/libs/store/src/coltsfootseam/store/membership.py
+++ b/libs/store/src/coltsfootseam/store/membership.py
@@ -12,6 +12,12 @@
 GROUP = "duties"
 TOPIC = "duties"
 
+_READINGS_FOR_CHANGE = 2
+"""Readings in a row that have to speak for joining or for standing by.
+
+When the store returns, members are missing for a moment.
+"""
+
 
 class MembershipTimes(msgspec.Struct, frozen=True):
     """Periods of a member, in seconds.
@@ -20,29 +26,39 @@
         ttl_s: Silence after which the store takes the partitions away.
         join_s: Pause between two joins.
         holdings_s: Pause between two readings of who holds what.
+        standby_s: Pause between them for a host that stands by; from the
+            readings alone it learns that it is needed.
     """
 
     ttl_s: float = 1.0
     join_s: float = 0.3
     holdings_s: float = 1.0
+    standby_s: float = 0.6
 
 
 class Membership:
     """Stays in the group and knows what was dealt to whom.
 
+    A host that the others can spare stands by: it leaves the group, so that
+    nothing is dealt to it, and joins as soon as it is needed.
+
     Attributes:
         member: This member's name; it holds the address for peers.
         deal: What this member holds, ``None`` while that isn't known.
         members_by_number: Which member holds which partition, as last read.
+        is_standby: Whether the host stands by.
     """
 
     __slots__ = (
+        "_is_spare",
         "_on_change",
+        "_readings_for_change",
         "_store",
         "_timers",
         "_times",
         "_wants_holdings",
         "deal",
+        "is_standby",
         "leaving",
         "member",
         "members_by_number",
@@ -55,12 +71,27 @@
         member: str,
         on_change: Callable[[], None],
         times: MembershipTimes,
+        is_spare: Callable[[], bool] = lambda: False,
     ) -> None:
+        """Makes a member that hasn't joined yet.
+
+        Args:
+            store: The store that deals.
+            timers: Time.
+            member: The name to join under.
+            on_change: Called when another deal came or was given back.
+            times: Periods.
+            is_spare: Tells whether those who hold something, as last read,
+                can do without this host.
+        """
         self._store = store
         self._timers = timers
         self._on_change = on_change
         self._times = times
+        self._is_spare = is_spare
+        self._readings_for_change = 0
         self._wants_holdings = True
+        self.is_standby = False
         self.member = member
         self.deal: Deal | None = None
         self.members_by_number: dict[int, str] = {}
@@ -75,8 +106,14 @@
 
     async def run(self) -> None:
         """Renews the membership until it is cancelled."""
+        await self.read_holdings()
+        self.is_standby = self._is_spare()
+        self._readings_for_change = 0
         while not self.leaving:
-            await self.renew()
+            if self._readings_for_change >= _READINGS_FOR_CHANGE:
+                await self._change_sides()
+            if not self.is_standby:
+                await self.renew()
             await self._timers.sleep(self._times.join_s)
 
     async def renew(self) -> None:
@@ -96,10 +133,11 @@
         """Keeps ``members_by_number`` current until it is cancelled."""
         while True:
             await self.read_holdings()
-            pause_s = self._times.holdings_s
+            times = self._times
+            pause_s = times.standby_s if self.is_standby else times.holdings_s
             while pause_s > 0 and not self._wants_holdings:
-                await self._timers.sleep(self._times.join_s)
-                pause_s -= self._times.join_s
+                await self._timers.sleep(times.join_s)
+                pause_s -= times.join_s
 
     async def read_holdings(self) -> None:
         """Reads who holds what; a refusal keeps what was known."""
@@ -109,6 +147,7 @@
             await self._timers.sleep(self._times.join_s)
             return
         self.members_by_number = _by_number(result)
+        self._note_need()
 
     def want_holdings(self) -> None:
         """Has the holders read again soon, as one of them looks wrong."""
@@ -120,6 +159,25 @@
         self.deal = None
         await self._store.leave(GROUP, self.member)
 
+    def _note_need(self) -> None:
+        """Counts the readings that speak against how things are."""
+        if self._is_spare() == self.is_standby:
+            self._readings_for_change = 0
+            return
+        self._readings_for_change += 1
+        if self.is_standby:
+            self._wants_holdings = True
+
+    async def _change_sides(self) -> None:
+        """Stands by, or takes part again with the next join."""
+        self._readings_for_change = 0
+        self.is_standby = not self.is_standby
+        if self.is_standby:
+            self.deal = None
+            self._on_change()
+            # Where the answer is lost, the group forgets this member by TTL.
+            await self._store.leave(GROUP, self.member)
+
 
 def _by_number(holdings: list[Holding]) -> dict[int, str]:
     return {holding.number: holding.member for holding in holdings}
--- a/tests/common/fleets.py
+++ b/tests/common/fleets.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Callable, Coroutine
+from collections.abc import AsyncIterator, Callable, Coroutine, Sequence
 from typing import Any, TypeVar
 
 import msgspec
@@ -113,8 +113,11 @@
 class Host:
     """One entry host of the deployment."""
 
-    def __init__(self, fleet: "Fleet", number: int) -> None:
+    def __init__(
+        self, fleet: "Fleet", number: int, millicores: int = 0
+    ) -> None:
         self.fleet = fleet
+        self.millicores = millicores
         self.host_id = f"entry-{number}"
         self.address = f"10.0.0.{number}:7000"
         self.timers = HostTimers(fleet.timers)
@@ -163,6 +166,7 @@
             log=DecisionLog(self.timers, self.host_id),
             counters=Counters(),
             times=fleet.times,
+            millicores=self.millicores,
         )
         async with running_manager(
             context, MembershipTimes(), fleet.peers.serving
@@ -239,9 +243,9 @@
             WORKERS, entry.instance_id, msgspec.msgpack.encode(entry)
         )
 
-    def add_host(self) -> Host:
+    def add_host(self, millicores: int = 0) -> Host:
         """Adds and starts an entry host."""
-        host = Host(self, len(self.hosts) + 1)
+        host = Host(self, len(self.hosts) + 1, millicores)
         self.hosts.append(host)
         host.start()
         return host
@@ -344,14 +348,22 @@
     hosts: int = 2,
     workers: int = 3,
     duration_of: Callable[[TaskId], float] = lambda task: 0.5,
+    millicores: Sequence[int] = (),
 ) -> AsyncIterator[Fleet]:
-    """Yields a deployment whose pool is owned; checks it at the end."""
+    """Yields a deployment whose pool is owned; checks it at the end.
+
+    Args:
+        hosts: How many entry hosts there are.
+        workers: How many workers the pool has.
+        duration_of: How long a task runs, in seconds.
+        millicores: Capacity of each entry host, in place of ``hosts``.
+    """
     fleet = Fleet(VirtualTimers(), duration_of)
     fleet.configure()
     for number in range(1, workers + 1):
         fleet.add_worker(number)
-    for _ in range(hosts):
-        fleet.add_host()
+    for capacity in millicores or [0] * hosts:
+        fleet.add_host(capacity)
     await fleet.wait_until(
         lambda: (
             any(host.owns() for host in fleet.hosts)
--- a/tests/cover/test_adapter.py
+++ b/tests/cover/test_adapter.py
@@ -230,6 +230,18 @@
     assert isinstance(boot, Boot)
     assert boot.peers == "10.1.0.9:7060"
     assert boot.times.stop_s == 0.4
+    assert boot.millicores == 0
+
+
+# Owners are chosen by it; a wrong figure would leave a strong host out.
+def test_a_host_s_capacity_is_its_share_of_cores(
+    tmp_path: pathlib.Path,
+) -> None:
+    path = tmp_path / "boot.yaml"
+    path.write_text(BOOT + "limits: {cpu_share: 0.717, cores: 3, max_fds: 9}\n")
+    boot = load_boot(str(path))
+    assert isinstance(boot, Boot)
+    assert boot.millicores == 2151
 
 
 @pytest.mark.parametrize(
--- /dev/null
+++ b/tests/cover/test_standby.py
@@ -0,0 +1,183 @@
+"""Duties go to the more capable hosts, and to the others when need be."""
+
+import pytest
+
+from coltsfootseam.manager.members import (
+    address_of_member,
+    member_name,
+    millicores_of_member,
+)
+from coltsfootseam.manager.standby import is_spare
+from coltsfootseam.timers import VirtualTimers
+from tests.common.fleets import Fleet, Host, running_fleet
+
+WEAK = 500
+STRONG = 2000
+
+
+def is_strong(host: Host) -> bool:
+    return host.millicores >= STRONG
+
+
+def members(fleet: Fleet) -> set[str]:
+    holdings = fleet.store.do_holdings("duties")
+    return {address_of_member(holding.member) for holding in holdings}
+
+
+def addresses(fleet: Fleet, millicores: int) -> set[str]:
+    return {
+        host.address
+        for host in fleet.hosts
+        if host.manager is not None and host.millicores == millicores
+    }
+
+
+# A deal anew gave pools to hosts that couldn't keep up with them.
+async def test_a_deal_anew_leaves_pools_with_the_capable_hosts() -> None:
+    capacities = [WEAK, STRONG, WEAK, STRONG, WEAK, WEAK] * 3
+    async with running_fleet(millicores=capacities) as fleet:
+        await fleet.timers.advance(4.0)
+        owner = fleet.owner()
+        assert is_strong(owner)
+        for _ in range(5):
+            fleet.store.deal_anew("duties")
+            await fleet.timers.advance(2.0)
+            assert fleet.owner() is owner
+        assert members(fleet) == addresses(fleet, STRONG)
+
+
+# After a loss of power the weak hosts may be the first that are up again.
+async def test_a_weak_host_that_was_first_hands_its_pools_over() -> None:
+    async with running_fleet(millicores=[WEAK] * 3) as fleet:
+        assert not is_strong(fleet.owner())
+        await fleet.accept(fleet.hosts[0], "0000000000000001")
+        for _ in range(2):
+            fleet.add_host(STRONG)
+        await fleet.wait_until(
+            lambda: any(host.owns() and is_strong(host) for host in fleet.hosts)
+        )
+        await fleet.timers.advance(1.0)
+        assert sum(host.owns() for host in fleet.hosts) == 1
+        await fleet.accept(fleet.hosts[1], "0000000000000002")
+        assert members(fleet) == addresses(fleet, STRONG)
+
+
+# Hosts that stand by must not sleep through the loss of those that work.
+async def test_weak_hosts_take_over_when_all_strong_ones_are_lost() -> None:
+    capacities = [STRONG, STRONG, WEAK, WEAK, WEAK]
+    async with running_fleet(millicores=capacities) as fleet:
+        await fleet.timers.advance(4.0)
+        assert is_strong(fleet.owner())
+        for host in fleet.hosts[:2]:
+            await host.kill()
+        took_s = await fleet.wait_until(
+            lambda: any(host.owns() for host in fleet.hosts)
+        )
+        assert took_s < 2.5
+        await fleet.accept(fleet.hosts[3], "0000000000000001")
+
+
+# One strong host alone would bear more than the weak ones side by side.
+async def test_weak_hosts_take_part_beside_a_lone_strong_one() -> None:
+    capacities = [STRONG, WEAK, WEAK, WEAK]
+    async with running_fleet(millicores=capacities) as fleet:
+        await fleet.timers.advance(4.0)
+        assert len(members(fleet)) == len(capacities)
+
+
+# Leaving hosts out by small differences would lose their capacity.
+@pytest.mark.parametrize(
+    "capacities", [[0] * 4, [WEAK] * 4, [500, 537, 600, 900]]
+)
+async def test_all_of_about_equal_hosts_take_part(
+    capacities: list[int],
+) -> None:
+    async with running_fleet(millicores=capacities) as fleet:
+        await fleet.timers.advance(4.0)
+        assert len(members(fleet)) == len(capacities)
+
+
+# All members cut off together took the store to be down for all, and kept
+# extending leases beside their successors.
+async def test_owners_cut_off_together_hear_it_from_hosts_that_stand_by() -> (
+    None
+):
+    capacities = [STRONG, STRONG, WEAK, WEAK, WEAK]
+    async with running_fleet(millicores=capacities) as fleet:
+        await fleet.timers.advance(6.0)
+        strong, weak = fleet.hosts[:2], fleet.hosts[2:]
+        assert is_strong(fleet.owner())
+        for host in strong:
+            host.store.faults.is_silent = True
+        took_s = await fleet.wait_until(
+            lambda: not any(host.owns() for host in strong)
+        )
+        assert took_s < 4.0
+        await fleet.wait_until(lambda: any(host.owns() for host in weak))
+        await fleet.accept(fleet.hosts[3], "0000000000000001")
+
+
+# A caller of a host that is cut off along with all members was refused.
+async def test_a_host_cut_off_with_all_members_relays_through_others() -> None:
+    capacities = [STRONG, STRONG, WEAK, WEAK, WEAK]
+    async with running_fleet(millicores=capacities) as fleet:
+        await fleet.timers.advance(6.0)
+        for host in fleet.hosts[:2]:
+            host.store.faults.is_down = True
+        await fleet.timers.advance(2.0)
+        await fleet.accept(fleet.hosts[0], "0000000000000001")
+
+
+# An outage of the store ends all memberships; it is no loss of hosts.
+async def test_owners_stay_over_an_outage_of_the_store() -> None:
+    capacities = [STRONG, STRONG, WEAK, WEAK, WEAK]
+    async with running_fleet(millicores=capacities) as fleet:
+        await fleet.timers.advance(6.0)
+        owner = fleet.owner()
+        for host in fleet.hosts:
+            host.store.faults.is_down = True
+        await fleet.timers.advance(5.0)
+        for host in fleet.hosts:
+            host.store.faults.is_down = False
+        await fleet.timers.advance(5.0)
+        assert fleet.owner() is owner
+
+
+# A process of an older version doesn't tell its capacity.
+def test_a_member_s_name_tells_its_address_and_capacity() -> None:
+    name = member_name("10.0.0.1:7000", "a1", 2151)
+    assert address_of_member(name) == "10.0.0.1:7000"
+    assert millicores_of_member(name) == 2151
+    assert millicores_of_member("10.0.0.1:7000/a1") == 0
+
+
+# Too few strong hosts would carry more than their share.
+@pytest.mark.parametrize(
+    ("members_millicores", "duties", "expected"),
+    [
+        ([2151] * 8, 6, True),
+        ([2151] * 2, 6, True),
+        ([2151] * 2, 9, False),
+        ([20_000], 6, False),
+        ([600] * 8, 6, False),
+        ([0] * 8, 6, False),
+        ([], 0, False),
+    ],
+)
+def test_a_host_is_spare_if_stronger_ones_have_room_for_all_duties(
+    members_millicores: list[int], duties: int, expected: bool
+) -> None:
+    assert is_spare(516, members_millicores, duties) is expected
+    assert not is_spare(0, members_millicores, duties)
+
+
+async def test_a_frozen_host_that_stood_by_joins_when_it_is_needed() -> None:
+    async with running_fleet(millicores=[STRONG, STRONG, WEAK]) as fleet:
+        await fleet.timers.advance(4.0)
+        assert isinstance(fleet.timers, VirtualTimers)
+        fleet.hosts[2].timers.is_frozen = True
+        for host in fleet.hosts[:2]:
+            await host.kill()
+        await fleet.timers.advance(3.0)
+        fleet.hosts[2].timers.thaw()
+        await fleet.wait_until(fleet.hosts[2].owns, limit_s=5.0)
