Let the fleet's view tell demands, idle and empty workers, for manager and model

Cause: MachineRounds and the model of the fleet each gathered the pools' replies into empty workers, idle workers and demands; the model's copy of the demand had already lost the labels that waiting tasks ask for.

Change: FleetView.empty_workers, idle_workers and demands; MachineRounds and FleetModel ask them. The manager decides as before. The model now hands the labels on; its machines have none, so its choices do not change.

--- a/daemons/manager/src/coltsfootseam/manager/fleet_view.py
+++ b/daemons/manager/src/coltsfootseam/manager/fleet_view.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from coltsfootseam.calls import VacateReply
+from coltsfootseam.scheduling import PoolDemand
 from coltsfootseam.workers import Machine, WorkerEntry
 
 
@@ -21,6 +22,35 @@
     workers_by_instance: dict[str, WorkerEntry] = {}
     standby_pool: str = ""
 
+    def empty_workers(self) -> set[str]:
+        """Returns the workers asked for that run nothing and are closed."""
+        return {
+            worker_id
+            for reply in self.replies_by_pool.values()
+            for worker_id in reply.empty_ids
+        }
+
+    def idle_workers(self) -> set[str]:
+        """Returns all workers that run nothing."""
+        return {
+            worker_id
+            for reply in self.replies_by_pool.values()
+            for worker_id in reply.idle_ids
+        }
+
+    def demands(self) -> list[PoolDemand]:
+        """Returns the demand of each pool whose owner replied."""
+        return [
+            PoolDemand(
+                pool,
+                reply.waiting_cores,
+                reply.used_cores,
+                reply.worker_limit,
+                frozenset(reply.waiting_labels),
+            )
+            for pool, reply in self.replies_by_pool.items()
+        ]
+
     def worker_of(self, machine_id: str) -> str | None:
         """Returns the life of the worker on a machine, if it has one."""
         machine = self.machines_by_id.get(machine_id)
--- a/daemons/manager/src/coltsfootseam/manager/machine_rounds.py
+++ b/daemons/manager/src/coltsfootseam/manager/machine_rounds.py
@@ -191,11 +191,7 @@
 
     def _free_ids(self) -> set[str]:
         """Returns machines that are off, or run nothing and are closed."""
-        empty_workers = {
-            worker_id
-            for reply in self._view.replies_by_pool.values()
-            for worker_id in reply.empty_ids
-        }
+        empty_workers = self._view.empty_workers()
         return {
             machine.machine_id
             for machine in self._view.machines_by_id.values()
@@ -208,11 +204,7 @@
 
     def _note_idle(self) -> None:
         now_s = self._context.timers.now_s()
-        idle_workers = {
-            worker_id
-            for reply in self._view.replies_by_pool.values()
-            for worker_id in reply.idle_ids
-        }
+        idle_workers = self._view.idle_workers()
         for machine_id in self._view.machines_by_id:
             if self._view.worker_of(machine_id) in idle_workers:
                 self._idle_since_s_by_id.setdefault(machine_id, now_s)
@@ -221,16 +213,7 @@
 
     def _demands(self) -> list[PoolDemand]:
         now_s = self._context.timers.now_s()
-        demands = [
-            PoolDemand(
-                pool,
-                reply.waiting_cores,
-                reply.used_cores,
-                reply.worker_limit,
-                frozenset(reply.waiting_labels),
-            )
-            for pool, reply in self._view.replies_by_pool.items()
-        ]
+        demands = self._view.demands()
         for demand in demands:
             self._history.add(demand, now_s)
             self._context.log.write(
--- a/libs/testbed/src/coltsfootseam/testbed/model/fleet.py
+++ b/libs/testbed/src/coltsfootseam/testbed/model/fleet.py
@@ -2,8 +2,9 @@
 
 import msgspec
 
-from coltsfootseam.calls import VacateReply, VacateRequest
+from coltsfootseam.calls import VacateRequest
 from coltsfootseam.jobs import Configuration, Pool, Queue, Step
+from coltsfootseam.manager.fleet_view import FleetView
 from coltsfootseam.manager.knowledge import Knowledge
 from coltsfootseam.scheduling import (
     DemandHistory,
@@ -177,29 +178,24 @@
 
     def _play_fleet_round(self) -> None:
         rules = self._context.policies.pools
-        replies = self._ask_pools()
-        self._note_idle(replies)
-        demands = self._demands(replies)
+        view = self._ask_pools()
+        self._note_idle(view)
+        demands = self._demands(view)
         supplies = self._supplies()
         moves = plan_moves(demands, self._history, supplies, STANDBY, rules)
         self._spare_by_pool = spare_counts(
             demands, self._history, supplies, rules
         )
         self._wanted_ids = {move.machine_id for move in moves}
-        replies = self._ask_pools()
-        empty_ids = {
-            worker_id
-            for reply in replies.values()
-            for worker_id in reply.empty_ids
-        }
+        empty_workers = self._ask_pools().empty_workers()
         for move in moves:
             machine = self._machines_by_id[move.machine_id]
             worker_id = machine.worker.entry.worker_id
-            if machine.pool == STANDBY or worker_id in empty_ids:
+            if machine.pool == STANDBY or worker_id in empty_workers:
                 self._move(machine, move.pool)
         self._wanted_ids = set()
 
-    def _ask_pools(self) -> dict[str, VacateReply]:
+    def _ask_pools(self) -> FleetView:
         replies = {}
         for name, pool in self._pools.items():
             worker_ids = [
@@ -210,41 +206,33 @@
             ]
             spare = self._spare_by_pool.get(name, 0)
             replies[name] = pool.ask(VacateRequest(name, worker_ids, [], spare))
-        return replies
+        return FleetView(replies_by_pool=replies)
 
-    def _note_idle(self, replies: dict[str, VacateReply]) -> None:
-        idle = {
-            worker_id
-            for reply in replies.values()
-            for worker_id in reply.idle_ids
-        }
+    def _note_idle(self, view: FleetView) -> None:
+        idle_workers = view.idle_workers()
         now_s = self.now_s()
         for machine in self._machines_by_id.values():
-            if machine.worker.entry.worker_id not in idle:
+            if machine.worker.entry.worker_id not in idle_workers:
                 machine.idle_since_s = None
             elif machine.idle_since_s is None:
                 machine.idle_since_s = now_s
 
-    def _demands(self, replies: dict[str, VacateReply]) -> list[PoolDemand]:
+    def _demands(self, view: FleetView) -> list[PoolDemand]:
         now_s = self.now_s()
-        demands = []
-        for pool, reply in replies.items():
-            demand = PoolDemand(
-                pool, reply.waiting_cores, reply.used_cores, reply.worker_limit
-            )
+        demands = view.demands()
+        for demand in demands:
             self._history.add(demand, now_s)
-            demands.append(demand)
             machines = sum(
                 1
                 for machine in self._machines_by_id.values()
-                if machine.pool == pool
+                if machine.pool == demand.pool
             )
             self.samples.append(
                 Sample(
                     now_s,
-                    pool,
-                    reply.used_cores,
-                    reply.waiting_cores,
+                    demand.pool,
+                    demand.used_cores,
+                    demand.waiting_cores,
                     machines,
                 )
             )
