Remember since when machines are idle in one place, for manager and model

Cause: MachineRounds and the model of the fleet each kept the time since when a machine runs nothing. The manager's copy also kept the times of machines that were no longer listed: such an entry stayed for ever, and if the machine came back the time of its absence counted as idle, so that it could go on standby at once.

Change: IdleTimes in libs/scheduling, used by both. Mended with it: a machine that is not in the listing is forgotten and begins anew. A listing that fails still changes nothing, as the round ends before.

Checked: make lint; tests/cover, 310 passed, two of them new in test_pool_sizes for IdleTimes.

--- a/daemons/manager/src/coltsfootseam/manager/machine_rounds.py
+++ b/daemons/manager/src/coltsfootseam/manager/machine_rounds.py
@@ -14,6 +14,7 @@
 from coltsfootseam.results import Refusal
 from coltsfootseam.scheduling import (
     DemandHistory,
+    IdleTimes,
     MachineSupply,
     Move,
     PoolDemand,
@@ -34,7 +35,7 @@
     __slots__ = (
         "_context",
         "_history",
-        "_idle_since_s_by_id",
+        "_idle_times",
         "_journal",
         "_knowledge",
         "_lives",
@@ -66,7 +67,7 @@
         self._view = FleetView()
         self._wanted_ids: set[str] = set()
         self._spare_by_pool: dict[str, int] = {}
-        self._idle_since_s_by_id: dict[str, float] = {}
+        self._idle_times = IdleTimes()
 
     async def run(self) -> None:
         """Plays rounds until the journal is lost."""
@@ -203,13 +204,13 @@
         }
 
     def _note_idle(self) -> None:
-        now_s = self._context.timers.now_s()
         idle_workers = self._view.idle_workers()
-        for machine_id in self._view.machines_by_id:
-            if self._view.worker_of(machine_id) in idle_workers:
-                self._idle_since_s_by_id.setdefault(machine_id, now_s)
-            else:
-                self._idle_since_s_by_id.pop(machine_id, None)
+        idle_ids = {
+            machine_id
+            for machine_id in self._view.machines_by_id
+            if self._view.worker_of(machine_id) in idle_workers
+        }
+        self._idle_times.note(idle_ids, self._context.timers.now_s())
 
     def _demands(self) -> list[PoolDemand]:
         now_s = self._context.timers.now_s()
@@ -238,10 +239,9 @@
             pool = self._orders.pool_of(machine)
             if pool is None:
                 continue
-            idle_since_s = self._idle_since_s_by_id.get(machine.machine_id)
             is_off = machine.pool == self._view.standby_pool
             is_here = machine.state is MachineState.UP and pool == machine.pool
-            is_idle = is_off or idle_since_s is not None
+            is_idle = is_off or self._idle_times.is_idle(machine.machine_id)
             supplies.append(
                 MachineSupply(
                     machine_id=machine.machine_id,
@@ -251,9 +251,7 @@
                     and is_idle
                     and not self._orders.is_reserved(machine.machine_id)
                     and machine.machine_id not in due,
-                    idle_s=0.0
-                    if idle_since_s is None
-                    else now_s - idle_since_s,
+                    idle_s=self._idle_times.idle_s(machine.machine_id, now_s),
                     labels=frozenset(machine.labels),
                     is_due=self._waves.is_due(machine.machine_id),
                     is_leaving=machine.machine_id in due,
--- a/libs/scheduling/src/coltsfootseam/scheduling/__init__.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/__init__.py
@@ -9,6 +9,7 @@
 from coltsfootseam.scheduling.demand import (
     NEED_RULES,
     DemandHistory,
+    IdleTimes,
     MachineSupply,
     Move,
     NeedRule,
@@ -49,6 +50,7 @@
     "Claim",
     "DemandHistory",
     "DueMachine",
+    "IdleTimes",
     "MachineSupply",
     "Move",
     "NeedRule",
--- a/libs/scheduling/src/coltsfootseam/scheduling/demand.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/demand.py
@@ -154,6 +154,30 @@
         return max(0.0, rate * _FORESIGHT_S)
 
 
+class IdleTimes:
+    """Remembers since when machines have been running nothing."""
+
+    __slots__ = ("_since_s_by_id",)
+
+    def __init__(self) -> None:
+        self._since_s_by_id: dict[str, float] = {}
+
+    def note(self, idle_ids: set[str], now_s: float) -> None:
+        """Takes note of the machines that run nothing now."""
+        self._since_s_by_id = {
+            machine_id: self._since_s_by_id.get(machine_id, now_s)
+            for machine_id in idle_ids
+        }
+
+    def is_idle(self, machine_id: str) -> bool:
+        """Tells whether a machine ran nothing when last noted."""
+        return machine_id in self._since_s_by_id
+
+    def idle_s(self, machine_id: str, now_s: float) -> float:
+        """Returns how long a machine has run nothing, 0 if it is at work."""
+        return now_s - self._since_s_by_id.get(machine_id, now_s)
+
+
 class _Balance(msgspec.Struct):
     pool: str
     need_cores: float
--- a/libs/testbed/src/coltsfootseam/testbed/model/fleet.py
+++ b/libs/testbed/src/coltsfootseam/testbed/model/fleet.py
@@ -8,6 +8,7 @@
 from coltsfootseam.manager.knowledge import Knowledge
 from coltsfootseam.scheduling import (
     DemandHistory,
+    IdleTimes,
     MachineSupply,
     Policies,
     PoolDemand,
@@ -54,6 +55,7 @@
             for pool in plan.pools
         }
         self._history = DemandHistory()
+        self._idle_times = IdleTimes()
         self._machines_by_id: dict[str, ModelMachine] = {}
         self._wanted_ids: set[str] = set()
         self._spare_by_pool: dict[str, int] = {}
@@ -210,12 +212,12 @@
 
     def _note_idle(self, view: FleetView) -> None:
         idle_workers = view.idle_workers()
-        now_s = self.now_s()
-        for machine in self._machines_by_id.values():
-            if machine.worker.entry.worker_id not in idle_workers:
-                machine.idle_since_s = None
-            elif machine.idle_since_s is None:
-                machine.idle_since_s = now_s
+        idle_ids = {
+            machine.machine_id
+            for machine in self._machines_by_id.values()
+            if machine.worker.entry.worker_id in idle_workers
+        }
+        self._idle_times.note(idle_ids, self.now_s())
 
     def _demands(self, view: FleetView) -> list[PoolDemand]:
         now_s = self.now_s()
@@ -247,11 +249,10 @@
                 float(self._plan.cores),
                 is_free=machine.arrives_s is None
                 and (
-                    machine.pool == STANDBY or machine.idle_since_s is not None
+                    machine.pool == STANDBY
+                    or self._idle_times.is_idle(machine.machine_id)
                 ),
-                idle_s=0.0
-                if machine.idle_since_s is None
-                else now_s - machine.idle_since_s,
+                idle_s=self._idle_times.idle_s(machine.machine_id, now_s),
             )
             for machine in self._machines_by_id.values()
         ]
@@ -263,5 +264,4 @@
             )
         self._moves += 1
         machine.pool = pool
-        machine.idle_since_s = None
         machine.arrives_s = self.now_s() + _MOVE_S
--- a/libs/testbed/src/coltsfootseam/testbed/model/machines.py
+++ b/libs/testbed/src/coltsfootseam/testbed/model/machines.py
@@ -44,7 +44,6 @@
         worker: What is true of the worker on it.
         arrives_s: When its move is over, ``None`` if it doesn't move.
         lives: How many lives its worker has had.
-        idle_since_s: Since when it runs nothing, ``None`` if it does.
     """
 
     machine_id: str
@@ -52,7 +51,6 @@
     worker: ModelWorker
     arrives_s: float | None = None
     lives: int = 1
-    idle_since_s: float | None = None
 
 
 def make_machines(plan: ModelPlan) -> list[ModelMachine]:
--- a/tests/cover/test_pool_sizes.py
+++ b/tests/cover/test_pool_sizes.py
@@ -7,6 +7,7 @@
 from coltsfootseam.scheduling import (
     DemandHistory,
     DueMachine,
+    IdleTimes,
     MachineSupply,
     PoolDemand,
     PoolRules,
@@ -142,3 +143,22 @@
     rules = PoolRules(headroom_cores=0.0, least_machines=0)
     moves = plan_moves([demand], DemandHistory(), machines, OFF, rules)
     assert [move.machine_id for move in moves] == ["m-2"]
+
+
+def test_a_machine_is_idle_from_when_it_was_first_seen_idle() -> None:
+    idle_times = IdleTimes()
+    idle_times.note({"m-1"}, 1.0)
+    idle_times.note({"m-1", "m-2"}, 1.4)
+    assert idle_times.idle_s("m-1", 2.0) == 1.0
+    assert idle_times.is_idle("m-2")
+    assert not idle_times.is_idle("m-3")
+    assert idle_times.idle_s("m-3", 2.0) == 0.0
+
+
+def test_a_machine_that_was_not_listed_for_a_while_was_not_idle_then() -> None:
+    idle_times = IdleTimes()
+    idle_times.note({"m-1"}, 1.0)
+    idle_times.note(set(), 1.4)
+    assert not idle_times.is_idle("m-1")
+    idle_times.note({"m-1"}, 9.0)
+    assert idle_times.idle_s("m-1", 9.4) == 9.4 - 9.0
