--- a/libs/scheduling/src/coltsfootseam/scheduling/placement.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/placement.py
@@ -18,7 +18,6 @@
 
 _FAILED_HERE = 1000.0
 _REMOTE = 50.0
-_OTHER_RACK = 50.0
 _SLOW = 20.0
 _EMPTY_WORKER = 1.0
 _ALIKE_ON_RACK = 0.1
