Give one worker in memory a module of its own

Cause: memory_workers.py held the struct of one worker, its runs and its faults beside the calls to all of them.

Change: memory_worker.py has MemoryRun, Violation, WorkerFaults and MemoryWorker, moved as they were, but for two fields that nothing read: begun_s of a run and acknowledged of a worker.

Checked: make lint; tests/cover, 310 passed.

--- /dev/null
+++ b/libs/standins/src/coltsfootseam/standins/memory_worker.py
@@ -0,0 +1,74 @@
+"""One worker in memory: its runs, its ends and what goes wrong there."""
+
+import msgspec
+
+from coltsfootseam.jobs import TaskId
+from coltsfootseam.workers import EndRow, WorkerEntry
+
+_FULL_PERCENT = 100
+_LASTING_S = 1e8
+
+
+class MemoryRun(msgspec.Struct):
+    """A run at work."""
+
+    task: TaskId
+    number: int
+    total_s: float
+    left_s: float
+
+    def progress(self) -> int:
+        """Returns the percent done; a task that lasts is at work at 100."""
+        if self.total_s >= _LASTING_S:
+            return _FULL_PERCENT
+        done_s = self.total_s - self.left_s
+        return int(_FULL_PERCENT * done_s / self.total_s)
+
+    def saved(self) -> str:
+        """Returns its progress as text, to be resumed from."""
+        return f"{self.total_s - self.left_s:.2f}"
+
+
+class Violation(msgspec.Struct, frozen=True):
+    """Something that must not happen, as a worker saw it."""
+
+    rule: str
+    task: TaskId
+    detail: str
+
+
+class WorkerFaults(msgspec.Struct):
+    """What goes wrong at one worker.
+
+    Attributes:
+        is_silent: No call is answered or carried out.
+        fails_all: Every run ends failed at once.
+        hangs: Runs make no progress.
+        slowness: Runs take that many times as long.
+        late_share: Share of starts without an answer, carried out late.
+        late_s: How much later.
+        refused_hosts: Hosts whose calls neither arrive nor are answered.
+    """
+
+    is_silent: bool = False
+    fails_all: bool = False
+    hangs: bool = False
+    slowness: float = 1.0
+    late_share: float = 0.0
+    late_s: float = 3.0
+    refused_hosts: set[str] = set()
+
+
+class MemoryWorker(msgspec.Struct):
+    """One life of a worker."""
+
+    entry: WorkerEntry
+    born_s: float
+    token: int = 0
+    lease_end_ms: float = 0.0
+    runs_by_task: dict[TaskId, MemoryRun] = {}
+    ends: list[EndRow] = []
+    ended_count: int = 0
+    highest_ended: dict[TaskId, int] = {}
+    faults: WorkerFaults = msgspec.field(default_factory=WorkerFaults)
+    is_dead: bool = False
--- a/libs/standins/src/coltsfootseam/standins/memory_workers.py
+++ b/libs/standins/src/coltsfootseam/standins/memory_workers.py
@@ -7,9 +7,12 @@
 import random
 from collections.abc import Callable
 
-import msgspec
-
 from coltsfootseam.jobs import RunEnd, TaskId
+from coltsfootseam.standins.memory_worker import (
+    MemoryRun,
+    MemoryWorker,
+    Violation,
+)
 from coltsfootseam.timers import TimerService
 from coltsfootseam.workers import (
     EndRow,
@@ -25,8 +28,6 @@
 )
 
 _MS_PER_S = 1000
-_FULL_PERCENT = 100
-_LASTING_S = 1e8
 _TICK_S = 0.02
 _ANSWER_S = 0.002
 _TIMEOUT_S = 0.5
@@ -36,71 +37,6 @@
 """Returns how many seconds a task runs; over ``1e8`` for one that lasts."""
 
 
-class _Run(msgspec.Struct):
-    task: TaskId
-    number: int
-    total_s: float
-    left_s: float
-    begun_s: float
-
-    def progress(self) -> int:
-        """Returns the percent done; a task that lasts is at work at 100."""
-        if self.total_s >= _LASTING_S:
-            return _FULL_PERCENT
-        done_s = self.total_s - self.left_s
-        return int(_FULL_PERCENT * done_s / self.total_s)
-
-    def saved(self) -> str:
-        """Returns its progress as text, to be resumed from."""
-        return f"{self.total_s - self.left_s:.2f}"
-
-
-class Violation(msgspec.Struct, frozen=True):
-    """Something that must not happen, as a worker saw it."""
-
-    rule: str
-    task: TaskId
-    detail: str
-
-
-class WorkerFaults(msgspec.Struct):
-    """What goes wrong at one worker.
-
-    Attributes:
-        is_silent: No call is answered or carried out.
-        fails_all: Every run ends failed at once.
-        hangs: Runs make no progress.
-        slowness: Runs take that many times as long.
-        late_share: Share of starts without an answer, carried out late.
-        late_s: How much later.
-        refused_hosts: Hosts whose calls neither arrive nor are answered.
-    """
-
-    is_silent: bool = False
-    fails_all: bool = False
-    hangs: bool = False
-    slowness: float = 1.0
-    late_share: float = 0.0
-    late_s: float = 3.0
-    refused_hosts: set[str] = set()
-
-
-class MemoryWorker(msgspec.Struct):
-    """One life of a worker."""
-
-    entry: WorkerEntry
-    born_s: float
-    token: int = 0
-    lease_end_ms: float = 0.0
-    runs_by_task: dict[TaskId, _Run] = {}
-    ends: list[EndRow] = []
-    ended_count: int = 0
-    acknowledged: int = 0
-    highest_ended: dict[TaskId, int] = {}
-    faults: WorkerFaults = msgspec.field(default_factory=WorkerFaults)
-    is_dead: bool = False
-
-
 class MemoryWorkers:
     """All workers of a deployment.
 
@@ -212,12 +148,11 @@
         self._check_start(worker, order)
         self.starts.append(order)
         total_s = self._duration_of(order.task)
-        worker.runs_by_task[order.task] = _Run(
+        worker.runs_by_task[order.task] = MemoryRun(
             order.task,
             order.number,
             total_s,
             total_s - float(order.checkpoint or 0),
-            self._timers.now_s(),
         )
         return OrderOutcome.DONE
 
@@ -296,7 +231,7 @@
             for run in list(worker.runs_by_task.values()):
                 self._advance(worker, run)
 
-    def _advance(self, worker: MemoryWorker, run: _Run) -> None:
+    def _advance(self, worker: MemoryWorker, run: MemoryRun) -> None:
         if self.clock_ms(worker) > worker.lease_end_ms:
             self._end(worker, run, RunEnd.LAPSED)
             return
@@ -308,7 +243,7 @@
         if run.left_s <= 0:
             self._end(worker, run, RunEnd.DONE)
 
-    def _end(self, worker: MemoryWorker, run: _Run, end: RunEnd) -> None:
+    def _end(self, worker: MemoryWorker, run: MemoryRun, end: RunEnd) -> None:
         del worker.runs_by_task[run.task]
         highest = worker.highest_ended.get(run.task, 0)
         worker.highest_ended[run.task] = max(highest, run.number)
--- a/tests/common/scenarios.py
+++ b/tests/common/scenarios.py
@@ -13,7 +13,7 @@
 
 from coltsfootseam.jobs import JobState, Step
 from coltsfootseam.results import OK, ResultCode
-from coltsfootseam.standins.memory_workers import WorkerFaults
+from coltsfootseam.standins.memory_worker import WorkerFaults
 from tests.common.fleets import Fleet, Host, running_fleet
 
 HOSTS = 3
