Give a duty up that doesn't come to work though the store answers

Cause: a host counts as owner from the moment it begins a duty, so no other takes over, and nothing looks at whether it ever gets to work. Now a duty tells each step of its start (claim, page, all read). One without a step for 5 s while the store answers the host ends with the line duty.stalled, and the host stands by for 10 s, so that its duties are dealt to others. Where no other does better the time doubles each time, up to 40 s. The test failed before: no other host owned the pool within 30 s.

--- a/daemons/manager/src/coltsfootseam/manager/duty_keeper.py
+++ b/daemons/manager/src/coltsfootseam/manager/duty_keeper.py
@@ -16,6 +16,8 @@
 from coltsfootseam.manager.knowledge import Knowledge
 from coltsfootseam.manager.locator import Locator
 from coltsfootseam.manager.pool_owner import PoolOwner
+from coltsfootseam.manager.progress import StartProgress
+from coltsfootseam.manager.standby import Standby
 from coltsfootseam.store import Membership
 
 _CHECK_S = 0.2
@@ -23,10 +25,20 @@
 _HELD_PAUSE_S = 0.5
 _KEEP_S = 10.0
 _RETURN_S = 1.0
+_SILENCE_S = 0.7
+_PATIENCE_S = 5.0
+_MOST_PATIENCE_S = 40.0
+_MS_PER_S = 1000
 
 
 class Duty(Protocol):
-    """A duty that runs until it is cancelled or lost."""
+    """A duty that runs until it is cancelled or lost.
+
+    Attributes:
+        progress: How far it is from its begin to its work.
+    """
+
+    progress: StartProgress
 
     async def run(self) -> None:
         """Does the duty."""
@@ -39,7 +51,8 @@
     one keeps it when the group deals anew, as every change of an owner costs
     those who wait; it gives one up if it holds more than its share. A host
     that alone is cut off from the store gives all duties up, so that the
-    leases it gave out come to an end.
+    leases it gave out come to an end. So does one that can't bring a duty to
+    work though the store answers it, as the others can't tell it from an owner.
 
     Attributes:
         owners_by_pool: Owners of pools that run here.
@@ -51,9 +64,12 @@
         "_context",
         "_directory",
         "_down_for_all_s",
+        "_duties_by_name",
         "_knowledge",
         "_locator",
         "_membership",
+        "_patience_s",
+        "_standby",
         "_takeovers_by_duty",
         "_tasks_by_duty",
         "is_stopping",
@@ -67,12 +83,16 @@
         membership: Membership,
         directory: Directory,
         locator: Locator,
+        standby: Standby,
     ) -> None:
         self._context = context
         self._knowledge = knowledge
         self._membership = membership
         self._directory = directory
         self._locator = locator
+        self._standby = standby
+        self._patience_s = _PATIENCE_S
+        self._duties_by_name: dict[str, Duty] = {}
         self._tasks_by_duty: dict[str, asyncio.Task[None]] = {}
         self._takeovers_by_duty: dict[str, asyncio.Task[None]] = {}
         self._begun_s_by_duty: dict[str, float] = {}
@@ -84,6 +104,7 @@
         """Keeps duties in line with what is dealt until cancelled."""
         while not self.is_stopping:
             await self._check_isolation()
+            self._check_progress()
             self.follow_deal()
             await self._context.timers.sleep(_CHECK_S)
 
@@ -93,6 +114,8 @@
             self._end_everything()
             return
         dealt = self._directory.own_duties()
+        if self._standby.is_set_aside():
+            dealt = set()
         for duty in set(self._takeovers_by_duty) - dealt:
             self._takeovers_by_duty.pop(duty).cancel()
         wanted = dealt - set(self._tasks_by_duty)
@@ -156,6 +179,7 @@
             self.owners_by_pool[pool] = owner
         self._context.log.write("duty.begun", duty=duty)
         self._begun_s_by_duty[duty] = self._context.timers.now_s()
+        self._duties_by_name[duty] = owner
         self._tasks_by_duty[duty] = asyncio.ensure_future(
             self._run_duty(duty, owner)
         )
@@ -181,6 +205,7 @@
     def _forget(self, duty: str) -> None:
         del self._tasks_by_duty[duty]
         self._begun_s_by_duty.pop(duty, None)
+        self._duties_by_name.pop(duty, None)
         pool = pool_of_duty(duty)
         if pool is not None:
             self.owners_by_pool.pop(pool, None)
@@ -192,6 +217,28 @@
         for duty in list(self._tasks_by_duty):
             self._end(duty)
 
+    def _check_progress(self) -> None:
+        """Gives the duties up that don't come to work here.
+
+        Time in which the store does not answer counts for nobody.
+        """
+        if self._context.ports.store.silence_s() > _SILENCE_S:
+            for owner in self._duties_by_name.values():
+                owner.progress.note()
+            return
+        for duty, owner in list(self._duties_by_name.items()):
+            stalled_s = owner.progress.stalled_s()
+            if stalled_s < self._patience_s or self._standby.is_alone():
+                continue
+            self._context.log.write(
+                "duty.stalled", duty=duty, since_ms=round(stalled_s * _MS_PER_S)
+            )
+            self._context.counters.increment("duty.stalled")
+            # Where no host does better, each one tries for longer and longer.
+            self._patience_s = min(2 * self._patience_s, _MOST_PATIENCE_S)
+            self._standby.set_aside()
+            self._end(duty)
+
     async def _check_isolation(self) -> None:
         """Gives all duties up where this host alone lost the store.
 
--- a/daemons/manager/src/coltsfootseam/manager/fleet_owner.py
+++ b/daemons/manager/src/coltsfootseam/manager/fleet_owner.py
@@ -6,12 +6,17 @@
 from coltsfootseam.manager.locator import Locator
 from coltsfootseam.manager.machine_rounds import MachineRounds
 from coltsfootseam.manager.places import FLEET_JOURNAL
+from coltsfootseam.manager.progress import StartProgress
 
 
 class FleetOwner:
-    """Owns the fleet's machines until cancelled or the journal is lost."""
+    """Owns the fleet's machines until cancelled or the journal is lost.
 
-    __slots__ = ("_context", "_knowledge", "_locator")
+    Attributes:
+        progress: How far it is from its begin to its work.
+    """
+
+    __slots__ = ("_context", "_knowledge", "_locator", "progress")
 
     def __init__(
         self, context: Context, knowledge: Knowledge, locator: Locator
@@ -19,11 +24,17 @@
         self._context = context
         self._knowledge = knowledge
         self._locator = locator
+        self.progress = StartProgress(context.timers)
 
     async def run(self) -> None:
         """Claims the fleet and plans its machines."""
         journal = await claim_duty(self._context, FLEET_JOURNAL, "fleet")
+        self.progress.note()
         rounds = MachineRounds(
-            self._context, self._knowledge, self._locator, journal
+            self._context,
+            self._knowledge,
+            self._locator,
+            journal,
+            self.progress,
         )
         await rounds.run()
--- a/daemons/manager/src/coltsfootseam/manager/machine_rounds.py
+++ b/daemons/manager/src/coltsfootseam/manager/machine_rounds.py
@@ -10,6 +10,7 @@
 from coltsfootseam.manager.lives import Lives
 from coltsfootseam.manager.locator import Locator
 from coltsfootseam.manager.machine_orders import MachineOrders
+from coltsfootseam.manager.progress import StartProgress
 from coltsfootseam.manager.waves import Waves
 from coltsfootseam.results import Refusal
 from coltsfootseam.scheduling import (
@@ -41,6 +42,7 @@
         "_lives",
         "_locator",
         "_orders",
+        "_progress",
         "_rules",
         "_spare_by_pool",
         "_view",
@@ -54,11 +56,13 @@
         knowledge: Knowledge,
         locator: Locator,
         journal: Journal,
+        progress: StartProgress,
     ) -> None:
         self._context = context
         self._knowledge = knowledge
         self._locator = locator
         self._journal = journal
+        self._progress = progress
         self._orders = MachineOrders(context, journal)
         self._waves = Waves(context, knowledge, journal, self._orders)
         self._lives = Lives()
@@ -72,10 +76,13 @@
     async def run(self) -> None:
         """Plays rounds until the journal is lost."""
         reader = NewestReader(
-            self._context.ports.store, self._journal.partition
+            self._context.ports.store,
+            self._journal.partition,
+            self._progress.note,
         )
         while not await self._restore(reader):
             await self._context.timers.sleep(_ROUND_S)
+        self._progress.is_at_work = True
         while not self._journal.lost:
             await self.play()
             await self._context.timers.sleep(_ROUND_S)
--- a/daemons/manager/src/coltsfootseam/manager/manager.py
+++ b/daemons/manager/src/coltsfootseam/manager/manager.py
@@ -117,7 +117,9 @@
     standby = Standby(context, membership)
     directory = Directory(membership, standby, context.duty_slots)
     locator = Locator(context, directory)
-    duties = DutyKeeper(context, knowledge, membership, directory, locator)
+    duties = DutyKeeper(
+        context, knowledge, membership, directory, locator, standby
+    )
     jobs = JobService(context, knowledge, directory, locator, membership)
     status = StatusPage(context, knowledge, duties)
 
--- a/daemons/manager/src/coltsfootseam/manager/pool_owner.py
+++ b/daemons/manager/src/coltsfootseam/manager/pool_owner.py
@@ -20,6 +20,7 @@
 from coltsfootseam.manager.orders import Orders
 from coltsfootseam.manager.pacer import Pacer
 from coltsfootseam.manager.pool_state import PoolState
+from coltsfootseam.manager.progress import StartProgress
 from coltsfootseam.manager.reports import Reports
 from coltsfootseam.manager.rounds import Rounds
 from coltsfootseam.manager.tickets import TicketDesk
@@ -50,6 +51,7 @@
 
     Attributes:
         state: What is known, ``None`` until the journal is claimed and read.
+        progress: How far it is from its begin to its work.
         inbox: The tail of the pool's inbox, ``None`` before that.
         vacating: Takes work off workers whose machines are wanted elsewhere.
     """
@@ -61,6 +63,7 @@
         "_progress_by_id",
         "_wake",
         "inbox",
+        "progress",
         "state",
         "vacating",
     )
@@ -73,6 +76,7 @@
         self._knowledge = knowledge
         self._progress_by_id: dict[str, Progress] = {}
         self._wake = asyncio.Event()
+        self.progress = StartProgress(context.timers)
         self.state: PoolState | None = None
         self.inbox: Tail | None = None
         self.vacating: Vacating | None = None
@@ -84,6 +88,7 @@
             self._context.journal_of(self._pool),
             f"pool.{self._pool}",
         )
+        self.progress.note()
         await self._load_journal()
         state = PoolState(
             pool=self._pool,
@@ -100,6 +105,7 @@
             lambda record: self._take_inbox(state, record),
             _INBOX_WAIT_S,
             prefix=key_prefix(self._pool),
+            on_page=self.progress.note,
         )
         await self._load_inbox(inbox)
         self._progress_by_id.clear()
@@ -110,13 +116,16 @@
             jobs=len(state.book.jobs_by_id),
             active=len(state.book.active_by_id),
         )
+        self.progress.is_at_work = True
         await self._own(state, inbox)
 
     async def _load_journal(self) -> None:
         """Reads how far each job was; nobody else can append any more."""
         began_s = self._context.timers.now_s()
         reader = NewestReader(
-            self._context.ports.store, self._context.journal_of(self._pool)
+            self._context.ports.store,
+            self._context.journal_of(self._pool),
+            self.progress.note,
         )
         while True:
             newest = await reader.read()
--- a/daemons/manager/src/coltsfootseam/manager/standby.py
+++ b/daemons/manager/src/coltsfootseam/manager/standby.py
@@ -25,6 +25,7 @@
 _INTRODUCE_S = 1.0
 _INTRODUCE_TIMEOUT_S = 0.4
 _KNOWN_S = 15.0
+_ASIDE_S = 10.0
 _ASKED_AT_MOST = 8
 
 
@@ -56,20 +57,43 @@
 class Standby:
     """Decides whether this host stands by, and knows others that do."""
 
-    __slots__ = ("_context", "_heard_s_by_address", "_membership", "_turn")
+    __slots__ = (
+        "_aside_until_s",
+        "_context",
+        "_heard_s_by_address",
+        "_membership",
+        "_turn",
+    )
 
     def __init__(self, context: Context, membership: Membership) -> None:
         self._context = context
         self._membership = membership
         self._heard_s_by_address: dict[str, float] = {}
+        self._aside_until_s = float("-inf")
         # Hosts begin with different members.
         self._turn = zlib.crc32(context.address.encode())
 
     def is_spare(self, duties: int) -> bool:
         """Tells whether the members can bear all duties without this host."""
+        if self.is_set_aside():
+            return True
         capacities = [millicores_of_member(name) for name in self._members()]
         return is_spare(self._context.millicores, capacities, duties)
 
+    def set_aside(self) -> None:
+        """Has this host stand by for a while, as it can't do a duty's work."""
+        self._aside_until_s = self._context.timers.now_s() + _ASIDE_S
+        self._membership.want_holdings()
+
+    def is_set_aside(self) -> bool:
+        """Tells whether others are to take duties over in this host's place."""
+        now_s = self._context.timers.now_s()
+        return now_s < self._aside_until_s and not self.is_alone()
+
+    def is_alone(self) -> bool:
+        """Tells whether no other host is a member."""
+        return not set(self._members()) - {self._membership.member}
+
     def note(self, address: str) -> None:
         """Notes that a host has said that it stands by."""
         # The newest goes to the end.
--- a/libs/store/src/coltsfootseam/store/newest.py
+++ b/libs/store/src/coltsfootseam/store/newest.py
@@ -1,5 +1,7 @@
 """Reading the newest record of every key of a partition, page by page."""
 
+from collections.abc import Callable
+
 from coltsfootseam.results import Refusal
 from coltsfootseam.store.messages import Newest, Partition, StoredRecord
 from coltsfootseam.store.port import Store
@@ -18,14 +20,28 @@
     __slots__ = (
         "_after_key",
         "_end",
+        "_on_page",
         "_partition",
         "_records",
         "_store",
         "pages",
     )
 
-    def __init__(self, store: Store, partition: Partition) -> None:
+    def __init__(
+        self,
+        store: Store,
+        partition: Partition,
+        on_page: Callable[[], None] = lambda: None,
+    ) -> None:
+        """Makes a reader that has read nothing yet.
+
+        Args:
+            store: Where the partition stands.
+            partition: What to read.
+            on_page: Called after each page.
+        """
         self._store = store
+        self._on_page = on_page
         self._partition = partition
         self._records: list[StoredRecord] = []
         self._end = 0
@@ -50,6 +66,7 @@
                 self._end = page.end
             self.pages += 1
             self._records.extend(page.records)
+            self._on_page()
             if page.next_key is None:
                 return Newest(self._end, self._records)
             self._after_key = page.next_key
--- a/libs/store/src/coltsfootseam/store/tail.py
+++ b/libs/store/src/coltsfootseam/store/tail.py
@@ -36,6 +36,7 @@
         "_load_began_s",
         "_next_offset",
         "_offsets_by_key",
+        "_on_page",
         "_on_record",
         "_on_reload",
         "_partition",
@@ -59,6 +60,7 @@
         poll_s: float = 0.0,
         on_reload: OnReload | None = None,
         prefix: str = "",
+        on_page: Callable[[], None] = lambda: None,
     ) -> None:
         """Makes a tail that does not read yet.
 
@@ -72,6 +74,7 @@
             on_reload: Called with all keys that exist, after the newest
                 records were read again because history was gone.
             prefix: Records whose keys begin otherwise are passed over.
+            on_page: Called after each page of newest records.
         """
         self._store = store
         self._timers = timers
@@ -79,6 +82,7 @@
         self._on_record = on_record
         self._on_reload = on_reload
         self._prefix = prefix
+        self._on_page = on_page
         self._wait_s = wait_s
         self._poll_s = poll_s
         self._next_offset = 0
@@ -96,7 +100,9 @@
             with the page that failed.
         """
         if self._reader is None:
-            self._reader = NewestReader(self._store, self._partition)
+            self._reader = NewestReader(
+                self._store, self._partition, self._on_page
+            )
             self._load_began_s = self._timers.now_s()
         newest = await self._reader.read()
         if isinstance(newest, Refusal):
--- a/tests/cover/test_loading.py
+++ b/tests/cover/test_loading.py
@@ -93,3 +93,36 @@
         assert not other.owns()
         other.store.faults.cut_topics = set()
         await fleet.wait_until(other.owns)
+
+
+# Guards against LOST after a takeover: a host that can't read a pool at all
+# kept it for ever, and no other host could tell it from an owner.
+async def test_a_host_that_can_t_read_a_pool_gives_it_up_to_another() -> None:
+    async with running_fleet(hosts=4) as fleet:
+        owner = fleet.owner()
+        others = [host for host in fleet.hosts if host is not owner]
+        for host in others[:-1]:
+            host.store.faults.cut_topics = {"inbox"}
+        await owner.kill()
+        await fleet.accept(others[0], "job-1")
+        await fleet.wait_until(others[-1].owns, limit_s=30.0)
+        await fleet.wait_for_state("job-1", JobState.COMPLETED)
+
+
+# Guards against the opposite of the above: where no host can read the pool,
+# all would wait for each other.
+async def test_a_pool_that_nobody_can_read_is_owned_once_it_can_be_read() -> (
+    None
+):
+    async with running_fleet(hosts=3) as fleet:
+        owner = fleet.owner()
+        others = [host for host in fleet.hosts if host is not owner]
+        for host in others:
+            host.store.faults.cut_topics = {"inbox"}
+        await owner.kill()
+        await fleet.timers.advance(60.0)
+        for host in others:
+            host.store.faults.cut_topics = set()
+        await fleet.wait_until(
+            lambda: any(host.owns() for host in others), limit_s=10.0
+        )
