Delete the requests of ended jobs, and states that nobody may ask for

Now a request goes once its job's final state is stored, and a successor knows ended jobs by their states; after the time for which callers may ask, request and state go, the request first. Ruled out: deleting the request at the job's end before its state is stored (a crash in between loses the job).

--- a/daemons/manager/src/coltsfootseam/manager/job_service.py
+++ b/daemons/manager/src/coltsfootseam/manager/job_service.py
@@ -317,6 +317,9 @@
             state = await self._read_journal(pool, job_id)
             if state is None:
                 state = await self._read_inbox(pool, job_id)
+            if state is None:
+                # It may have begun, ended and left the inbox in between.
+                state = await self._read_journal(pool, job_id)
             if isinstance(state, JobState) and state is not JobState.QUEUED:
                 return state
             if isinstance(state, Refusal):
--- a/daemons/manager/src/coltsfootseam/manager/pool_owner.py
+++ b/daemons/manager/src/coltsfootseam/manager/pool_owner.py
@@ -7,10 +7,8 @@
 from coltsfootseam.jobs import (
     JobBook,
     Progress,
-    cancel_key,
     decode_progress,
     decode_request,
-    job_key,
     key_prefix,
     parse_pool_key,
 )
@@ -22,6 +20,7 @@
 from coltsfootseam.manager.pool_state import PoolState
 from coltsfootseam.manager.progress import StartProgress
 from coltsfootseam.manager.reports import Reports
+from coltsfootseam.manager.retention import Retention
 from coltsfootseam.manager.rounds import Rounds
 from coltsfootseam.manager.tickets import TicketDesk
 from coltsfootseam.manager.vacating import Vacating
@@ -29,7 +28,6 @@
 from coltsfootseam.results import Refusal
 from coltsfootseam.scheduling import WorkerHealth
 from coltsfootseam.store import (
-    KeyedRecord,
     NewestReader,
     StoredRecord,
     Tail,
@@ -41,8 +39,6 @@
 _CONFIRM_S = 0.7
 _UNCONFIRMED_S = 2.0
 _INBOX_WAIT_S = 2.0
-_DROP_PERIOD_S = 5.0
-_DROP_MARGIN_S = 30.0
 _MS_PER_S = 1000
 
 
@@ -108,7 +104,7 @@
             on_page=self.progress.note,
         )
         await self._load_inbox(inbox)
-        self._progress_by_id.clear()
+        self._take_ended(state)
         self._context.log.write(
             "pool.loaded",
             pool=self._pool,
@@ -156,6 +152,20 @@
             self._note_failed_load("inbox", problem, began_s)
             await self._context.timers.sleep(_RETRY_S)
 
+    def _take_ended(self, state: PoolState) -> None:
+        """Adds jobs of which only the final state is kept.
+
+        Requests of ended jobs that still stand are to be deleted.
+        """
+        book = state.book
+        for job_id, job in book.jobs_by_id.items():
+            if job.state.is_final and not book.is_open(job_id):
+                state.ended_ids.add(job_id)
+        for job_id, progress in self._progress_by_id.items():
+            if progress.state.is_final and job_id not in book.jobs_by_id:
+                book.add_ended(job_id, progress)
+        self._progress_by_id.clear()
+
     def _note_failed_load(
         self, part: str, problem: Refusal, began_s: float
     ) -> None:
@@ -216,9 +226,7 @@
         following = asyncio.ensure_future(inbox.run())
         subscriptions = [
             self._context.timers.subscribe(_TICK_S, self._wake.set),
-            self._context.timers.subscribe(
-                _DROP_PERIOD_S, lambda: self._drop_old(state, inbox)
-            ),
+            *Retention(state, inbox).subscribe(),
             pacer.subscribe(),
             self._context.timers.subscribe(
                 _CONFIRM_S, lambda: self._confirm(state)
@@ -258,36 +266,3 @@
             self._context.log.write("pool.unconfirmed", pool=self._pool)
             journal.lost = True
             self._wake.set()
-
-    async def _drop_old(self, state: PoolState, inbox: Tail) -> None:
-        """Deletes what stands of jobs that ended long ago."""
-        keep_ms = (
-            self._context.times.keep_ended_s + _DROP_MARGIN_S
-        ) * _MS_PER_S
-        horizon_ms = state.wall_ms() - keep_ms
-        old_ids = [
-            job.id
-            for job in state.book.jobs_by_id.values()
-            if job.stored_state.is_final and job.ended_ms < horizon_ms
-        ]
-        if not old_ids or state.journal.lost:
-            return
-        store = self._context.ports.store
-        keys = [
-            key
-            for job_id in old_ids
-            for key in (
-                job_key(self._pool, job_id),
-                cancel_key(self._pool, job_id),
-            )
-        ]
-        result = await store.append(
-            self._context.inbox_of(self._pool),
-            [KeyedRecord(key) for key in keys],
-        )
-        if isinstance(result, Refusal):
-            return
-        for job_id in old_ids:
-            state.book.drop(job_id)
-        for key in keys:
-            inbox.forget(key)
--- /dev/null
+++ b/daemons/manager/src/coltsfootseam/manager/retention.py
@@ -0,0 +1,90 @@
+"""Deleting what the store holds of jobs that have ended.
+
+A successor reads everything that stands, so the request of a job goes as soon
+as its final state is stored. The state itself is kept for as long as callers
+may ask for it. A caller's late repeat can put a request back: while the state
+is known it changes nothing, and it goes along with the state.
+"""
+
+from coltsfootseam.jobs import cancel_key, job_key
+from coltsfootseam.manager.pool_state import PoolState
+from coltsfootseam.results import Refusal
+from coltsfootseam.store import KeyedRecord, Tail
+from coltsfootseam.timers import Subscription
+
+_REQUESTS_PERIOD_S = 2.0
+_STATES_PERIOD_S = 5.0
+_MARGIN_S = 30.0
+_MOST_JOBS_AT_ONCE = 500
+_MS_PER_S = 1000
+
+
+class Retention:
+    """Keeps the store free of what nobody needs any more of one pool."""
+
+    __slots__ = ("_inbox", "_state")
+
+    def __init__(self, state: PoolState, inbox: Tail) -> None:
+        self._state = state
+        self._inbox = inbox
+
+    def subscribe(self) -> list[Subscription]:
+        """Deletes from time to time until the subscriptions are cancelled."""
+        timers = self._state.context.timers
+        return [
+            timers.subscribe(_REQUESTS_PERIOD_S, self.delete_requests),
+            timers.subscribe(_STATES_PERIOD_S, self.delete_states),
+        ]
+
+    async def delete_requests(self) -> None:
+        """Deletes the requests of jobs whose final state is stored."""
+        job_ids = sorted(self._state.ended_ids)[:_MOST_JOBS_AT_ONCE]
+        if await self._delete_from_inbox(job_ids):
+            self._state.ended_ids.difference_update(job_ids)
+
+    async def delete_states(self) -> None:
+        """Deletes what stands of jobs that ended long ago."""
+        state = self._state
+        keep_s = state.context.times.keep_ended_s + _MARGIN_S
+        horizon_ms = state.wall_ms() - keep_s * _MS_PER_S
+        job_ids = [
+            job.id
+            for job in state.book.jobs_by_id.values()
+            if job.stored_state.is_final and job.ended_ms < horizon_ms
+        ][:_MOST_JOBS_AT_ONCE]
+        # Without its state a request would be taken for a new job.
+        if not await self._delete_from_inbox(job_ids):
+            return
+        for job_id in job_ids:
+            state.book.drop(job_id)
+            state.ended_ids.discard(job_id)
+            state.outdated_keys.add(job_key(state.pool, job_id))
+
+    async def _delete_from_inbox(self, job_ids: list[str]) -> bool:
+        """Deletes requests and cancels; tells whether they are gone."""
+        state = self._state
+        if not job_ids or state.journal.lost:
+            return False
+        keys = [
+            key
+            for job_id in job_ids
+            for key in (
+                job_key(state.pool, job_id),
+                cancel_key(state.pool, job_id),
+            )
+        ]
+        result = await state.context.ports.store.append(
+            state.context.inbox_of(state.pool),
+            [KeyedRecord(key) for key in keys],
+        )
+        if isinstance(result, Refusal):
+            state.context.log.write(
+                "jobs.undeleted",
+                pool=state.pool,
+                jobs=len(job_ids),
+                why=result.reason,
+            )
+            return False
+        for key in keys:
+            self._inbox.forget(key)
+        return True
--- a/daemons/manager/src/coltsfootseam/manager/rounds.py
+++ b/daemons/manager/src/coltsfootseam/manager/rounds.py
@@ -45,14 +45,17 @@
             job_id: state.book.jobs_by_id[job_id].state
             for job_id in documents_by_id
         }
-        if documents_by_id:
-            records = [
-                KeyedRecord(job_key(state.pool, job_id), document)
-                for job_id, document in documents_by_id.items()
-            ]
+        records = [
+            KeyedRecord(job_key(state.pool, job_id), document)
+            for job_id, document in documents_by_id.items()
+        ]
+        outdated_keys = set(state.outdated_keys)
+        records.extend(KeyedRecord(key) for key in sorted(outdated_keys))
+        if records:
             problem = await state.journal.commit(records)
             if problem is not None:
                 return
+            state.outdated_keys -= outdated_keys
         self._take_stored(stored, ends_by_id)
         self._start(new_runs)
 
@@ -78,7 +81,11 @@
         state = self._state
         for job_id, job_state in stored.items():
             job = state.book.jobs_by_id.get(job_id)
-            if job is not None and job.stored_state != job_state:
+            if job is None:
+                continue
+            if job_state.is_final and not state.book.is_open(job_id):
+                state.ended_ids.add(job_id)
+            if job.stored_state != job_state:
                 job.stored_state = job_state
                 state.context.log.write(
                     "job.state", job=job_id, state=job.stored_state.name
--- a/libs/jobs/src/coltsfootseam/jobs/book.py
+++ b/libs/jobs/src/coltsfootseam/jobs/book.py
@@ -75,6 +75,20 @@
             self.cancel(job_id, request.accepted_ms)
         return job
 
+    def add_ended(self, job_id: str, progress: Progress) -> None:
+        """Adds a job of which only its final state is kept."""
+        if job_id in self.jobs_by_id:
+            return
+        self._cancelled_early.discard(job_id)
+        request = JobRequest("", "", (), accepted_ms=progress.ended_ms)
+        job = Job(job_id, request)
+        restore_progress(job, progress, 0.0)
+        self.jobs_by_id[job_id] = job
+
+    def is_open(self, job_id: str) -> bool:
+        """Tells whether a job may still change, or isn't stored as it is."""
+        return job_id in self.active_by_id or job_id in self.changed_ids
+
     def cancel(self, job_id: str, now_ms: int) -> None:
         """Cancels a job, also one whose request hasn't arrived yet."""
         job = self.jobs_by_id.get(job_id)
