Serve stand-ins of tests and of processes by one context manager

Cause: tests/common/wire.py and the stand-ins' serve_forever set up the same aiohttp runner and site, the one as a context and the other not.

Change: standins.serving.serving; serve_forever waits inside it, with the 60 s for requests in progress that are aiohttp's default. The tests pass their 0.1 s. Their sockets now have a backlog of 1024, not 128.

Checked: make lint; tests/cover and tests/nocover/test_managers.py, 315 passed; tests/nocover/test_log_faults.py and test_command_line.py, whose stand-ins run as processes, passed.

--- a/libs/standins/src/coltsfootseam/standins/serving.py
+++ b/libs/standins/src/coltsfootseam/standins/serving.py
@@ -1,24 +1,44 @@
 """Serving a stand-in over HTTP."""
 
 import asyncio
+import contextlib
+from collections.abc import AsyncIterator
 from typing import Any
 
 import msgspec
 from aiohttp import web
 
+_SHUTDOWN_S = 60.0
+_BACKLOG = 1024
 
-async def serve_forever(app: web.Application, address: str) -> None:
-    """Serves an application until it is cancelled."""
-    runner = web.AppRunner(app, access_log=None)
+
+@contextlib.asynccontextmanager
+async def serving(
+    app: web.Application, address: str, shutdown_s: float = _SHUTDOWN_S
+) -> AsyncIterator[None]:
+    """Serves an application while the context is open.
+
+    Args:
+        app: What to serve.
+        address: Host and port to listen on.
+        shutdown_s: How long requests in progress may take at the end.
+    """
+    runner = web.AppRunner(app, access_log=None, shutdown_timeout=shutdown_s)
     await runner.setup()
     host, _, port = address.partition(":")
-    await web.TCPSite(runner, host, int(port), backlog=1024).start()
+    await web.TCPSite(runner, host, int(port), backlog=_BACKLOG).start()
     try:
-        await asyncio.Event().wait()
+        yield
     finally:
         await runner.cleanup()
 
 
+async def serve_forever(app: web.Application, address: str) -> None:
+    """Serves an application until it is cancelled."""
+    async with serving(app, address):
+        await asyncio.Event().wait()
+
+
 def json_response(value: Any, status: int = 200) -> web.Response:
     """Returns a value as JSON."""
     return web.Response(
--- a/tests/common/wire.py
+++ b/tests/common/wire.py
@@ -5,9 +5,7 @@
 """
 
 import base64
-import contextlib
 import struct
-from collections.abc import AsyncIterator
 from typing import Any
 
 import msgspec
@@ -232,19 +230,6 @@
         )
 
 
-@contextlib.asynccontextmanager
-async def serving(app: web.Application, address: str) -> AsyncIterator[None]:
-    """Serves an application while the context is open."""
-    runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
-    await runner.setup()
-    host, _, port = address.partition(":")
-    await web.TCPSite(runner, host, int(port)).start()
-    try:
-        yield
-    finally:
-        await runner.cleanup()
-
-
 def _partition(request: web.Request) -> Partition:
     topic = request.query["topic"].removeprefix("keyed.")
     return Partition(topic, int(request.query["part"]))
--- a/tests/nocover/test_managers.py
+++ b/tests/nocover/test_managers.py
@@ -14,13 +14,15 @@
 
 from coltsfootseam.jobs import TaskId
 from coltsfootseam.standins.memory_workers import MemoryWorkers
+from coltsfootseam.standins.serving import serving
 from coltsfootseam.testbed.waiting import wait_until
 from coltsfootseam.timers import LoopTimers
 from coltsfootseam.workers import WorkerEntry
-from tests.common.wire import WireStore, WireWorker, serving
+from tests.common.wire import WireStore, WireWorker
 
 ROOT = pathlib.Path(__file__).parents[2]
 LIMIT_S = 60.0
+SHUTDOWN_S = 0.1
 JOB = "5c0e7a21d94b36f8"
 HOST = "queue.example"
 
@@ -162,7 +164,7 @@
     store_address = f"127.0.0.1:{store_port}"
     async with contextlib.AsyncExitStack() as stack:
         await stack.enter_async_context(
-            serving(deployment.store.application(), store_address)
+            serving(deployment.store.application(), store_address, SHUTDOWN_S)
         )
         for number, port in enumerate(worker_ports):
             await _add_worker(deployment, stack, number, port)
@@ -219,7 +221,7 @@
     )
     worker = WireWorker(deployment.workers, entry)
     await stack.enter_async_context(
-        serving(worker.application(), entry.address)
+        serving(worker.application(), entry.address, SHUTDOWN_S)
     )
     deployment.store.put(
         "servers",
