Have the fleet of tests publish the pools that its queues use

Cause: test_many_pools encoded a configuration of two pools by itself, as Fleet.configure always published one pool.

Change: Fleet.configure publishes the pools of the queues that it is given. All other callers use the one pool, so what they publish is the same.

Checked: make lint; tests/cover, 310 passed.

--- a/tests/common/fleets.py
+++ b/tests/common/fleets.py
@@ -187,14 +187,14 @@
         self.hosts: list[Host] = []
 
     def configure(self, version: int = 1, *queues: Queue) -> None:
-        """Has the operator publish a configuration."""
+        """Has the operator publish queues, and the pools that they use."""
         plain = Queue(
             QUEUE, "host", "/q/", POOL, attempts=3, stretch=2.0, target_ms=600
         )
         configuration = Configuration(
             version,
             {queue.name: queue for queue in queues or (plain,)},
-            {POOL: Pool(POOL)},
+            {queue.pool: Pool(queue.pool) for queue in queues or (plain,)},
         )
         self.store.put(
             OPERATOR, "configuration", msgspec.msgpack.encode(configuration)
--- a/tests/cover/test_many_pools.py
+++ b/tests/cover/test_many_pools.py
@@ -1,10 +1,8 @@
 """More pools than the store has topics."""
 
-import msgspec
-
-from coltsfootseam.jobs import Configuration, JobState, Pool, Queue
+from coltsfootseam.jobs import JobState, Queue
 from coltsfootseam.manager.places import place_of_pool
-from tests.common.fleets import OPERATOR, POOL, QUEUE, Fleet, running_fleet
+from tests.common.fleets import POOL, QUEUE, running_fleet
 
 DESIGN_POOLS = 173
 STORE_TOPICS = 100
@@ -43,7 +41,11 @@
 async def test_pools_that_share_a_partition_keep_their_jobs_apart() -> None:
     beside = _pool_beside(POOL)
     async with running_fleet(hosts=2, workers=2) as fleet:
-        _configure_two(fleet, beside)
+        fleet.configure(
+            2,
+            Queue(QUEUE, "host", "/q/", POOL, attempts=3),
+            Queue("beside", "host", "/beside/", beside, attempts=3),
+        )
         await fleet.wait_until(
             lambda: any(host.owns(beside) for host in fleet.hosts)
         )
@@ -59,18 +61,3 @@
         other = owner.manager.duties.owners_by_pool[beside].state
         assert other is not None
         assert list(other.book.jobs_by_id) == ["b" * 16]
-
-
-def _configure_two(fleet: Fleet, beside: str) -> None:
-    queues = (
-        Queue(QUEUE, "host", "/q/", POOL, attempts=3),
-        Queue("beside", "host", "/beside/", beside, attempts=3),
-    )
-    configuration = Configuration(
-        2,
-        {queue.name: queue for queue in queues},
-        {POOL: Pool(POOL), beside: Pool(beside)},
-    )
-    fleet.store.put(
-        OPERATOR, "configuration", msgspec.msgpack.encode(configuration)
-    )
