Let a scenario's caller cancel only at a host that has a configuration

Cause: a scenario that cancels at a host which could not read a configuration yet ended in an assertion of the tests themselves (Fleet.cancel wants a queue). A real caller is told NOT_RUN_NOT_READY by find_queue. Scenario.submit looked at is_ready before, Scenario.cancel did not.

Change: both ask _can_answer. The events of that scenario are an example of the random test, beside what it draws, which is as before.

Checked: the example fails without the change (fleets.py, isinstance(queue, Queue)) and passes with it; tests/nocover/test_random_faults.py passes; make lint.

--- a/tests/common/scenarios.py
+++ b/tests/common/scenarios.py
@@ -62,8 +62,7 @@
     async def submit(self, number: int) -> None:
         """A caller submits a job and takes no answer for no decision."""
         host = self.host(number)
-        is_up = host.manager is not None and host.manager.is_ready()
-        if not is_up or host.timers.is_frozen:
+        if not _can_answer(host):
             return
         self.submitted += 1
         job_id = f"{self.submitted:016x}"
@@ -76,7 +75,7 @@
     async def cancel(self, number: int) -> None:
         """A caller cancels the newest job."""
         host = self.host(number)
-        if host.manager is None or host.timers.is_frozen or not self.accepted:
+        if not _can_answer(host) or not self.accepted:
             return
         job_id = max(self.accepted)
         if await self.fleet.cancel(host, job_id) is OK:
@@ -204,6 +203,12 @@
         return True
 
 
+def _can_answer(host: Host) -> bool:
+    """Tells whether a host has a configuration and is at work."""
+    is_ready = host.manager is not None and host.manager.is_ready()
+    return is_ready and not host.timers.is_frozen
+
+
 HANDLERS_BY_KIND: dict[str, Callable[[Scenario, int], Awaitable[None]]] = {
     "submit": Scenario.submit,
     "cancel": Scenario.cancel,
--- a/tests/nocover/test_random_faults.py
+++ b/tests/nocover/test_random_faults.py
@@ -1,6 +1,6 @@
 """Promises to callers under random faults, in virtual time."""
 
-from hypothesis import HealthCheck, given, settings
+from hypothesis import HealthCheck, example, given, settings
 from hypothesis import strategies as st
 
 from tests.common.scenarios import (
@@ -24,12 +24,23 @@
 )
 
 
+# A caller turns to a host that could not read a configuration yet.
+NOT_READY = [
+    Event("kill_host", 1, 0.3),
+    Event("stop_store", 0, 0.02),
+    Event("start_host", 1, 0.02),
+    Event("cancel", 1, 0.02),
+    Event("heal_store", 0, 0.3),
+]
+
+
 @settings(
     derandomize=True,
     deadline=None,
     max_examples=30,
     suppress_health_check=[HealthCheck.too_slow],
 )
+@example(events=NOT_READY)
 @given(events=EVENTS)
 def test_promises_to_callers_hold_under_random_faults(
     events: list[Event],
