Measure scheduling on the parts of the model

Cause: bench/scheduling.py built a context, a pool's state and links to workers by itself, as the model of the fleet does.

Change: it takes make_context, make_machines and PoolModel.

--- a/bench/scheduling.py
+++ b/bench/scheduling.py
@@ -11,7 +11,6 @@
 from bench.results import Row, make_row, print_rows, write_rows
 from coltsfootseam.jobs import (
     Configuration,
-    JobBook,
     JobRequest,
     Pool,
     Queue,
@@ -19,21 +18,16 @@
     encode_progress,
     encode_request,
 )
-from coltsfootseam.manager.context import Context, Ports, Times
 from coltsfootseam.manager.knowledge import Knowledge
 from coltsfootseam.manager.planning import Planner
 from coltsfootseam.manager.pool_state import PoolState
 from coltsfootseam.manager.tickets import TicketDesk
-from coltsfootseam.observe import Counters, DecisionLog
-from coltsfootseam.scheduling import WorkerHealth
-from coltsfootseam.standins.memory_machines import MemoryAdvice, MemoryMachines
-from coltsfootseam.standins.memory_store import MemoryStore
-from coltsfootseam.standins.memory_workers import MemoryWorkers
-from coltsfootseam.store import Journal, Partition, WatchedStore
-from coltsfootseam.timers import VirtualTimers
-from coltsfootseam.workers import LeaseTimes, WorkerEntry, WorkerLink
-from tests.common.fleets import MemoryFeeds, running_fleet
-from tests.common.peers import MemoryPeers
+from coltsfootseam.scheduling import Policies
+from coltsfootseam.testbed.model import ModelPlan
+from coltsfootseam.testbed.model.context import ModelTimers, make_context
+from coltsfootseam.testbed.model.machines import make_machines
+from coltsfootseam.testbed.model.pool import PoolModel
+from tests.common.fleets import running_fleet
 
 _POOL = "pool"
 _QUEUE = "queue"
@@ -45,31 +39,8 @@
 _SMALL = Step(cpu_millis=1000, estimate_ms=500)
 
 
-def _make_context() -> Context:
-    timers = VirtualTimers()
-    fleet_workers = MemoryWorkers(timers, lambda task: 1.0)
-    return Context(
-        host_id="host",
-        incarnation="host-1",
-        address="10.0.0.1:1",
-        duty_slots=12,
-        timers=timers,
-        ports=Ports(
-            WatchedStore(MemoryStore(timers).client(), timers),
-            fleet_workers.calls("host"),
-            MemoryMachines(timers, []),
-            MemoryAdvice(timers),
-            MemoryFeeds(),
-        ),
-        peers=MemoryPeers(timers),
-        log=DecisionLog(timers, "host"),
-        counters=Counters(),
-        times=Times(),
-    )
-
-
 def _make_state(workers: int) -> PoolState:
-    context = _make_context()
+    context = make_context(ModelTimers(), Policies())
     knowledge = Knowledge(context)
     queue = Queue(
         _QUEUE, "h", "/q/", _POOL, attempts=3, stretch=2.0, target_ms=600
@@ -77,50 +48,11 @@
     knowledge.configuration = Configuration(
         1, {_QUEUE: queue}, {_POOL: Pool(_POOL)}
     )
-    journal = Journal(
-        context.ports.store, context.timers, Partition("pool", 1), "pool", 1
-    )
-    state = PoolState(
-        _POOL,
-        context,
-        knowledge,
-        journal,
-        JobBook(knowledge.attempts_of),
-        WorkerHealth(),
-    )
-    for number in range(workers):
-        link = _make_link(state, number)
-        state.links_by_id[link.worker_id] = link
-    return state
-
-
-def _make_link(state: PoolState, number: int) -> WorkerLink:
-    entry = WorkerEntry(
-        worker_id=f"i-{number}@1",
-        instance_id=f"i-{number}",
-        born_ms=1,
-        pool=_POOL,
-        address=f"10.1.{number // 250}.{number % 250}:80",
-        zone="a",
-        is_draining=False,
-        remaining_ms=None,
-        cpu_millis=16_000,
-        memory_mb=64_000,
-        accelerators=0,
-        labels=("a", f"r{number // 4}"),
-    )
-    context = state.context
-    link = WorkerLink(
-        entry,
-        context.ports.workers,
-        context.timers,
-        LeaseTimes(4.0, 7.0),
-        1,
-        1.0,
-        lambda *report: None,
-    )
-    link.is_reachable = True
-    return link
+    pool = PoolModel(_POOL, context, knowledge)
+    plan = ModelPlan((_POOL,), machines=workers, standby=0)
+    for machine in make_machines(plan):
+        pool.add_worker(machine.worker)
+    return pool.state
 
 
 def _add_jobs(state: PoolState, count: int) -> None:
