--- a/libs/store/src/coltsfootseam/store/__init__.py
+++ b/libs/store/src/coltsfootseam/store/__init__.py
@@ -9,7 +9,6 @@
 from coltsfootseam.store.messages import (
     Appended,
     Deal,
-    EndMoved,
     HistoryGone,
     Holding,
     KeyedRecord,
@@ -29,7 +28,6 @@
     "Appended",
     "Claim",
     "Deal",
-    "EndMoved",
     "HistoryGone",
     "Holding",
     "Journal",
--- a/libs/store/src/coltsfootseam/store/journal.py
+++ b/libs/store/src/coltsfootseam/store/journal.py
@@ -1,10 +1,11 @@
-"""The journal of one owner: claimed with a condition, appended in order.
+"""The journal of one owner: claimed, then appended to in order.
 
 An epoch is the offset of the claim's own record plus one. Two claims can't
 take the same offset, so an epoch belongs to exactly one incarnation, however
-late a claim takes effect. What an earlier owner appended between the claim and
-the moment at which the epoch was taken stands in the journal; after that moment
-the store refuses its appends.
+late a claim takes effect. Of two that claim at once the later one wins, and a
+claim whose epoch nobody takes changes nothing. What an earlier owner appended
+between the claim and the moment at which the epoch was taken stands in the
+journal; after that moment the store refuses its appends.
 """
 
 import msgspec
@@ -12,7 +13,6 @@
 from coltsfootseam.results import Refusal, ResultCode
 from coltsfootseam.store.messages import (
     Appended,
-    EndMoved,
     KeyedRecord,
     Partition,
     Writer,
@@ -22,7 +22,6 @@
 
 _CLAIM_PREFIX = "/claim/"
 _RETRY_S = 0.1
-_CLAIM_TRIES = 8
 _REMEMBERED_APPENDS = 5
 
 
@@ -124,9 +123,7 @@
             self.lost = True
 
 
-def _is_refused_with(
-    code: ResultCode, result: Appended | EndMoved | Refusal
-) -> bool:
+def _is_refused_with(code: ResultCode, result: Appended | Refusal) -> bool:
     return isinstance(result, Refusal) and result.code is code
 
 
@@ -153,22 +150,15 @@
             of the process.
     """
     body = msgspec.msgpack.encode(claim)
-    end = 0
-    for _ in range(_CLAIM_TRIES):
-        # The store answers a repeat of a numbered append without looking who
-        # sends it, so the claim itself carries no number.
-        result = await store.append(
-            partition, [KeyedRecord(_CLAIM_PREFIX + name, body)], at=end
-        )
-        if isinstance(result, Refusal):
-            return result
-        if isinstance(result, EndMoved):
-            end = result.end
-            continue
-        epoch = epoch_of_claim(result.offset)
-        taken = await store.append(partition, [], writer=Writer(name, epoch, 0))
-        if isinstance(taken, Appended):
-            return Journal(store, timers, partition, name, epoch)
-        if isinstance(taken, Refusal):
-            return taken
-    return Refusal(ResultCode.STALE_EPOCH, f"{name}: others claim as well")
+    # The store answers a repeat of a numbered append without looking who
+    # sends it, so the claim itself carries no number.
+    claimed = await store.append(
+        partition, [KeyedRecord(_CLAIM_PREFIX + name, body)]
+    )
+    if isinstance(claimed, Refusal):
+        return claimed
+    epoch = epoch_of_claim(claimed.offset)
+    taken = await store.append(partition, [], writer=Writer(name, epoch, 0))
+    if isinstance(taken, Refusal):
+        return taken
+    return Journal(store, timers, partition, name, epoch)
--- a/libs/store/src/coltsfootseam/store/messages.py
+++ b/libs/store/src/coltsfootseam/store/messages.py
@@ -51,12 +51,6 @@
     end: int
 
 
-class EndMoved(msgspec.Struct, frozen=True):
-    """A conditional append did nothing: the partition ends at ``end``."""
-
-    end: int
-
-
 class Page(msgspec.Struct, frozen=True):
     """Records read from an offset on.
 
--- a/libs/store/src/coltsfootseam/store/port.py
+++ b/libs/store/src/coltsfootseam/store/port.py
@@ -7,7 +7,6 @@
 from coltsfootseam.store.messages import (
     Appended,
     Deal,
-    EndMoved,
     HistoryGone,
     Holding,
     KeyedRecord,
@@ -30,15 +29,13 @@
         self,
         partition: Partition,
         records: Sequence[KeyedRecord],
-        at: int | None = None,
         writer: Writer | None = None,
-    ) -> Appended | EndMoved | Refusal:
+    ) -> Appended | Refusal:
         """Appends all records or none.
 
         Args:
             partition: Where to append.
             records: What to append.
-            at: If given, the offset at which the partition must end.
             writer: If given, the owner that appends.
         """
 
--- a/libs/store/src/coltsfootseam/store/watched.py
+++ b/libs/store/src/coltsfootseam/store/watched.py
@@ -7,7 +7,6 @@
 from coltsfootseam.store.messages import (
     Appended,
     Deal,
-    EndMoved,
     HistoryGone,
     Holding,
     KeyedRecord,
@@ -44,13 +43,10 @@
         self,
         partition: Partition,
         records: Sequence[KeyedRecord],
-        at: int | None = None,
         writer: Writer | None = None,
-    ) -> Appended | EndMoved | Refusal:
+    ) -> Appended | Refusal:
         """Appends all records or none."""
-        return self._note(
-            await self._store.append(partition, records, at, writer)
-        )
+        return self._note(await self._store.append(partition, records, writer))
 
     async def read(
         self, partition: Partition, from_offset: int, wait_s: float
