--- a/daemons/manager/src/coltsfootseam/manager/duty_keeper.py
+++ b/daemons/manager/src/coltsfootseam/manager/duty_keeper.py
@@ -16,7 +16,7 @@
 from coltsfootseam.manager.knowledge import Knowledge
 from coltsfootseam.manager.locator import Locator
 from coltsfootseam.manager.pool_owner import PoolOwner
-from coltsfootseam.manager.progress import StartProgress
+from coltsfootseam.manager.progress import DutyProgress
 from coltsfootseam.manager.standby import Standby
 from coltsfootseam.store import Membership
 
@@ -38,7 +38,7 @@
         progress: How far it is from its begin to its work.
     """
 
-    progress: StartProgress
+    progress: DutyProgress
 
     async def run(self) -> None:
         """Does the duty."""
--- a/daemons/manager/src/coltsfootseam/manager/fleet_owner.py
+++ b/daemons/manager/src/coltsfootseam/manager/fleet_owner.py
@@ -6,7 +6,7 @@
 from coltsfootseam.manager.locator import Locator
 from coltsfootseam.manager.machine_rounds import MachineRounds
 from coltsfootseam.manager.places import FLEET_JOURNAL
-from coltsfootseam.manager.progress import StartProgress
+from coltsfootseam.manager.progress import DutyProgress
 
 
 class FleetOwner:
@@ -24,7 +24,7 @@
         self._context = context
         self._knowledge = knowledge
         self._locator = locator
-        self.progress = StartProgress(context.timers)
+        self.progress = DutyProgress(context.timers)
 
     async def run(self) -> None:
         """Claims the fleet and plans its machines."""
--- a/daemons/manager/src/coltsfootseam/manager/machine_rounds.py
+++ b/daemons/manager/src/coltsfootseam/manager/machine_rounds.py
@@ -10,7 +10,7 @@
 from coltsfootseam.manager.lives import Lives
 from coltsfootseam.manager.locator import Locator
 from coltsfootseam.manager.machine_orders import MachineOrders
-from coltsfootseam.manager.progress import StartProgress
+from coltsfootseam.manager.progress import DutyProgress
 from coltsfootseam.manager.waves import Waves
 from coltsfootseam.results import Refusal
 from coltsfootseam.scheduling import (
@@ -56,7 +56,7 @@
         knowledge: Knowledge,
         locator: Locator,
         journal: Journal,
-        progress: StartProgress,
+        progress: DutyProgress,
     ) -> None:
         self._context = context
         self._knowledge = knowledge
--- a/daemons/manager/src/coltsfootseam/manager/pool_owner.py
+++ b/daemons/manager/src/coltsfootseam/manager/pool_owner.py
@@ -18,7 +18,7 @@
 from coltsfootseam.manager.orders import Orders
 from coltsfootseam.manager.pacer import Pacer
 from coltsfootseam.manager.pool_state import PoolState
-from coltsfootseam.manager.progress import StartProgress
+from coltsfootseam.manager.progress import DutyProgress
 from coltsfootseam.manager.reports import Reports
 from coltsfootseam.manager.retention import Retention
 from coltsfootseam.manager.rounds import Rounds
@@ -28,6 +28,7 @@
 from coltsfootseam.results import Refusal
 from coltsfootseam.scheduling import WorkerHealth
 from coltsfootseam.store import (
+    Journal,
     NewestReader,
     StoredRecord,
     Tail,
@@ -38,6 +39,7 @@
 _LEAST_ROUND_S = 0.02
 _CONFIRM_S = 0.7
 _UNCONFIRMED_S = 2.0
+_UNSETTLED_S = 2.0
 _INBOX_WAIT_S = 2.0
 _MS_PER_S = 1000
 
@@ -72,7 +74,7 @@
         self._knowledge = knowledge
         self._progress_by_id: dict[str, Progress] = {}
         self._wake = asyncio.Event()
-        self.progress = StartProgress(context.timers)
+        self.progress = DutyProgress(context.timers)
         self.state: PoolState | None = None
         self.inbox: Tail | None = None
         self.vacating: Vacating | None = None
@@ -250,6 +252,23 @@
                 "pool.left", pool=self._pool, epoch=state.journal.epoch
             )
 
+    def _check_commits(self, journal: Journal) -> None:
+        """Tells if what is decided here can't be stored.
+
+        The store may confirm the epoch all the while.
+        """
+        unsettled_s = journal.unsettled_s()
+        if unsettled_s < _UNSETTLED_S:
+            self.progress.is_at_work = True
+            return
+        self.progress.note_blocked(unsettled_s)
+        self._context.log.write(
+            "pool.unsettled",
+            pool=self._pool,
+            epoch=journal.epoch,
+            since_ms=round(unsettled_s * _MS_PER_S),
+        )
+
     async def _confirm(self, state: PoolState) -> None:
         """Makes sure that nobody else owns the pool by now.
 
@@ -257,6 +276,7 @@
         extend leases that its successor takes to have ended.
         """
         journal = state.journal
+        self._check_commits(journal)
         if state.now_s() - journal.confirmed_s < _CONFIRM_S:
             return
         await journal.confirm()
--- a/daemons/manager/src/coltsfootseam/manager/progress.py
+++ b/daemons/manager/src/coltsfootseam/manager/progress.py
@@ -1,13 +1,13 @@
-"""How a duty that was begun gets to work."""
+"""Whether a duty gets to work, and goes on with it."""
 
 from coltsfootseam.timers import TimerService
 
 
-class StartProgress:
-    """Tells an owner that still reads from one that gets nowhere.
+class DutyProgress:
+    """Tells an owner that gets on from one that gets nowhere.
 
     Attributes:
-        is_at_work: Whether all is claimed and read back.
+        is_at_work: Whether all is claimed and read back, and goes on.
     """
 
     __slots__ = ("_moved_s", "_timers", "is_at_work")
@@ -21,8 +21,13 @@
         """Takes note of a step that was done."""
         self._moved_s = self._timers.now_s()
 
+    def note_blocked(self, blocked_s: float) -> None:
+        """Takes note that the work has been standing still for some time."""
+        self.is_at_work = False
+        self._moved_s = self._timers.now_s() - blocked_s
+
     def stalled_s(self) -> float:
-        """Returns since when no step was done, 0 once it is at work."""
+        """Returns for how long no step was done, 0 while it is at work."""
         if self.is_at_work:
             return 0.0
         return self._timers.now_s() - self._moved_s
--- a/libs/standins/src/coltsfootseam/standins/memory_store.py
+++ b/libs/standins/src/coltsfootseam/standins/memory_store.py
@@ -66,6 +66,8 @@
         answer_s: Time that a call takes.
         fail_every_page: Each so-manieth page of newest records is cut off;
             0 for none.
+        most_append_bytes: Larger appends are cut off with no effect; 0 for
+            no limit.
         cut_topics: Kinds of topics, the part of a name before the dot, whose
             pages of newest records are all cut off.
     """
@@ -76,6 +78,7 @@
     late_s: float = 0.0
     answer_s: float = 0.004
     fail_every_page: int = 0
+    most_append_bytes: int = 0
     cut_topics: set[str] = set()
 
 
@@ -255,6 +258,9 @@
         problem = await self._reach()
         if problem is not None:
             return problem
+        limit = self.faults.most_append_bytes
+        if limit and _size_of(records) > limit:
+            return Refusal(ResultCode.OUTCOME_PENDING, "append cut off")
         is_lost = self._random.random() < self.faults.lose_share
         if is_lost and self.faults.late_s:
             self._store.timers.schedule(
@@ -347,3 +353,7 @@
             return Refusal(ResultCode.LOG_UNAVAILABLE, "down")
         await asyncio.sleep(0)
         return None
+
+
+def _size_of(records: Sequence[KeyedRecord]) -> int:
+    return sum(len(record.key) + len(record.value) for record in records)
--- a/libs/store/src/coltsfootseam/store/journal.py
+++ b/libs/store/src/coltsfootseam/store/journal.py
@@ -8,6 +8,8 @@
 journal; after that moment the store refuses its appends.
 """
 
+from collections.abc import Iterator
+
 import msgspec
 
 from coltsfootseam.results import Refusal, ResultCode
@@ -23,6 +25,7 @@
 _CLAIM_PREFIX = "/claim/"
 _RETRY_S = 0.1
 _REMEMBERED_APPENDS = 5
+_MOST_BYTES_AT_ONCE = 65_536
 
 
 class Claim(msgspec.Struct, frozen=True):
@@ -50,6 +53,7 @@
         "_settled",
         "_store",
         "_timers",
+        "_unsettled_since_s",
         "claimed_s",
         "confirmed_s",
         "epoch",
@@ -71,6 +75,7 @@
         self._name = name
         self._sequence = 0
         self._settled = 0
+        self._unsettled_since_s: float | None = None
         self.epoch = epoch
         self.claimed_s = timers.now_s()
         self.confirmed_s = self.claimed_s
@@ -80,13 +85,28 @@
         """Appends records and returns once they are stored for certain.
 
         An append whose outcome is unknown is repeated under its sequence
-        number until the store settles it, however long that takes.
+        number until the store settles it, however long that takes. Many
+        records go in several appends, which a narrow link carries in time.
 
         Returns:
             ``None``, or a refusal with ``STALE_EPOCH`` if the journal is lost.
         """
+        for batch in _in_batches(records):
+            problem = await self._append(batch)
+            if problem is not None:
+                return problem
+        return None
+
+    def unsettled_s(self) -> float:
+        """Returns for how long an append has been repeated, 0 if none is."""
+        if self._unsettled_since_s is None:
+            return 0.0
+        return self._timers.now_s() - self._unsettled_since_s
+
+    async def _append(self, records: list[KeyedRecord]) -> Refusal | None:
         self._sequence += 1
         writer = Writer(self._name, self.epoch, self._sequence)
+        self._unsettled_since_s = self._timers.now_s()
         while not self.lost:
             sent_s = self._timers.now_s()
             result = await self._store.append(
@@ -95,6 +115,7 @@
             if isinstance(result, Appended):
                 self.confirmed_s = sent_s
                 self._settled = writer.sequence
+                self._unsettled_since_s = None
                 return None
             if _is_refused_with(ResultCode.STALE_EPOCH, result):
                 self.lost = True
@@ -123,6 +144,22 @@
             self.lost = True
 
 
+def _in_batches(records: list[KeyedRecord]) -> Iterator[list[KeyedRecord]]:
+    """Splits records into runs of a limited size, of one record at least."""
+    batch: list[KeyedRecord] = []
+    size = 0
+    for record in records:
+        record_size = len(record.key) + len(record.value)
+        if batch and size + record_size > _MOST_BYTES_AT_ONCE:
+            yield batch
+            batch = []
+            size = 0
+        batch.append(record)
+        size += record_size
+    if batch:
+        yield batch
+
+
 def _is_refused_with(code: ResultCode, result: Appended | Refusal) -> bool:
     return isinstance(result, Refusal) and result.code is code
 
--- a/tests/cover/test_progress.py
+++ b/tests/cover/test_progress.py
@@ -1,11 +1,18 @@
 """What waits for the store gets on, though the way there is slow."""
 
+import asyncio
+
+from coltsfootseam.jobs import JobState
 from coltsfootseam.manager.places import place_of_pool
+from coltsfootseam.standins.memory_store import MemoryStore
+from coltsfootseam.store import Journal, KeyedRecord, Partition
+from coltsfootseam.timers import VirtualTimers
 from tests.common.fleets import POOL, running_fleet
 
 SLOW_ANSWER_S = 0.05
 NEIGHBOUR_S = 0.02
 CLAIM_LIMIT_S = 30.0
+PARTITION = Partition("journal.1", 3)
 
 
 # Guards against a pool without an owner for as long as its neighbour appends.
@@ -22,3 +29,35 @@
             assert waited_s < CLAIM_LIMIT_S, "nobody owns the pool"
             fleet.store.put(place, "neighbour/job", b"progress")
             await fleet.timers.advance(NEIGHBOUR_S)
+
+
+# Guards against an owner that repeats an append which no call can finish: a
+# round that changes many jobs was one append, whatever its size.
+async def test_many_records_are_stored_over_a_link_that_carries_few() -> None:
+    timers = VirtualTimers()
+    store = MemoryStore(timers)
+    client = store.client()
+    client.faults.most_append_bytes = 72_000
+    journal = Journal(client, timers, PARTITION, "pool", 1)
+    records = [
+        KeyedRecord(f"pool/{number:04}", b"x" * 2000) for number in range(100)
+    ]
+    committing = asyncio.ensure_future(journal.commit(records))
+    await timers.advance(5.0)
+    assert committing.done()
+    assert committing.result() is None
+    stored = store.part(PARTITION).newest_by_key
+    assert sorted(stored) == [record.key for record in records]
+
+
+# Guards against LOST: an owner whose decisions can't be stored kept its pool,
+# as the store went on to confirm its epoch.
+async def test_an_owner_that_can_t_store_anything_gives_its_pool_up() -> None:
+    async with running_fleet(hosts=3) as fleet:
+        owner = fleet.owner()
+        owner.store.faults.most_append_bytes = 1
+        other = fleet.other()
+        await fleet.accept(other, "job-1")
+        # Sooner than a host with too many duties hands one over.
+        await fleet.wait_until(lambda: not owner.owns(), limit_s=7.0)
+        await fleet.wait_for_state("job-1", JobState.COMPLETED)
