--- a/bench/prove.py
+++ b/bench/prove.py
@@ -196,6 +196,26 @@
         "tests/cover/test_machines.py::"
         "test_a_wave_maintains_every_machine_and_says_so",
     ),
+    Proof(
+        "pages-kept",
+        "tests/cover/test_loading.py::"
+        "test_a_pool_is_owned_though_pages_fail_now_and_then",
+    ),
+    Proof(
+        "stalled-duties-given-up",
+        "tests/cover/test_loading.py::"
+        "test_a_host_that_can_t_read_a_pool_gives_it_up_to_another",
+    ),
+    Proof(
+        "requests-deleted",
+        "tests/cover/test_retention.py::"
+        "test_the_request_of_an_ended_job_leaves_the_store",
+    ),
+    Proof(
+        "duties-to-larger-hosts",
+        "tests/cover/test_standby.py::"
+        "test_a_deal_anew_leaves_pools_with_the_capable_hosts",
+    ),
     Proof(
         "ends-acknowledged",
         "tests/cover/test_jobs_path.py::"
--- a/libs/testbed/src/coltsfootseam/testbed/manager_switches.py
+++ b/libs/testbed/src/coltsfootseam/testbed/manager_switches.py
@@ -14,14 +14,17 @@
     Task,
 )
 from coltsfootseam.manager import job_service, pacer
+from coltsfootseam.manager.duty_keeper import DutyKeeper
 from coltsfootseam.manager.knowledge import Knowledge
 from coltsfootseam.manager.machine_orders import MachineOrders
 from coltsfootseam.manager.peer_calls import PeerCalls
+from coltsfootseam.manager.retention import Retention
+from coltsfootseam.manager.standby import Standby
 from coltsfootseam.manager.vacating import Vacating
 from coltsfootseam.manager.waves import Waves
 from coltsfootseam.results import Refusal, ResultCode
 from coltsfootseam.scheduling import Room, placement
-from coltsfootseam.store import Journal, Tail, journal
+from coltsfootseam.store import Journal, Newest, NewestReader, Tail, journal
 from coltsfootseam.testbed.switchboard import replace, switch
 from coltsfootseam.workers import WorkerLease, WorkerLink
 
@@ -125,6 +128,39 @@
     replace(Tail, "_take_newest", take)
 
 
+@switch("pages-kept")
+def _start_over_at_each_failed_page() -> None:
+    read = NewestReader.read
+
+    async def read_afresh(reader: NewestReader) -> Newest | Refusal:
+        result = await read(reader)
+        if isinstance(result, Refusal):
+            reader._records.clear()
+            reader._after_key = ""
+            reader.pages = 0
+        return result
+
+    replace(NewestReader, "read", read_afresh)
+
+
+@switch("stalled-duties-given-up")
+def _wait_for_every_duty() -> None:
+    replace(DutyKeeper, "_check_progress", lambda keeper: None)
+
+
+@switch("requests-deleted")
+def _keep_all_requests() -> None:
+    async def keep(retention: Retention) -> None:
+        del retention
+
+    replace(Retention, "delete_requests", keep)
+
+
+@switch("duties-to-larger-hosts")
+def _let_every_host_take_part() -> None:
+    replace(Standby, "is_spare", lambda standby, duties: False)
+
+
 @switch("waves-seen-through")
 def _call_waves_complete_at_once() -> None:
     replace(Waves, "_is_over", lambda waves, wave, progress, view: True)
