Decide no more starts of a pool than its owner can send soon

Half of the jobs waited 2.8 s for their first start, one in twenty 12.7 s.

Cause: hosts of the smaller kind have a link of 5 Mbit/s as played, and such hosts owned the pools of slot-hold and post-hold. The owner went on deciding starts for every free place: they waited 1.5 to 2.3 s to be sent while the call itself took 0.18 s. Each claimed room on a worker all that time, so the pool counted as busy and kept 158 of 180 machines, while the next pools waited for machines with 2 to 14.

Now an owner leaves what it can't send soon undecided. Machines aren't kept for it, and each round decides anew what goes first.

--- a/daemons/manager/src/coltsfootseam/manager/orders.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders.py
@@ -23,6 +23,7 @@
 _RETRY_S = 0.1
 _START_TRIES_S = 1.0
 _MOST_STARTS_AT_ONCE = 64
+_MOST_STARTS_UNSENT = 100
 _REFUSED_PAUSE_S = 0.1
 _MALFORMED_PAUSE_S = 2.0
 
@@ -48,6 +49,7 @@
         "_stopping",
         "_tasks",
         "_unknown",
+        "_unsent",
     )
 
     def __init__(self, state: PoolState, on_change: Callable[[], None]) -> None:
@@ -57,9 +59,20 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._stopping: set[tuple[object, int, str]] = set()
         self._unknown: set[tuple[object, int, str]] = set()
+        self._unsent: set[tuple[object, int]] = set()
+
+    def free_places(self) -> int:
+        """Returns how many more starts may be decided.
+
+        What waits to be sent claims room on a worker and grows old. A host
+        that sends slowly leaves the rest undecided: machines aren't kept for
+        it, and what is urgent by then goes first.
+        """
+        return max(0, _MOST_STARTS_UNSENT - len(self._unsent))
 
     def send_start(self, task: Task, run: Run, ticket: str) -> None:
         """Orders a run whose record is stored."""
+        self._unsent.add((task.id, run.number))
         self._spawn(self._start(task, run, ticket))
 
     def send_stops(self) -> None:
@@ -105,6 +118,7 @@
         tries = 0
         while _is_wanted(task, run):
             async with self._sending:
+                self._unsent.discard((task.id, run.number))
                 link = self._link(run)
                 if link is None or state.journal.lost:
                     return
@@ -123,6 +137,7 @@
                 state.book.stop_run(task, run, "start without an answer")
                 break
             await state.context.timers.sleep(_RETRY_S)
+        self._unsent.discard((task.id, run.number))
         self._take_start_outcome(task, run, outcome, tries)
 
     def _start_order(
--- a/daemons/manager/src/coltsfootseam/manager/planning.py
+++ b/daemons/manager/src/coltsfootseam/manager/planning.py
@@ -45,8 +45,12 @@
         self._fit = FITS.named(policies.fit)
         self.plan = Plan()
 
-    def plan_runs(self) -> list[NewRun]:
-        """Decides what starts now and enters it in the book."""
+    def plan_runs(self, most: int | None = None) -> list[NewRun]:
+        """Decides what starts now and enters it in the book.
+
+        Args:
+            most: How many starts can be sent soon, ``None`` for no limit.
+        """
         ready = sorted(self._ready_steps(), key=self._order)
         slow = self._copies.find_slow()
         if not ready and not slow:
@@ -55,11 +59,11 @@
         rooms = self.rooms()
         now_s = self._state.now_s()
         self.plan = plan_starts(
-            ready, rooms, now_s, self._tickets.find, self._fit
+            ready, rooms, now_s, self._tickets.find, self._fit, most
         )
         self._tickets.ask_for(self.plan.shortages, rooms)
         copies = []
-        if not self.plan.shortages:
+        if not self.plan.shortages and not self.plan.is_cut:
             copies = self._copies.place(slow, rooms)
         new_runs = self._enter(self.plan.placements + copies)
         preempt(self._state, self.plan.shortages, rooms)
--- a/daemons/manager/src/coltsfootseam/manager/rounds.py
+++ b/daemons/manager/src/coltsfootseam/manager/rounds.py
@@ -36,7 +36,7 @@
         self._workers.follow_entries()
         self._vacating.plan()
         self._stop_stalled()
-        new_runs = self._planner.plan_runs()
+        new_runs = self._planner.plan_runs(self._orders.free_places())
         self._vacating.shortages = self._planner.plan.shortages
         self._orders.send_stops()
         ends_by_id = dict(state.ends_by_id)
--- a/libs/scheduling/src/coltsfootseam/scheduling/placement.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/placement.py
@@ -49,10 +49,18 @@
 
 
 class Plan(msgspec.Struct):
-    """What is to be started, and what found no room."""
+    """What is to be started, and what found no room.
+
+    Attributes:
+        placements: What is to be started.
+        shortages: What found no room.
+        is_cut: Whether steps were left for later, as enough is to be started
+            already; whether those find room isn't known.
+    """
 
     placements: list[Placement] = []
     shortages: list[Shortage] = []
+    is_cut: bool = False
 
 
 def plan_starts(
@@ -61,6 +69,7 @@
     now_s: float,
     ticket_of: TicketOf,
     fit: Fit | None = None,
+    most: int | None = None,
 ) -> Plan:
     """Places the waiting tasks of ready steps, in the order given.
 
@@ -71,6 +80,8 @@
         ticket_of: Looks tickets up for queues whose policy asks for them.
         fit: Chooses among workers that are otherwise as good, ``None`` for
             the tightest fit.
+        most: No further step is placed once so many tasks are, ``None`` for
+            no limit. A step is never cut in two, so that gangs stay whole.
     """
     plan = Plan()
     fit = fit or fit_tightest
@@ -80,6 +91,9 @@
         tasks = _waiting_tasks(ready, now_s)
         if not tasks:
             continue
+        if most is not None and len(plan.placements) >= most:
+            plan.is_cut = True
+            break
         placed: list[Placement] = []
         if largest.may_fit(ready.step):
             placed = _place_step(ready, tasks, open_rooms, ticket_of, fit)
--- a/libs/standins/src/coltsfootseam/standins/memory_workers.py
+++ b/libs/standins/src/coltsfootseam/standins/memory_workers.py
@@ -108,6 +108,8 @@
         workers_by_instance: Workers by their own id.
         violations: What must not have happened.
         starts: Starts that were carried out, in order.
+        start_s: How long one start occupies the link of the host that sends
+            it.
         starting: Starts that are on their way now.
         most_starting: The most that ever were.
         saving_jobs: Jobs whose tasks save their progress.
@@ -126,6 +128,7 @@
         "most_starting",
         "paces",
         "saving_jobs",
+        "start_s",
         "starting",
         "starts",
         "violations",
@@ -142,6 +145,7 @@
         self.workers_by_instance: dict[str, MemoryWorker] = {}
         self.violations: list[Violation] = []
         self.starts: list[StartOrder] = []
+        self.start_s = 0.0
         self.starting = 0
         self.most_starting = 0
         self.saving_jobs: set[str] = set()
@@ -322,7 +326,7 @@
 class MemoryWorkerCalls:
     """One host's way to the workers."""
 
-    __slots__ = ("_host_id", "_random", "_timers", "_workers")
+    __slots__ = ("_free_s", "_host_id", "_random", "_timers", "_workers")
 
     def __init__(
         self,
@@ -335,6 +339,7 @@
         self._timers = timers
         self._random = rng
         self._host_id = host_id
+        self._free_s = 0.0
 
     async def hold(
         self, worker: WorkerEntry, order: HoldOrder
@@ -360,10 +365,17 @@
         workers.starting += 1
         workers.most_starting = max(workers.most_starting, workers.starting)
         try:
+            await self._occupy_link()
             return await self._start(worker, order)
         finally:
             workers.starting -= 1
 
+    async def _occupy_link(self) -> None:
+        """Waits until the starts before this one and this one are sent."""
+        now_s = self._timers.now_s()
+        self._free_s = max(now_s, self._free_s) + self._workers.start_s
+        await self._timers.sleep(self._free_s - now_s)
+
     async def _start(
         self, worker: WorkerEntry, order: StartOrder
     ) -> OrderAnswer:
--- a/tests/cover/test_bursts.py
+++ b/tests/cover/test_bursts.py
@@ -1,7 +1,8 @@
 """Many tasks start at once."""
 
+from coltsfootseam.calls import VacateRequest
 from coltsfootseam.jobs import JobState, Queue, Step
-from tests.common.fleets import running_fleet
+from tests.common.fleets import POOL, Fleet, running_fleet
 
 JOB = "a" * 16
 MOST_AT_ONCE = 64
@@ -56,3 +57,48 @@
         queue = jobs.find_queue("host", "/q/x")
         assert isinstance(queue, Queue)
         assert await fleet.run(jobs.pending(queue)) == 1
+
+
+BACKLOG_JOBS = 30
+BACKLOG = Step(count=30, cpu_millis=1000, estimate_ms=500)
+RUN_S = 0.5
+SLOW_LINK_START_S = 0.005
+
+
+async def overload_a_slow_link(fleet: Fleet) -> None:
+    """Hands in over four times what the owner's link starts in a second."""
+    for number in range(1, 11):
+        fleet.add_worker(number, cores=100)
+    await fleet.timers.advance(1.0)
+    fleet.workers.start_s = SLOW_LINK_START_S
+    for number in range(BACKLOG_JOBS):
+        await fleet.accept(fleet.owner(), f"{number:016x}", BACKLOG)
+
+
+async def test_a_slow_link_starts_urgent_work_before_its_backlog() -> None:
+    # Guards against starts decided so early that what comes later waits.
+    async with running_fleet(workers=0) as fleet:
+        await overload_a_slow_link(fleet)
+        began_s = fleet.timers.now_s()
+        small = Step(cpu_millis=1000, estimate_ms=100)
+        await fleet.accept(fleet.owner(), JOB, small)
+        await fleet.wait_until(lambda: fleet.started(JOB) == 1)
+        assert fleet.timers.now_s() - began_s < 1.2
+        for number in range(BACKLOG_JOBS):
+            await fleet.wait_for_state(f"{number:016x}", JobState.COMPLETED)
+
+
+async def test_starts_that_a_slow_link_can_not_send_yet_claim_no_machines() -> (
+    None
+):
+    # Guards against a pool that keeps machines from the others for nothing.
+    async with running_fleet(workers=0) as fleet:
+        await overload_a_slow_link(fleet)
+        host = fleet.owner()
+        assert host.manager is not None
+        vacating = host.manager.duties.owners_by_pool[POOL].vacating
+        assert vacating is not None
+        reply = vacating.take(VacateRequest(POOL, [], [], 0))
+        starts_a_second = 1 / SLOW_LINK_START_S
+        assert reply.waiting_cores == 0.0
+        assert reply.used_cores <= starts_a_second * (RUN_S + 1.0)
