Say when a dispatcher begins to grant, and what a refusal for overload rests on

Operators saw dispatch.term_begun and, seconds later, refusals with "a wait of 2.9 s is longer than the deadline allows".

Change: dispatch.granting, one line for each term that comes to grant, with the reports, the slots held and the requests that wait; the refusal names the requests ahead, their expected run, the slots and the time left. No decision changes.

--- a/libs/routing/src/coltsfootseam/routing/internal/book.py
+++ b/libs/routing/src/coltsfootseam/routing/internal/book.py
@@ -84,6 +84,10 @@
         """Returns the slots of a host that are known to be in use."""
         return self._in_use[host_id]
 
+    def slots_held(self) -> int:
+        """Returns the slots of all hosts that are known to be in use."""
+        return self._in_use.total()
+
     def held_by(self, entry_id: str, host_id: str) -> int:
         """Returns the slots of a host that an entry host holds."""
         counts = self._in_use_by_entry.get(entry_id)
--- a/libs/routing/src/coltsfootseam/routing/internal/service.py
+++ b/libs/routing/src/coltsfootseam/routing/internal/service.py
@@ -217,7 +217,11 @@
         left_s = request.deadline_s - self._context.timers.now_s()
         if wait_s + _HOPELESS_SHARE * expected_s <= left_s:
             return ""
-        return f"a wait of {wait_s:.1f} s is longer than the deadline allows"
+        return (
+            f"a wait of {wait_s:.1f} s is longer than the deadline allows: "
+            f"{ahead} ahead, {expected_s:.2f} s each, {slots} slots, "
+            f"{left_s:.2f} s left"
+        )
 
     def _refuse_if_hopeless(self, request: WaitingRequest) -> bool:
         """Refuses a request whose deadline its run would not meet.
@@ -252,4 +256,14 @@
     def _activate_if_majority(self) -> None:
         members = self._context.state().members_by_id
         reported = sum(1 for each in self.book.reported if each in members)
-        self.active = self.active or 2 * reported > len(members)
+        if self.active or 2 * reported <= len(members):
+            return
+        self.active = True
+        self._context.observer.change(
+            "dispatch.granting",
+            self._service,
+            f"members {self.book.term.members_offset}, "
+            f"takeovers {self.book.term.takeovers}, "
+            f"{reported} of {len(members)} reported, "
+            f"{self.book.slots_held()} slots held, {len(self._line)} wait",
+        )
