Follow a term that is told, and begin none because of it

Callers saw NOT_RUN_OVERLOADED ("a wait of 2.9 s is longer than the deadline allows") after up to 10 s of waiting, NOT_RUN_KEY_UNGUARDED and NOT_RUN_DEADLINE, for hundreds of requests around the planned stop of an entry host, on a busy machine. Slots were free all the while.

Cause: the entry hosts overtook each other's terms without end. NewerTerm is sent once for each request that waits, and an entry host took each after the first as "promised to another dispatcher" and began the next term itself. The new dispatcher of that term steps the last one down, which again tells everyone once for each waiting request. A host that had just become the dispatcher was told its own term by the one before it and left that too. With a few waiting requests at every entry host nobody ever comes to grant; each round asks for every waiting request anew, which slows the processes down and lets more requests gather.

With 3 terms told at once in virtual time: 83, 95 and 91 terms within 3 s, in place of the one that the change needs.

Ruled out: the machine alone as the cause. The same happens in virtual time, where nothing is slow but a lag of 20 ms on streams.

Also: a host that became the dispatcher because another one asked it never asked for its own waiting requests again when the last dispatcher was silent; they waited to their deadline.

Change: NewerTerm names the dispatcher where the sender knows it. Who is told follows and asks again for just those requests that were last asked for in another term or of another dispatcher; only a suspicion, a change of membership or a refused adoption begins a term. A batch of replies tells a term once. The field has a default, so that older and newer entry hosts understand each other.

Tests, failed before: one replaced dispatcher costs one term (83 begun, 2 expected), a leaving member costs one term though others fold it late (95 and 91 of 2 in two of three orders, the third passed), the next dispatcher serves what it had asked the last one for (0 granted, 1 expected). 31 passed after.

--- a/libs/peers/src/coltsfootseam/peers/dispatch.py
+++ b/libs/peers/src/coltsfootseam/peers/dispatch.py
@@ -120,10 +120,17 @@
 
 
 class NewerTerm(msgspec.Struct, frozen=True, array_like=True):
-    """Tells that a service is in a later term."""
+    """Tells that a service is in a later term.
+
+    Attributes:
+        service: The service.
+        term: The term.
+        dispatcher_id: Its dispatcher, empty if the sender does not know.
+    """
 
     service: str
     term: Term
+    dispatcher_id: str = ""
 
 
 class DispatchReply(msgspec.Struct, array_like=True):
--- a/libs/peers/src/coltsfootseam/peers/server.py
+++ b/libs/peers/src/coltsfootseam/peers/server.py
@@ -98,8 +98,10 @@
         self.outbox.mark_changed()
 
     def send_term(self, newer: NewerTerm) -> None:
-        self.outbox.batch.terms.append(newer)
-        self.outbox.mark_changed()
+        # Many requests that wait for one service are told the same.
+        if newer not in self.outbox.batch.terms:
+            self.outbox.batch.terms.append(newer)
+            self.outbox.mark_changed()
 
     def send_pong(self) -> None:
         self.outbox.mark_changed()
--- a/libs/routing/src/coltsfootseam/routing/internal/granted.py
+++ b/libs/routing/src/coltsfootseam/routing/internal/granted.py
@@ -41,9 +41,15 @@
 _ASK_AGAIN_S = 0.05
 
 
+class _Asked(msgspec.Struct, frozen=True):
+    term: Term
+    dispatcher_id: str
+
+
 class _Waiter(msgspec.Struct, eq=False):
     head: RequestHead
     future: "asyncio.Future[Grant | Refusal]"
+    asked: _Asked | None = None
 
 
 class _LocalSession(DispatchSession):
@@ -86,7 +92,9 @@
     def __init__(self, context: DispatchContext) -> None:
         self._context = context
         self._terms = TermKeeper(context.state)
-        self._server = DispatchServer(context, self._terms, self._holdings_of)
+        self._server = DispatchServer(
+            context, self._terms, self._holdings_of, self._ask_again_soon
+        )
         self._local_session = _LocalSession(self, context.own_id)
         self._links_by_member_id: dict[str, DispatchLink] = {}
         self._waiters_by_request_id: dict[str, _Waiter] = {}
@@ -143,7 +151,7 @@
                 link.close()
                 del self._links_by_member_id[member_id]
         self._server.refresh()
-        self._ask_all(list(self._waiters_by_request_id.values()))
+        self._ask_again(list(self._waiters_by_request_id.values()))
 
     def tick(self) -> None:
         """Takes over from dispatchers that do not answer."""
@@ -170,10 +178,9 @@
             service, request.term, request.dispatcher_id
         )
         self._server.step_down_if_older(service)
+        self._ask_again_soon(service)
         if not moved:
             return AdoptReply(self._later_than(request), [])
-        waiters = self._waiters_of(service)
-        asyncio.get_running_loop().call_soon(self._ask_all, waiters)
         return AdoptReply(request.term, self._holdings_of(service))
 
     async def close(self) -> None:
@@ -185,7 +192,9 @@
     def take_reply(self, dispatcher_id: str, reply: DispatchReply) -> None:
         """Takes what a dispatcher tells."""
         for newer in reply.terms:
-            self._follow_term(newer)
+            self._terms.follow(newer)
+            self._server.step_down_if_older(newer.service)
+            self._ask_again(self._waiters_of(newer.service))
         for refusal in reply.refusals:
             waiter = self._waiters_by_request_id.get(refusal.request_id)
             if waiter is not None and not waiter.future.done():
@@ -194,23 +203,6 @@
         for grant in reply.grants:
             self._take_grant(dispatcher_id, grant)
 
-    def _follow_term(self, newer: NewerTerm) -> None:
-        service = newer.service
-        if self._terms.note_later(service, newer.term):
-            self._server.step_down_if_older(service)
-            self._ask_all(self._waiters_of(service))
-            return
-        if newer.term < self._terms.current(service):
-            return
-        # The dispatcher has promised this term to another one, so only the
-        # next term can bring both together.
-        self._terms.take_over(service)
-        self._server.step_down_if_older(service)
-        waiters = self._waiters_of(service)
-        self._context.timers.call_after(
-            _ASK_AGAIN_S, lambda: self._ask_all(waiters)
-        )
-
     def _take_grant(self, dispatcher_id: str, grant: SlotGrant) -> None:
         member = self._terms.dispatcher_of(grant.service)
         if grant.term != self._terms.current(grant.service):
@@ -261,6 +253,23 @@
         for waiter in waiters:
             self._ask(waiter)
 
+    def _ask_again_soon(self, service: str) -> None:
+        asyncio.get_running_loop().call_soon(
+            lambda: self._ask_again(self._waiters_of(service))
+        )
+
+    def _ask_again(self, waiters: list[_Waiter]) -> None:
+        """Asks for what was last asked in another term than now."""
+        for waiter in waiters:
+            if waiter.asked != self._whom_to_ask(waiter.head.service):
+                self._ask(waiter)
+
+    def _whom_to_ask(self, service: str) -> _Asked | None:
+        member = self._terms.dispatcher_of(service)
+        if member is None:
+            return None
+        return _Asked(self._terms.current(service), member.member_id)
+
     def _ask(self, waiter: _Waiter) -> None:
         if waiter.future.done():
             return
@@ -268,10 +277,12 @@
         member = self._terms.dispatcher_of(service)
         if member is None:
             return
+        term = self._terms.current(service)
+        waiter.asked = _Asked(term, member.member_id)
         now_s = self._context.timers.now_s()
         acquire = Acquire(
             service=service,
-            term=self._terms.current(service),
+            term=term,
             request_id=waiter.head.request_id,
             kind=waiter.head.kind(),
             waited_s=now_s - waiter.head.arrived_s,
@@ -337,7 +348,7 @@
                 service,
                 f"{member_id} {cause}, takeovers {term.takeovers}",
             )
-        self._ask_all(waiters)
+        self._ask_again(waiters)
 
     def _waiting_by_dispatcher(self) -> dict[str, list[_Waiter]]:
         waiting: dict[str, list[_Waiter]] = {}
--- a/libs/routing/src/coltsfootseam/routing/internal/granting.py
+++ b/libs/routing/src/coltsfootseam/routing/internal/granting.py
@@ -33,6 +33,7 @@
         "_context",
         "_dispatchers_by_service",
         "_entry_by_session",
+        "_on_moved",
         "_own_holdings",
         "_tasks",
         "_terms",
@@ -43,10 +44,12 @@
         context: DispatchContext,
         terms: TermKeeper,
         own_holdings: Callable[[str], list[Holding]],
+        on_moved: Callable[[str], None],
     ) -> None:
         self._context = context
         self._terms = terms
         self._own_holdings = own_holdings
+        self._on_moved = on_moved
         self._dispatchers_by_service: dict[str, ServiceDispatcher] = {}
         self._entry_by_session: dict[DispatchSession, str] = {}
         self._tasks: BackgroundTasks[None] = BackgroundTasks()
@@ -136,14 +139,15 @@
         self, entry_id: str, session: DispatchSession, acquire: Acquire
     ) -> None:
         service = acquire.service
-        self._terms.note_later(service, acquire.term)
+        if self._terms.note_later(service, acquire.term):
+            self._on_moved(service)
         term = self._terms.current(service)
         if acquire.term < term:
-            session.send_term(NewerTerm(service, term))
+            session.send_term(self._terms.announce(service))
             return
         dispatcher = self._dispatcher_for(service, term)
         if dispatcher is None:
-            session.send_term(NewerTerm(service, term))
+            session.send_term(self._terms.announce(service))
             return
         dispatcher.ask(entry_id, session, acquire)
 
@@ -169,10 +173,9 @@
         return dispatcher
 
     def _step_down(self, service: str, dispatcher: ServiceDispatcher) -> None:
-        term = self._terms.current(service)
-        for request in dispatcher.drop_waiting():
-            request.session.send_term(NewerTerm(service, term))
         dispatcher.active = False
+        for request in dispatcher.drop_waiting():
+            request.session.send_term(self._terms.announce(service))
 
     def _start_adoption(
         self, service: str, dispatcher: ServiceDispatcher
--- a/libs/routing/src/coltsfootseam/routing/internal/terms.py
+++ b/libs/routing/src/coltsfootseam/routing/internal/terms.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from coltsfootseam.peers import Term
+from coltsfootseam.peers import NewerTerm, Term
 from coltsfootseam.state import FleetState, Member, rank_members
 
 
@@ -65,15 +65,46 @@
         return True
 
     def note_later(self, service: str, term: Term) -> bool:
-        """Moves to a later term whose dispatcher follows from the ranking."""
+        """Moves to a later term whose dispatcher is not known yet."""
         if term <= self.current(service):
             return False
         self._promises_by_service[service] = _Promise(term, "")
         return True
 
+    def follow(self, newer: NewerTerm) -> None:
+        """Moves to a term that was told, and learns who dispatches it.
+
+        A term that is not later begins no further one: what is told often is
+        told late, and an echo of this host's own term is no conflict.
+        """
+        service = newer.service
+        self.note_later(service, newer.term)
+        if newer.dispatcher_id:
+            self.promise(service, newer.term, newer.dispatcher_id)
+
+    def announce(self, service: str) -> NewerTerm:
+        """Returns what to tell those that asked in another term."""
+        term = self.current(service)
+        return NewerTerm(service, term, self._known_dispatcher_id(service))
+
     def take_over(self, service: str) -> Term:
         """Begins the next term, since the dispatcher does not answer."""
         current = self.current(service)
         term = Term(current.members_offset, current.takeovers + 1)
         self.note_later(service, term)
         return term
+
+    def _known_dispatcher_id(self, service: str) -> str:
+        term = self.current(service)
+        promise = self._promises_by_service.get(service)
+        if (
+            promise is not None
+            and promise.term == term
+            and promise.dispatcher_id
+        ):
+            return promise.dispatcher_id
+        # A ranking of members that are no longer those of the term misleads.
+        if self._state().members_offset != term.members_offset:
+            return ""
+        member = self.dispatcher_of(service)
+        return "" if member is None else member.member_id
--- a/tests/common/dispatchers.py
+++ b/tests/common/dispatchers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import Counter
+from collections.abc import Callable
 from typing import Any
 
 from coltsfootseam.observe import Observer
@@ -41,7 +42,7 @@
 
     def _deliver(self, reply: DispatchReply) -> None:
         if self._network.passes(*self._pair):
-            asyncio.get_running_loop().call_soon(self._take, reply)
+            self._network.carry(self._pair[0], lambda: self._take(reply))
         else:
             self._network.held_back.append((self._pair, self._take, reply))
 
@@ -67,6 +68,7 @@
             their connections stay open.
         slow: Entry hosts whose replies to calls arrive late, while streams
             are as quick as ever.
+        lag_s: How long a message on a stream is under way.
     """
 
     def __init__(self, state: FleetState) -> None:
@@ -74,6 +76,7 @@
         self.dead: set[str] = set()
         self.silent: set[str] = set()
         self.slow: set[str] = set()
+        self.lag_s = 0.0
         self.held_back: list[tuple[tuple[str, str], Any, DispatchReply]] = []
         self.hosts_by_id: dict[str, DispatchHost] = {}
 
@@ -81,6 +84,13 @@
         """Tells whether anything gets from one entry host to another."""
         return not {one, other} & (self.dead | self.silent)
 
+    def carry(self, to: str, arrive: Callable[[], None]) -> None:
+        """Lets a message to an entry host arrive after the lag."""
+        if self.lag_s:
+            self.hosts_by_id[to].timers.call_after(self.lag_s, arrive)
+        else:
+            asyncio.get_running_loop().call_soon(arrive)
+
     def speak(self) -> None:
         """Ends all silence; what was held back arrives late."""
         self.silent.clear()
@@ -123,12 +133,16 @@
         pair = (self._own_id, target)
         session = _FakeSession(self._network, pair, take)
         dispatcher = self._network.hosts_by_id[target].dispatcher
+        timers = self._network.hosts_by_id[target].timers
 
         async def write(update: DispatchUpdate) -> None:
             if target in self._network.dead:
                 raise ConnectionResetError
-            if self._network.passes(*pair):
-                dispatcher.take_dispatch_update(session, update)
+            if not self._network.passes(*pair):
+                return
+            if self._network.lag_s:
+                await timers.sleep(self._network.lag_s)
+            dispatcher.take_dispatch_update(session, update)
 
         try:
             await outbox.write_all(write)
@@ -139,7 +153,12 @@
 
 
 class DispatchHost:
-    """One entry host and the grants that its requests got."""
+    """One entry host and the grants that its requests got.
+
+    Attributes:
+        state: What it has folded; the state of the network unless a test lets
+            it lag.
+    """
 
     def __init__(
         self, own_id: str, network: FakeNetwork, timers: VirtualTimers
@@ -149,14 +168,15 @@
         self.timers = timers
         self.observer = Observer(timers, own_id, "zone-a")
         self.endpoints = EndpointTable(self.observer)
-        self.endpoints.rebuild(network.state)
+        self.state = network.state
+        self.endpoints.rebuild(self.state)
         peers: Any = _FakePeers(network, own_id)
         factory = find_dispatcher("granted")
         assert factory is not None
         self.dispatcher: Dispatcher = factory(
             DispatchContext(
                 own_id=own_id,
-                state=lambda: network.state,
+                state=lambda: self.state,
                 endpoints=self.endpoints,
                 peers=peers,
                 timers=timers,
@@ -201,6 +221,12 @@
 
         self.tasks.append(asyncio.ensure_future(wait()))
 
+    def follow(self, state: FleetState) -> None:
+        """Follows a change of the state."""
+        self.state = state
+        self.endpoints.rebuild(state)
+        self.dispatcher.refresh()
+
     def finish(self, grant: Grant, ran_s: float = 1.0) -> None:
         """Ends a granted request."""
         self.grants.remove(grant)
@@ -235,8 +261,7 @@
     def refresh(self) -> None:
         """Lets every entry host follow a change of the state."""
         for host in self.hosts:
-            host.endpoints.rebuild(self.network.state)
-            host.dispatcher.refresh()
+            host.follow(self.network.state)
 
     def held_by_host(self) -> Counter[str]:
         """Returns the slots that requests hold, dead entry hosts' included."""
@@ -250,6 +275,13 @@
         """Returns how many requests hold a slot."""
         return self.held_by_host().total()
 
+    def terms_begun(self) -> int:
+        """Returns how often any entry host became the dispatcher."""
+        return sum(
+            host.observer.counters.totals_by_name["events.dispatch.term_begun"]
+            for host in self.network.hosts_by_id.values()
+        )
+
     async def close(self) -> None:
         """Ends what runs in the background."""
         for host in self.network.hosts_by_id.values():
--- a/tests/cover/test_granted.py
+++ b/tests/cover/test_granted.py
@@ -1,15 +1,22 @@
 """Slots are granted by one dispatcher, and never twice when it is replaced."""
 
 import contextlib
+import copy
 from collections.abc import AsyncIterator
 from typing import Any
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from coltsfootseam.peers import DispatchReply, SlotGrant, Term
 from coltsfootseam.results import ResultCode
-from coltsfootseam.state import HostDrainReserved, MemberExpired
+from coltsfootseam.state import (
+    HostDrainReserved,
+    MemberExpired,
+    MemberLeft,
+    rank_members,
+)
 from tests.common.dispatchers import (
     SERVICE,
     DispatchFleet,
@@ -169,6 +176,70 @@
         assert "host-0" not in used
 
 
+# Guards against entry hosts that overtake each other's terms without end.
+async def test_a_dispatcher_that_is_replaced_costs_one_term() -> None:
+    async with running_fleet(members=3, hosts=1) as fleet:
+        ask_everywhere(fleet, 20, "before")
+        await fleet.timers.advance(1.0)
+        assert fleet.terms_begun() == 1
+        fleet.network.lag_s = 0.02
+        fleet.network.silent.add(fleet.dispatcher_id())
+        other_hosts(fleet)[0].ask("after")
+        await fleet.timers.advance(3.0)
+        fleet.network.speak()
+        await fleet.timers.advance(3.0)
+        assert fleet.terms_begun() == 2
+
+
+# Guards against terms that race while entry hosts fold a change one by one.
+@pytest.mark.parametrize("first", range(3))
+async def test_a_member_that_leaves_costs_one_term_though_others_learn_late(
+    first: int,
+) -> None:
+    async with running_fleet(members=4, hosts=1) as fleet:
+        staying = other_hosts(fleet)
+        for host in staying:
+            for number in range(20):
+                host.ask(f"before-{number}")
+        await fleet.timers.advance(1.0)
+        fleet.network.lag_s = 0.02
+        state = copy.deepcopy(fleet.network.state)
+        left = fleet.dispatcher_id()
+        fold_body(state, MemberLeft(), author=left)
+        for host in staying[first:] + staying[:first]:
+            host.follow(state)
+            await fleet.timers.advance(0.1)
+        fleet.network.hosts_by_id[left].follow(state)
+        await fleet.timers.advance(3.0)
+        assert fleet.terms_begun() == 2
+        for _ in range(20):
+            for host in staying:
+                for grant in list(host.grants):
+                    host.finish(grant)
+            await fleet.timers.advance(0.1)
+        assert all(task.done() for host in staying for task in host.tasks)
+
+
+# Guards against requests that stay with a dispatcher that nothing hears of.
+async def test_the_next_dispatcher_serves_what_it_had_asked_the_last_for() -> (
+    None
+):
+    async with running_fleet(members=3, hosts=1) as fleet:
+        ranked = rank_members(
+            fleet.network.state.members_by_id, f"dispatch/{SERVICE}"
+        )
+        last, following, other = (
+            fleet.network.hosts_by_id[each] for each in ranked
+        )
+        fleet.network.silent.add(last.own_id)
+        other.ask("first")
+        await fleet.timers.advance(1.0)
+        following.ask("second")
+        await fleet.timers.advance(5.0)
+        assert len(other.grants) == 1
+        assert len(following.grants) == 1
+
+
 async def test_a_request_that_gives_up_leaves_no_slot_behind() -> None:
     async with running_fleet(members=2, hosts=1) as fleet:
         host = other_hosts(fleet)[0]
