Serve what comes on open connections until a planned stop has waited it out

Callers got NOT_RUN_STOPPING ("the entry host has stopped") from an entry host that had yet to answer others: it refused what came on open connections as soon as the balancer's lag, counted from SIGTERM, was over, and then stayed for as long as its other requests ran.

Ruled out: a balancer that kept a stopped host in its list. These requests were sent within 0.6 s of SIGTERM, and the stand-in looks every 0.5 s.

Change: requests are refused only after all are answered and nothing has come for the balancer's lag; a request that comes shows that the balancer had not been told by then. Each answer closes its connection and no new ones are taken, so this ends soon; stop_ms bounds it as before. An idle host leaves after the lag as before.

Tests, in virtual time: what comes on an open connection is run (before: refused), a host leaves once nothing has come for the lag (before: it left earlier). An idle host leaves after the lag, and a stop ends at its limit: both passed before too.

Open: a connection on which nothing has been sent for the lag is still cut.

--- a/daemons/entry/src/coltsfootseam/entry/daemon.py
+++ b/daemons/entry/src/coltsfootseam/entry/daemon.py
@@ -181,8 +181,10 @@
     entry_host.routing.frontend.closing = True
     await entry_host.core.timers.sleep(times.balancer_lag_ms / MS_PER_S)
     await callers_site.stop()
-    entry_host.readiness.stopped = True
+    # Requests on open connections are served until then; each connection is
+    # closed after its answer, so that the last one has soon come.
     await _wait_until_idle(entry_host, times.stop_ms / MS_PER_S)
+    entry_host.readiness.stopped = True
     await entry_host.routing.handover.hand_over_all()
     await entry_host.replication.lease.leave()
 
@@ -190,5 +192,16 @@
 async def _wait_until_idle(entry_host: EntryHost, limit_s: float) -> None:
     timers = entry_host.core.timers
     deadline_s = timers.now_s() + limit_s
-    while entry_host.routing.frontend.busy() and timers.now_s() < deadline_s:
+    while not _is_idle(entry_host) and timers.now_s() < deadline_s:
         await timers.sleep(_STOP_POLL_S)
+
+
+def _is_idle(entry_host: EntryHost) -> bool:
+    """Tells whether all is answered and the balancer's lag is over.
+
+    A request that has come shows that the balancer had not been told by then.
+    """
+    frontend = entry_host.routing.frontend
+    lag_s = entry_host.core.settings.timers.balancer_lag_ms / MS_PER_S
+    quiet_s = entry_host.core.timers.now_s() - frontend.last_arrival_s
+    return not frontend.busy() and quiet_s >= lag_s
--- a/daemons/entry/src/coltsfootseam/entry/readiness.py
+++ b/daemons/entry/src/coltsfootseam/entry/readiness.py
@@ -12,8 +12,8 @@
 
     Attributes:
         stopping: A planned stop has begun; the balancer is told.
-        stopped: The time in which the balancer may still send requests is
-            over.
+        stopped: All requests have been answered and the time in which the
+            balancer may still send some is over.
     """
 
     __slots__ = (
--- a/libs/routing/src/coltsfootseam/routing/frontend.py
+++ b/libs/routing/src/coltsfootseam/routing/frontend.py
@@ -1,6 +1,7 @@
 """Callers' requests from their arrival to their answer."""
 
 import asyncio
+import math
 from collections.abc import Callable
 
 import aiohttp
@@ -59,6 +60,7 @@
 
     Attributes:
         in_progress: Requests that have arrived and are not yet answered.
+        last_arrival_s: When the newest request arrived.
         closing: Whether connections are closed after their next answer.
     """
 
@@ -72,6 +74,7 @@
         "_timers",
         "closing",
         "in_progress",
+        "last_arrival_s",
     )
 
     def __init__(
@@ -91,6 +94,7 @@
         self._check_ready = check_ready
         self._settling: BackgroundTasks[None] = BackgroundTasks()
         self.in_progress = 0
+        self.last_arrival_s = -math.inf
         self.closing = False
 
     def busy(self) -> int:
@@ -100,6 +104,7 @@
     async def handle(self, caller: web.BaseRequest) -> web.StreamResponse:
         """Answers one request."""
         self.in_progress += 1
+        self.last_arrival_s = self._timers.now_s()
         self._observer.count("requests.arrived")
         try:
             response = await self._answer(caller)
--- /dev/null
+++ b/tests/cover/test_planned_stop.py
@@ -0,0 +1,171 @@
+"""A planned stop serves what callers still send while it waits."""
+
+import asyncio
+from types import SimpleNamespace
+from typing import Any
+
+from aiohttp.test_utils import make_mocked_request
+
+from coltsfootseam.entry import daemon
+from coltsfootseam.entry.entry_host import EntryHost
+from coltsfootseam.entry.readiness import Readiness
+from coltsfootseam.observe import Observer
+from coltsfootseam.results import Refusal, ResultCode
+from coltsfootseam.routing import DeadlineLimits, Frontend, RoutingSettings
+from coltsfootseam.settings import TimerSettings
+from coltsfootseam.timers import VirtualTimers
+
+LAG_S = 1.0
+LIMIT_S = 20.0
+
+
+class FakeAttempts:
+    """Runs each request for as long as its path says, in seconds."""
+
+    def __init__(self, timers: VirtualTimers) -> None:
+        self._timers = timers
+        self._running = 0
+        self.ran: list[str] = []
+
+    def running(self) -> int:
+        """Returns the requests that run."""
+        return self._running
+
+    def start(self, head: Any, *unused: Any) -> "asyncio.Task[Refusal]":
+        """Starts a request."""
+        del unused
+        return asyncio.ensure_future(self._run(head.target))
+
+    async def _run(self, target: str) -> Refusal:
+        self._running += 1
+        await self._timers.sleep(float(target.rpartition("/")[2]))
+        self._running -= 1
+        self.ran.append(target)
+        return Refusal(ResultCode.OUTCOME_UNKNOWN, "ran")
+
+
+class StoppingHost:
+    """An entry host of which only the stop is real.
+
+    Attributes:
+        listens: Whether it takes new connections.
+        left: Whether it has given its membership back.
+    """
+
+    def __init__(self) -> None:
+        self.timers = VirtualTimers()
+        self.attempts = FakeAttempts(self.timers)
+        self.listens = True
+        self.left = False
+        self._requests: list[asyncio.Future[Any]] = []
+        times = TimerSettings(
+            balancer_lag_ms=round(LAG_S * 1000), stop_ms=round(LIMIT_S * 1000)
+        )
+        settings: Any = SimpleNamespace(entry_id="entry-0", timers=times)
+        observer = Observer(self.timers, "entry-0", "zone-a")
+        lease: Any = SimpleNamespace(
+            is_member=lambda: not self.left, leave=self._leave
+        )
+        connectivity: Any = SimpleNamespace(is_isolated=lambda *_: False)
+        replica: Any = SimpleNamespace(state=None)
+        readiness = Readiness(settings, replica, connectivity, lease)
+        attempts: Any = self.attempts
+        unused_keys: Any = None
+        frontend = Frontend(
+            RoutingSettings("entry-0", DeadlineLimits(30_000, 60_000), 0, 0),
+            attempts,
+            unused_keys,
+            self.timers,
+            observer,
+            readiness.find_reason_not_to_run,
+        )
+        core: Any = SimpleNamespace(
+            settings=settings, timers=self.timers, observer=observer
+        )
+        replication: Any = SimpleNamespace(lease=lease)
+        handover = SimpleNamespace(hand_over_all=self._hand_over_all)
+        routing: Any = SimpleNamespace(frontend=frontend, handover=handover)
+        self._host = EntryHost(core, replication, routing, readiness)
+        self._site: Any = SimpleNamespace(stop=self._stop_listening)
+
+    def ask(self, run_s: float) -> None:
+        """Sends a request on an open connection."""
+        request = make_mocked_request("GET", f"/service-a/{run_s}")
+        answer = self._host.routing.frontend.handle(request)
+        self._requests.append(asyncio.ensure_future(answer))
+
+    def stop(self) -> "asyncio.Task[None]":
+        """Begins the planned stop."""
+        return asyncio.ensure_future(
+            daemon._stop_gracefully(self._host, self._site)
+        )
+
+    def codes(self) -> list[ResultCode]:
+        """Returns the result codes of the answers so far."""
+        return [
+            ResultCode(int(each.result().headers["X-Result-Code"]))
+            for each in self._requests
+            if each.done()
+        ]
+
+    async def _leave(self) -> None:
+        self.left = True
+
+    async def _hand_over_all(self) -> None:
+        pass
+
+    async def _stop_listening(self) -> None:
+        self.listens = False
+
+
+# Guards against refusing callers while the stop still waits for others.
+async def test_what_comes_on_an_open_connection_during_the_stop_is_run() -> (
+    None
+):
+    host = StoppingHost()
+    host.ask(run_s=5.0)
+    stopping = host.stop()
+    await host.timers.advance(LAG_S + 0.1)
+    assert not host.listens
+    host.ask(run_s=0.2)
+    await host.timers.advance(1.0)
+    assert host.attempts.ran == ["/service-a/0.2"]
+    await host.timers.advance(5.0)
+    assert stopping.done() and host.left
+    assert ResultCode.NOT_RUN_STOPPING not in host.codes()
+
+
+# Guards against leaving between two requests of a balancer that lags.
+async def test_a_host_leaves_once_nothing_has_come_for_the_balancers_lag() -> (
+    None
+):
+    host = StoppingHost()
+    stopping = host.stop()
+    await host.timers.advance(0.9 * LAG_S)
+    host.ask(run_s=0.1)
+    await host.timers.advance(0.9 * LAG_S)
+    assert not host.left
+    host.ask(run_s=0.1)
+    await host.timers.advance(0.9 * LAG_S)
+    assert len(host.attempts.ran) == 2
+    assert not host.left
+    await host.timers.advance(0.2 * LAG_S)
+    assert stopping.done() and host.left
+
+
+# Guards against a stop that callers without a balancer put off for ever.
+async def test_a_stop_ends_at_its_limit_though_requests_still_come() -> None:
+    host = StoppingHost()
+    stopping = host.stop()
+    for _ in range(round(2 * (LAG_S + LIMIT_S)) + 1):
+        host.ask(run_s=0.1)
+        await host.timers.advance(0.5)
+    assert stopping.done() and host.left
+
+
+# Guards against a stop that takes longer than the balancer needs.
+async def test_an_idle_host_leaves_after_the_balancers_lag() -> None:
+    host = StoppingHost()
+    stopping = host.stop()
+    await host.timers.advance(LAG_S + 0.1)
+    assert stopping.done() and host.left
