Have a test say which request was not answered, by whom and why

Change: assert_all_answered in place of the six comparisons of kinds. It fails in the same cases, no results at all among them, and names up to 20 tries: request, entry host, result code and reason, when it was sent and how long it took.

--- a/tests/common/clusters.py
+++ b/tests/common/clusters.py
@@ -18,6 +18,8 @@
     wait_until,
 )
 
+_RESULTS_SHOWN = 20
+
 QUICK_TIMERS: dict[str, Any] = {
     "timers": {
         "lease_ms": 3000,
@@ -108,6 +110,19 @@
     return {result.kind for result in results}
 
 
+def assert_all_answered(results: list[CallerResult]) -> None:
+    """Fails unless every try was answered, and says which were not, and why."""
+    others = [each for each in results if each.kind is not ResultKind.ANSWERED]
+    shown = "\n".join(
+        f"{each.request.operation} {each.request.http_method()} to "
+        f"{each.entry_id}: {each.kind.name} {each.code} {each.detail!r}, "
+        f"sent at {each.sent_s:.3f} s, took {each.took_s:.3f} s"
+        for each in others[:_RESULTS_SHOWN]
+    )
+    assert results
+    assert not others, f"{len(others)} of {len(results)} tries:\n{shown}"
+
+
 async def wait_members(cluster: Cluster, through: str, count: int) -> None:
     """Waits until an entry host sees a number of members."""
 
--- a/tests/nocover/test_endpoint_faults.py
+++ b/tests/nocover/test_endpoint_faults.py
@@ -11,6 +11,7 @@
     launching,
 )
 from tests.common.clusters import (
+    assert_all_answered,
     kinds_of,
     load_during,
     make_plan,
@@ -132,7 +133,7 @@
             for number in range(120)
         ]
         results = await load_during(cluster, load)
-        assert kinds_of(results) == {ResultKind.ANSWERED}
+        assert_all_answered(results)
 
 
 async def test_a_refusing_pool_is_answered_not_run_without_a_retry_storm() -> (
--- a/tests/nocover/test_log_faults.py
+++ b/tests/nocover/test_log_faults.py
@@ -7,13 +7,12 @@
 from coltsfootseam.testbed import (
     Cluster,
     ConfigurationWatch,
-    ResultKind,
     launching,
     wait_until,
 )
 from tests.common.clusters import (
     amend_command,
-    kinds_of,
+    assert_all_answered,
     load_during,
     make_plan,
     publish_command,
@@ -102,7 +101,7 @@
         results = await load_during(
             cluster, load, _try_things_in_outage(cluster)
         )
-        assert kinds_of(results) == {ResultKind.ANSWERED}
+        assert_all_answered(results)
         await cluster.set_log_faults(LogFaults())
         await wait_members(cluster, "entry-0", 4)
         for entry_id in cluster.entries_by_id:
--- a/tests/nocover/test_whole_path.py
+++ b/tests/nocover/test_whole_path.py
@@ -5,14 +5,13 @@
 from coltsfootseam.standins.endpoint import EndpointFaults
 from coltsfootseam.standins.hostlist import HostListChange
 from coltsfootseam.testbed import (
-    ResultKind,
     count_violations,
     launching,
     replay_log,
 )
 from tests.common.clusters import (
     amend_command,
-    kinds_of,
+    assert_all_answered,
     load_during,
     make_plan,
     publish_command,
@@ -27,7 +26,7 @@
         await publish_small_contract(cluster)
         load = steady_load(300, per_s=150, answer_bytes=100_000)
         results = await load_during(cluster, load)
-        assert kinds_of(results) == {ResultKind.ANSWERED}
+        assert_all_answered(results)
         violations = count_violations(results, await cluster.tallies())
         assert violations.total() == 0, violations
 
@@ -51,7 +50,7 @@
 
         load = steady_load(600, per_s=120, run_ms=100)
         results = await load_during(cluster, load, amend())
-        assert kinds_of(results) == {ResultKind.ANSWERED}
+        assert_all_answered(results)
         violations = count_violations(results, await cluster.tallies())
         assert violations.total() == 0, violations
         findings = (await replay_log(cluster)).findings
@@ -77,7 +76,7 @@
 
         load = steady_load(500, per_s=60)
         results = await load_during(cluster, load, leave())
-        assert kinds_of(results) == {ResultKind.ANSWERED}
+        assert_all_answered(results)
         violations = count_violations(results, await cluster.tallies())
         assert violations.total() == 0, violations
 
@@ -96,6 +95,6 @@
 
         load = steady_load(1500, per_s=100, run_ms=200)
         results = await load_during(cluster, load, stop_one_after_another())
-        assert kinds_of(results) == {ResultKind.ANSWERED}
+        assert_all_answered(results)
         violations = count_violations(results, await cluster.tallies())
         assert violations.total() == 0, violations
