Give each cluster of the test bench a loopback network that no other launcher has

A launcher took its network from its process id modulo 250, so that two launchers on one machine could share addresses.

Change: a launcher binds a socket in its network and looks further if that is taken; the system releases it with the process.

--- a/libs/testbed/src/coltsfootseam/testbed/cluster.py
+++ b/libs/testbed/src/coltsfootseam/testbed/cluster.py
@@ -18,6 +18,7 @@
 from coltsfootseam.standins.log import LogFaults
 from coltsfootseam.standins.proxy import ProxyFaults, ProxyTally
 from coltsfootseam.testbed.control import Control
+from coltsfootseam.testbed.networks import claim_network
 from coltsfootseam.testbed.processes import Process
 from coltsfootseam.testbed.waiting import wait_until
 
@@ -29,7 +30,6 @@
 HOSTS_IN_A_RACK = 4
 
 _ENTRY_MODULE = "coltsfootseam.testbed.switched_entry"
-_NETWORKS = 250
 _NETWORKS_A_PROCESS = 7
 _LOG_GROUP = 1
 _HOST_LIST_GROUP = 2
@@ -89,10 +89,10 @@
         self.endpoints_by_id: dict[str, Process] = {}
         self._others: list[Process] = []
         self._proxies_by_name: dict[str, str] = {}
-        # Processes of clusters that run at the same time must not share
-        # addresses, so each launcher has a loopback network of its own.
-        number = os.getpid() * _NETWORKS_A_PROCESS + next(_cluster_numbers)
-        self._network = f"127.{1 + number % _NETWORKS}"
+        self._claim = claim_network(
+            os.getpid() * _NETWORKS_A_PROCESS + next(_cluster_numbers)
+        )
+        self._network = self._claim.network
         self.directory = pathlib.Path("build") / plan.name
         shutil.rmtree(self.directory, ignore_errors=True)
         self.directory.mkdir(parents=True)
@@ -269,6 +269,7 @@
         for process in processes:
             process.resume()
             process.kill()
+        self._claim.release()
 
     async def _write_settings(self, entry_id: str) -> pathlib.Path:
         index = _index_of(entry_id)
