Count each request that waits once when it is judged whether time is enough

Callers got NOT_RUN_OVERLOADED although their request could have been served: the number of requests ahead was the length of a queue from which those that gave up, or whose stream ended, are only taken when they reach its front. Behind the request of another entry host they stay, and each new stream, which is opened after 0.7 s of silence, asks for all that waits once more.

Evidence: the new test. 18 short requests wait, one entry host's stream is opened anew five times, and a request with 8 s left is refused: "a wait of 24.5 s is longer than the deadline allows: 98 ahead, 2.00 s each, 8 slots".

Test: failed before (one refusal), passes now; test_granted.py and test_dispatch.py, 31 passed.

--- a/libs/routing/src/coltsfootseam/routing/internal/waiting.py
+++ b/libs/routing/src/coltsfootseam/routing/internal/waiting.py
@@ -34,12 +34,13 @@
 class WaitingLine:
     """Two queues, each in order of arrival; removal is lazy."""
 
-    __slots__ = ("_long", "_requests_by_id", "_short")
+    __slots__ = ("_long", "_requests_by_id", "_short", "_short_waiting")
 
     def __init__(self) -> None:
         self._requests_by_id: dict[str, WaitingRequest] = {}
         self._short: deque[WaitingRequest] = deque()
         self._long: deque[WaitingRequest] = deque()
+        self._short_waiting = 0
 
     def __len__(self) -> int:
         return len(self._requests_by_id)
@@ -51,6 +52,7 @@
             known.session = request.session
             return
         self._requests_by_id[request.request_id] = request
+        self._short_waiting += not request.is_long
         queue = self._long if request.is_long else self._short
         # Requests that were sent again after a change of dispatcher go back
         # to where they stood.
@@ -64,6 +66,7 @@
         request = self._requests_by_id.pop(request_id, None)
         if request is not None:
             request.gone = True
+            self._short_waiting -= not request.is_long
         return request
 
     def remove_session(self, session: DispatchSession) -> None:
@@ -80,6 +83,7 @@
         self._requests_by_id.clear()
         self._short.clear()
         self._long.clear()
+        self._short_waiting = 0
         return requests
 
     def first_short(self) -> WaitingRequest | None:
@@ -91,8 +95,8 @@
         return _first(self._long)
 
     def short_count(self) -> int:
-        """Returns how many short requests wait, at most."""
-        return len(self._short)
+        """Returns how many short requests wait."""
+        return self._short_waiting
 
 
 def _first(queue: "deque[WaitingRequest]") -> WaitingRequest | None:
--- a/tests/cover/test_granted.py
+++ b/tests/cover/test_granted.py
@@ -304,6 +304,32 @@
         ]
 
 
+# Guards against an overload that is made up of requests counted twice.
+async def test_what_was_asked_again_on_a_new_stream_is_not_counted_twice() -> (
+    None
+):
+    async with running_fleet(members=3, hosts=1) as fleet:
+        host, other = other_hosts(fleet)
+        for number in range(10):
+            host.ask(f"learn-{number}")
+            await fleet.timers.advance(0.1)
+            host.finish(host.grants[0], ran_s=2.0)
+        for number in range(SLOTS):
+            other.ask(f"first-{number}", deadline_s=100.0)
+        await fleet.timers.advance(0.1)
+        for number in range(2 * SLOTS):
+            host.ask(f"fill-{number}", deadline_s=100.0)
+        await fleet.timers.advance(0.1)
+        dispatcher: Any = host.dispatcher
+        for _ in range(5):
+            dispatcher._links_by_member_id[fleet.dispatcher_id()]._reopen()
+            await fleet.timers.advance(0.1)
+        assert fleet.terms_begun() == 1
+        host.ask("last", deadline_s=8.0)
+        await fleet.timers.advance(0.1)
+        assert host.refusals == []
+
+
 async def test_a_grant_that_overtakes_a_report_stays_counted() -> None:
     async with running_fleet(members=3, hosts=1) as fleet:
         slow = other_hosts(fleet)[0]
