Let other entry hosts' requests pass one that has its full share of slots

Callers waited, and were refused at their deadline, while slots were free: when the request at the front of a service's queue came from an entry host that held its full share (twice an even one), the dispatcher granted nothing to anyone until that host gave a slot back. With three members the share is 6 of 8 slots of each endpoint, with four 4 of 8. After a planned stop the requests that had gathered come to few entry hosts, so that they fill a share.

Four members, one endpoint of 8 slots: one entry host holds 4 and waits for 4 more, another one's request gets none of the 4 free slots.

Change: the dispatcher passes such requests over while slots are free. What was served out of turn is dropped from the queue before it outnumbers what waits.

Tests: the request of the other entry host is granted (before: 0 granted, 1 expected); a queue of which 1000 were served out of turn keeps fewer than 100 (the means to ask that is new). test_granted.py and test_dispatch.py, 33 passed.

--- a/libs/routing/src/coltsfootseam/routing/internal/service.py
+++ b/libs/routing/src/coltsfootseam/routing/internal/service.py
@@ -133,17 +133,23 @@
         """Grants slots while there are both free ones and requests."""
         if not self.active:
             return
-        while (request := self._next_request()) is not None:
+        # Entry hosts that hold their full share wait for slots of their own.
+        full: set[str] = set()
+        while self._has_free_slot():
+            request = self._next_request(full)
+            if request is None:
+                return
             endpoint = self._pick(request.entry_id)
             if endpoint is None:
-                return
+                full.add(request.entry_id)
+                continue
             self._line.remove(request.request_id)
             if not self._refuse_if_hopeless(request):
                 self._grant(request, endpoint)
 
-    def _next_request(self) -> WaitingRequest | None:
-        short = self._line.first_short()
-        long = self._line.first_long()
+    def _next_request(self, full: set[str]) -> WaitingRequest | None:
+        short = self._line.first_short(full)
+        long = self._line.first_long(full)
         if long is None:
             return short
         slots = self._slot_count()
@@ -158,6 +164,13 @@
         endpoints = self._context.endpoints.endpoints_of(self._service) or []
         return sum(endpoint.slots for endpoint in endpoints)
 
+    def _has_free_slot(self) -> bool:
+        endpoints = self._context.endpoints.endpoints_of(self._service) or []
+        return any(
+            self.book.in_use(endpoint.host_id) < endpoint.slots
+            for endpoint in endpoints
+        )
+
     def _pick(self, entry_id: str) -> Endpoint | None:
         endpoints = self._context.endpoints.endpoints_of(self._service) or []
         members = self._context.state().members_by_id
--- a/libs/routing/src/coltsfootseam/routing/internal/waiting.py
+++ b/libs/routing/src/coltsfootseam/routing/internal/waiting.py
@@ -6,6 +6,8 @@
 
 from coltsfootseam.peers import DispatchSession
 
+_GONE_KEPT = 32
+
 
 class WaitingRequest(msgspec.Struct, eq=False):
     """A request that waits for a slot.
@@ -67,6 +69,7 @@
         if request is not None:
             request.gone = True
             self._short_waiting -= not request.is_long
+            self._drop_gone()
         return request
 
     def remove_session(self, session: DispatchSession) -> None:
@@ -75,6 +78,16 @@
             if request.session is session:
                 self.remove(request.request_id)
 
+    def queued(self) -> int:
+        """Returns how many requests are kept, those that have gone too."""
+        return len(self._short) + len(self._long)
+
+    def _drop_gone(self) -> None:
+        """Keeps what has gone from outnumbering what waits."""
+        if self.queued() > 2 * len(self._requests_by_id) + _GONE_KEPT:
+            self._short = _without_gone(self._short)
+            self._long = _without_gone(self._long)
+
     def take_all(self) -> list[WaitingRequest]:
         """Removes and returns everything that waits."""
         requests = list(self._requests_by_id.values())
@@ -86,20 +99,39 @@
         self._short_waiting = 0
         return requests
 
-    def first_short(self) -> WaitingRequest | None:
-        """Returns the short request that has waited longest."""
-        return _first(self._short)
+    def first_short(self, passed_over: set[str]) -> WaitingRequest | None:
+        """Returns the short request that has waited longest.
+
+        Args:
+            passed_over: Entry hosts whose requests are left to wait.
+        """
+        return _first(self._short, passed_over)
 
-    def first_long(self) -> WaitingRequest | None:
-        """Returns the long request that has waited longest."""
-        return _first(self._long)
+    def first_long(self, passed_over: set[str]) -> WaitingRequest | None:
+        """Returns the long request that has waited longest.
+
+        Args:
+            passed_over: Entry hosts whose requests are left to wait.
+        """
+        return _first(self._long, passed_over)
 
     def short_count(self) -> int:
         """Returns how many short requests wait."""
         return self._short_waiting
 
 
-def _first(queue: "deque[WaitingRequest]") -> WaitingRequest | None:
+def _first(
+    queue: "deque[WaitingRequest]", passed_over: set[str]
+) -> WaitingRequest | None:
     while queue and queue[0].gone:
         queue.popleft()
-    return queue[0] if queue else None
+    for request in queue:
+        if not request.gone and request.entry_id not in passed_over:
+            return request
+    return None
+
+
+def _without_gone(
+    queue: "deque[WaitingRequest]",
+) -> "deque[WaitingRequest]":
+    return deque(request for request in queue if not request.gone)
--- a/tests/cover/test_granted.py
+++ b/tests/cover/test_granted.py
@@ -9,8 +9,14 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from coltsfootseam.peers import DispatchReply, SlotGrant, Term
+from coltsfootseam.peers import (
+    DispatchReply,
+    DispatchSession,
+    SlotGrant,
+    Term,
+)
 from coltsfootseam.results import ResultCode
+from coltsfootseam.routing.internal.waiting import WaitingLine, WaitingRequest
 from coltsfootseam.state import (
     HostDrainReserved,
     MemberExpired,
@@ -59,6 +65,14 @@
     ]
 
 
+def make_waiting(
+    entry_id: str, request_id: str, session: DispatchSession
+) -> WaitingRequest:
+    return WaitingRequest(
+        entry_id, session, request_id, "kind", False, 0.0, 60.0
+    )
+
+
 def assert_no_slot_is_granted_twice(fleet: DispatchFleet) -> None:
     held = fleet.held_by_host()
     assert not held or max(held.values()) <= SLOTS, held
@@ -304,6 +318,39 @@
         ]
 
 
+# Guards against free slots that wait behind an entry host with its full share.
+async def test_an_entry_host_with_its_full_share_does_not_hold_up_others() -> (
+    None
+):
+    async with running_fleet(members=4, hosts=1) as fleet:
+        greedy, other = other_hosts(fleet)[:2]
+        for number in range(SLOTS):
+            greedy.ask(f"greedy-{number}")
+        await fleet.timers.advance(0.1)
+        assert len(greedy.grants) == SLOTS // 2
+        other.ask("other")
+        await fleet.timers.advance(0.1)
+        assert len(other.grants) == 1
+        greedy.finish(greedy.grants[0])
+        await fleet.timers.advance(0.1)
+        assert len(greedy.grants) == SLOTS // 2
+
+
+# Guards against a queue that grows behind a request that waits long.
+async def test_what_was_served_out_of_turn_is_not_kept() -> None:
+    line = WaitingLine()
+    session: Any = None
+    line.add(make_waiting("entry-0", "first", session))
+    for number in range(1000):
+        line.add(make_waiting("entry-1", f"r-{number}", session))
+        served = line.first_short({"entry-0"})
+        assert served is not None
+        line.remove(served.request_id)
+    assert line.queued() < 100
+    first = line.first_short(set())
+    assert first is not None and first.request_id == "first"
+
+
 # Guards against an overload that is made up of requests counted twice.
 async def test_what_was_asked_again_on_a_new_stream_is_not_counted_twice() -> (
     None
