--- a/libs/routing/src/coltsfootseam/routing/internal/service.py
+++ b/libs/routing/src/coltsfootseam/routing/internal/service.py
@@ -133,17 +133,23 @@
         """Grants slots while there are both free ones and requests."""
         if not self.active:
             return
-        while (request := self._next_request()) is not None:
+        # Entry hosts that hold their full share wait for slots of their own.
+        full: set[str] = set()
+        while self._has_free_slot():
+            request = self._next_request(full)
+            if request is None:
+                return
             endpoint = self._pick(request.entry_id)
             if endpoint is None:
-                return
+                full.add(request.entry_id)
+                continue
             self._line.remove(request.request_id)
             if not self._refuse_if_hopeless(request):
                 self._grant(request, endpoint)
 
-    def _next_request(self) -> WaitingRequest | None:
-        short = self._line.first_short()
-        long = self._line.first_long()
+    def _next_request(self, full: set[str]) -> WaitingRequest | None:
+        short = self._line.first_short(full)
+        long = self._line.first_long(full)
         if long is None:
             return short
         slots = self._slot_count()
@@ -158,6 +164,13 @@
         endpoints = self._context.endpoints.endpoints_of(self._service) or []
         return sum(endpoint.slots for endpoint in endpoints)
 
+    def _has_free_slot(self) -> bool:
+        endpoints = self._context.endpoints.endpoints_of(self._service) or []
+        return any(
+            self.book.in_use(endpoint.host_id) < endpoint.slots
+            for endpoint in endpoints
+        )
+
     def _pick(self, entry_id: str) -> Endpoint | None:
         endpoints = self._context.endpoints.endpoints_of(self._service) or []
         members = self._context.state().members_by_id
@@ -217,7 +230,11 @@
         left_s = request.deadline_s - self._context.timers.now_s()
         if wait_s + _HOPELESS_SHARE * expected_s <= left_s:
             return ""
-        return f"a wait of {wait_s:.1f} s is longer than the deadline allows"
+        return (
+            f"a wait of {wait_s:.1f} s is longer than the deadline allows: "
+            f"{ahead} ahead, {expected_s:.2f} s each, {slots} slots, "
+            f"{left_s:.2f} s left"
+        )
 
     def _refuse_if_hopeless(self, request: WaitingRequest) -> bool:
         """Refuses a request whose deadline its run would not meet.
@@ -252,4 +269,14 @@
     def _activate_if_majority(self) -> None:
         members = self._context.state().members_by_id
         reported = sum(1 for each in self.book.reported if each in members)
-        self.active = self.active or 2 * reported > len(members)
+        if self.active or 2 * reported <= len(members):
+            return
+        self.active = True
+        self._context.observer.change(
+            "dispatch.granting",
+            self._service,
+            f"members {self.book.term.members_offset}, "
+            f"takeovers {self.book.term.takeovers}, "
+            f"{reported} of {len(members)} reported, "
+            f"{self.book.slots_held()} slots held, {len(self._line)} wait",
+        )
--- a/tests/cover/test_granted.py
+++ b/tests/cover/test_granted.py
@@ -1,15 +1,28 @@
 """Slots are granted by one dispatcher, and never twice when it is replaced."""
 
 import contextlib
+import copy
 from collections.abc import AsyncIterator
 from typing import Any
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from coltsfootseam.peers import DispatchReply, SlotGrant, Term
+from coltsfootseam.peers import (
+    DispatchReply,
+    DispatchSession,
+    SlotGrant,
+    Term,
+)
 from coltsfootseam.results import ResultCode
-from coltsfootseam.state import HostDrainReserved, MemberExpired
+from coltsfootseam.routing.internal.waiting import WaitingLine, WaitingRequest
+from coltsfootseam.state import (
+    HostDrainReserved,
+    MemberExpired,
+    MemberLeft,
+    rank_members,
+)
 from tests.common.dispatchers import (
     SERVICE,
     DispatchFleet,
@@ -52,6 +65,14 @@
     ]
 
 
+def make_waiting(
+    entry_id: str, request_id: str, session: DispatchSession
+) -> WaitingRequest:
+    return WaitingRequest(
+        entry_id, session, request_id, "kind", False, 0.0, 60.0
+    )
+
+
 def assert_no_slot_is_granted_twice(fleet: DispatchFleet) -> None:
     held = fleet.held_by_host()
     assert not held or max(held.values()) <= SLOTS, held
@@ -169,6 +190,70 @@
         assert "host-0" not in used
 
 
+# Guards against entry hosts that overtake each other's terms without end.
+async def test_a_dispatcher_that_is_replaced_costs_one_term() -> None:
+    async with running_fleet(members=3, hosts=1) as fleet:
+        ask_everywhere(fleet, 20, "before")
+        await fleet.timers.advance(1.0)
+        assert fleet.terms_begun() == 1
+        fleet.network.lag_s = 0.02
+        fleet.network.silent.add(fleet.dispatcher_id())
+        other_hosts(fleet)[0].ask("after")
+        await fleet.timers.advance(3.0)
+        fleet.network.speak()
+        await fleet.timers.advance(3.0)
+        assert fleet.terms_begun() == 2
+
+
+# Guards against terms that race while entry hosts fold a change one by one.
+@pytest.mark.parametrize("first", range(3))
+async def test_a_member_that_leaves_costs_one_term_though_others_learn_late(
+    first: int,
+) -> None:
+    async with running_fleet(members=4, hosts=1) as fleet:
+        staying = other_hosts(fleet)
+        for host in staying:
+            for number in range(20):
+                host.ask(f"before-{number}")
+        await fleet.timers.advance(1.0)
+        fleet.network.lag_s = 0.02
+        state = copy.deepcopy(fleet.network.state)
+        left = fleet.dispatcher_id()
+        fold_body(state, MemberLeft(), author=left)
+        for host in staying[first:] + staying[:first]:
+            host.follow(state)
+            await fleet.timers.advance(0.1)
+        fleet.network.hosts_by_id[left].follow(state)
+        await fleet.timers.advance(3.0)
+        assert fleet.terms_begun() == 2
+        for _ in range(20):
+            for host in staying:
+                for grant in list(host.grants):
+                    host.finish(grant)
+            await fleet.timers.advance(0.1)
+        assert all(task.done() for host in staying for task in host.tasks)
+
+
+# Guards against requests that stay with a dispatcher that nothing hears of.
+async def test_the_next_dispatcher_serves_what_it_had_asked_the_last_for() -> (
+    None
+):
+    async with running_fleet(members=3, hosts=1) as fleet:
+        ranked = rank_members(
+            fleet.network.state.members_by_id, f"dispatch/{SERVICE}"
+        )
+        last, following, other = (
+            fleet.network.hosts_by_id[each] for each in ranked
+        )
+        fleet.network.silent.add(last.own_id)
+        other.ask("first")
+        await fleet.timers.advance(1.0)
+        following.ask("second")
+        await fleet.timers.advance(5.0)
+        assert len(other.grants) == 1
+        assert len(following.grants) == 1
+
+
 async def test_a_request_that_gives_up_leaves_no_slot_behind() -> None:
     async with running_fleet(members=2, hosts=1) as fleet:
         host = other_hosts(fleet)[0]
@@ -233,6 +318,65 @@
         ]
 
 
+# Guards against free slots that wait behind an entry host with its full share.
+async def test_an_entry_host_with_its_full_share_does_not_hold_up_others() -> (
+    None
+):
+    async with running_fleet(members=4, hosts=1) as fleet:
+        greedy, other = other_hosts(fleet)[:2]
+        for number in range(SLOTS):
+            greedy.ask(f"greedy-{number}")
+        await fleet.timers.advance(0.1)
+        assert len(greedy.grants) == SLOTS // 2
+        other.ask("other")
+        await fleet.timers.advance(0.1)
+        assert len(other.grants) == 1
+        greedy.finish(greedy.grants[0])
+        await fleet.timers.advance(0.1)
+        assert len(greedy.grants) == SLOTS // 2
+
+
+# Guards against a queue that grows behind a request that waits long.
+async def test_what_was_served_out_of_turn_is_not_kept() -> None:
+    line = WaitingLine()
+    session: Any = None
+    line.add(make_waiting("entry-0", "first", session))
+    for number in range(1000):
+        line.add(make_waiting("entry-1", f"r-{number}", session))
+        served = line.first_short({"entry-0"})
+        assert served is not None
+        line.remove(served.request_id)
+    assert line.queued() < 100
+    first = line.first_short(set())
+    assert first is not None and first.request_id == "first"
+
+
+# Guards against an overload that is made up of requests counted twice.
+async def test_what_was_asked_again_on_a_new_stream_is_not_counted_twice() -> (
+    None
+):
+    async with running_fleet(members=3, hosts=1) as fleet:
+        host, other = other_hosts(fleet)
+        for number in range(10):
+            host.ask(f"learn-{number}")
+            await fleet.timers.advance(0.1)
+            host.finish(host.grants[0], ran_s=2.0)
+        for number in range(SLOTS):
+            other.ask(f"first-{number}", deadline_s=100.0)
+        await fleet.timers.advance(0.1)
+        for number in range(2 * SLOTS):
+            host.ask(f"fill-{number}", deadline_s=100.0)
+        await fleet.timers.advance(0.1)
+        dispatcher: Any = host.dispatcher
+        for _ in range(5):
+            dispatcher._links_by_member_id[fleet.dispatcher_id()]._reopen()
+            await fleet.timers.advance(0.1)
+        assert fleet.terms_begun() == 1
+        host.ask("last", deadline_s=8.0)
+        await fleet.timers.advance(0.1)
+        assert host.refusals == []
+
+
 async def test_a_grant_that_overtakes_a_report_stays_counted() -> None:
     async with running_fleet(members=3, hosts=1) as fleet:
         slow = other_hosts(fleet)[0]
