Pause before an append that was broken off at once is repeated

What was seen before: 5,001 calls in 5 s of virtual time, one after the other. Cause: commit paused only after a refusal that means nothing was done. A connection that is reset, or an answer with a status that the adapter doesn't know, ends at once with an unknown outcome, so the append was repeated as fast as the host could: each call is priced, and shares the store's limit of writes. Now the next try follows the one before by 0.1 s at least; one that ran into its time limit is repeated at once, as before. Checked: the new test failed before; test_journals, test_ownership, test_ownership_machine, test_loading, test_standby, test_retention, test_progress and nocover/test_random_faults pass (48 passed).

--- a/libs/store/src/coltsfootseam/store/journal.py
+++ b/libs/store/src/coltsfootseam/store/journal.py
@@ -99,8 +99,9 @@
             if _is_refused_with(ResultCode.STALE_EPOCH, result):
                 self.lost = True
                 break
-            if not _is_refused_with(ResultCode.OUTCOME_PENDING, result):
-                await self._timers.sleep(_RETRY_S)
+            # One that took its time may be lost and is repeated at once.
+            took_s = self._timers.now_s() - sent_s
+            await self._timers.sleep(max(0.0, _RETRY_S - took_s))
         return Refusal(ResultCode.STALE_EPOCH, f"{self._name}: journal lost")
 
     async def confirm(self) -> None:
