Don't count the time in which a host was frozen as one without progress

What was seen before: of ten moments at which two hosts were frozen for 8 s while they read a pool, one (0.36 s after the begin of the duty) ended with duty.stalled and a host set aside for 10 s. Cause: on waking, an answer of the store that had waited can be taken before the keeper looks, so the store seems to have answered all the while. Now a look that comes later than 1.5 s after the one before counts as a step. For the test, the store in memory can take longer for a page of newest records, and cut off those of one topic.

--- a/daemons/manager/src/coltsfootseam/manager/duty_keeper.py
+++ b/daemons/manager/src/coltsfootseam/manager/duty_keeper.py
@@ -26,6 +26,7 @@
 _KEEP_S = 10.0
 _RETURN_S = 1.0
 _SILENCE_S = 0.7
+_FROZEN_S = 1.5
 _PATIENCE_S = 5.0
 _MOST_PATIENCE_S = 40.0
 _MS_PER_S = 1000
@@ -67,6 +68,7 @@
         "_duties_by_name",
         "_knowledge",
         "_locator",
+        "_looked_s",
         "_membership",
         "_patience_s",
         "_standby",
@@ -92,6 +94,7 @@
         self._locator = locator
         self._standby = standby
         self._patience_s = _PATIENCE_S
+        self._looked_s = context.timers.now_s()
         self._duties_by_name: dict[str, Duty] = {}
         self._tasks_by_duty: dict[str, asyncio.Task[None]] = {}
         self._takeovers_by_duty: dict[str, asyncio.Task[None]] = {}
@@ -220,9 +223,13 @@
     def _check_progress(self) -> None:
         """Gives the duties up that don't come to work here.
 
-        Time in which the store does not answer counts for nobody.
+        Time in which the store does not answer, or in which this process was
+        frozen, counts for nobody.
         """
-        if self._context.ports.store.silence_s() > _SILENCE_S:
+        now_s = self._context.timers.now_s()
+        was_frozen = now_s - self._looked_s > _FROZEN_S
+        self._looked_s = now_s
+        if was_frozen or self._context.ports.store.silence_s() > _SILENCE_S:
             for owner in self._duties_by_name.values():
                 owner.progress.note()
             return
--- a/libs/standins/src/coltsfootseam/standins/memory_store.py
+++ b/libs/standins/src/coltsfootseam/standins/memory_store.py
@@ -64,10 +64,11 @@
         lose_share: Share of the writes that are done and not answered.
         late_s: Such writes are done this much later.
         answer_s: Time that a call takes.
+        page_s: Time that a page of newest records takes besides.
         fail_every_page: Each so-manieth page of newest records is cut off;
             0 for none.
-        cut_topics: Kinds of topics, the part of a name before the dot, whose
-            pages of newest records are all cut off.
+        cut_topics: Topics whose pages of newest records are all cut off, by
+            name or by kind, the part of a name before the dot.
     """
 
     is_down: bool = False
@@ -75,6 +76,7 @@
     lose_share: float = 0.0
     late_s: float = 0.0
     answer_s: float = 0.004
+    page_s: float = 0.0
     fail_every_page: int = 0
     cut_topics: set[str] = set()
 
@@ -298,12 +300,14 @@
         """Reads the newest records of the first keys after ``after_key``."""
         self._pages_asked += 1
         every = self.faults.fail_every_page
-        is_cut = partition.topic.partition(".")[0] in self.faults.cut_topics
+        names = {partition.topic, partition.topic.partition(".")[0]}
+        is_cut = bool(names & self.faults.cut_topics)
         if is_cut or (every and self._pages_asked % every == 0):
             return Refusal(ResultCode.OUTCOME_PENDING, "page cut off")
         problem = await self._reach()
         if problem is not None:
             return problem
+        await self._timers.sleep(self.faults.page_s)
         part = self._store.part(partition)
         keys = sorted(key for key in part.newest_by_key if key > after_key)
         page_keys = keys[: self._store.page_records]
