Hand the parts that look after keys one context

Cause: KeyGuard and KeyHandover took the same six parts, kept each of them and were built from the same six arguments in the daemon and in the tests.

Change: KeyContext, as the ways of dispatch have DispatchContext. What the two classes do is unchanged; the tests build them as before, without a change to a check.

--- a/daemons/entry/src/coltsfootseam/entry/routing_parts.py
+++ b/daemons/entry/src/coltsfootseam/entry/routing_parts.py
@@ -14,6 +14,7 @@
     Dispatcher,
     EndpointTable,
     Frontend,
+    KeyContext,
     KeyGuard,
     KeyHandover,
     KeyStore,
@@ -65,45 +66,31 @@
     key_store = KeyStore(
         core.timers, limits.keys_kept_ms / MS_PER_S, limits.keys_limit
     )
+    key_context = KeyContext(
+        own_id=core.settings.entry_id,
+        store=key_store,
+        peers=core.peers,
+        state=state,
+        timers=core.timers,
+        observer=core.observer,
+    )
     return RoutingParts(
         endpoints=endpoints,
         dispatcher=dispatcher,
         prober=prober,
         key_store=key_store,
-        handover=_build_handover(core, key_store, state),
-        frontend=_build_frontend(core, attempts, key_store, state, readiness),
-    )
-
-
-def _build_handover(
-    core: Core, key_store: KeyStore, state: StateGetter
-) -> KeyHandover:
-    return KeyHandover(
-        core.settings.entry_id,
-        key_store,
-        core.peers,
-        state,
-        core.timers,
-        core.observer,
+        handover=KeyHandover(key_context),
+        frontend=_build_frontend(core, attempts, key_context, readiness),
     )
 
 
 def _build_frontend(
     core: Core,
     attempts: AttemptRunner,
-    key_store: KeyStore,
-    state: StateGetter,
+    key_context: KeyContext,
     readiness: Readiness,
 ) -> Frontend:
     limits = core.settings.requests
-    key_guard = KeyGuard(
-        core.settings.entry_id,
-        key_store,
-        core.peers,
-        state,
-        core.timers,
-        core.observer,
-    )
     settings = RoutingSettings(
         entry_id=core.settings.entry_id,
         deadlines=DeadlineLimits(
@@ -115,7 +102,7 @@
     return Frontend(
         settings,
         attempts,
-        key_guard,
+        KeyGuard(key_context),
         core.timers,
         core.observer,
         readiness.find_reason_not_to_run,
--- a/libs/routing/src/coltsfootseam/routing/handover.py
+++ b/libs/routing/src/coltsfootseam/routing/handover.py
@@ -1,15 +1,13 @@
 """Handing idempotency keys over when the members change."""
 
 import asyncio
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 
-from coltsfootseam.observe import Observer
-from coltsfootseam.peers import KeyCopy, KeyVerdict, PeerClients
+from coltsfootseam.peers import KeyCopy, KeyVerdict
 from coltsfootseam.routing.background import BackgroundTasks
-from coltsfootseam.routing.keystore import KeyStore
+from coltsfootseam.routing.keycontext import KeyContext
 from coltsfootseam.routing.losses import key_holders
-from coltsfootseam.state import FleetState, Member
-from coltsfootseam.timers import TimerService
+from coltsfootseam.state import FleetState
 
 _KEYS_A_CALL = 500
 _ANSWER_BYTES_AT_MOST = 4096
@@ -20,83 +18,66 @@
 class KeyHandover:
     """Copies keys to members that have become holders of them."""
 
-    __slots__ = (
-        "_members",
-        "_observer",
-        "_own_id",
-        "_peers",
-        "_state",
-        "_store",
-        "_tasks",
-        "_timers",
-    )
-
-    def __init__(
-        self,
-        own_id: str,
-        store: KeyStore,
-        peers: PeerClients,
-        state: Callable[[], FleetState],
-        timers: TimerService,
-        observer: Observer,
-    ) -> None:
-        self._own_id = own_id
-        self._store = store
-        self._peers = peers
-        self._state = state
-        self._timers = timers
-        self._observer = observer
+    __slots__ = ("_context", "_members", "_tasks")
+
+    def __init__(self, context: KeyContext) -> None:
+        self._context = context
         self._members: dict[str, str] = {}
         self._tasks: BackgroundTasks[None] = BackgroundTasks()
 
     def follow_members(self) -> None:
         """Hands keys over if the members have changed."""
-        members = _incarnations(self._state())
+        members = _incarnations(self._context.state())
         if members == self._members:
             return
         before = self._members
         self._members = members
-        if self._own_id in before and len(self._store):
+        if self._context.own_id in before and len(self._context.store):
             self._tasks.start(self._hand_over(before, members))
 
     async def hand_over_all(self) -> None:
         """Hands every key over, before this host leaves as planned."""
-        before = _incarnations(self._state())
+        before = _incarnations(self._context.state())
         after = dict(before)
-        after.pop(self._own_id, None)
+        after.pop(self._context.own_id, None)
         await self._hand_over(before, after)
 
     async def _hand_over(
         self, before: dict[str, str], after: dict[str, str]
     ) -> None:
         keys_by_holder_id: dict[str, list[str]] = {}
-        for number, key in enumerate(self._store.keys()):
+        for number, key in enumerate(self._context.store.keys()):
             for holder_id in _new_holders(key, before, after):
                 keys_by_holder_id.setdefault(holder_id, []).append(key)
             if number % _KEYS_A_CALL == 0:
                 await asyncio.sleep(0)
         for holder_id, keys in keys_by_holder_id.items():
-            if holder_id != self._own_id:
+            if holder_id != self._context.own_id:
                 await self._copy_to(holder_id, keys)
 
     async def _copy_to(self, holder_id: str, keys: list[str]) -> None:
         for start in range(0, len(keys), _KEYS_A_CALL):
             batch = keys[start : start + _KEYS_A_CALL]
             if not await self._copy_batch(holder_id, batch):
-                self._observer.count("keys.hand_over_failures")
+                self._context.observer.count("keys.hand_over_failures")
                 return
-        self._observer.note("keys.handed_over", holder_id, f"{len(keys)} keys")
+        self._context.observer.note(
+            "keys.handed_over", holder_id, f"{len(keys)} keys"
+        )
 
     async def _copy_batch(self, holder_id: str, keys: Iterable[str]) -> bool:
         for _ in range(_TRIES):
-            member: Member | None = self._state().members_by_id.get(holder_id)
+            members_by_id = self._context.state().members_by_id
+            member = members_by_id.get(holder_id)
             if member is None:
                 return False
-            copies = [_lighten(copy) for copy in self._store.copies(keys)]
-            refusal = await self._peers.copy_keys(member.peers, copies)
+            copies = [
+                _lighten(copy) for copy in self._context.store.copies(keys)
+            ]
+            refusal = await self._context.peers.copy_keys(member.peers, copies)
             if refusal is None:
                 return True
-            await self._timers.sleep(_RETRY_S)
+            await self._context.timers.sleep(_RETRY_S)
         return False
 
 
--- a/libs/routing/src/coltsfootseam/routing/keys.py
+++ b/libs/routing/src/coltsfootseam/routing/keys.py
@@ -1,24 +1,20 @@
 """Idempotency keys: at most one run of each, whichever entry host is asked."""
 
 import asyncio
-from collections.abc import Callable
 
-from coltsfootseam.observe import Observer
 from coltsfootseam.peers import (
     Answer,
     KeyCopy,
     KeyReservation,
     KeyVerdict,
-    PeerClients,
 )
 from coltsfootseam.results import Refusal, ResultCode
 from coltsfootseam.routing.background import BackgroundTasks
-from coltsfootseam.routing.keystore import KeyStore
+from coltsfootseam.routing.keycontext import KeyContext
 from coltsfootseam.routing.losses import key_holders
 from coltsfootseam.routing.request import RequestHead
 from coltsfootseam.routing.settling import KeySettler
-from coltsfootseam.state import FleetState, Member
-from coltsfootseam.timers import TimerService
+from coltsfootseam.state import Member
 
 _RETRY_S = 0.2
 
@@ -31,35 +27,14 @@
     other, so that of two requests with one key just one goes on.
     """
 
-    __slots__ = (
-        "_observer",
-        "_own_id",
-        "_peers",
-        "_reserved_by_request_id",
-        "_settler",
-        "_state",
-        "_store",
-        "_tasks",
-        "_timers",
-    )
-
-    def __init__(
-        self,
-        own_id: str,
-        store: KeyStore,
-        peers: PeerClients,
-        state: Callable[[], FleetState],
-        timers: TimerService,
-        observer: Observer,
-    ) -> None:
-        self._own_id = own_id
-        self._store = store
-        self._peers = peers
-        self._state = state
-        self._timers = timers
-        self._observer = observer
+    __slots__ = ("_context", "_reserved_by_request_id", "_settler", "_tasks")
+
+    def __init__(self, context: KeyContext) -> None:
+        self._context = context
         self._tasks: BackgroundTasks[None] = BackgroundTasks()
-        self._settler = KeySettler(peers, timers, observer)
+        self._settler = KeySettler(
+            context.peers, context.timers, context.observer
+        )
         self._reserved_by_request_id: dict[str, list[Member]] = {}
 
     async def reserve(self, request: RequestHead) -> KeyReservation | Refusal:
@@ -73,14 +48,14 @@
             result = await self._try_reserve(request)
             if not isinstance(result, Refusal):
                 return result
-            left_s = request.deadline_s - self._timers.now_s()
+            left_s = request.deadline_s - self._context.timers.now_s()
             if left_s <= _RETRY_S:
                 # The caller is not kept waiting for holders that are silent.
                 self._tasks.start(
                     self.settle(request, KeyVerdict.NOT_RUN, None)
                 )
                 return result
-            await self._timers.sleep(_RETRY_S)
+            await self._context.timers.sleep(_RETRY_S)
 
     async def settle(
         self, request: RequestHead, verdict: KeyVerdict, answer: Answer | None
@@ -105,7 +80,7 @@
 
     def holders(self, key: str) -> list[Member]:
         """Returns the members that hold a key, in order of reservation."""
-        members_by_id = self._state().members_by_id
+        members_by_id = self._context.state().members_by_id
         return [
             members_by_id[member_id]
             for member_id in key_holders(members_by_id, key)
@@ -123,7 +98,7 @@
         for member in holders:
             result = await self._reserve_at(member, request)
             if isinstance(result, Refusal):
-                self._observer.count("keys.holder_unreachable")
+                self._context.observer.count("keys.holder_unreachable")
                 return Refusal(ResultCode.NOT_RUN_KEY_UNGUARDED, result.reason)
             if result.verdict is KeyVerdict.FULL:
                 return Refusal(
@@ -148,9 +123,11 @@
         self, member: Member, request: RequestHead
     ) -> KeyReservation | Refusal:
         key = request.scoped_key()
-        if member.member_id == self._own_id:
-            return self._store.reserve(key, request.request_id, self._state())
-        return await self._peers.reserve_key(
+        if member.member_id == self._context.own_id:
+            return self._context.store.reserve(
+                key, request.request_id, self._context.state()
+            )
+        return await self._context.peers.reserve_key(
             member.peers, key, request.request_id
         )
 
@@ -162,8 +139,8 @@
         answer: Answer | None,
     ) -> None:
         key = request.scoped_key()
-        if member.member_id == self._own_id:
-            self._store.settle(key, request.request_id, verdict, answer)
+        if member.member_id == self._context.own_id:
+            self._context.store.settle(key, request.request_id, verdict, answer)
             return
         copy = KeyCopy(key, request.request_id, verdict, answer)
         await self._settler.settle(member.peers, copy)
--- a/tests/cover/test_keys.py
+++ b/tests/cover/test_keys.py
@@ -6,7 +6,13 @@
 from coltsfootseam.observe import Observer, Stamp
 from coltsfootseam.peers import Answer, KeyCopy, KeyReservation, KeyVerdict
 from coltsfootseam.results import Refusal, ResultCode
-from coltsfootseam.routing import KeyGuard, KeyHandover, KeyStore, RequestHead
+from coltsfootseam.routing import (
+    KeyContext,
+    KeyGuard,
+    KeyHandover,
+    KeyStore,
+    RequestHead,
+)
 from coltsfootseam.routing.losses import key_holders, may_have_been_lost
 from coltsfootseam.state import (
     FleetState,
@@ -52,11 +58,11 @@
         self.stores_by_address[address].take_copies(copies)
         return None
 
-    def handover_of(self, own_id: str) -> KeyHandover:
-        """Returns the hand-over of one entry host."""
+    def context_of(self, own_id: str) -> KeyContext:
+        """Returns what the parts of one entry host share."""
         member = self.state.members_by_id[own_id]
         peers: Any = self
-        return KeyHandover(
+        return KeyContext(
             own_id,
             self.stores_by_address[member.peers],
             peers,
@@ -65,6 +71,14 @@
             Observer(self.timers, own_id, "zone-a"),
         )
 
+    def handover_of(self, own_id: str) -> KeyHandover:
+        """Returns the hand-over of one entry host."""
+        return KeyHandover(self.context_of(own_id))
+
+    def guard_of(self, own_id: str) -> KeyGuard:
+        """Returns the guard of one entry host."""
+        return KeyGuard(self.context_of(own_id))
+
     def end(self, member_id: str) -> None:
         """Ends a membership whose lease has lapsed."""
         member = self.state.members_by_id[member_id]
@@ -81,19 +95,6 @@
         )
         fold_record(self.state, self.state.offset + 1, record)
 
-    def guard_of(self, own_id: str) -> KeyGuard:
-        """Returns the guard of one entry host."""
-        member = self.state.members_by_id[own_id]
-        peers: Any = self
-        return KeyGuard(
-            own_id,
-            self.stores_by_address[member.peers],
-            peers,
-            lambda: self.state,
-            self.timers,
-            Observer(self.timers, own_id, "zone-a"),
-        )
-
 
 async def settle(
     timers: VirtualTimers, guard: KeyGuard, *arguments: Any
