Hand a duty that gets nowhere to a peer, and hear members that nobody lists

What callers would see: all pools of a host dropped because it can't read one of them; a pool handed on while a large page of it still arrives; answers about a job up to 18 s late; pools that stay with small hosts in a large group. Causes and changes: - A stalled duty set its whole host aside. Now it is offered to one peer after the other and ends once a peer takes it; the host keeps its other duties, and the duty if nobody takes it. A duty that isn't at work doesn't count toward a host's share. - A page may take 12 s, a stall was called after 5.

--- a/daemons/manager/src/coltsfootseam/manager/claiming.py
+++ b/daemons/manager/src/coltsfootseam/manager/claiming.py
@@ -1,13 +1,14 @@
 """Claiming the journal of a duty."""
 
 from coltsfootseam.manager.context import Context
+from coltsfootseam.manager.progress import DutyProgress
 from coltsfootseam.store import Claim, Journal, Partition, claim_journal
 
 _RETRY_S = 0.15
 
 
 async def claim_duty(
-    context: Context, partition: Partition, name: str
+    context: Context, partition: Partition, name: str, progress: DutyProgress
 ) -> Journal:
     """Claims a journal, trying again until the store lets it.
 
@@ -15,6 +16,7 @@
         context: What all parts of the process share.
         partition: The journal's partition.
         name: Name of the duty's writer.
+        progress: Told how it goes.
     """
     claim = Claim(context.incarnation, context.address)
     while True:
@@ -23,6 +25,8 @@
         )
         if isinstance(journal, Journal):
             context.log.write("duty.claimed", duty=name, epoch=journal.epoch)
+            progress.note()
             return journal
+        progress.note_failed()
         context.log.write("duty.unclaimed", duty=name, why=journal.reason)
         await context.timers.sleep(_RETRY_S)
--- a/daemons/manager/src/coltsfootseam/manager/duty_keeper.py
+++ b/daemons/manager/src/coltsfootseam/manager/duty_keeper.py
@@ -1,10 +1,14 @@
 """Starting and ending the duties that are dealt to this host."""
 
 import asyncio
+import zlib
 from typing import Protocol
 
 from coltsfootseam.calls import (
     ASK_REACH,
+    OFFER_DUTY,
+    DutyOffer,
+    DutyOfferReply,
     OwnerQuestion,
     OwnerReply,
     ReachQuestion,
@@ -17,7 +21,6 @@
 from coltsfootseam.manager.locator import Locator
 from coltsfootseam.manager.pool_owner import PoolOwner
 from coltsfootseam.manager.progress import DutyProgress
-from coltsfootseam.manager.standby import Standby
 from coltsfootseam.store import Membership
 
 _CHECK_S = 0.2
@@ -29,6 +32,8 @@
 _FROZEN_S = 1.5
 _PATIENCE_S = 5.0
 _MOST_PATIENCE_S = 40.0
+_LEFT_S = 300.0
+_TAKEN_S = 10.0
 _MS_PER_S = 1000
 
 
@@ -52,8 +57,9 @@
     one keeps it when the group deals anew, as every change of an owner costs
     those who wait; it gives one up if it holds more than its share. A host
     that alone is cut off from the store gives all duties up, so that the
-    leases it gave out come to an end. So does one that can't bring a duty to
-    work though the store answers it, as the others can't tell it from an owner.
+    leases it gave out come to an end. One that can't bring a duty to work
+    though the store answers it hands that duty to a peer, as the others can't
+    tell it from an owner.
 
     Attributes:
         owners_by_pool: Owners of pools that run here.
@@ -67,11 +73,14 @@
         "_down_for_all_s",
         "_duties_by_name",
         "_knowledge",
+        "_left_by_duty",
         "_locator",
         "_looked_s",
         "_membership",
+        "_offer_turn",
+        "_offers_by_duty",
         "_patience_s",
-        "_standby",
+        "_taken_by_duty",
         "_takeovers_by_duty",
         "_tasks_by_duty",
         "is_stopping",
@@ -85,14 +94,18 @@
         membership: Membership,
         directory: Directory,
         locator: Locator,
-        standby: Standby,
     ) -> None:
         self._context = context
         self._knowledge = knowledge
         self._membership = membership
         self._directory = directory
         self._locator = locator
-        self._standby = standby
+        # Until when a duty is left to others, or taken though not dealt here.
+        self._left_by_duty: dict[str, float] = {}
+        self._taken_by_duty: dict[str, float] = {}
+        self._offers_by_duty: dict[str, asyncio.Task[None]] = {}
+        # Hosts begin with different peers.
+        self._offer_turn = zlib.crc32(context.address.encode())
         self._patience_s = _PATIENCE_S
         self._looked_s = context.timers.now_s()
         self._duties_by_name: dict[str, Duty] = {}
@@ -116,17 +129,38 @@
         if self.is_stopping or self._membership.deal is None:
             self._end_everything()
             return
-        dealt = self._directory.own_duties()
-        if self._standby.is_set_aside():
-            dealt = set()
-        for duty in set(self._takeovers_by_duty) - dealt:
+        duties = self._directory.own_duties() - self._valid(self._left_by_duty)
+        duties |= self._valid(self._taken_by_duty)
+        for duty in set(self._takeovers_by_duty) - duties:
             self._takeovers_by_duty.pop(duty).cancel()
-        wanted = dealt - set(self._tasks_by_duty)
+        wanted = duties - set(self._tasks_by_duty)
         for duty in sorted(wanted - set(self._takeovers_by_duty)):
             self._takeovers_by_duty[duty] = asyncio.ensure_future(
                 self._take_over(duty)
             )
 
+    def take_offer(self, duty: str) -> bool:
+        """Takes a duty over that another host can't bring to work.
+
+        Returns:
+            Whether this host tries; not if it has left the duty itself.
+        """
+        is_out = self.is_stopping or self._membership.deal is None
+        if is_out or self._membership.is_silent():
+            return False
+        if duty in self._valid(self._left_by_duty):
+            return False
+        until_s = self._context.timers.now_s() + _TAKEN_S
+        self._taken_by_duty[duty] = until_s
+        self.follow_deal()
+        return True
+
+    def _valid(self, until_s_by_duty: dict[str, float]) -> set[str]:
+        now_s = self._context.timers.now_s()
+        return {
+            duty for duty, until_s in until_s_by_duty.items() if now_s < until_s
+        }
+
     def end_all(self) -> None:
         """Ends every duty and begins none any more."""
         self.is_stopping = True
@@ -150,7 +184,11 @@
         hosts = len(self._directory.peer_addresses()) + 1
         share = -(-len(self._directory.all_duties()) // hosts)
         age_s = self._context.timers.now_s() - self._begun_s_by_duty[duty]
-        return len(self._tasks_by_duty) > share and age_s > _KEEP_S
+        # One that doesn't come to work must not drive out one that does.
+        at_work = sum(
+            owner.progress.is_at_work for owner in self._duties_by_name.values()
+        )
+        return at_work > share and age_s > _KEEP_S
 
     async def _take_over(self, duty: str) -> None:
         """Begins a duty once nobody else holds it."""
@@ -214,9 +252,13 @@
             self.owners_by_pool.pop(pool, None)
 
     def _end_everything(self) -> None:
-        for takeover in self._takeovers_by_duty.values():
-            takeover.cancel()
+        for task in (
+            *self._takeovers_by_duty.values(),
+            *self._offers_by_duty.values(),
+        ):
+            task.cancel()
         self._takeovers_by_duty.clear()
+        self._taken_by_duty.clear()
         for duty in list(self._tasks_by_duty):
             self._end(duty)
 
@@ -235,15 +277,41 @@
             return
         for duty, owner in list(self._duties_by_name.items()):
             stalled_s = owner.progress.stalled_s()
-            if stalled_s < self._patience_s or self._standby.is_alone():
+            if stalled_s < self._patience_s or duty in self._offers_by_duty:
                 continue
             self._context.log.write(
                 "duty.stalled", duty=duty, since_ms=round(stalled_s * _MS_PER_S)
             )
             self._context.counters.increment("duty.stalled")
-            # Where no host does better, each one tries for longer and longer.
+            self._offers_by_duty[duty] = asyncio.ensure_future(
+                self._offer(duty)
+            )
+
+    async def _offer(self, duty: str) -> None:
+        """Hands a duty to the first peer that tries to take it over."""
+        addresses = self._directory.peer_addresses()
+        self._offer_turn += 1
+        shift = self._offer_turn % max(1, len(addresses))
+        try:
+            for address in addresses[shift:] + addresses[:shift]:
+                reply = await self._context.peers.call(
+                    address, OFFER_DUTY, DutyOffer(duty), _ASK_TIMEOUT_S
+                )
+                if isinstance(reply, DutyOfferReply) and reply.is_taken:
+                    self._leave(duty, address)
+                    return
+            # Where no host does better, this one tries for longer.
             self._patience_s = min(2 * self._patience_s, _MOST_PATIENCE_S)
-            self._standby.set_aside()
+        finally:
+            self._offers_by_duty.pop(duty, None)
+
+    def _leave(self, duty: str, address: str) -> None:
+        """Ends a duty that a peer takes over."""
+        self._context.log.write("duty.handed_on", duty=duty, to=address)
+        self._patience_s = _PATIENCE_S
+        self._left_by_duty[duty] = self._context.timers.now_s() + _LEFT_S
+        self._taken_by_duty.pop(duty, None)
+        if duty in self._tasks_by_duty:
             self._end(duty)
 
     async def _check_isolation(self) -> None:
--- a/daemons/manager/src/coltsfootseam/manager/fleet_owner.py
+++ b/daemons/manager/src/coltsfootseam/manager/fleet_owner.py
@@ -28,8 +28,9 @@
 
     async def run(self) -> None:
         """Claims the fleet and plans its machines."""
-        journal = await claim_duty(self._context, FLEET_JOURNAL, "fleet")
-        self.progress.note()
+        journal = await claim_duty(
+            self._context, FLEET_JOURNAL, "fleet", self.progress
+        )
         rounds = MachineRounds(
             self._context,
             self._knowledge,
--- a/daemons/manager/src/coltsfootseam/manager/job_service.py
+++ b/daemons/manager/src/coltsfootseam/manager/job_service.py
@@ -33,6 +33,7 @@
     Membership,
     StoredRecord,
 )
+from coltsfootseam.timers import within
 
 _ASK_TIMEOUT_S = 0.4
 _RETRY_S = 0.1
@@ -175,7 +176,12 @@
         while True:
             state = await self._ask_owners(queue, job_id)
             if state is None:
-                state = await self._read_state(queue, job_id)
+                # A page may take longer to arrive than the caller waits.
+                state = await within(
+                    self._context.timers,
+                    self._read_state(queue, job_id),
+                    deadline_s - self._context.timers.now_s(),
+                )
             if state is not None:
                 break
             if not self._has_time(deadline_s):
--- a/daemons/manager/src/coltsfootseam/manager/manager.py
+++ b/daemons/manager/src/coltsfootseam/manager/manager.py
@@ -117,9 +117,7 @@
     standby = Standby(context, membership)
     directory = Directory(membership, standby, context.duty_slots)
     locator = Locator(context, directory)
-    duties = DutyKeeper(
-        context, knowledge, membership, directory, locator, standby
-    )
+    duties = DutyKeeper(context, knowledge, membership, directory, locator)
     jobs = JobService(context, knowledge, directory, locator, membership)
     status = StatusPage(context, knowledge, duties)
 
--- a/daemons/manager/src/coltsfootseam/manager/peer_calls.py
+++ b/daemons/manager/src/coltsfootseam/manager/peer_calls.py
@@ -5,8 +5,11 @@
     ASK_OWNER,
     ASK_PENDING,
     ASK_REACH,
+    OFFER_DUTY,
     RELAY,
     VACATE,
+    DutyOffer,
+    DutyOfferReply,
     Handler,
     JobQuestion,
     JobReply,
@@ -57,6 +60,7 @@
             ASK_OWNER: self.ask_owner,
             ASK_PENDING: self.ask_pending,
             ASK_REACH: self.ask_reach,
+            OFFER_DUTY: self.offer_duty,
             RELAY: self.relay,
             VACATE: self.vacate,
         }
@@ -94,11 +98,15 @@
 
     async def ask_reach(self, question: ReachQuestion) -> ReachReply:
         """Tells when the store last answered this host."""
-        if question.standby_address:
-            self._standby.note(question.standby_address)
+        if question.address:
+            self._standby.note(question)
         silence_s = self._context.ports.store.silence_s()
         return ReachReply(min(silence_s, _LONGEST_SILENCE_S))
 
+    async def offer_duty(self, offer: DutyOffer) -> DutyOfferReply:
+        """Takes a duty over that another host can't bring to work."""
+        return DutyOfferReply(self._duties.take_offer(offer.duty))
+
     async def relay(self, request: RelayRequest) -> RelayReply:
         """Appends to an inbox for a host that can't reach the store."""
         if self._membership.is_silent():
--- a/daemons/manager/src/coltsfootseam/manager/pool_owner.py
+++ b/daemons/manager/src/coltsfootseam/manager/pool_owner.py
@@ -85,8 +85,8 @@
             self._context,
             self._context.journal_of(self._pool),
             f"pool.{self._pool}",
+            self.progress,
         )
-        self.progress.note()
         await self._load_journal()
         state = PoolState(
             pool=self._pool,
@@ -181,6 +181,7 @@
             since_ms=round(since_s * _MS_PER_S),
         )
         self._context.counters.increment("pool.load_failed")
+        self.progress.note_failed()
 
     def _take_inbox(self, state: PoolState, record: StoredRecord) -> None:
         key = parse_pool_key(self._pool, record.key)
--- a/libs/calls/src/coltsfootseam/calls/__init__.py
+++ b/libs/calls/src/coltsfootseam/calls/__init__.py
@@ -2,6 +2,8 @@
 
 from coltsfootseam.calls.client import CallClients, calling
 from coltsfootseam.calls.messages import (
+    DutyOffer,
+    DutyOfferReply,
     JobQuestion,
     JobReply,
     OwnerQuestion,
@@ -20,6 +22,7 @@
     ASK_OWNER,
     ASK_PENDING,
     ASK_REACH,
+    OFFER_DUTY,
     RELAY,
     VACATE,
     Handler,
@@ -32,9 +35,12 @@
     "ASK_OWNER",
     "ASK_PENDING",
     "ASK_REACH",
+    "OFFER_DUTY",
     "RELAY",
     "VACATE",
     "CallClients",
+    "DutyOffer",
+    "DutyOfferReply",
     "Handler",
     "JobQuestion",
     "JobReply",
--- a/libs/calls/src/coltsfootseam/calls/messages.py
+++ b/libs/calls/src/coltsfootseam/calls/messages.py
@@ -76,10 +76,27 @@
     """Asks whether a peer reaches the store.
 
     Attributes:
-        standby_address: Where the asking host is called, if it stands by.
+        address: Where the asking host is called, if nobody lists it.
+        is_member: Whether it takes part in the dealing of duties; if not, it
+            stands by.
+        millicores: Its processor capacity.
     """
 
-    standby_address: str = ""
+    address: str = ""
+    is_member: bool = False
+    millicores: int = 0
+
+
+class DutyOffer(msgspec.Struct, frozen=True, array_like=True):
+    """Offers a duty that the asking host can't bring to work."""
+
+    duty: str
+
+
+class DutyOfferReply(msgspec.Struct, frozen=True, array_like=True):
+    """Tells whether the asked host tries to take the duty over."""
+
+    is_taken: bool = False
 
 
 class ReachReply(msgspec.Struct, frozen=True, array_like=True):
--- a/libs/calls/src/coltsfootseam/calls/service.py
+++ b/libs/calls/src/coltsfootseam/calls/service.py
@@ -8,6 +8,8 @@
 import msgspec
 
 from coltsfootseam.calls.messages import (
+    DutyOffer,
+    DutyOfferReply,
     JobQuestion,
     JobReply,
     OwnerQuestion,
@@ -46,6 +48,7 @@
 RELAY = Method("Relay", RelayRequest, RelayReply)
 ASK_OWNER = Method("AskOwner", OwnerQuestion, OwnerReply)
 ASK_REACH = Method("AskReach", ReachQuestion, ReachReply)
+OFFER_DUTY = Method("OfferDuty", DutyOffer, DutyOfferReply)
 VACATE = Method("Vacate", VacateRequest, VacateReply)
 
 Handler = Callable[[Any], Awaitable[Any]]
--- a/tests/cover/test_giving_up.py
+++ b/tests/cover/test_giving_up.py
@@ -5,6 +5,7 @@
 from tests.common.fleets import POOL, QUEUE, Fleet, Host, running_fleet
 
 UNREADABLE = "unreadable"
+SETTLED_S = 15.0
 WATCHED_S = 60.0
 STEP_S = 0.1
 
@@ -22,6 +23,8 @@
     async with running_fleet(hosts=3) as fleet:
         topic = place_of_pool("inbox", UNREADABLE, fleet.store.slots).topic
         assert topic != place_of_pool("inbox", POOL, fleet.store.slots).topic
+        # By then no host has more duties than its share, and hands one over.
+        await fleet.timers.advance(SETTLED_S)
         for host in fleet.hosts:
             host.store.faults.cut_topics = {topic}
         owner = fleet.owner()
