--- a/bench/scheduling.py
+++ b/bench/scheduling.py
@@ -190,6 +190,23 @@
         return make_row(f"owner: {fault}", "first start", "s", first_start_s)
 
 
+async def measure_loss_of_large_hosts() -> Row:
+    """Measures the takeover by hosts that stood by, to the first start."""
+    capacities = (2000, 2000, 500, 500, 500)
+    async with running_fleet(millicores=capacities) as fleet:
+        await fleet.timers.advance(4.0)
+        large, small = fleet.hosts[:2], fleet.hosts[2:]
+        began_s = fleet.timers.now_s()
+        for host in large:
+            await host.kill()
+        await fleet.accept(small[0], "a" * 16, _SMALL)
+        await fleet.wait_until(lambda: fleet.started("a" * 16) == 1)
+        first_start_s = fleet.timers.now_s() - began_s
+        return make_row(
+            "all large hosts: kill", "first start", "s", first_start_s
+        )
+
+
 async def measure_urgent_start() -> Row:
     """Measures how long a job waits to start in a pool that has room."""
     async with running_fleet(hosts=3, workers=8) as fleet:
@@ -230,6 +247,7 @@
         await measure_takeover(fault)
         for fault in ("stop", "kill", "freeze", "cut")
     ]
+    rows.append(await measure_loss_of_large_hosts())
     rows.append(await measure_urgent_start())
     rows += measure_sizes()
     print_rows(rows)
