Let the fleet go on while the status of waves can't be stored

Seen: an append to the status partition was repeated until it succeeded, without a line. An operator would see a wave that does not begin, and pools that get no machines.

Cause: the round itself waited in Waves._tell.

Now a round tries once, for all waves that are still untold, and leaves the rest to a later round with the line and counter wave.untold.

--- a/daemons/manager/src/coltsfootseam/manager/waves.py
+++ b/daemons/manager/src/coltsfootseam/manager/waves.py
@@ -17,7 +17,7 @@
 from coltsfootseam.workers import Machine, MachineOutcome, MachineState
 
 _WAVE_KEY = "wave/"
-_RETRY_S = 0.3
+_MS_PER_S = 1000
 
 
 class WaveRecord(msgspec.Struct, array_like=True):
@@ -37,6 +37,7 @@
         "_knowledge",
         "_orders",
         "_progress_by_wave",
+        "_untold_since_s_by_wave",
         "_wanted_by_wave",
     )
 
@@ -52,6 +53,7 @@
         self._journal = journal
         self._orders = orders
         self._progress_by_wave: dict[int, WaveProgress] = {}
+        self._untold_since_s_by_wave: dict[int, float] = {}
         self._wanted_by_wave: dict[int, list[str]] = {}
 
     def restore(self, newest: Newest) -> None:
@@ -70,6 +72,8 @@
                 busy_until_s_by_id=dict.fromkeys(busy, busy_until_s),
                 is_complete=stored.is_complete,
             )
+            # The journal doesn't tell whether the operator was told as much.
+            self._untold_since_s_by_wave[stored.number] = now_s
 
     def wanted_ids(self) -> set[str]:
         """Returns the machines that are wanted for maintenance now."""
@@ -92,6 +96,7 @@
 
     async def plan(self, view: FleetView, free_ids: set[str]) -> list[str]:
         """Chooses the machines that are wanted now, of all waves."""
+        await self._tell()
         wanted: list[str] = []
         for number in sorted(self._knowledge.waves_by_number):
             wave = self._knowledge.waves_by_number[number]
@@ -119,14 +124,15 @@
             if self._is_over(wave, progress, view):
                 progress.is_complete = True
                 self._wanted_by_wave.pop(number, None)
-                await self._tell(wave, progress)
+                await self._note_step(wave, progress)
+        await self._tell()
 
     async def _progress(self, wave: Wave) -> WaveProgress:
         progress = self._progress_by_wave.get(wave.number)
         if progress is None:
             progress = WaveProgress(first_s=self._context.timers.now_s())
             self._progress_by_wave[wave.number] = progress
-            await self._tell(wave, progress)
+            await self._note_step(wave, progress)
         return progress
 
     def _note_finished(self, progress: WaveProgress, view: FleetView) -> None:
@@ -243,17 +249,51 @@
         )
         return problem is None
 
-    async def _tell(self, wave: Wave, progress: WaveProgress) -> None:
-        """Stores how far a wave is, then tells the operator."""
-        if not await self._store(wave, progress):
+    async def _note_step(self, wave: Wave, progress: WaveProgress) -> None:
+        """Stores how far a wave is, which the operator is to be told."""
+        if await self._store(wave, progress):
+            self._untold_since_s_by_wave.setdefault(
+                wave.number, self._context.timers.now_s()
+            )
+
+    async def _tell(self) -> None:
+        """Tells the operator how far waves are.
+
+        A refusal leaves it to the next round, as machines wait for this one.
+        To tell the same twice does no harm.
+        """
+        numbers = sorted(
+            set(self._untold_since_s_by_wave)
+            & set(self._knowledge.waves_by_number)
+        )
+        if not numbers or self._journal.lost:
             return
         ports = self._context.ports
-        status = ports.feeds.write_wave(wave, progress.is_complete)
-        while not self._journal.lost:
-            result = await ports.store.append(ports.feeds.status, [status])
-            if not isinstance(result, Refusal):
-                return
-            await self._context.timers.sleep(_RETRY_S)
+        records = [
+            ports.feeds.write_wave(
+                self._knowledge.waves_by_number[number],
+                self._progress_by_wave[number].is_complete,
+            )
+            for number in numbers
+        ]
+        result = await ports.store.append(ports.feeds.status, records)
+        if isinstance(result, Refusal):
+            self._note_untold(numbers, result)
+            return
+        for number in numbers:
+            del self._untold_since_s_by_wave[number]
+
+    def _note_untold(self, numbers: list[int], problem: Refusal) -> None:
+        since_s = min(self._untold_since_s_by_wave[item] for item in numbers)
+        untold_s = self._context.timers.now_s() - since_s
+        self._context.log.write(
+            "wave.untold",
+            waves=numbers,
+            code=problem.code.name,
+            why=problem.reason,
+            since_ms=round(untold_s * _MS_PER_S),
+        )
+        self._context.counters.increment("wave.untold")
 
 
 def _is_in_maintenance(view: FleetView, machine_id: str) -> bool:
--- a/libs/standins/src/coltsfootseam/standins/memory_store.py
+++ b/libs/standins/src/coltsfootseam/standins/memory_store.py
@@ -71,6 +71,7 @@
             no limit.
         cut_topics: Topics whose pages of newest records are all cut off, by
             name or by kind, the part of a name before the dot.
+        unwritable_topics: Topics to which every append is refused, by name.
     """
 
     is_down: bool = False
@@ -82,6 +83,7 @@
     fail_every_page: int = 0
     most_append_bytes: int = 0
     cut_topics: set[str] = set()
+    unwritable_topics: set[str] = set()
 
 
 class MemoryStore:
@@ -260,6 +262,8 @@
         problem = await self._reach()
         if problem is not None:
             return problem
+        if partition.topic in self.faults.unwritable_topics:
+            return Refusal(ResultCode.LOG_UNAVAILABLE, "topic is full")
         limit = self.faults.most_append_bytes
         if limit and _size_of(records) > limit:
             return Refusal(ResultCode.OUTCOME_PENDING, "append cut off")
--- a/tests/common/fleets.py
+++ b/tests/common/fleets.py
@@ -85,6 +85,23 @@
             callback()
 
 
+class KeptLog(DecisionLog):
+    """A log whose lines can be read back.
+
+    Attributes:
+        lines: Event and fields of each line.
+    """
+
+    def __init__(self, timers: TimerService, process: str) -> None:
+        super().__init__(timers, process)
+        self.lines: list[tuple[str, dict[str, object]]] = []
+
+    def write(self, event: str, **fields: object) -> None:
+        """Keeps a line besides writing it."""
+        self.lines.append((event, fields))
+        super().write(event, **fields)
+
+
 class MemoryFeeds:
     """Operator's records and workers' entries in the project's own encoding."""
 
@@ -123,6 +140,7 @@
         self.timers = HostTimers(fleet.timers)
         self.store: MemoryStoreClient = fleet.store.client(self.timers)
         self.manager: Manager | None = None
+        self.log = KeptLog(self.timers, self.host_id)
         self.starts = 0
         self._stop = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
@@ -147,6 +165,15 @@
         owner = self.manager.duties.owners_by_pool.get(pool)
         return owner is not None and owner.state is not None
 
+    def lines(self, event: str) -> list[dict[str, object]]:
+        """Returns the fields of all lines about an event."""
+        return [fields for name, fields in self.log.lines if name == event]
+
+    def count(self, counter: str) -> int:
+        """Returns the value of a counter of this start of the process."""
+        assert self.manager is not None
+        return self.manager.context.counters.totals_by_name.get(counter, 0)
+
     async def _run(self) -> None:
         fleet = self.fleet
         context = Context(
@@ -163,7 +190,7 @@
                 MemoryFeeds(),
             ),
             peers=fleet.peers,
-            log=DecisionLog(self.timers, self.host_id),
+            log=self.log,
             counters=Counters(),
             times=fleet.times,
             millicores=self.millicores,
