Refuse malformed answers of the store and of workers

Seen: a 200 with a short body ended the task that follows a pool's inbox with struct.error; an accepted job was still QUEUED after 60 s and the owner kept its pool. A record that was cut off at its end was taken for a whole one.

Cause: decoders of pages, rows of holders, base64 values and rows of a worker's report raised what no caller catches, or passed values of the wrong type on.

The test of a whole page now says besides that it is a Page.

--- a/tests/cover/test_adapter.py
+++ b/tests/cover/test_adapter.py
@@ -10,6 +10,7 @@
 from coltsfootseam.adapter.boot import Boot, LiveSettings, load_boot
 from coltsfootseam.adapter.feeds import PlatformFeeds
 from coltsfootseam.adapter.store import (
+    StoreClient,
     _encode_record,
     _failed,
     _read_append,
@@ -28,8 +29,11 @@
 from coltsfootseam.store import (
     Appended,
     KeyedRecord,
+    Page,
+    Partition,
     StoredRecord,
 )
+from coltsfootseam.timers import VirtualTimers
 from coltsfootseam.workers import OrderOutcome
 from tests.common.fleets import running_fleet
 
@@ -56,6 +60,18 @@
 )
 
 
+class FixedLine:
+    """A line on which every call gets the same body."""
+
+    def __init__(self, body: bytes) -> None:
+        self._reply = Reply(200, body)
+
+    async def call(self, *args: object, **options: object) -> Reply:
+        """Answers at once."""
+        del args, options
+        return self._reply
+
+
 def test_the_adapter_stays_small() -> None:
     lines = sum(
         len(path.read_text().splitlines())
@@ -117,6 +133,7 @@
     nonsense = struct.pack(">I", 2) + b"\x09a"
     body = struct.pack(">QQ", 12, 3) + good + nonsense + good
     page = _read_page(body, 9)
+    assert isinstance(page, Page)
     assert (page.end, page.first, page.next_offset) == (12, 3, 12)
     assert page.records == [
         StoredRecord(9, "key", b"value"),
@@ -297,3 +314,41 @@
     for _ in range(20):
         patience.take(0.33, is_answered=True)
     assert patience.limit_s() >= 1.0
+
+
+# Guards against a follower of a partition that dies of a short answer: an
+# accepted job stayed QUEUED, as the owner that kept its pool never read it.
+async def test_an_answer_that_is_cut_off_is_refused_and_no_page() -> None:
+    body = struct.pack(">QQ", 11, 2) + _encode_record(KeyedRecord("k", b"v"))
+    for length in range(len(body)):
+        page = _read_page(body[:length], 9)
+        # With no record in it, what is left is a page that ends sooner.
+        assert isinstance(page, Refusal) == (length != struct.calcsize(">QQ"))
+
+
+# Guards against the same of other answers: none of them may raise.
+@pytest.mark.parametrize(
+    "body",
+    [
+        b'{"items":[{"key":"k","offset":1,"value":"?"}],"end":2}',
+        b'{"items":[{"key":"\xff","offset":1}],"end":2}',
+        b'{"group":"g","owners":[["topic"]]}',
+        b'{"group":"g","owners":[["topic",{},"member"]]}',
+        b'{"group":"g","owners":[7]}',
+        b'"\xff"',
+    ],
+)
+async def test_a_malformed_answer_of_the_store_is_refused(body: bytes) -> None:
+    client = StoreClient("127.0.0.1:1", VirtualTimers())
+    client._line = FixedLine(body)  # type: ignore[assignment]
+    assert isinstance(await client.newest_page(Partition("p")), Refusal)
+    assert isinstance(await client.holdings("g"), Refusal)
+    joined = await client.join("g", "m", "t", 1.0, 0)
+    assert isinstance(joined, Refusal)
+
+
+# Guards against a link that dies of a row that its worker made up.
+def test_a_report_with_rows_of_other_types_is_malformed() -> None:
+    body = b'{"clock_ms":1,"ended":[["x","a.0.0.0",1,"done",null]]}'
+    with pytest.raises(msgspec.ValidationError):
+        _read_report(body)
