Tell background tasks that fail, and begin them anew

Seen: the task that follows a pool's inbox, those of a manager and those of links to workers were awaited by nobody. An exception ended them without a line: an accepted job was still QUEUED after 60 s while its owner kept the pool; a host would follow an old configuration, or a worker get no hold, for good.

Cause: bare ensure_future.

Now each such end writes task.failed, with a counter. The inbox's task ends the ownership: its tail may have passed over the record that raised, and only a fresh load makes up for that. Tasks of a manager are begun again after half a second; the two tails of Knowledge run as tasks of their own, as a gather that fails leaves the other half running beside its repeat. Membership.run keeps its side when it is begun again while something is dealt to it.

The store of the tests can raise on reads of a topic.

--- /dev/null
+++ b/daemons/manager/src/coltsfootseam/manager/background.py
@@ -0,0 +1,84 @@
+"""Tasks in the background whose end by an exception doesn't go unnoticed."""
+
+import asyncio
+import contextlib
+from collections.abc import Callable, Coroutine, Iterator
+from typing import Any
+
+from coltsfootseam.manager.context import Context
+
+_PAUSE_S = 0.5
+
+Work = Coroutine[Any, Any, None]
+
+
+def note_failure(context: Context, name: str, error: Exception) -> None:
+    """Writes the line about a task that ended with an exception."""
+    context.log.write("task.failed", name=name, why=repr(error))
+    context.counters.increment("task.failed")
+
+
+def start_once(
+    context: Context, name: str, work: Work, on_failure: Callable[[], None]
+) -> asyncio.Task[None]:
+    """Starts a task that can't be begun again once it has failed.
+
+    Args:
+        context: What all parts share.
+        name: What the task is called in a line.
+        work: What it does.
+        on_failure: Called after an exception has ended it.
+    """
+
+    async def run() -> None:
+        try:
+            await work
+        except Exception as error:
+            note_failure(context, name, error)
+            on_failure()
+
+    return asyncio.ensure_future(run())
+
+
+def start_lasting(
+    context: Context,
+    name: str,
+    begin: Callable[[], Work],
+    on_failure: Callable[[], None] = lambda: None,
+) -> asyncio.Task[None]:
+    """Starts a task that is begun again, after a pause, when it failed.
+
+    Args:
+        context: What all parts share.
+        name: What the task is called in a line.
+        begin: Begins the work, or begins it again.
+        on_failure: Called each time that an exception has ended it.
+    """
+
+    async def run() -> None:
+        while True:
+            try:
+                await begin()
+                return
+            except Exception as error:
+                note_failure(context, name, error)
+                on_failure()
+            await context.timers.sleep(_PAUSE_S)
+
+    return asyncio.ensure_future(run())
+
+
+@contextlib.contextmanager
+def running(
+    context: Context, begins_by_name: dict[str, Callable[[], Work]]
+) -> Iterator[None]:
+    """Keeps works going in the background while the context is open."""
+    tasks = [
+        start_lasting(context, name, begin)
+        for name, begin in begins_by_name.items()
+    ]
+    try:
+        yield
+    finally:
+        for task in tasks:
+            task.cancel()
--- a/daemons/manager/src/coltsfootseam/manager/knowledge.py
+++ b/daemons/manager/src/coltsfootseam/manager/knowledge.py
@@ -1,6 +1,5 @@
 """What every entry host learns from the operator and the workers."""
 
-import asyncio
 from collections.abc import Callable
 
 from coltsfootseam.jobs import Configuration, QueueIndex, Wave
@@ -67,11 +66,13 @@
         """Calls a listener after each change of the configuration."""
         self._listeners.append(listener)
 
-    async def run(self) -> None:
-        """Follows both partitions until it is cancelled."""
-        await asyncio.gather(
-            self._operator_tail.run(), self._workers_tail.run()
-        )
+    async def run_operator(self) -> None:
+        """Follows what the operator writes until it is cancelled."""
+        await self._operator_tail.run()
+
+    async def run_workers(self) -> None:
+        """Follows the workers' entries until it is cancelled."""
+        await self._workers_tail.run()
 
     def attempts_of(self, queue: str) -> int:
         """Returns how many runs of a task of a queue may fail."""
--- a/daemons/manager/src/coltsfootseam/manager/manager.py
+++ b/daemons/manager/src/coltsfootseam/manager/manager.py
@@ -1,13 +1,13 @@
 """One manager: all parts of the process, put together."""
 
-import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Callable, Iterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import AbstractAsyncContextManager
 
 import msgspec
 
 from coltsfootseam.calls import Handler, Method, serving_calls
+from coltsfootseam.manager.background import running
 from coltsfootseam.manager.context import Context
 from coltsfootseam.manager.duties import Directory
 from coltsfootseam.manager.duty_keeper import DutyKeeper
@@ -80,30 +80,21 @@
     standby = manager.standby
     peer_calls = PeerCalls(context, duties, membership, standby)
     async with serving(context.address, peer_calls.handlers()):
-        with _running(
-            knowledge.run(),
-            membership.run(),
-            membership.run_holdings(),
-            standby.run(),
-            duties.run(),
-        ):
+        works = {
+            "operator": knowledge.run_operator,
+            "workers": knowledge.run_workers,
+            "membership": membership.run,
+            "holdings": membership.run_holdings,
+            "standby": standby.run,
+            "duties": duties.run,
+        }
+        with running(context, works):
             try:
                 yield manager
             finally:
                 duties.end_all()
 
 
-@contextlib.contextmanager
-def _running(*works) -> Iterator[None]:  # type: ignore[no-untyped-def]
-    """Runs coroutines in the background while the context is open."""
-    tasks = [asyncio.ensure_future(work) for work in works]
-    try:
-        yield
-    finally:
-        for task in tasks:
-            task.cancel()
-
-
 def _build(context: Context, times: MembershipTimes) -> Manager:
     knowledge = Knowledge(context)
     membership = Membership(
--- a/daemons/manager/src/coltsfootseam/manager/pool_owner.py
+++ b/daemons/manager/src/coltsfootseam/manager/pool_owner.py
@@ -12,6 +12,7 @@
     key_prefix,
     parse_pool_key,
 )
+from coltsfootseam.manager.background import start_once
 from coltsfootseam.manager.claiming import claim_duty
 from coltsfootseam.manager.context import Context
 from coltsfootseam.manager.knowledge import Knowledge
@@ -225,7 +226,12 @@
         self.state = state
         rounds = Rounds(state, orders, workers, tickets, self.vacating)
         pacer = Pacer(state, orders)
-        following = asyncio.ensure_future(inbox.run())
+        following = start_once(
+            self._context,
+            f"inbox of {self._pool}",
+            inbox.run(),
+            lambda: self._lose(state),
+        )
         subscriptions = [
             self._context.timers.subscribe(_TICK_S, self._wake.set),
             *Retention(state, inbox).subscribe(),
@@ -252,6 +258,11 @@
                 "pool.left", pool=self._pool, epoch=state.journal.epoch
             )
 
+    def _lose(self, state: PoolState) -> None:
+        """Ends this ownership, so that another one begins by a fresh load."""
+        state.journal.lost = True
+        self._wake.set()
+
     def _check_commits(self, journal: Journal) -> None:
         """Tells if what is decided here can't be stored.
 
@@ -284,5 +295,4 @@
         is_answered = self._context.ports.store.silence_s() < _CONFIRM_S
         if age_s > _UNCONFIRMED_S and is_answered:
             self._context.log.write("pool.unconfirmed", pool=self._pool)
-            journal.lost = True
-            self._wake.set()
+            self._lose(state)
--- a/libs/standins/src/coltsfootseam/standins/memory_store.py
+++ b/libs/standins/src/coltsfootseam/standins/memory_store.py
@@ -72,6 +72,7 @@
         cut_topics: Topics whose pages of newest records are all cut off, by
             name or by kind, the part of a name before the dot.
         unwritable_topics: Topics to which every append is refused, by name.
+        raising_topics: Topics of which every read raises, by name.
     """
 
     is_down: bool = False
@@ -84,6 +85,7 @@
     most_append_bytes: int = 0
     cut_topics: set[str] = set()
     unwritable_topics: set[str] = set()
+    raising_topics: set[str] = set()
 
 
 class MemoryStore:
@@ -296,6 +298,8 @@
             problem = await self._reach()
             if problem is not None:
                 return problem
+            if partition.topic in self.faults.raising_topics:
+                raise ValueError("made to fail")
             part = self._store.part(partition)
             if from_offset < part.first:
                 return HistoryGone(part.first)
--- a/libs/store/src/coltsfootseam/store/membership.py
+++ b/libs/store/src/coltsfootseam/store/membership.py
@@ -103,10 +103,11 @@
         return self._store.silence_s() > self._times.ttl_s
 
     async def run(self) -> None:
-        """Renews the membership until it is cancelled."""
+        """Renews the membership until it is cancelled; may be begun again."""
         await self.read_holdings()
-        self.is_standby = self._is_spare()
-        self._differs_since_s = None
+        if self.deal is None:
+            self.is_standby = self._is_spare()
+            self._differs_since_s = None
         while not self.leaving:
             if not self.is_standby:
                 await self.renew()
--- a/libs/workers/src/coltsfootseam/workers/link.py
+++ b/libs/workers/src/coltsfootseam/workers/link.py
@@ -89,6 +89,14 @@
         while not self.is_gone and not self.is_fenced:
             await self.hold_once()
 
+    def note_failure(self) -> None:
+        """Takes note that a hold or its report could not be dealt with.
+
+        No lease is given until a report was taken in again: what runs there
+        must be free to run elsewhere in time.
+        """
+        self.is_reachable = False
+
     async def hold_once(self) -> None:
         """Extends the lease once and waits for the answer."""
         sent_s = self._timers.now_s()
--- a/tests/cover/test_silent_loops.py
+++ b/tests/cover/test_silent_loops.py
@@ -2,8 +2,22 @@
 
 import msgspec
 
-from coltsfootseam.jobs import Wave
-from tests.common.fleets import OPERATOR, STATUS, Fleet, running_fleet
+from coltsfootseam.jobs import JobState, Wave
+from coltsfootseam.manager.places import place_of_pool
+from coltsfootseam.workers import (
+    HoldOrder,
+    HoldReport,
+    OrderAnswer,
+    WorkerCalls,
+    WorkerEntry,
+)
+from tests.common.fleets import (
+    OPERATOR,
+    POOL,
+    STATUS,
+    Fleet,
+    running_fleet,
+)
 
 LATER_S = 6.0
 
@@ -57,3 +71,75 @@
         refuse_status(fleet, False)
         await owner.kill()
         await fleet.wait_until(lambda: status_of_wave(fleet, 1) == b"completed")
+
+
+# Guards against LOST: the task that follows the inbox died without a line, and
+# its owner kept the pool without learning of a job any more.
+async def test_an_owner_that_can_t_follow_its_inbox_begins_anew() -> None:
+    async with running_fleet(hosts=2) as fleet:
+        owner = fleet.owner()
+        inbox = place_of_pool("inbox", POOL, fleet.store.slots)
+        owner.store.faults.raising_topics = {inbox.topic}
+        await fleet.timers.advance(1.0)
+        owner.store.faults.raising_topics = set()
+        await fleet.accept(owner, "job-1")
+        await fleet.wait_for_state("job-1", JobState.COMPLETED)
+        names = {line["name"] for line in owner.lines("task.failed")}
+        assert names == {f"inbox of {POOL}"}
+        assert owner.count("task.failed") > 0
+        assert owner.lines("pool.left")
+
+
+# Guards against a host that follows an old configuration for good, without a
+# line, after one exception in the task that reads it.
+async def test_a_background_task_of_a_manager_is_begun_again() -> None:
+    async with running_fleet(hosts=1) as fleet:
+        host = fleet.hosts[0]
+        host.store.faults.raising_topics = {OPERATOR.topic}
+        await fleet.timers.advance(2.0)
+        assert host.lines("task.failed")
+        assert host.count("task.failed") <= 5
+        host.store.faults.raising_topics = set()
+        fleet.configure(version=2)
+        await fleet.wait_until(
+            lambda: (
+                host.manager is not None
+                and host.manager.knowledge.configuration is not None
+                and host.manager.knowledge.configuration.version == 2
+            ),
+            limit_s=5.0,
+        )
+
+
+class OnceRaising:
+    """Calls to workers of which the first hold raises."""
+
+    def __init__(self, calls: WorkerCalls) -> None:
+        self._calls = calls
+        self._has_raised = False
+
+    def __getattr__(self, name: str) -> object:
+        return getattr(self._calls, name)
+
+    async def hold(
+        self, worker: WorkerEntry, order: HoldOrder
+    ) -> HoldReport | OrderAnswer:
+        """Raises once, then passes holds on."""
+        if not self._has_raised:
+            self._has_raised = True
+            raise ValueError("made to fail")
+        return await self._calls.hold(worker, order)
+
+
+# Guards against a worker that runs nothing any more, without a line, after one
+# exception in the task of its link.
+async def test_a_link_that_failed_is_begun_again() -> None:
+    async with running_fleet(hosts=1, workers=0) as fleet:
+        host = fleet.hosts[0]
+        assert host.manager is not None
+        ports = host.manager.context.ports
+        ports.workers = OnceRaising(ports.workers)  # type: ignore[assignment]
+        fleet.add_worker(1)
+        await fleet.accept(host, "job-1")
+        await fleet.wait_for_state("job-1", JobState.COMPLETED)
+        assert len(host.lines("task.failed")) == 1
