Tell orders and chores of a pool's owner that fail

After an exception in a start its run waited for good; after one in a stop the run was never stopped again, as its key stayed among those under way; neither wrote a line.

They don't end the ownership: an order that fails each time would take the pool from all its jobs over and over.

Tests: test_a_run_whose_order_failed_is_ordered_again[start] (job not completed) and [stop] (no line) failed before; 7 of test_silent_loops.py pass.

--- a/daemons/manager/src/coltsfootseam/manager/background.py
+++ b/daemons/manager/src/coltsfootseam/manager/background.py
@@ -18,26 +18,39 @@
     context.counters.increment("task.failed")
 
 
-def start_once(
-    context: Context, name: str, work: Work, on_failure: Callable[[], None]
-) -> asyncio.Task[None]:
-    """Starts a task that can't be begun again once it has failed.
+def noting(
+    context: Context,
+    name: str,
+    begin: Callable[[], Work],
+    on_failure: Callable[[], None] = lambda: None,
+) -> Callable[[], Work]:
+    """Returns work that writes a line in place of raising an exception.
 
     Args:
         context: What all parts share.
-        name: What the task is called in a line.
-        work: What it does.
+        name: What the work is called in a line.
+        begin: Begins the work.
         on_failure: Called after an exception has ended it.
     """
 
     async def run() -> None:
         try:
-            await work
+            await begin()
         except Exception as error:
             note_failure(context, name, error)
             on_failure()
 
-    return asyncio.ensure_future(run())
+    return run
+
+
+def start_once(
+    context: Context,
+    name: str,
+    begin: Callable[[], Work],
+    on_failure: Callable[[], None] = lambda: None,
+) -> asyncio.Task[None]:
+    """Starts a task that can't be begun again once it has failed."""
+    return asyncio.ensure_future(noting(context, name, begin, on_failure)())
 
 
 def start_lasting(
--- a/daemons/manager/src/coltsfootseam/manager/orders.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders.py
@@ -6,10 +6,10 @@
 """
 
 import asyncio
-from collections.abc import Callable, Coroutine
-from typing import Any
+from collections.abc import Callable
 
 from coltsfootseam.jobs import Run, RunEnd, RunPhase, Task
+from coltsfootseam.manager.background import start_lasting, start_once
 from coltsfootseam.manager.pool_state import PoolState
 from coltsfootseam.workers import (
     OrderOutcome,
@@ -73,7 +73,14 @@
     def send_start(self, task: Task, run: Run, ticket: str) -> None:
         """Orders a run whose record is stored."""
         self._unsent.add((task.id, run.number))
-        self._spawn(self._start(task, run, ticket))
+        self._keep(
+            start_once(
+                self._state.context,
+                f"start on {run.worker_id}",
+                lambda: self._start(task, run, ticket),
+                lambda: self._give_up(task, run),
+            )
+        )
 
     def send_stops(self) -> None:
         """Orders the end of each run that is to be stopped."""
@@ -83,26 +90,53 @@
             key = (task.id, run.number, run.worker_id)
             if key not in self._stopping:
                 self._stopping.add(key)
-                self._spawn(self._stop(task, run))
+                self._send_stop(task, run)
 
     def stop_unknown(self, link: WorkerLink, row: RunningRow) -> None:
         """Ends something that runs though the book does not know it."""
         key = (row.task, row.number, link.worker_id)
         if key not in self._unknown:
             self._unknown.add(key)
-            self._spawn(self._stop_row(link, row))
+            self._keep(
+                start_lasting(
+                    self._state.context,
+                    f"stop on {link.worker_id}",
+                    lambda: self._stop_row(link, row),
+                )
+            )
 
     def send_pace(self, task: Task, run: Run, percent: int) -> None:
         """Sets the share of its speed at which a run works."""
-        self._spawn(self._pace(task, run, percent))
+        self._keep(
+            start_once(
+                self._state.context,
+                f"pace on {run.worker_id}",
+                lambda: self._pace(task, run, percent),
+            )
+        )
 
     def close(self) -> None:
         """Gives up every order that is under way."""
         for task in self._tasks:
             task.cancel()
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.ensure_future(work)
+    def _send_stop(self, task: Task, run: Run) -> None:
+        self._keep(
+            start_lasting(
+                self._state.context,
+                f"stop on {run.worker_id}",
+                lambda: self._stop(task, run),
+            )
+        )
+
+    def _give_up(self, task: Task, run: Run) -> None:
+        """Stops a run whose order failed, as it may have been carried out."""
+        self._unsent.discard((task.id, run.number))
+        if _is_wanted(task, run):
+            self._state.book.stop_run(task, run, "its order failed")
+        self._on_change()
+
+    def _keep(self, task: asyncio.Task[None]) -> None:
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
--- a/daemons/manager/src/coltsfootseam/manager/pool_owner.py
+++ b/daemons/manager/src/coltsfootseam/manager/pool_owner.py
@@ -12,7 +12,7 @@
     key_prefix,
     parse_pool_key,
 )
-from coltsfootseam.manager.background import start_once
+from coltsfootseam.manager.background import noting, start_once
 from coltsfootseam.manager.claiming import claim_duty
 from coltsfootseam.manager.context import Context
 from coltsfootseam.manager.knowledge import Knowledge
@@ -229,7 +229,7 @@
         following = start_once(
             self._context,
             f"inbox of {self._pool}",
-            inbox.run(),
+            inbox.run,
             lambda: self._lose(state),
         )
         subscriptions = [
@@ -237,7 +237,12 @@
             *Retention(state, inbox).subscribe(),
             pacer.subscribe(),
             self._context.timers.subscribe(
-                _CONFIRM_S, lambda: self._confirm(state)
+                _CONFIRM_S,
+                noting(
+                    self._context,
+                    f"epoch of {self._pool}",
+                    lambda: self._confirm(state),
+                ),
             ),
         ]
         try:
--- a/daemons/manager/src/coltsfootseam/manager/retention.py
+++ b/daemons/manager/src/coltsfootseam/manager/retention.py
@@ -7,6 +7,7 @@
 """
 
 from coltsfootseam.jobs import cancel_key, job_key
+from coltsfootseam.manager.background import noting
 from coltsfootseam.manager.pool_state import PoolState
 from coltsfootseam.results import Refusal
 from coltsfootseam.store import KeyedRecord, Tail
@@ -30,10 +31,16 @@
 
     def subscribe(self) -> list[Subscription]:
         """Deletes from time to time until the subscriptions are cancelled."""
-        timers = self._state.context.timers
+        context = self._state.context
         return [
-            timers.subscribe(_REQUESTS_PERIOD_S, self.delete_requests),
-            timers.subscribe(_STATES_PERIOD_S, self.delete_states),
+            context.timers.subscribe(
+                _REQUESTS_PERIOD_S,
+                noting(context, "old requests", self.delete_requests),
+            ),
+            context.timers.subscribe(
+                _STATES_PERIOD_S,
+                noting(context, "old states", self.delete_states),
+            ),
         ]
 
     async def delete_requests(self) -> None:
--- a/tests/cover/test_silent_loops.py
+++ b/tests/cover/test_silent_loops.py
@@ -1,21 +1,17 @@
 """What gets nowhere says so, and keeps nothing else from going on."""
 
 import msgspec
+import pytest
 
 from coltsfootseam.jobs import JobState, Wave
 from coltsfootseam.manager.places import place_of_pool
-from coltsfootseam.workers import (
-    HoldOrder,
-    HoldReport,
-    OrderAnswer,
-    WorkerCalls,
-    WorkerEntry,
-)
+from coltsfootseam.workers import WorkerCalls, WorkerEntry
 from tests.common.fleets import (
     OPERATOR,
     POOL,
     STATUS,
     Fleet,
+    Host,
     running_fleet,
 )
 
@@ -112,23 +108,33 @@
 
 
 class OnceRaising:
-    """Calls to workers of which the first hold raises."""
+    """Calls to workers of which the first one of a kind raises."""
 
-    def __init__(self, calls: WorkerCalls) -> None:
+    def __init__(self, calls: WorkerCalls, kind: str) -> None:
         self._calls = calls
+        self._kind = kind
         self._has_raised = False
 
     def __getattr__(self, name: str) -> object:
+        return self._raise if self._is_next(name) else self._pass(name)
+
+    def _is_next(self, name: str) -> bool:
+        return name == self._kind and not self._has_raised
+
+    def _pass(self, name: str) -> object:
         return getattr(self._calls, name)
 
-    async def hold(
-        self, worker: WorkerEntry, order: HoldOrder
-    ) -> HoldReport | OrderAnswer:
-        """Raises once, then passes holds on."""
-        if not self._has_raised:
-            self._has_raised = True
-            raise ValueError("made to fail")
-        return await self._calls.hold(worker, order)
+    async def _raise(self, worker: WorkerEntry, order: object) -> object:
+        del worker, order
+        self._has_raised = True
+        raise ValueError("made to fail")
+
+
+def raise_once(host: Host, kind: str) -> None:
+    """Has a host's first call of a kind raise; only new links notice."""
+    assert host.manager is not None
+    ports = host.manager.context.ports
+    ports.workers = OnceRaising(ports.workers, kind)  # type: ignore[assignment]
 
 
 # Guards against a worker that runs nothing any more, without a line, after one
@@ -136,10 +142,30 @@
 async def test_a_link_that_failed_is_begun_again() -> None:
     async with running_fleet(hosts=1, workers=0) as fleet:
         host = fleet.hosts[0]
-        assert host.manager is not None
-        ports = host.manager.context.ports
-        ports.workers = OnceRaising(ports.workers)  # type: ignore[assignment]
+        raise_once(host, "hold")
         fleet.add_worker(1)
         await fleet.accept(host, "job-1")
         await fleet.wait_for_state("job-1", JobState.COMPLETED)
         assert len(host.lines("task.failed")) == 1
+
+
+# Guards against a task that waits for good, without a line, for an order whose
+# own task has died.
+@pytest.mark.parametrize("kind", ["start", "stop"])
+async def test_a_run_whose_order_failed_is_ordered_again(kind: str) -> None:
+    async with running_fleet(
+        hosts=1, workers=0, duration_of=lambda task: 3.0
+    ) as fleet:
+        host = fleet.hosts[0]
+        raise_once(host, kind)
+        fleet.add_worker(1)
+        await fleet.accept(host, "job-1")
+        if kind == "stop":
+            await fleet.wait_until(lambda: fleet.started("job-1") == 1)
+            await fleet.cancel(host, "job-1")
+            await fleet.wait_for_state("job-1", JobState.CANCELLED)
+            await fleet.wait_until(lambda: bool(host.lines("run.ended")))
+        else:
+            await fleet.wait_for_state("job-1", JobState.COMPLETED)
+        names = [line["name"] for line in host.lines("task.failed")]
+        assert names == [f"{kind} on i-1@1"]
