Tell that the group refuses a host's joins or readings

Seen: with the joins of all hosts refused no duty was held for 30 s; jobs were accepted and never run, and no line, counter or page said so.

Cause: Membership passes a refusal over, as it keeps what it knew. That stays; it now keeps the last refusal of each call besides, and GroupWatch looks at them every half second: group.unreachable (and a counter) once a call has failed for a second, group.joined when it is answered again, one line for each change. The status page shows group_problems.

Tests: test_a_host_that_the_group_refuses_says_so_once[join] and [holdings] failed before (no line). test_silent_loops.py, test_standby.py and test_ownership.py: 37 passed.

--- a/daemons/manager/src/coltsfootseam/manager/manager.py
+++ b/daemons/manager/src/coltsfootseam/manager/manager.py
@@ -11,6 +11,7 @@
 from coltsfootseam.manager.context import Context
 from coltsfootseam.manager.duties import Directory
 from coltsfootseam.manager.duty_keeper import DutyKeeper
+from coltsfootseam.manager.group_watch import GroupWatch
 from coltsfootseam.manager.job_service import JobService
 from coltsfootseam.manager.knowledge import Knowledge
 from coltsfootseam.manager.locator import Locator
@@ -79,12 +80,14 @@
     duties = manager.duties
     standby = manager.standby
     peer_calls = PeerCalls(context, duties, membership, standby)
+    manager.status.show_group(membership.problems_by_call)
     async with serving(context.address, peer_calls.handlers()):
         works = {
             "operator": knowledge.run_operator,
             "workers": knowledge.run_workers,
             "membership": membership.run,
             "holdings": membership.run_holdings,
+            "group": GroupWatch(context, membership).run,
             "standby": standby.run,
             "duties": duties.run,
         }
--- a/daemons/manager/src/coltsfootseam/manager/status.py
+++ b/daemons/manager/src/coltsfootseam/manager/status.py
@@ -1,5 +1,7 @@
 """What a manager shows to operators of its duties, pools and jobs."""
 
+from collections.abc import Mapping
+
 import msgspec
 
 from coltsfootseam.jobs import Job, JobState, Task
@@ -54,6 +56,7 @@
         pools: Pools that it owns.
         waves: Waves that it knows of.
         dropped_lines: Lines of its log that found no place.
+        group_problems: Why calls to the group that deals duties fail, by call.
     """
 
     host_id: str
@@ -63,6 +66,7 @@
     pools: list[PoolStatus]
     waves: list[WaveStatus]
     dropped_lines: int
+    group_problems: dict[str, str]
 
 
 class TaskStatus(msgspec.Struct):
@@ -91,7 +95,7 @@
 class StatusPage:
     """Builds the pages that operators read."""
 
-    __slots__ = ("_context", "_duties", "_knowledge")
+    __slots__ = ("_context", "_duties", "_group", "_knowledge")
 
     def __init__(
         self, context: Context, knowledge: Knowledge, duties: DutyKeeper
@@ -99,6 +103,11 @@
         self._context = context
         self._knowledge = knowledge
         self._duties = duties
+        self._group: Mapping[str, Refusal] = {}
+
+    def show_group(self, problems_by_call: Mapping[str, Refusal]) -> None:
+        """Shows from now on which calls to the group fail."""
+        self._group = problems_by_call
 
     def manager(self) -> ManagerStatus:
         """Returns how this manager stands."""
@@ -121,6 +130,9 @@
                 for wave in self._knowledge.waves_by_number.values()
             ],
             dropped_lines=self._context.log.dropped,
+            group_problems={
+                call: problem.reason for call, problem in self._group.items()
+            },
         )
 
     def job(self, job_id: str) -> JobStatus | Refusal:
--- a/libs/standins/src/coltsfootseam/standins/memory_store.py
+++ b/libs/standins/src/coltsfootseam/standins/memory_store.py
@@ -73,6 +73,8 @@
             name or by kind, the part of a name before the dot.
         unwritable_topics: Topics to which every append is refused, by name.
         raising_topics: Topics of which every read raises, by name.
+        refuse_joins: Every join of a group is refused.
+        refuse_holdings: Every question for holders is refused.
     """
 
     is_down: bool = False
@@ -86,6 +88,8 @@
     cut_topics: set[str] = set()
     unwritable_topics: set[str] = set()
     raising_topics: set[str] = set()
+    refuse_joins: bool = False
+    refuse_holdings: bool = False
 
 
 class MemoryStore:
@@ -339,6 +343,8 @@
         problem = await self._reach()
         if problem is not None:
             return problem
+        if self.faults.refuse_joins:
+            return Refusal(ResultCode.LOG_UNAVAILABLE, "no joins")
         return self._store.do_join(group, member, ttl_s)
 
     async def leave(self, group: str, member: str) -> Refusal | None:
@@ -354,6 +360,8 @@
         problem = await self._reach()
         if problem is not None:
             return problem
+        if self.faults.refuse_holdings:
+            return Refusal(ResultCode.LOG_UNAVAILABLE, "no holders")
         return self._store.do_holdings(group)
 
     async def _reach(self) -> Refusal | None:
--- a/libs/store/src/coltsfootseam/store/membership.py
+++ b/libs/store/src/coltsfootseam/store/membership.py
@@ -45,6 +45,8 @@
         deal: What this member holds, ``None`` while that isn't known.
         members_by_number: Which member holds which partition, as last read.
         is_standby: Whether the host stands by.
+        problems_by_call: Why the last ``join`` or reading of ``holdings``
+            failed; empty while both are answered.
     """
 
     __slots__ = (
@@ -60,6 +62,7 @@
         "leaving",
         "member",
         "members_by_number",
+        "problems_by_call",
     )
 
     def __init__(
@@ -93,6 +96,7 @@
         self.member = member
         self.deal: Deal | None = None
         self.members_by_number: dict[int, str] = {}
+        self.problems_by_call: dict[str, Refusal] = {}
         self.leaving = False
 
     def is_silent(self) -> bool:
@@ -119,8 +123,10 @@
         result = await self._store.join(
             GROUP, self.member, TOPIC, self._times.ttl_s, generation
         )
-        is_out = self.leaving or self.is_standby
-        if isinstance(result, Refusal) or is_out:
+        if self.leaving or self.is_standby:
+            return
+        self._note("join", result)
+        if isinstance(result, Refusal):
             return
         if result != self.deal:
             self.deal = result
@@ -139,6 +145,7 @@
         """Reads who holds what; a refusal keeps what was known."""
         self._wants_holdings = False
         result = await self._store.holdings(GROUP)
+        self._note("holdings", result)
         if isinstance(result, Refusal):
             await self._timers.sleep(self._times.join_s)
             return
@@ -158,6 +165,12 @@
         self.deal = None
         await self._store.leave(GROUP, self.member)
 
+    def _note(self, call: str, result: object) -> None:
+        if isinstance(result, Refusal):
+            self.problems_by_call[call] = result
+        else:
+            self.problems_by_call.pop(call, None)
+
     async def _pause(self) -> None:
         """Waits until it is time for the next reading."""
         times = self._times
@@ -183,6 +196,7 @@
         if not self.is_standby:
             await self.renew()
             return
+        self.problems_by_call.pop("join", None)
         self.deal = None
         self._on_change()
         # Where the answer is lost, the group forgets this member by TTL.
--- a/tests/cover/test_silent_loops.py
+++ b/tests/cover/test_silent_loops.py
@@ -169,3 +169,26 @@
             await fleet.wait_for_state("job-1", JobState.COMPLETED)
         names = [line["name"] for line in host.lines("task.failed")]
         assert names == [f"{kind} on i-1@1"]
+
+
+# Guards against hosts that hold no duties, without a line, as the store
+# refuses their joins: jobs were accepted and never run.
+@pytest.mark.parametrize("call", ["join", "holdings"])
+async def test_a_host_that_the_group_refuses_says_so_once(call: str) -> None:
+    async with running_fleet(hosts=1) as fleet:
+        host = fleet.hosts[0]
+        assert host.manager is not None
+        host.store.faults.refuse_joins = call == "join"
+        host.store.faults.refuse_holdings = call == "holdings"
+        await fleet.timers.advance(LATER_S)
+        (line,) = host.lines("group.unreachable")
+        assert line["call"] == call
+        assert host.count("group.unreachable") == 1
+        problems = host.manager.status.manager().group_problems
+        assert list(problems) == [call]
+        host.store.faults.refuse_joins = False
+        host.store.faults.refuse_holdings = False
+        await fleet.timers.advance(LATER_S)
+        (line,) = host.lines("group.joined")
+        assert line["call"] == call
+        assert host.manager.status.manager().group_problems == {}
