--- a/tests/cover/test_adapter.py
+++ b/tests/cover/test_adapter.py
@@ -9,6 +9,7 @@
 
 from coltsfootseam.adapter.boot import Boot, LiveSettings, load_boot
 from coltsfootseam.adapter.feeds import PlatformFeeds
+from coltsfootseam.adapter.machines import CloudMachines
 from coltsfootseam.adapter.store import (
     StoreClient,
     _encode_record,
@@ -352,3 +353,27 @@
     body = b'{"clock_ms":1,"ended":[["x","a.0.0.0",1,"done",null]]}'
     with pytest.raises(msgspec.ValidationError):
         _read_report(body)
+
+
+class RepeatingLine:
+    """A line whose pages of machines all name the same next page."""
+
+    def __init__(self) -> None:
+        self.calls = 0
+
+    async def call(self, *args: object, **options: object) -> Reply:
+        """Answers with an empty page."""
+        del args, options
+        self.calls += 1
+        assert self.calls < 10, "asks on and on"
+        return Reply(200, b'{"machines":[],"next_token":"again"}')
+
+
+# Guards against a fleet that stands still, without a line, as the list of its
+# machines goes round in a circle.
+async def test_a_page_of_machines_that_comes_again_is_refused() -> None:
+    cloud = CloudMachines("127.0.0.1:1")
+    line = RepeatingLine()
+    cloud._line = line  # type: ignore[assignment]
+    assert isinstance(await cloud.list_machines(), Refusal)
+    assert line.calls == 2
