Tell of workers that answer no hold and of stops without an answer

Seen: a hold that fails and a stop that gets no answer were repeated each 100 to 150 ms without a line or a counter. Operators saw a worker's name only once its lease had ended, and a job that stays in STOPPING never.

Cause: both loops only slept.

Now worker.unreachable comes once a worker has given no report for a second, with the outcome of its last hold, and worker.reachable when it answers again; stop.unanswered once for each stop that has been repeated for a second. All are lines of a change, with counters for the two bad ones; the loops go on as before.

Tests: test_a_worker_that_answers_no_hold_is_told_of_once and test_a_stop_without_an_answer_is_told_of_once failed before (no line). test_silent_loops.py and test_bad_workers.py: 17 passed.

--- a/daemons/manager/src/coltsfootseam/manager/orders.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders.py
@@ -22,6 +22,7 @@
 
 _RETRY_S = 0.1
 _START_TRIES_S = 1.0
+_UNANSWERED_S = 1.0
 _MOST_STARTS_AT_ONCE = 64
 _MOST_STARTS_UNSENT = 100
 _REFUSED_PAUSE_S = 0.1
@@ -236,6 +237,8 @@
 
     async def _stop(self, task: Task, run: Run) -> None:
         state = self._state
+        began_s = state.now_s()
+        is_told = False
         while run in task.runs:
             link = self._link(run)
             if link is None or state.journal.lost:
@@ -247,6 +250,9 @@
                 if run.settled_s is None:
                     run.settled_s = state.now_s()
                 break
+            if not is_told and state.now_s() - began_s >= _UNANSWERED_S:
+                is_told = True
+                self._tell_unanswered(task, run, outcome)
             await state.context.timers.sleep(_RETRY_S)
         if run in task.runs:
             # Its end should be listed by then, or it has to be stopped again.
@@ -254,6 +260,20 @@
             self._on_change()
         self._stopping.discard((task.id, run.number, run.worker_id))
 
+    def _tell_unanswered(
+        self, task: Task, run: Run, outcome: OrderOutcome
+    ) -> None:
+        """Writes the line about a stop that has been repeated for a while."""
+        self._state.context.log.write(
+            "stop.unanswered",
+            job=task.id.job_id,
+            task=[task.id.occurrence, task.id.step, task.id.index],
+            run=run.number,
+            worker=run.worker_id,
+            outcome=outcome.name,
+        )
+        self._state.context.counters.increment("stop.unanswered")
+
     async def _stop_row(self, link: WorkerLink, row: RunningRow) -> None:
         order = StopOrder(row.task, row.number, self._state.journal.epoch)
         await link.stop(order)
--- /dev/null
+++ b/daemons/manager/src/coltsfootseam/manager/silent_workers.py
@@ -0,0 +1,52 @@
+"""Telling which workers answer no hold."""
+
+from coltsfootseam.manager.context import Context
+from coltsfootseam.workers import WorkerLink
+
+_UNREACHABLE_S = 1.0
+_MS_PER_S = 1000
+
+
+class SilentWorkers:
+    """Writes a line when a worker falls silent, and when it answers again."""
+
+    __slots__ = ("_context", "_since_s_by_id", "_told_ids")
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+        self._since_s_by_id: dict[str, float] = {}
+        self._told_ids: set[str] = set()
+
+    def look(self, link: WorkerLink) -> None:
+        """Takes note of whether a worker's last hold was answered."""
+        now_s = self._context.timers.now_s()
+        worker_id = link.worker_id
+        if link.is_reachable:
+            since_s = self._since_s_by_id.get(worker_id, now_s)
+            if worker_id in self._told_ids:
+                self._context.log.write(
+                    "worker.reachable",
+                    worker=worker_id,
+                    after_ms=round((now_s - since_s) * _MS_PER_S),
+                )
+            self.forget(worker_id)
+            return
+        since_s = self._since_s_by_id.setdefault(worker_id, now_s)
+        if now_s - since_s >= _UNREACHABLE_S:
+            self._tell(link)
+
+    def forget(self, worker_id: str) -> None:
+        """Drops what is known of a worker."""
+        self._since_s_by_id.pop(worker_id, None)
+        self._told_ids.discard(worker_id)
+
+    def _tell(self, link: WorkerLink) -> None:
+        if link.worker_id in self._told_ids:
+            return
+        self._told_ids.add(link.worker_id)
+        self._context.log.write(
+            "worker.unreachable",
+            worker=link.worker_id,
+            outcome=link.hold_outcome.name,
+        )
+        self._context.counters.increment("worker.unreachable")
--- a/daemons/manager/src/coltsfootseam/manager/workers_of_pool.py
+++ b/daemons/manager/src/coltsfootseam/manager/workers_of_pool.py
@@ -7,6 +7,7 @@
 from coltsfootseam.manager.context import Times
 from coltsfootseam.manager.pool_state import PoolState
 from coltsfootseam.manager.reports import Reports
+from coltsfootseam.manager.silent_workers import SilentWorkers
 from coltsfootseam.workers import (
     HoldReport,
     LeaseTimes,
@@ -22,7 +23,7 @@
 class WorkersOfPool:
     """Opens a link to each worker that appears and closes those that end."""
 
-    __slots__ = ("_on_change", "_reports", "_state", "_tasks_by_id")
+    __slots__ = ("_on_change", "_reports", "_silent", "_state", "_tasks_by_id")
 
     def __init__(
         self,
@@ -33,6 +34,7 @@
         self._state = state
         self._reports = reports
         self._on_change = on_change
+        self._silent = SilentWorkers(state.context)
         self._tasks_by_id: dict[str, asyncio.Task[None]] = {}
 
     def follow_entries(self) -> None:
@@ -88,6 +90,7 @@
         self._on_change()
 
     def _check(self, link: WorkerLink) -> None:
+        self._silent.look(link)
         if link.is_fenced:
             # A worker has seen a newer owner: so has the store.
             self._state.journal.lost = True
@@ -112,6 +115,7 @@
         self._state.links_by_id.pop(worker_id, None)
         self._state.ends_by_id.pop(worker_id, None)
         self._state.health.forget(worker_id)
+        self._silent.forget(worker_id)
         task = self._tasks_by_id.pop(worker_id, None)
         if task is not None:
             task.cancel()
--- a/libs/workers/src/coltsfootseam/workers/link.py
+++ b/libs/workers/src/coltsfootseam/workers/link.py
@@ -32,6 +32,7 @@
         lease: The lease of all that runs there.
         acknowledged: Newest end that is stored and may be forgotten there.
         is_reachable: Whether its last hold was answered.
+        hold_outcome: What came of the last hold without a report.
         is_gone: Whether this life has ended for certain.
         is_fenced: Whether it has seen a newer owner.
         reported_s: When it last reported, monotonic, or ``None``.
@@ -47,6 +48,7 @@
         "_wait_s",
         "acknowledged",
         "entry",
+        "hold_outcome",
         "is_fenced",
         "is_gone",
         "is_reachable",
@@ -75,6 +77,7 @@
         self.lease = WorkerLease(timers, times)
         self.acknowledged = 0
         self.is_reachable = False
+        self.hold_outcome = OrderOutcome.UNKNOWN
         self.is_gone = False
         self.is_fenced = False
         self.reported_s: float | None = None
@@ -117,6 +120,7 @@
             await self._take_report(answer, sent_s)
             return
         self.is_reachable = False
+        self.hold_outcome = answer.outcome
         if answer.outcome is OrderOutcome.OTHER_LIFE:
             self.is_gone = True
         elif answer.outcome is OrderOutcome.FENCED:
--- a/tests/cover/test_silent_loops.py
+++ b/tests/cover/test_silent_loops.py
@@ -192,3 +192,37 @@
         (line,) = host.lines("group.joined")
         assert line["call"] == call
         assert host.manager.status.manager().group_problems == {}
+
+
+# Guards against a worker that answers no hold, of which no line tells until
+# its lease has ended.
+async def test_a_worker_that_answers_no_hold_is_told_of_once() -> None:
+    async with running_fleet(hosts=1, workers=1) as fleet:
+        host = fleet.hosts[0]
+        assert host.lines("worker.unreachable") == []
+        worker = fleet.workers.workers_by_instance["i-1"]
+        worker.faults.is_silent = True
+        await fleet.timers.advance(LATER_S)
+        (line,) = host.lines("worker.unreachable")
+        assert (line["worker"], line["outcome"]) == ("i-1@1", "UNKNOWN")
+        assert host.count("worker.unreachable") == 1
+        worker.faults.is_silent = False
+        await fleet.timers.advance(LATER_S)
+        (line,) = host.lines("worker.reachable")
+        assert line["worker"] == "i-1@1"
+
+
+# Guards against a stop that is repeated without a line or a counter.
+async def test_a_stop_without_an_answer_is_told_of_once() -> None:
+    async with running_fleet(
+        hosts=1, workers=1, duration_of=lambda task: 60.0
+    ) as fleet:
+        host = fleet.hosts[0]
+        await fleet.accept(host, "job-1")
+        await fleet.wait_until(lambda: fleet.started("job-1") == 1)
+        fleet.workers.workers_by_instance["i-1"].faults.is_silent = True
+        await fleet.cancel(host, "job-1")
+        await fleet.timers.advance(4.0)
+        (line,) = host.lines("stop.unanswered")
+        assert (line["job"], line["worker"]) == ("job-1", "i-1@1")
+        assert host.count("stop.unanswered") == 1
