--- a/daemons/manager/src/coltsfootseam/manager/orders.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders.py
@@ -6,10 +6,10 @@
 """
 
 import asyncio
-from collections.abc import Callable, Coroutine
-from typing import Any
+from collections.abc import Callable
 
 from coltsfootseam.jobs import Run, RunEnd, RunPhase, Task
+from coltsfootseam.manager.background import start_lasting, start_once
 from coltsfootseam.manager.pool_state import PoolState
 from coltsfootseam.workers import (
     OrderOutcome,
@@ -22,6 +22,7 @@
 
 _RETRY_S = 0.1
 _START_TRIES_S = 1.0
+_UNANSWERED_S = 1.0
 _MOST_STARTS_AT_ONCE = 64
 _MOST_STARTS_UNSENT = 100
 _REFUSED_PAUSE_S = 0.1
@@ -73,7 +74,14 @@
     def send_start(self, task: Task, run: Run, ticket: str) -> None:
         """Orders a run whose record is stored."""
         self._unsent.add((task.id, run.number))
-        self._spawn(self._start(task, run, ticket))
+        self._keep(
+            start_once(
+                self._state.context,
+                f"start on {run.worker_id}",
+                lambda: self._start(task, run, ticket),
+                lambda: self._give_up(task, run),
+            )
+        )
 
     def send_stops(self) -> None:
         """Orders the end of each run that is to be stopped."""
@@ -83,26 +91,53 @@
             key = (task.id, run.number, run.worker_id)
             if key not in self._stopping:
                 self._stopping.add(key)
-                self._spawn(self._stop(task, run))
+                self._send_stop(task, run)
 
     def stop_unknown(self, link: WorkerLink, row: RunningRow) -> None:
         """Ends something that runs though the book does not know it."""
         key = (row.task, row.number, link.worker_id)
         if key not in self._unknown:
             self._unknown.add(key)
-            self._spawn(self._stop_row(link, row))
+            self._keep(
+                start_lasting(
+                    self._state.context,
+                    f"stop on {link.worker_id}",
+                    lambda: self._stop_row(link, row),
+                )
+            )
 
     def send_pace(self, task: Task, run: Run, percent: int) -> None:
         """Sets the share of its speed at which a run works."""
-        self._spawn(self._pace(task, run, percent))
+        self._keep(
+            start_once(
+                self._state.context,
+                f"pace on {run.worker_id}",
+                lambda: self._pace(task, run, percent),
+            )
+        )
 
     def close(self) -> None:
         """Gives up every order that is under way."""
         for task in self._tasks:
             task.cancel()
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.ensure_future(work)
+    def _send_stop(self, task: Task, run: Run) -> None:
+        self._keep(
+            start_lasting(
+                self._state.context,
+                f"stop on {run.worker_id}",
+                lambda: self._stop(task, run),
+            )
+        )
+
+    def _give_up(self, task: Task, run: Run) -> None:
+        """Stops a run whose order failed, as it may have been carried out."""
+        self._unsent.discard((task.id, run.number))
+        if _is_wanted(task, run):
+            self._state.book.stop_run(task, run, "its order failed")
+        self._on_change()
+
+    def _keep(self, task: asyncio.Task[None]) -> None:
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -202,6 +237,8 @@
 
     async def _stop(self, task: Task, run: Run) -> None:
         state = self._state
+        began_s = state.now_s()
+        is_told = False
         while run in task.runs:
             link = self._link(run)
             if link is None or state.journal.lost:
@@ -213,6 +250,9 @@
                 if run.settled_s is None:
                     run.settled_s = state.now_s()
                 break
+            if not is_told and state.now_s() - began_s >= _UNANSWERED_S:
+                is_told = True
+                self._tell_unanswered(task, run, outcome)
             await state.context.timers.sleep(_RETRY_S)
         if run in task.runs:
             # Its end should be listed by then, or it has to be stopped again.
@@ -220,6 +260,20 @@
             self._on_change()
         self._stopping.discard((task.id, run.number, run.worker_id))
 
+    def _tell_unanswered(
+        self, task: Task, run: Run, outcome: OrderOutcome
+    ) -> None:
+        """Writes the line about a stop that has been repeated for a while."""
+        self._state.context.log.write(
+            "stop.unanswered",
+            job=task.id.job_id,
+            task=[task.id.occurrence, task.id.step, task.id.index],
+            run=run.number,
+            worker=run.worker_id,
+            outcome=outcome.name,
+        )
+        self._state.context.counters.increment("stop.unanswered")
+
     async def _stop_row(self, link: WorkerLink, row: RunningRow) -> None:
         order = StopOrder(row.task, row.number, self._state.journal.epoch)
         await link.stop(order)
--- a/daemons/manager/src/coltsfootseam/manager/workers_of_pool.py
+++ b/daemons/manager/src/coltsfootseam/manager/workers_of_pool.py
@@ -3,9 +3,11 @@
 import asyncio
 from collections.abc import Callable
 
+from coltsfootseam.manager.background import start_lasting
 from coltsfootseam.manager.context import Times
 from coltsfootseam.manager.pool_state import PoolState
 from coltsfootseam.manager.reports import Reports
+from coltsfootseam.manager.silent_workers import SilentWorkers
 from coltsfootseam.workers import (
     HoldReport,
     LeaseTimes,
@@ -21,7 +23,7 @@
 class WorkersOfPool:
     """Opens a link to each worker that appears and closes those that end."""
 
-    __slots__ = ("_on_change", "_reports", "_state", "_tasks_by_id")
+    __slots__ = ("_on_change", "_reports", "_silent", "_state", "_tasks_by_id")
 
     def __init__(
         self,
@@ -32,6 +34,7 @@
         self._state = state
         self._reports = reports
         self._on_change = on_change
+        self._silent = SilentWorkers(state.context)
         self._tasks_by_id: dict[str, asyncio.Task[None]] = {}
 
     def follow_entries(self) -> None:
@@ -67,7 +70,12 @@
             self._take_report,
         )
         self._state.links_by_id[entry.worker_id] = link
-        self._tasks_by_id[entry.worker_id] = asyncio.ensure_future(link.run())
+        self._tasks_by_id[entry.worker_id] = start_lasting(
+            self._state.context,
+            f"link to {entry.worker_id}",
+            link.run,
+            link.note_failure,
+        )
         self._state.context.log.write(
             "worker.linked",
             worker=entry.worker_id,
@@ -82,6 +90,7 @@
         self._on_change()
 
     def _check(self, link: WorkerLink) -> None:
+        self._silent.look(link)
         if link.is_fenced:
             # A worker has seen a newer owner: so has the store.
             self._state.journal.lost = True
@@ -106,6 +115,7 @@
         self._state.links_by_id.pop(worker_id, None)
         self._state.ends_by_id.pop(worker_id, None)
         self._state.health.forget(worker_id)
+        self._silent.forget(worker_id)
         task = self._tasks_by_id.pop(worker_id, None)
         if task is not None:
             task.cancel()
--- a/libs/standins/src/coltsfootseam/standins/memory_store.py
+++ b/libs/standins/src/coltsfootseam/standins/memory_store.py
@@ -71,6 +71,10 @@
             no limit.
         cut_topics: Topics whose pages of newest records are all cut off, by
             name or by kind, the part of a name before the dot.
+        unwritable_topics: Topics to which every append is refused, by name.
+        raising_topics: Topics of which every read raises, by name.
+        refuse_joins: Every join of a group is refused.
+        refuse_holdings: Every question for holders is refused.
     """
 
     is_down: bool = False
@@ -82,6 +86,10 @@
     fail_every_page: int = 0
     most_append_bytes: int = 0
     cut_topics: set[str] = set()
+    unwritable_topics: set[str] = set()
+    raising_topics: set[str] = set()
+    refuse_joins: bool = False
+    refuse_holdings: bool = False
 
 
 class MemoryStore:
@@ -260,6 +268,8 @@
         problem = await self._reach()
         if problem is not None:
             return problem
+        if partition.topic in self.faults.unwritable_topics:
+            return Refusal(ResultCode.LOG_UNAVAILABLE, "topic is full")
         limit = self.faults.most_append_bytes
         if limit and _size_of(records) > limit:
             return Refusal(ResultCode.OUTCOME_PENDING, "append cut off")
@@ -292,6 +302,8 @@
             problem = await self._reach()
             if problem is not None:
                 return problem
+            if partition.topic in self.faults.raising_topics:
+                raise ValueError("made to fail")
             part = self._store.part(partition)
             if from_offset < part.first:
                 return HistoryGone(part.first)
@@ -331,6 +343,8 @@
         problem = await self._reach()
         if problem is not None:
             return problem
+        if self.faults.refuse_joins:
+            return Refusal(ResultCode.LOG_UNAVAILABLE, "no joins")
         return self._store.do_join(group, member, ttl_s)
 
     async def leave(self, group: str, member: str) -> Refusal | None:
@@ -346,6 +360,8 @@
         problem = await self._reach()
         if problem is not None:
             return problem
+        if self.faults.refuse_holdings:
+            return Refusal(ResultCode.LOG_UNAVAILABLE, "no holders")
         return self._store.do_holdings(group)
 
     async def _reach(self) -> Refusal | None:
--- a/libs/workers/src/coltsfootseam/workers/link.py
+++ b/libs/workers/src/coltsfootseam/workers/link.py
@@ -32,6 +32,7 @@
         lease: The lease of all that runs there.
         acknowledged: Newest end that is stored and may be forgotten there.
         is_reachable: Whether its last hold was answered.
+        hold_outcome: What came of the last hold without a report.
         is_gone: Whether this life has ended for certain.
         is_fenced: Whether it has seen a newer owner.
         reported_s: When it last reported, monotonic, or ``None``.
@@ -47,6 +48,7 @@
         "_wait_s",
         "acknowledged",
         "entry",
+        "hold_outcome",
         "is_fenced",
         "is_gone",
         "is_reachable",
@@ -75,6 +77,7 @@
         self.lease = WorkerLease(timers, times)
         self.acknowledged = 0
         self.is_reachable = False
+        self.hold_outcome = OrderOutcome.UNKNOWN
         self.is_gone = False
         self.is_fenced = False
         self.reported_s: float | None = None
@@ -89,6 +92,14 @@
         while not self.is_gone and not self.is_fenced:
             await self.hold_once()
 
+    def note_failure(self) -> None:
+        """Takes note that a hold or its report could not be dealt with.
+
+        No lease is given until a report was taken in again: what runs there
+        must be free to run elsewhere in time.
+        """
+        self.is_reachable = False
+
     async def hold_once(self) -> None:
         """Extends the lease once and waits for the answer."""
         sent_s = self._timers.now_s()
@@ -109,6 +120,7 @@
             await self._take_report(answer, sent_s)
             return
         self.is_reachable = False
+        self.hold_outcome = answer.outcome
         if answer.outcome is OrderOutcome.OTHER_LIFE:
             self.is_gone = True
         elif answer.outcome is OrderOutcome.FENCED:
--- /dev/null
+++ b/tests/cover/test_silent_loops.py
@@ -0,0 +1,228 @@
+"""What gets nowhere says so, and keeps nothing else from going on."""
+
+import msgspec
+import pytest
+
+from coltsfootseam.jobs import JobState, Wave
+from coltsfootseam.manager.places import place_of_pool
+from coltsfootseam.workers import WorkerCalls, WorkerEntry
+from tests.common.fleets import (
+    OPERATOR,
+    POOL,
+    STATUS,
+    Fleet,
+    Host,
+    running_fleet,
+)
+
+LATER_S = 6.0
+
+
+def ask_for_wave(fleet: Fleet, number: int, *machine_ids: str) -> None:
+    wave = Wave(number, machine_ids, 20.0, 1)
+    fleet.store.put(OPERATOR, f"wave/{number}", msgspec.msgpack.encode(wave))
+
+
+def status_of_wave(fleet: Fleet, number: int) -> bytes:
+    record = fleet.store.part(STATUS).newest_by_key.get(f"wave/{number}")
+    return b"" if record is None else record.value
+
+
+def refuse_status(fleet: Fleet, is_refused: bool) -> None:
+    for host in fleet.hosts:
+        host.store.faults.unwritable_topics = (
+            {STATUS.topic} if is_refused else set()
+        )
+
+
+# Guards against a fleet that stands still, without a line, for as long as the
+# store refuses to take how far a wave is.
+async def test_waves_go_on_though_their_status_can_t_be_stored() -> None:
+    async with running_fleet(workers=4) as fleet:
+        await fleet.timers.advance(4.0)
+        refuse_status(fleet, True)
+        ask_for_wave(fleet, 1, "m-1", "m-2")
+        await fleet.wait_until(lambda: len(fleet.machines.orders) == 2)
+        await fleet.timers.advance(LATER_S)
+        assert status_of_wave(fleet, 1) == b""
+        untold = [
+            line for host in fleet.hosts for line in host.lines("wave.untold")
+        ]
+        assert untold[-1]["waves"] == [1]
+        assert sum(host.count("wave.untold") for host in fleet.hosts) > 0
+        refuse_status(fleet, False)
+        await fleet.wait_until(lambda: status_of_wave(fleet, 1) == b"completed")
+
+
+# Guards against a wave that is complete and never told, as the next owner of
+# the fleet took what the journal holds to be told.
+async def test_the_next_owner_tells_what_could_not_be_told() -> None:
+    async with running_fleet(workers=4) as fleet:
+        await fleet.timers.advance(4.0)
+        refuse_status(fleet, True)
+        ask_for_wave(fleet, 1, "m-1")
+        await fleet.wait_until(lambda: len(fleet.machines.orders) == 1)
+        await fleet.timers.advance(LATER_S)
+        owner = next(host for host in fleet.hosts if host.lines("wave.untold"))
+        refuse_status(fleet, False)
+        await owner.kill()
+        await fleet.wait_until(lambda: status_of_wave(fleet, 1) == b"completed")
+
+
+# Guards against LOST: the task that follows the inbox died without a line, and
+# its owner kept the pool without learning of a job any more.
+async def test_an_owner_that_can_t_follow_its_inbox_begins_anew() -> None:
+    async with running_fleet(hosts=2) as fleet:
+        owner = fleet.owner()
+        inbox = place_of_pool("inbox", POOL, fleet.store.slots)
+        owner.store.faults.raising_topics = {inbox.topic}
+        await fleet.timers.advance(1.0)
+        owner.store.faults.raising_topics = set()
+        await fleet.accept(owner, "job-1")
+        await fleet.wait_for_state("job-1", JobState.COMPLETED)
+        names = {line["name"] for line in owner.lines("task.failed")}
+        assert names == {f"inbox of {POOL}"}
+        assert owner.count("task.failed") > 0
+        assert owner.lines("pool.left")
+
+
+# Guards against a host that follows an old configuration for good, without a
+# line, after one exception in the task that reads it.
+async def test_a_background_task_of_a_manager_is_begun_again() -> None:
+    async with running_fleet(hosts=1) as fleet:
+        host = fleet.hosts[0]
+        host.store.faults.raising_topics = {OPERATOR.topic}
+        await fleet.timers.advance(2.0)
+        assert host.lines("task.failed")
+        assert host.count("task.failed") <= 5
+        host.store.faults.raising_topics = set()
+        fleet.configure(version=2)
+        await fleet.wait_until(
+            lambda: (
+                host.manager is not None
+                and host.manager.knowledge.configuration is not None
+                and host.manager.knowledge.configuration.version == 2
+            ),
+            limit_s=5.0,
+        )
+
+
+class OnceRaising:
+    """Calls to workers of which the first one of a kind raises."""
+
+    def __init__(self, calls: WorkerCalls, kind: str) -> None:
+        self._calls = calls
+        self._kind = kind
+        self._has_raised = False
+
+    def __getattr__(self, name: str) -> object:
+        return self._raise if self._is_next(name) else self._pass(name)
+
+    def _is_next(self, name: str) -> bool:
+        return name == self._kind and not self._has_raised
+
+    def _pass(self, name: str) -> object:
+        return getattr(self._calls, name)
+
+    async def _raise(self, worker: WorkerEntry, order: object) -> object:
+        del worker, order
+        self._has_raised = True
+        raise ValueError("made to fail")
+
+
+def raise_once(host: Host, kind: str) -> None:
+    """Has a host's first call of a kind raise; only new links notice."""
+    assert host.manager is not None
+    ports = host.manager.context.ports
+    ports.workers = OnceRaising(ports.workers, kind)  # type: ignore[assignment]
+
+
+# Guards against a worker that runs nothing any more, without a line, after one
+# exception in the task of its link.
+async def test_a_link_that_failed_is_begun_again() -> None:
+    async with running_fleet(hosts=1, workers=0) as fleet:
+        host = fleet.hosts[0]
+        raise_once(host, "hold")
+        fleet.add_worker(1)
+        await fleet.accept(host, "job-1")
+        await fleet.wait_for_state("job-1", JobState.COMPLETED)
+        assert len(host.lines("task.failed")) == 1
+
+
+# Guards against a task that waits for good, without a line, for an order whose
+# own task has died.
+@pytest.mark.parametrize("kind", ["start", "stop"])
+async def test_a_run_whose_order_failed_is_ordered_again(kind: str) -> None:
+    async with running_fleet(
+        hosts=1, workers=0, duration_of=lambda task: 3.0
+    ) as fleet:
+        host = fleet.hosts[0]
+        raise_once(host, kind)
+        fleet.add_worker(1)
+        await fleet.accept(host, "job-1")
+        if kind == "stop":
+            await fleet.wait_until(lambda: fleet.started("job-1") == 1)
+            await fleet.cancel(host, "job-1")
+            await fleet.wait_for_state("job-1", JobState.CANCELLED)
+            await fleet.wait_until(lambda: bool(host.lines("run.ended")))
+        else:
+            await fleet.wait_for_state("job-1", JobState.COMPLETED)
+        names = [line["name"] for line in host.lines("task.failed")]
+        assert names == [f"{kind} on i-1@1"]
+
+
+# Guards against hosts that hold no duties, without a line, as the store
+# refuses their joins: jobs were accepted and never run.
+@pytest.mark.parametrize("call", ["join", "holdings"])
+async def test_a_host_that_the_group_refuses_says_so_once(call: str) -> None:
+    async with running_fleet(hosts=1) as fleet:
+        host = fleet.hosts[0]
+        assert host.manager is not None
+        host.store.faults.refuse_joins = call == "join"
+        host.store.faults.refuse_holdings = call == "holdings"
+        await fleet.timers.advance(LATER_S)
+        (line,) = host.lines("group.unreachable")
+        assert line["call"] == call
+        assert host.count("group.unreachable") == 1
+        problems = host.manager.status.manager().group_problems
+        assert list(problems) == [call]
+        host.store.faults.refuse_joins = False
+        host.store.faults.refuse_holdings = False
+        await fleet.timers.advance(LATER_S)
+        (line,) = host.lines("group.joined")
+        assert line["call"] == call
+        assert host.manager.status.manager().group_problems == {}
+
+
+# Guards against a worker that answers no hold, of which no line tells until
+# its lease has ended.
+async def test_a_worker_that_answers_no_hold_is_told_of_once() -> None:
+    async with running_fleet(hosts=1, workers=1) as fleet:
+        host = fleet.hosts[0]
+        assert host.lines("worker.unreachable") == []
+        worker = fleet.workers.workers_by_instance["i-1"]
+        worker.faults.is_silent = True
+        await fleet.timers.advance(LATER_S)
+        (line,) = host.lines("worker.unreachable")
+        assert (line["worker"], line["outcome"]) == ("i-1@1", "UNKNOWN")
+        assert host.count("worker.unreachable") == 1
+        worker.faults.is_silent = False
+        await fleet.timers.advance(LATER_S)
+        (line,) = host.lines("worker.reachable")
+        assert line["worker"] == "i-1@1"
+
+
+# Guards against a stop that is repeated without a line or a counter.
+async def test_a_stop_without_an_answer_is_told_of_once() -> None:
+    async with running_fleet(
+        hosts=1, workers=1, duration_of=lambda task: 60.0
+    ) as fleet:
+        host = fleet.hosts[0]
+        await fleet.accept(host, "job-1")
+        await fleet.wait_until(lambda: fleet.started("job-1") == 1)
+        fleet.workers.workers_by_instance["i-1"].faults.is_silent = True
+        await fleet.cancel(host, "job-1")
+        await fleet.timers.advance(4.0)
+        (line,) = host.lines("stop.unanswered")
+        assert (line["job"], line["worker"]) == ("job-1", "i-1@1")
+        assert host.count("stop.unanswered") == 1
