Take a duty back that was handed on when nobody holds it

What was seen before: of three hosts one couldn't read a pool and handed it to another; it could read it again, the new owner was killed 20 s later, and the pool had no owner for 279.8 s (test run with a longer limit). Cause: a host leaves a duty that it handed on to others for 300 s, though the group deals it to this host alone once the new owner is lost. Now such a duty is watched as any other that is dealt here: its holder is not asked to give it up, and it is taken back when nobody has held it in five answers in a row, 2 s.

--- a/daemons/manager/src/coltsfootseam/manager/duty_keeper.py
+++ b/daemons/manager/src/coltsfootseam/manager/duty_keeper.py
@@ -34,6 +34,8 @@
 _MOST_PATIENCE_S = 40.0
 _LEFT_S = 300.0
 _TAKEN_S = 10.0
+_UNHELD_IF_LEFT = 5
+"""Answers in a row that nobody holds a duty before it is taken back."""
 _MS_PER_S = 1000
 
 
@@ -129,7 +131,7 @@
         if self.is_stopping or self._membership.deal is None:
             self._end_everything()
             return
-        duties = self._directory.own_duties() - self._valid(self._left_by_duty)
+        duties = self._directory.own_duties()
         duties |= self._valid(self._taken_by_duty)
         for duty in set(self._takeovers_by_duty) - duties:
             self._takeovers_by_duty.pop(duty).cancel()
@@ -191,19 +193,26 @@
         return at_work > share and age_s > _KEEP_S
 
     async def _take_over(self, duty: str) -> None:
-        """Begins a duty once nobody else holds it."""
+        """Begins a duty once nobody else holds it.
+
+        One that was left to another host is that host's for as long as it
+        holds it, and is taken back when nobody does.
+        """
+        unheld = 0
         while True:
+            is_left = duty in self._valid(self._left_by_duty)
             await self._membership.read_holdings()
             addresses = self._directory.peer_addresses()
             replies = await asyncio.gather(
                 *(
                     self._locator.is_owned_at(
-                        address, OwnerQuestion(duty, is_dealt=True)
+                        address, OwnerQuestion(duty, is_dealt=not is_left)
                     )
                     for address in addresses
                 )
             )
-            if not any(replies):
+            unheld = 0 if any(replies) else unheld + 1
+            if unheld >= (_UNHELD_IF_LEFT if is_left else 1):
                 break
             await self._context.timers.sleep(_HELD_PAUSE_S)
         self._takeovers_by_duty.pop(duty, None)
