Let a burst that is being sent ask for all its machines

Cause: what was undecided counted neither as running nor as waiting. At each arrival of machines a hundred starts filled a round and the rest was undecided for some 0.1 s; a fleet round that asked just then heard that nothing waited.

Ruled out: the order of moves and of maintenance (the pool asked for none).

Now what is undecided counts as waiting, unless starts have been undecided for half a second on end. Then the host's link is what they wait for; that is logged and counted as pool.sending_slowly. The test of the slow link looks after a second more, as before that the owner can't tell the one from the other; its bound stays, and it fails as before without the limit on undecided starts.

--- a/daemons/manager/src/coltsfootseam/manager/planning.py
+++ b/daemons/manager/src/coltsfootseam/manager/planning.py
@@ -63,7 +63,7 @@
         )
         self._tickets.ask_for(self.plan.shortages, rooms)
         copies = []
-        if not self.plan.shortages and not self.plan.is_cut:
+        if not self.plan.shortages and not self.plan.undecided:
             copies = self._copies.place(slow, rooms)
         new_runs = self._enter(self.plan.placements + copies)
         preempt(self._state, self.plan.shortages, rooms)
--- a/daemons/manager/src/coltsfootseam/manager/rounds.py
+++ b/daemons/manager/src/coltsfootseam/manager/rounds.py
@@ -7,14 +7,24 @@
 from coltsfootseam.manager.tickets import TicketDesk
 from coltsfootseam.manager.vacating import Vacating
 from coltsfootseam.manager.workers_of_pool import WorkersOfPool
-from coltsfootseam.scheduling import find_stalled
+from coltsfootseam.scheduling import Shortage, find_stalled
 from coltsfootseam.store import KeyedRecord
 
+_SLOW_LINK_S = 0.5
+
 
 class Rounds:
     """Plays one round at a time."""
 
-    __slots__ = ("_orders", "_planner", "_state", "_vacating", "_workers")
+    __slots__ = (
+        "_is_sending_slowly",
+        "_orders",
+        "_planner",
+        "_state",
+        "_undecided_since_s",
+        "_vacating",
+        "_workers",
+    )
 
     def __init__(
         self,
@@ -29,6 +39,8 @@
         self._workers = workers
         self._vacating = vacating
         self._planner = Planner(state, tickets)
+        self._undecided_since_s: float | None = None
+        self._is_sending_slowly = False
 
     async def play(self) -> None:
         """Plays one round."""
@@ -37,7 +49,7 @@
         self._vacating.plan()
         self._stop_stalled()
         new_runs = self._planner.plan_runs(self._orders.free_places())
-        self._vacating.shortages = self._planner.plan.shortages
+        self._vacating.shortages = self._waits_for_machines()
         self._orders.send_stops()
         ends_by_id = dict(state.ends_by_id)
         documents_by_id = state.book.take_changes()
@@ -56,6 +68,37 @@
         self._take_stored(stored, ends_by_id)
         self._start(new_runs)
 
+    def _waits_for_machines(self) -> list[Shortage]:
+        """Returns the work for which the pool asks for machines.
+
+        What is undecided for a moment will need room; what stays undecided
+        waits for this host's link, and more machines would not help it.
+        """
+        plan = self._planner.plan
+        self._note_undecided(plan.undecided)
+        if self._is_sending_slowly:
+            return plan.shortages
+        return plan.shortages + plan.undecided
+
+    def _note_undecided(self, undecided: list[Shortage]) -> None:
+        now_s = self._state.now_s()
+        if not undecided:
+            self._undecided_since_s = None
+        elif self._undecided_since_s is None:
+            self._undecided_since_s = now_s
+        since_s = self._undecided_since_s
+        was_slow = self._is_sending_slowly
+        self._is_sending_slowly = (
+            since_s is not None and now_s - since_s > _SLOW_LINK_S
+        )
+        if self._is_sending_slowly and not was_slow:
+            self._state.context.log.write(
+                "pool.sending_slowly",
+                pool=self._state.pool,
+                undecided=sum(item.count for item in undecided),
+            )
+            self._state.context.counters.increment("pool.sending_slowly")
+
     def _stop_stalled(self) -> None:
         """Takes tasks off workers on which they stand still or crawl."""
         state = self._state
--- a/libs/scheduling/src/coltsfootseam/scheduling/placement.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/placement.py
@@ -54,13 +54,13 @@
     Attributes:
         placements: What is to be started.
         shortages: What found no room.
-        is_cut: Whether steps were left for later, as enough is to be started
-            already; whether those find room isn't known.
+        undecided: What was left for later, as enough is to be started already;
+            whether it finds room isn't known.
     """
 
     placements: list[Placement] = []
     shortages: list[Shortage] = []
-    is_cut: bool = False
+    undecided: list[Shortage] = []
 
 
 def plan_starts(
@@ -92,8 +92,8 @@
         if not tasks:
             continue
         if most is not None and len(plan.placements) >= most:
-            plan.is_cut = True
-            break
+            plan.undecided.append(_missing(ready, len(tasks)))
+            continue
         placed: list[Placement] = []
         if largest.may_fit(ready.step):
             placed = _place_step(ready, tasks, open_rooms, ticket_of, fit)
@@ -101,11 +101,14 @@
         plan.placements.extend(placed)
         missing = len(tasks) - len(placed)
         if missing:
-            needs_ticket = ready.queue.advice is not None
-            plan.shortages.append(Shortage(ready, missing, needs_ticket))
+            plan.shortages.append(_missing(ready, missing))
     return plan
 
 
+def _missing(ready: ReadyStep, count: int) -> Shortage:
+    return Shortage(ready, count, ready.queue.advice is not None)
+
+
 def _waiting_tasks(ready: ReadyStep, now_s: float) -> list[Task]:
     tasks = ready.occurrence.tasks_by_step[ready.number]
     waiting = [
