Delete old states before the documents of the same append

What callers would see: a job that is handed in again after its old state was dropped runs, and its state is deleted in the append that stores it, so that a successor runs it once more. Found by the review's reading; the new test fails with the order of before (seen) and passes now. Also names the two sets of keys by what they hold.

--- a/daemons/manager/src/coltsfootseam/manager/pool_owner.py
+++ b/daemons/manager/src/coltsfootseam/manager/pool_owner.py
@@ -163,7 +163,7 @@
         book = state.book
         for job_id, job in book.jobs_by_id.items():
             if job.state.is_final and not book.is_open(job_id):
-                state.ended_ids.add(job_id)
+                state.undeleted_request_ids.add(job_id)
         for job_id, progress in self._progress_by_id.items():
             if progress.state.is_final and job_id not in book.jobs_by_id:
                 book.add_ended(job_id, progress)
--- a/daemons/manager/src/coltsfootseam/manager/pool_state.py
+++ b/daemons/manager/src/coltsfootseam/manager/pool_state.py
@@ -25,9 +25,9 @@
             not in the journal yet.
         gone_ids: Workers whose life has ended for certain.
         vacating_ids: Workers whose machines are wanted elsewhere.
-        ended_ids: Jobs whose final state is stored, but whose request may
-            stand in the inbox yet.
-        outdated_keys: Keys that the next append to the journal deletes.
+        undeleted_request_ids: Jobs whose final state is stored, but whose
+            request may stand in the inbox yet.
+        outdated_state_keys: Keys that the next append to the journal deletes.
         spare_ids: Workers that get no new work, as the pool can do without.
     """
 
@@ -42,8 +42,8 @@
     gone_ids: set[str] = set()
     vacating_ids: set[str] = set()
     spare_ids: set[str] = set()
-    ended_ids: set[str] = set()
-    outdated_keys: set[str] = set()
+    undeleted_request_ids: set[str] = set()
+    outdated_state_keys: set[str] = set()
 
     def now_s(self) -> float:
         """Returns monotonic time in seconds."""
--- a/daemons/manager/src/coltsfootseam/manager/retention.py
+++ b/daemons/manager/src/coltsfootseam/manager/retention.py
@@ -45,9 +45,9 @@
 
     async def delete_requests(self) -> None:
         """Deletes the requests of jobs whose final state is stored."""
-        job_ids = sorted(self._state.ended_ids)[:_MOST_JOBS_AT_ONCE]
+        job_ids = sorted(self._state.undeleted_request_ids)[:_MOST_JOBS_AT_ONCE]
         if await self._delete_from_inbox(job_ids):
-            self._state.ended_ids.difference_update(job_ids)
+            self._state.undeleted_request_ids.difference_update(job_ids)
 
     async def delete_states(self) -> None:
         """Deletes what stands of jobs that ended long ago."""
@@ -64,8 +64,8 @@
             return
         for job_id in job_ids:
             state.book.drop(job_id)
-            state.ended_ids.discard(job_id)
-            state.outdated_keys.add(job_key(state.pool, job_id))
+            state.undeleted_request_ids.discard(job_id)
+            state.outdated_state_keys.add(job_key(state.pool, job_id))
 
     async def _delete_from_inbox(self, job_ids: list[str]) -> bool:
         """Deletes requests and cancels; tells whether they are gone."""
--- a/daemons/manager/src/coltsfootseam/manager/rounds.py
+++ b/daemons/manager/src/coltsfootseam/manager/rounds.py
@@ -57,17 +57,18 @@
             job_id: state.book.jobs_by_id[job_id].state
             for job_id in documents_by_id
         }
-        records = [
+        outdated_state_keys = set(state.outdated_state_keys)
+        # First, as a job may have been learned anew since its state was old.
+        records = [KeyedRecord(key) for key in sorted(outdated_state_keys)]
+        records.extend(
             KeyedRecord(job_key(state.pool, job_id), document)
             for job_id, document in documents_by_id.items()
-        ]
-        outdated_keys = set(state.outdated_keys)
-        records.extend(KeyedRecord(key) for key in sorted(outdated_keys))
+        )
         if records:
             problem = await state.journal.commit(records)
             if problem is not None:
                 return
-            state.outdated_keys -= outdated_keys
+            state.outdated_state_keys -= outdated_state_keys
         self._take_stored(stored, ends_by_id)
         self._start(new_runs)
 
@@ -127,7 +128,7 @@
             if job is None:
                 continue
             if job_state.is_final and not state.book.is_open(job_id):
-                state.ended_ids.add(job_id)
+                state.undeleted_request_ids.add(job_id)
             if job.stored_state != job_state:
                 job.stored_state = job_state
                 state.context.log.write(
--- a/libs/jobs/src/coltsfootseam/jobs/book.py
+++ b/libs/jobs/src/coltsfootseam/jobs/book.py
@@ -28,7 +28,7 @@
     the result is the same.
 
     Attributes:
-        jobs_by_id: All jobs whose request is known.
+        jobs_by_id: All jobs; those that ended may lack their request.
         active_by_id: Those of them that aren't final or still have runs.
         changed_ids: Jobs whose progress isn't stored yet.
         runs: All runs that may be at work, by worker.
--- a/tests/cover/test_retention.py
+++ b/tests/cover/test_retention.py
@@ -83,3 +83,17 @@
         assert job_key(POOL, "job-1") in stored_keys(fleet, "journal")
         await fleet.timers.advance(20.0)
         assert fleet.started("job-1") == 1
+
+
+# Guards against TWICE: a repeat that comes when its state is deleted is a new
+# job, whose state must not go along with the old one.
+async def test_a_job_learned_anew_keeps_its_state() -> None:
+    async with running_fleet(duration_of=lambda task: 30.0) as fleet:
+        host = fleet.owner()
+        assert host.manager is not None
+        state = host.manager.duties.owners_by_pool[POOL].state
+        assert state is not None
+        state.outdated_state_keys.add(job_key(POOL, "job-1"))
+        await fleet.accept(fleet.other(), "job-1")
+        await fleet.wait_for_state("job-1", JobState.RUNNING)
+        assert job_key(POOL, "job-1") in stored_keys(fleet, "journal")
