Count one failure for a run of a gang, however many members fail

Cause: each member's failure was added to the member's own count, and the highest count was copied to the others. Change: a failure is counted once for each run number of the gang; the number is stored with the task, after the older fields, so that older records are read as before. Measured: the new test failed before (state FAILED after the first run, through a takeover between the two ends) and passes now.

--- a/libs/jobs/src/coltsfootseam/jobs/documents.py
+++ b/libs/jobs/src/coltsfootseam/jobs/documents.py
@@ -33,6 +33,7 @@
     failures: int = 0
     checkpoint: str = ""
     runs: list[StoredRun] = []
+    last_failed_run_number: int = 0
 
 
 class Progress(msgspec.Struct, array_like=True, omit_defaults=True):
@@ -136,6 +137,7 @@
     occurrence = job.occurrence(stored.occurrence)
     task.last_run_number = stored.last_run_number
     task.failures = stored.failures
+    task.last_failed_run_number = stored.last_failed_run_number
     task.checkpoint = stored.checkpoint
     if stored.is_done and not task.is_done:
         task.is_done = True
@@ -170,6 +172,7 @@
             StoredRun(run.number, run.worker_id, run.phase is RunPhase.STOPPING)
             for run in task.runs
         ],
+        last_failed_run_number=task.last_failed_run_number,
     )
 
 
--- a/libs/jobs/src/coltsfootseam/jobs/entities.py
+++ b/libs/jobs/src/coltsfootseam/jobs/entities.py
@@ -58,7 +58,9 @@
         runs: Runs that may be active.
         is_done: Whether a run completed the task.
         last_run_number: Number of the latest run, 0 if there was none.
-        failures: How many runs failed.
+        failures: How many runs failed; in a gang, how many of the whole gang.
+        last_failed_run_number: Number of the latest run of the gang that
+            failed, 0 if there was none or the task is in no gang.
         checkpoint: Checkpoint to resume from.
         failed_worker_ids: Workers on which a run failed.
         stall_count: How often a run was moved because it stalled or was very
@@ -74,6 +76,7 @@
     is_done: bool = False
     last_run_number: int = 0
     failures: int = 0
+    last_failed_run_number: int = 0
     checkpoint: str = ""
     failed_worker_ids: set[str] = set()
     stall_count: int = 0
--- a/libs/jobs/src/coltsfootseam/jobs/job_table.py
+++ b/libs/jobs/src/coltsfootseam/jobs/job_table.py
@@ -236,18 +236,24 @@
         task.failed_worker_ids = task.failed_worker_ids | {run.worker_id}
         if task.step.long_running or task.is_done:
             return
-        task.failures += 1
         if task.step.gang:
-            self._count_gang_failure(job, task)
+            self._count_gang_failure(job, task, run.number)
+        else:
+            task.failures += 1
         attempt_limit = self._max_attempts_of(job.request.queue)
         if task.failures >= attempt_limit and not job.state.is_final:
             self._finish(job, JobState.FAILED, now_ms)
 
-    def _count_gang_failure(self, job: Job, task: Task) -> None:
-        """Raises all members' failure counts, as failures of a gang add up."""
+    def _count_gang_failure(
+        self, job: Job, task: Task, run_number: int
+    ) -> None:
+        """Counts a failure for all members, once for each run of the gang."""
+        if task.last_failed_run_number >= run_number:
+            return
         occurrence = job.occurrence(task.id.occurrence)
         for member in occurrence.tasks_by_step[task.id.step]:
-            member.failures = max(member.failures, task.failures)
+            member.failures += 1
+            member.last_failed_run_number = run_number
 
     def _finish(self, job: Job, state: JobState, now_ms: int) -> None:
         job.state = state
--- a/tests/cover/test_job_table.py
+++ b/tests/cover/test_job_table.py
@@ -150,3 +150,47 @@
 TestJobTable.settings = settings(
     derandomize=True, deadline=None, max_examples=60, stateful_step_count=30
 )
+
+
+GANG = JobRequest(
+    "queue",
+    "text",
+    (Step(count=3, cpu_millis=100, estimate_ms=100, gang=True),),
+    accepted_ms=1,
+)
+GANG_ID = "c" * 16
+
+
+def start_gang(job_table: JobTable, number: int) -> list[Task]:
+    """Starts one run of all members of the gang."""
+    tasks = job_table.jobs_by_id[GANG_ID].occurrence(0).tasks_by_step[0]
+    for task in tasks:
+        job_table.add_run(task, "w1", 1.0, number)
+    return tasks
+
+
+def end_first_run(job_table: JobTable, task: Task, end: RunEnd) -> None:
+    job_table.end_run(task, task.runs[0], end, "", 9)
+
+
+# Guards against jobs shown as failed before their last allowed attempt.
+def test_two_members_of_a_gang_that_fail_in_one_run_count_as_one_failure() -> (
+    None
+):
+    job_table = JobTable(max_attempts_of)
+    job = job_table.add(GANG_ID, GANG, 0.0)
+    first, second, third = start_gang(job_table, 1)
+    end_first_run(job_table, first, RunEnd.FAILED)
+    # The count survives a takeover between the two ends.
+    successor = JobTable(max_attempts_of)
+    stored = decode_progress(encode_progress(job))
+    job = successor.add(GANG_ID, GANG, 2.0, stored)
+    first, second, third = job.occurrence(0).tasks_by_step[0]
+    end_first_run(successor, second, RunEnd.FAILED)
+    end_first_run(successor, third, RunEnd.BROKEN)
+    assert not job.state.is_final
+    assert [task.failures for task in (first, second, third)] == [1, 1, 1]
+
+    first, second, third = start_gang(successor, 2)
+    end_first_run(successor, third, RunEnd.FAILED)
+    assert job.state is JobState.FAILED
