Keep the record of an earlier owner's order until its lease has ended

Change: a restored record is kept as long as its reservation, with the margin of the owner's own records. Measured: the new test of two takeovers failed before and passes now.

--- a/daemons/manager/src/coltsfootseam/manager/machine_orders.py
+++ b/daemons/manager/src/coltsfootseam/manager/machine_orders.py
@@ -57,12 +57,13 @@
         """Restores which machines an earlier owner may have ordered."""
         times = self._context.times
         until_s = self._journal.claimed_s + times.machine_lease_s
-        now_s = self._context.timers.now_s()
         for record in latest.records:
             if record.key.startswith(_ORDER_KEY_PREFIX) and record.value:
                 machine_id = record.key.removeprefix(_ORDER_KEY_PREFIX)
                 self._reserved_until_s_by_id[machine_id] = until_s
-                self._recorded_until_s_by_id[machine_id] = now_s
+                self._recorded_until_s_by_id[machine_id] = (
+                    until_s + _ORDER_RECORD_MARGIN_S
+                )
 
     def is_reserved(self, machine_id: str) -> bool:
         """Returns whether an earlier owner's order may still be in effect."""
--- a/tests/cover/test_machines.py
+++ b/tests/cover/test_machines.py
@@ -11,8 +11,16 @@
     Wave,
 )
 from coltsfootseam.manager.duties import FLEET_DUTY
+from coltsfootseam.manager.machine_orders import MachineOrders
 from coltsfootseam.manager.worker_incarnations import WorkerIncarnations
-from coltsfootseam.store import Partition
+from coltsfootseam.store import (
+    Claim,
+    Journal,
+    LatestRecords,
+    LatestRecordsReader,
+    Partition,
+    claim_journal,
+)
 from coltsfootseam.workers import Machine, MachineState, WorkerEntry
 from tests.common.fleets import (
     OPERATOR,
@@ -24,6 +32,7 @@
 )
 
 JOB = "a" * 16
+ORDERS = Partition("orders")
 LONG_RUNNING = Step(
     count=3,
     cpu_millis=1000,
@@ -114,6 +123,40 @@
         assert records == []
 
 
+async def take_over_machines(fleet: Fleet, owner: str) -> MachineOrders:
+    """Claims a journal of orders and restores what it holds."""
+    manager = fleet.hosts[0].manager
+    assert manager is not None
+    context = manager.context
+    store = context.ports.store
+    journal = await claim_journal(
+        store, context.timers, ORDERS, "orders", Claim(owner, owner)
+    )
+    assert isinstance(journal, Journal)
+    latest = await LatestRecordsReader(store, ORDERS).read()
+    assert isinstance(latest, LatestRecords)
+    orders = MachineOrders(context, journal)
+    orders.restore(latest)
+    return orders
+
+
+# Guards against orders of two holders within one lease after two takeovers.
+async def test_a_record_of_an_order_outlives_the_next_owner() -> None:
+    async def take_over_twice(fleet: Fleet) -> None:
+        first = await take_over_machines(fleet, "first")
+        assert await first.record_orders({"m-1"})
+        second = await take_over_machines(fleet, "second")
+        assert second.is_reserved("m-1")
+        await fleet.hosts[0].timers.sleep(0.4)
+        assert await second.record_orders({"m-2"})
+        third = await take_over_machines(fleet, "third")
+        assert third.is_reserved("m-1")
+        assert third.is_reserved("m-2")
+
+    async with running_fleet(hosts=1) as fleet:
+        await fleet.run(take_over_twice(fleet))
+
+
 async def test_a_killed_owner_s_orders_count_toward_the_limit() -> None:
     async with running_fleet(hosts=3, workers=8) as fleet:
         await fleet.timers.advance(4.0)
