--- a/daemons/cli/src/coltsfootseam/cli/client.py
+++ b/daemons/cli/src/coltsfootseam/cli/client.py
@@ -18,6 +18,8 @@
 _REQUEST_TIMEOUT_S = 30.0
 
 T = TypeVar("T")
+Addresses = str | tuple[str, ...] | list[str]
+"""Addresses as the command line parser passes them on."""
 
 
 class _ErrorReply(msgspec.Struct):
@@ -71,12 +73,25 @@
         return Refusal(ResultCode.UNREACHABLE, failure.reason)
 
 
-def connect(entries: str) -> AdminClient:
+def split_addresses(text: Addresses, variable: str = "") -> list[str]:
+    """Returns the addresses in a flag; blank ones are left out.
+
+    Args:
+        text: Addresses separated by commas; the command line parser may have
+            split them already.
+        variable: Environment variable to use if the flag has no address.
+    """
+    if not isinstance(text, str):
+        text = ",".join(str(each) for each in text)
+    addresses = [part.strip() for part in text.split(",") if part.strip()]
+    if not addresses and variable:
+        return split_addresses(os.environ.get(variable, ""))
+    return addresses
+
+
+def connect(entries: Addresses) -> AdminClient:
     """Returns a client for the addresses in the flag or the environment."""
-    if isinstance(entries, (tuple, list)):
-        entries = ",".join(str(each) for each in entries)
-    text = str(entries) or os.environ.get(ENTRIES_VARIABLE, "")
-    return AdminClient([part.strip() for part in text.split(",") if part])
+    return AdminClient(split_addresses(entries, ENTRIES_VARIABLE))
 
 
 def run(coroutine: Coroutine[Any, Any, T]) -> T:
--- a/daemons/cli/src/coltsfootseam/cli/manager.py
+++ b/daemons/cli/src/coltsfootseam/cli/manager.py
@@ -1,6 +1,6 @@
 """Commands that query managers: owners, pools, workers, waves and jobs."""
 
-from coltsfootseam.cli.client import AdminClient, run
+from coltsfootseam.cli.client import AdminClient, run, split_addresses
 from coltsfootseam.cli.output import fail, finish, print_json, print_table
 from coltsfootseam.manager import JobStatus, ManagerStatus
 from coltsfootseam.results import Refusal, ResultCode
@@ -92,7 +92,7 @@
             json: Print JSON instead of a table.
         """
         job_id = str(job)
-        for address in _split_addresses(managers):
+        for address in split_addresses(managers):
             client = AdminClient([address])
             status = run(client.get(f"/jobs/{job_id}", JobStatus))
             if not isinstance(status, Refusal):
@@ -130,7 +130,7 @@
     failure = Refusal(
         ResultCode.UNREACHABLE, "no addresses of managers were given"
     )
-    for address in _split_addresses(managers):
+    for address in split_addresses(managers):
         status = run(AdminClient([address]).get("/status", ManagerStatus))
         if isinstance(status, Refusal):
             failure = status
@@ -141,11 +141,5 @@
     return statuses
 
 
-def _split_addresses(managers: str | tuple[str, ...] | list[str]) -> list[str]:
-    if not isinstance(managers, str):
-        managers = ",".join(str(each) for each in managers)
-    return [part.strip() for part in managers.split(",") if part.strip()]
-
-
 def _join_reasons(**reasons: bool) -> str:
     return ", ".join(name for name, applies in reasons.items() if applies)
