Size pools by the resource that their tasks use up first

Cause: a pool's demand was counted in processors alone. Tasks that each take more than half of a worker's memory filled 15 machines, of which a sixth of the processor was in use, so the pool counted as having 12 machines too many. Each evacuated task waited for the machine that was being maintained in place of getting another one, and the wave went on only afterwards. Change: demand is counted in workers by the scarcest of processor, memory and accelerators; a task that leaves no room for another one like it takes the whole worker's memory.

--- a/daemons/manager/src/coltsfootseam/manager/evacuation.py
+++ b/daemons/manager/src/coltsfootseam/manager/evacuation.py
@@ -1,9 +1,11 @@
 """Evacuates workers that drain or whose machines are needed elsewhere."""
 
+import msgspec
+
 from coltsfootseam.calls import EvacuationReply, EvacuationRequest
 from coltsfootseam.jobs import Run, RunPair, RunPhase, Task
 from coltsfootseam.manager.pool_state import PoolState
-from coltsfootseam.scheduling import Shortage
+from coltsfootseam.scheduling import Occupancy, Shortage, typical_size
 
 _MS_PER_S = 1000
 _READY_PERCENT = 100
@@ -12,6 +14,11 @@
 _EVACUATED_REASON = "its machine is needed elsewhere"
 
 
+class _Demand(msgspec.Struct, frozen=True):
+    used_cores: float
+    waiting_cores: float
+
+
 class Evacuation:
     """Empties workers, within the unavailability that each step allows.
 
@@ -42,6 +49,7 @@
             item for item in self.shortages if self._fits_any_worker(item)
         ]
         state.surplus_worker_ids = self._choose_surplus(request.spare_count)
+        demand = self._demand(shortages)
         return EvacuationReply(
             is_owner=True,
             empty_ids=[
@@ -50,11 +58,11 @@
                 if worker_id in state.links_by_id and worker_id not in busy_ids
             ],
             idle_ids=self._idle_ids(busy_ids),
-            waiting_cores=sum(_waiting_cores(item) for item in shortages),
+            waiting_cores=demand.waiting_cores,
             waiting_labels=sorted(
                 {item.ready.step.label for item in shortages} - {""}
             ),
-            used_cores=_used_cores(state.job_table.runs.all_runs()),
+            used_cores=demand.used_cores,
             worker_limit=self._min_worker_count(),
         )
 
@@ -136,6 +144,20 @@
                 if not _is_ready(task):
                     task.last_inactive_s = now_s
 
+    def _demand(self, shortages: list[Shortage]) -> _Demand:
+        """Returns what tasks occupy and what waiting ones will, in cores."""
+        size = typical_size(self._state.cluster.workers_by_instance.values())
+        occupancy = Occupancy()
+        for task, _ in self._state.job_table.runs.all_runs():
+            if not task.step.best_effort:
+                occupancy.add(task.step, 1, size)
+        used_cores = occupancy.cores(size)
+        for shortage in shortages:
+            step = shortage.ready.step
+            if not step.best_effort:
+                occupancy.add(step, shortage.count, size)
+        return _Demand(used_cores, occupancy.cores(size) - used_cores)
+
     def _fits_any_worker(self, shortage: Shortage) -> bool:
         """Returns whether a task fits on any existing worker when empty."""
         step = shortage.ready.step
@@ -200,23 +222,8 @@
     )
 
 
-def _waiting_cores(shortage: Shortage) -> float:
-    step = shortage.ready.step
-    if step.best_effort:
-        return 0.0
-    return shortage.count * step.cpu_millis / _MILLIS_PER_CORE
-
-
 def _estimated_core_ms(pairs: list[RunPair]) -> float:
     return sum(
         task.step.cpu_millis / _MILLIS_PER_CORE * task.step.estimate_ms
         for task, _ in pairs
     )
-
-
-def _used_cores(pairs: list[RunPair]) -> float:
-    return sum(
-        task.step.cpu_millis / _MILLIS_PER_CORE
-        for task, _ in pairs
-        if not task.step.best_effort
-    )
--- a/libs/scheduling/src/coltsfootseam/scheduling/__init__.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/__init__.py
@@ -19,6 +19,11 @@
     WaveProgress,
     choose_maintenance,
 )
+from coltsfootseam.scheduling.occupancy import (
+    Occupancy,
+    WorkerSize,
+    typical_size,
+)
 from coltsfootseam.scheduling.ordering import (
     JOB_ORDERS,
     ReadyStep,
@@ -57,6 +62,7 @@
     "MachineSupply",
     "Move",
     "NeedRule",
+    "Occupancy",
     "PaceChange",
     "Placement",
     "Plan",
@@ -71,6 +77,7 @@
     "WaveProgress",
     "WorkerCapacity",
     "WorkerHealth",
+    "WorkerSize",
     "choose_maintenance",
     "critical_path_s",
     "find_problem",
@@ -83,4 +90,5 @@
     "plan_starts",
     "step_key",
     "surplus_counts",
+    "typical_size",
 ]
