Let surplus workers serve what fits on no other worker

Cause: workers that a pool could release were closed to all tasks, chosen by cores; a task that needed just such a worker, by its label, rack, memory or limit on a worker, waited until the load changed. Change: a surplus worker is a last resort in place of closed; copies of slow tasks still don't go there.

--- a/daemons/manager/src/coltsfootseam/manager/planning.py
+++ b/daemons/manager/src/coltsfootseam/manager/planning.py
@@ -96,7 +96,6 @@
             link.is_reachable
             and not entry.is_draining
             and worker_id not in state.evacuating_worker_ids
-            and worker_id not in state.surplus_worker_ids
             and not state.health.is_quarantined(worker_id, state.now_s())
         )
         return WorkerCapacity(
@@ -108,6 +107,7 @@
             free_memory_mb=entry.memory_mb,
             free_accelerators=entry.accelerators,
             is_open=is_open,
+            is_surplus=worker_id in state.surplus_worker_ids,
             probation_slots=state.health.probation_slots(worker_id),
             slowness=state.health.slowness(worker_id),
             counts_by_step={},
--- a/daemons/manager/src/coltsfootseam/manager/pool_state.py
+++ b/daemons/manager/src/coltsfootseam/manager/pool_state.py
@@ -25,8 +25,8 @@
             each worker. The job table has it, the journal perhaps not yet.
         ended_worker_ids: Workers whose incarnation has certainly ended.
         evacuating_worker_ids: Workers whose machines are needed elsewhere.
-        surplus_worker_ids: Workers that get no new work, as the pool does not
-            need them.
+        surplus_worker_ids: Workers that the pool could release; they get work
+            only if no other worker can take it.
         undeleted_request_ids: Jobs whose final state is stored, but whose
             request may still be in the inbox.
         outdated_state_keys: Keys that the next append to the journal deletes.
--- a/libs/scheduling/src/coltsfootseam/scheduling/placement.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/placement.py
@@ -17,6 +17,7 @@
 )
 
 _FAILED_HERE_COST = 1000.0
+_SURPLUS_COST = 200.0
 _REMOTE_RACK_COST = 50.0
 _SLOWNESS_COST = 20.0
 _EMPTY_WORKER_COST = 1.0
@@ -267,6 +268,8 @@
     cost = _SLOWNESS_COST * max(0.0, worker.slowness - 1.0)
     if worker.worker_id in task.failed_worker_ids:
         cost += _FAILED_HERE_COST
+    if worker.is_surplus:
+        cost += _SURPLUS_COST
     if step.rack and step.rack != worker.rack:
         cost += _REMOTE_RACK_COST
     if step.long_running:
--- a/libs/scheduling/src/coltsfootseam/scheduling/speculation.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/speculation.py
@@ -149,8 +149,8 @@
 ) -> WorkerCapacity | None:
     """Returns the healthy worker with the most free processor.
 
-    The worker of the first run, and those on which the task failed, are left
-    out.
+    The worker of the first run, those on which the task failed, and surplus
+    ones are left out.
     """
     step = slow.task.step
     key = step_key(slow.task.id)
@@ -158,6 +158,7 @@
         worker
         for worker in workers
         if worker.is_open
+        and not worker.is_surplus
         and worker.probation_slots is None
         and worker.slowness < _MAX_HEALTHY_SLOWNESS
         and worker.worker_id != slow.run.worker_id
--- a/libs/scheduling/src/coltsfootseam/scheduling/worker_capacity.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/worker_capacity.py
@@ -26,6 +26,8 @@
         free_memory_mb: Memory that isn't reserved, in MB.
         free_accelerators: Accelerators that aren't reserved.
         is_open: Whether it may get new tasks.
+        is_surplus: Whether the pool could release it, so that it gets tasks
+            only if no other worker can take them.
         probation_slots: How many new tasks it may get while on probation,
             ``None`` if it isn't.
         slowness: Ratio of its run times to the pool's.
@@ -41,6 +43,7 @@
     free_memory_mb: int
     free_accelerators: int
     is_open: bool = True
+    is_surplus: bool = False
     probation_slots: int | None = None
     slowness: float = 1.0
     best_effort_count: int = 0
--- a/tests/cover/test_placement.py
+++ b/tests/cover/test_placement.py
@@ -125,3 +125,25 @@
         placed = sum(1 for task in ids if task.job_id == f"{number:016x}")
         if step.gang:
             assert placed in (0, step.count)
+
+
+def _plan_beside_surplus(count: int) -> list[str]:
+    """Returns where tasks go, of which the first worker takes four."""
+    step = Step(count=count, cpu_millis=1000, estimate_ms=1000)
+    job = a_job("a" * 16, step)
+    queue = Queue("queue", "host", "/q/", "pool")
+    ready = ReadyStep(job, job.occurrence(0), 0, step, queue, 0.0, 1.0, 9.0)
+    workers = _workers([(4000, 4000, 0, False), (4000, 4000, 0, False)])
+    workers[1].is_surplus = True
+    plan = plan_starts([ready], workers, 0.0, lambda key, worker_id: "")
+    assert not plan.shortages
+    return [placement.worker_id for placement in plan.placements]
+
+
+def test_a_surplus_worker_gets_nothing_that_fits_elsewhere() -> None:
+    assert _plan_beside_surplus(4) == ["w0"] * 4
+
+
+# Guards against tasks that wait although a worker is about to be released.
+def test_a_surplus_worker_gets_what_fits_nowhere_else() -> None:
+    assert sorted(_plan_beside_surplus(6)) == ["w0"] * 4 + ["w1"] * 2
