Move machines for tasks that run apart before those of a burst

What callers saw: long-running tasks evacuated for a wave were away for seconds and the wave ended late, while another pool's burst took every free machine. Cause: pools got machines in the order of their shortage in cores, so a pool that lacked one machine to keep its tasks apart came after one that lacked hundreds. Change: machines below a pool's minimum are moved first, then by shortage.

--- a/libs/scheduling/src/coltsfootseam/scheduling/demand.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/demand.py
@@ -189,6 +189,13 @@
     def shortage(self) -> float:
         return self.need_cores - self.supply_cores
 
+    def has_too_few(self, cores: float) -> bool:
+        del cores
+        return self.machine_count < self.min_count
+
+    def is_short_of(self, cores: float) -> bool:
+        return self.shortage() > _MIN_SHORTAGE_MACHINE_FRACTION * cores
+
     def can_release(self, cores: float) -> bool:
         if self.machine_count <= self.min_count:
             return False
@@ -223,10 +230,19 @@
     short = sorted(
         balances_by_pool.values(), key=_Balance.shortage, reverse=True
     )
-    for balance in short:
-        _move_machines_to(
-            balance, balances_by_pool, machines, standby_pool, moved_ids, moves
-        )
+    # A few machines that long-running tasks can't do without go before the
+    # many that a burst asks for.
+    for is_wanted in (_Balance.has_too_few, _Balance.is_short_of):
+        for balance in short:
+            _move_machines_to(
+                balance,
+                is_wanted,
+                balances_by_pool,
+                machines,
+                standby_pool,
+                moved_ids,
+                moves,
+            )
     if standby_pool:
         _move_idle_to_standby(
             balances_by_pool, machines, standby_pool, rules, moved_ids, moves
@@ -287,19 +303,16 @@
 
 def _move_machines_to(
     balance: _Balance,
+    is_wanted: Callable[[_Balance, float], bool],
     balances_by_pool: dict[str, _Balance],
     machines: list[MachineSupply],
     standby_pool: str,
     moved_ids: set[str],
     moves: list[Move],
 ) -> None:
-    """Moves machines to a pool until it isn't short any more."""
+    """Moves machines to a pool while it wants one of their size."""
     for machine in _candidates(balance, machines, standby_pool, moved_ids):
-        is_short = (
-            balance.shortage() > _MIN_SHORTAGE_MACHINE_FRACTION * machine.cores
-        )
-        is_few = balance.machine_count < balance.min_count
-        if not is_short and not is_few:
+        if not is_wanted(balance, machine.cores):
             return
         donor = balances_by_pool.get(machine.pool)
         if machine.pool != standby_pool:
--- a/tests/cover/test_pool_sizes.py
+++ b/tests/cover/test_pool_sizes.py
@@ -4,6 +4,8 @@
 two seconds, while the other pools are nearly idle.
 """
 
+import msgspec
+
 from coltsfootseam.scheduling import (
     DemandHistory,
     DueMachine,
@@ -132,6 +134,24 @@
     assert [move.machine_id for move in moves] == ["m-3"]
 
 
+# Guards against waves that can't go on beside a burst: tasks that have to run
+# apart wait for a machine in place of the evacuated one.
+def test_a_machine_to_keep_tasks_apart_goes_before_a_burst() -> None:
+    machines = [
+        *(machine(number, "apart", is_free=False) for number in range(4)),
+        *(machine(number, "burst", is_free=False) for number in range(10, 14)),
+        *(machine(number, OFF) for number in range(20, 23)),
+    ]
+    machines[0] = msgspec.structs.replace(machines[0], is_evacuating=True)
+    demands = [
+        PoolDemand("burst", 4000.0, 64.0),
+        PoolDemand("apart", 1.0, 3.0, min_workers=4),
+    ]
+    rules = PoolRules(headroom_cores=0.0)
+    moves = plan_moves(demands, DemandHistory(), machines, OFF, rules)
+    assert sorted(move.pool for move in moves) == ["apart", "burst", "burst"]
+
+
 def test_a_machine_with_a_required_label_comes_first() -> None:
     machines = [
         machine(1, OFF),
