Start jobs that can meet their objective with a margin first

Cause: jobs were served by their slack, least first, down to no slack at all. Beyond capacity each job then starts at the last moment, and what runs a little longer than estimated is late. Change: jobs with a slack of a fifth of their objective go first; those with less follow, most slack first, before the late ones.

--- a/libs/scheduling/src/coltsfootseam/scheduling/ordering.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/ordering.py
@@ -12,9 +12,12 @@
 
 _MS_PER_S = 1000
 _EXPIRY_FACTOR = 3.0
+_MARGIN_PER_OBJECTIVE = 0.2
+"""Slack to keep when a step starts, as run times and estimates vary."""
 _ON_TIME_RANK = 0.0
-_LATE_RANK = 1.0
-_EXPIRED_RANK = 2.0
+_AT_RISK_RANK = 1.0
+_LATE_RANK = 2.0
+_EXPIRED_RANK = 3.0
 
 
 class ReadyStep(msgspec.Struct):
@@ -67,18 +70,24 @@
 def order_by_objective(ready: ReadyStep) -> tuple[float, ...]:
     """Long-running tasks first, then by priority, then by slack.
 
-    Jobs that can still meet their objective go first, those with the least
-    slack in front. Late jobs follow, then those far beyond their objective;
-    both are ordered by their waiting time relative to the objective, so that
-    large jobs don't starve. Best-effort steps go last.
+    Jobs that can still meet their objective with a margin go first, those with
+    the least slack in front. Without the margin, every job of an overloaded
+    pool would start at the last moment and most would end just too late. Jobs
+    without the margin follow, those with the most slack in front, then late
+    jobs, then those far beyond their objective; both are ordered by their
+    waiting time relative to the objective, so that large jobs don't starve.
+    Best-effort steps go last.
     """
     priority = ready.queue.priority
     if ready.step.long_running and not ready.step.best_effort:
         return (0.0, priority, -ready.waited_s)
     if ready.step.best_effort:
         return (2.0, priority, -ready.waited_s)
-    if ready.slack_s() >= 0:
-        return (1.0, priority, _ON_TIME_RANK, ready.slack_s())
+    slack_s = ready.slack_s()
+    if slack_s >= _MARGIN_PER_OBJECTIVE * ready.objective_s:
+        return (1.0, priority, _ON_TIME_RANK, slack_s)
+    if slack_s >= 0:
+        return (1.0, priority, _AT_RISK_RANK, -slack_s)
     is_expired = ready.waited_s > _EXPIRY_FACTOR * ready.objective_s
     lateness = _EXPIRED_RANK if is_expired else _LATE_RANK
     return (1.0, priority, lateness, -ready.waited_s / ready.objective_s)
