Store jobs with shared appends, through the pool's owner while it is slow

Cause: a partition carries out one append after the other, and every job was an append of its own by the host that took it. At 84 ms each a pool's inbox takes 12 jobs a second; 80 came. Whoever can't reach the owner appends by itself as before. The storing of records left the job service for modules of its own.

--- /dev/null
+++ b/daemons/manager/src/coltsfootseam/manager/inbox_storage.py
@@ -0,0 +1,154 @@
+"""Stores callers' records in the pools' inboxes, by whichever host can.
+
+A host appends by itself while the store is quick. The appends of all hosts to a
+partition wait for each other, so while the store is slow, all of them send
+their records to the pool's owner, who appends them together. A host that can't
+reach the store asks its peers.
+"""
+
+from coltsfootseam.calls import (
+    FORWARD_APPEND,
+    ForwardAppendReply,
+    ForwardAppendRequest,
+)
+from coltsfootseam.manager.context import Context
+from coltsfootseam.manager.duties import DutyDirectory, pool_duty
+from coltsfootseam.manager.inbox_appender import InboxAppender
+from coltsfootseam.manager.locator import Locator
+from coltsfootseam.results import OK, Refusal, ResultCode
+from coltsfootseam.store import KeyedRecord, Membership
+
+MIN_TIME_LEFT_S = 0.3
+"""Time before a caller's deadline from which nothing more is tried."""
+
+_RETRY_DELAY_S = 0.1
+_FORWARD_TIMEOUT_S = 0.8
+_OWNER_FORWARD_TIMEOUT_S = 1.0
+_MAX_FORWARD_PEERS = 2
+_SLOW_STORE_S = 0.08
+
+
+class InboxStorage:
+    """Stores records in the inboxes of pools."""
+
+    __slots__ = (
+        "_appender",
+        "_context",
+        "_directory",
+        "_locator",
+        "_membership",
+    )
+
+    def __init__(
+        self,
+        context: Context,
+        directory: DutyDirectory,
+        locator: Locator,
+        membership: Membership,
+        appender: InboxAppender,
+    ) -> None:
+        self._context = context
+        self._directory = directory
+        self._locator = locator
+        self._membership = membership
+        self._appender = appender
+
+    async def store(
+        self, pool: str, key: str, value: bytes, deadline_s: float
+    ) -> Refusal:
+        """Stores a record.
+
+        It has its own key, so a repeated append has no effect.
+
+        Args:
+            pool: Pool whose inbox it belongs to.
+            key: Its key.
+            value: Its value.
+            deadline_s: When the caller stops waiting, monotonic.
+
+        Returns:
+            ``OK`` once it is stored, ``NOT_RUN_OVERLOADED`` if it is not and
+            never will be, ``OUTCOME_UNKNOWN`` if it may still be.
+        """
+        is_unknown = False
+        request = ForwardAppendRequest(pool, key, value)
+        while True:
+            if not self._membership.is_store_unresponsive():
+                reply = await self._append(request)
+                if reply.is_stored:
+                    return OK
+                is_unknown = is_unknown or reply.is_unknown
+            reply = await self._forward_to_peers(request)
+            if reply.is_stored:
+                return OK
+            is_unknown = is_unknown or reply.is_unknown
+            # Waiting does not help the caller when no attempt can have taken
+            # effect or the store is unresponsive, so this returns at once.
+            is_retry_futile = (
+                not is_unknown or self._membership.is_store_unresponsive()
+            )
+            time_left_s = deadline_s - self._context.timers.now_s()
+            if is_retry_futile or time_left_s <= MIN_TIME_LEFT_S:
+                break
+            await self._context.timers.sleep(_RETRY_DELAY_S)
+        if is_unknown:
+            return Refusal(
+                ResultCode.OUTCOME_UNKNOWN,
+                "the store has not confirmed the append",
+            )
+        return Refusal(
+            ResultCode.NOT_RUN_OVERLOADED, "the store can't be reached"
+        )
+
+    async def handle_forward(
+        self, request: ForwardAppendRequest
+    ) -> ForwardAppendReply:
+        """Appends a record that a peer forwards to this host."""
+        if self._membership.is_store_unresponsive():
+            return ForwardAppendReply(is_stored=False)
+        return await self._append_here(request)
+
+    async def _append(
+        self, request: ForwardAppendRequest
+    ) -> ForwardAppendReply:
+        is_unknown = False
+        if self._context.ports.store.latency_s() > _SLOW_STORE_S:
+            reply = await self._locator.call(
+                pool_duty(request.pool),
+                FORWARD_APPEND,
+                request,
+                _OWNER_FORWARD_TIMEOUT_S,
+                lambda reply: isinstance(reply, ForwardAppendReply),
+            )
+            if isinstance(reply, ForwardAppendReply):
+                return reply
+            is_unknown = True
+        reply = await self._append_here(request)
+        return ForwardAppendReply(
+            reply.is_stored, is_unknown or reply.is_unknown
+        )
+
+    async def _append_here(
+        self, request: ForwardAppendRequest
+    ) -> ForwardAppendReply:
+        result = await self._appender.append(
+            request.pool, KeyedRecord(request.key, request.value)
+        )
+        if not isinstance(result, Refusal):
+            return ForwardAppendReply(is_stored=True)
+        is_unknown = result.code is ResultCode.OUTCOME_PENDING
+        return ForwardAppendReply(is_stored=False, is_unknown=is_unknown)
+
+    async def _forward_to_peers(
+        self, request: ForwardAppendRequest
+    ) -> ForwardAppendReply:
+        is_unknown = False
+        for address in self._directory.peer_addresses()[:_MAX_FORWARD_PEERS]:
+            reply = await self._context.peers.call(
+                address, FORWARD_APPEND, request, _FORWARD_TIMEOUT_S
+            )
+            if isinstance(reply, ForwardAppendReply) and reply.is_stored:
+                return reply
+            if isinstance(reply, Refusal) or reply.is_unknown:
+                is_unknown = True
+        return ForwardAppendReply(is_stored=False, is_unknown=is_unknown)
--- a/daemons/manager/src/coltsfootseam/manager/job_service.py
+++ b/daemons/manager/src/coltsfootseam/manager/job_service.py
@@ -5,9 +5,6 @@
 from coltsfootseam.calls import (
     ASK_JOB,
     ASK_PENDING,
-    FORWARD_APPEND,
-    ForwardAppendReply,
-    ForwardAppendRequest,
     JobStatusReply,
     JobStatusRequest,
     PendingCountReply,
@@ -24,22 +21,15 @@
 )
 from coltsfootseam.manager.cluster_state import ClusterState
 from coltsfootseam.manager.context import Context
-from coltsfootseam.manager.duties import DutyDirectory, pool_duty
+from coltsfootseam.manager.duties import pool_duty
+from coltsfootseam.manager.inbox_storage import MIN_TIME_LEFT_S, InboxStorage
 from coltsfootseam.manager.locator import Locator
 from coltsfootseam.results import OK, Refusal, ResultCode
-from coltsfootseam.store import (
-    Appended,
-    KeyedRecord,
-    Membership,
-    StoredRecord,
-)
+from coltsfootseam.store import StoredRecord
 from coltsfootseam.timers import run_with_timeout
 
 _OWNER_TIMEOUT_S = 0.4
 _RETRY_DELAY_S = 0.1
-_FORWARD_TIMEOUT_S = 0.8
-_MAX_FORWARD_PEERS = 2
-_MIN_TIME_LEFT_S = 0.3
 _ACCEPTED_JOB_EXPIRY_S = 10.0
 _MAX_CACHED_FINAL_STATES = 4000
 _MAX_PENDING_AGE_S = 1.0
@@ -57,26 +47,23 @@
         "_accepted_s_by_id",
         "_cluster",
         "_context",
-        "_directory",
         "_final_states_by_id",
         "_locator",
-        "_membership",
         "_pending_by_queue",
+        "_storage",
     )
 
     def __init__(
         self,
         context: Context,
         cluster: ClusterState,
-        directory: DutyDirectory,
         locator: Locator,
-        membership: Membership,
+        storage: InboxStorage,
     ) -> None:
         self._context = context
         self._cluster = cluster
-        self._directory = directory
         self._locator = locator
-        self._membership = membership
+        self._storage = storage
         self._accepted_s_by_id: dict[str, float] = {}
         self._final_states_by_id: dict[str, JobState] = {}
         self._pending_by_queue: dict[str, _PendingCount] = {}
@@ -120,7 +107,7 @@
             return Refusal(
                 ResultCode.OUTCOME_UNKNOWN, "its queue has just been moved"
             )
-        outcome = await self._store(
+        outcome = await self._storage.store(
             pool, job_key(pool, job_id), encode_request(request), deadline_s
         )
         if outcome is OK:
@@ -152,7 +139,7 @@
             return OK
         outcome = OK
         for pool in self._pools_of(queue):
-            stored = await self._store(
+            stored = await self._storage.store(
                 pool, cancel_key(pool, job_id), b"1", deadline_s
             )
             outcome = stored if outcome is OK else outcome
@@ -229,63 +216,6 @@
         old_pool = self._cluster.old_pool_of(queue.name)
         return [queue.pool] if old_pool is None else [queue.pool, old_pool]
 
-    async def _store(
-        self, pool: str, key: str, value: bytes, deadline_s: float
-    ) -> Refusal:
-        """Appends a record to an inbox, through a peer if necessary.
-
-        The record has its own key, so a repeated append has no effect.
-        """
-        is_unknown = False
-        record = KeyedRecord(key, value)
-        while True:
-            if not self._membership.is_store_unresponsive():
-                result = await self._context.ports.store.append(
-                    self._context.inbox_of(pool), [record]
-                )
-                if isinstance(result, Appended):
-                    return OK
-                if isinstance(result, Refusal):
-                    is_pending = result.code is ResultCode.OUTCOME_PENDING
-                    is_unknown = is_unknown or is_pending
-            forwarded = await self._forward_append(pool, key, value)
-            if forwarded.is_stored:
-                return OK
-            is_unknown = is_unknown or forwarded.is_unknown
-            # Waiting does not help the caller when no attempt can have taken
-            # effect or the store is unresponsive, so this returns at once.
-            is_retry_futile = (
-                not is_unknown or self._membership.is_store_unresponsive()
-            )
-            if is_retry_futile or not self._has_time_left(deadline_s):
-                break
-            await self._context.timers.sleep(_RETRY_DELAY_S)
-        if is_unknown:
-            return Refusal(
-                ResultCode.OUTCOME_UNKNOWN,
-                "the store has not confirmed the append",
-            )
-        return Refusal(
-            ResultCode.NOT_RUN_OVERLOADED, "the store can't be reached"
-        )
-
-    async def _forward_append(
-        self, pool: str, key: str, value: bytes
-    ) -> ForwardAppendReply:
-        is_unknown = False
-        for address in self._directory.peer_addresses()[:_MAX_FORWARD_PEERS]:
-            reply = await self._context.peers.call(
-                address,
-                FORWARD_APPEND,
-                ForwardAppendRequest(pool, key, value),
-                _FORWARD_TIMEOUT_S,
-            )
-            if isinstance(reply, ForwardAppendReply) and reply.is_stored:
-                return reply
-            if isinstance(reply, Refusal) or reply.is_unknown:
-                is_unknown = True
-        return ForwardAppendReply(is_stored=False, is_unknown=is_unknown)
-
     async def _request_owner_state(
         self, queue: Queue, job_id: str
     ) -> JobState | Refusal | None:
@@ -390,7 +320,7 @@
             return None
 
     def _has_time_left(self, deadline_s: float) -> bool:
-        return self._context.timers.now_s() < deadline_s - _MIN_TIME_LEFT_S
+        return self._context.timers.now_s() < deadline_s - MIN_TIME_LEFT_S
 
     def _record_accepted(self, job_id: str) -> None:
         now_s = self._context.timers.now_s()
--- a/daemons/manager/src/coltsfootseam/manager/manager.py
+++ b/daemons/manager/src/coltsfootseam/manager/manager.py
@@ -13,6 +13,8 @@
 from coltsfootseam.manager.duties import DutyDirectory
 from coltsfootseam.manager.duty_manager import DutyManager
 from coltsfootseam.manager.group_monitor import GroupMonitor
+from coltsfootseam.manager.inbox_appender import InboxAppender
+from coltsfootseam.manager.inbox_storage import InboxStorage
 from coltsfootseam.manager.job_service import JobService
 from coltsfootseam.manager.locator import Locator
 from coltsfootseam.manager.members import member_name
@@ -36,6 +38,7 @@
         membership: This host's membership in the group.
         standby: Decides whether this is a standby host, and knows others.
         duties: Runs the duties of this host.
+        storage: Stores callers' records.
         jobs: Handles callers' requests.
         status: Status pages for operators.
         is_stopping: Whether the process was requested to stop.
@@ -46,6 +49,7 @@
     membership: Membership
     standby: Standby
     duties: DutyManager
+    storage: InboxStorage
     jobs: JobService
     status: StatusPage
     is_stopping: bool = False
@@ -79,7 +83,7 @@
     membership = manager.membership
     duties = manager.duties
     standby = manager.standby
-    peer_handlers = PeerHandlers(context, duties, membership, standby)
+    peer_handlers = PeerHandlers(context, duties, manager.storage, standby)
     manager.status.show_group_problems(membership.refusals_by_call)
     async with serving(context.address, peer_handlers.handlers()):
         functions_by_name = {
@@ -112,7 +116,10 @@
     directory = DutyDirectory(membership, standby, context.duty_slots)
     locator = Locator(context, directory)
     duties = DutyManager(context, cluster, membership, directory, locator)
-    jobs = JobService(context, cluster, directory, locator, membership)
+    storage = InboxStorage(
+        context, directory, locator, membership, InboxAppender(context)
+    )
+    jobs = JobService(context, cluster, locator, storage)
     status = StatusPage(context, cluster, duties)
 
     def on_configuration() -> None:
@@ -121,4 +128,6 @@
         duties.follow_assignment()
 
     cluster.add_listener(on_configuration)
-    return Manager(context, cluster, membership, standby, duties, jobs, status)
+    return Manager(
+        context, cluster, membership, standby, duties, storage, jobs, status
+    )
--- a/daemons/manager/src/coltsfootseam/manager/peer_handlers.py
+++ b/daemons/manager/src/coltsfootseam/manager/peer_handlers.py
@@ -12,8 +12,6 @@
     DutyOfferReply,
     EvacuationReply,
     EvacuationRequest,
-    ForwardAppendReply,
-    ForwardAppendRequest,
     Handler,
     JobStatusReply,
     JobStatusRequest,
@@ -27,10 +25,9 @@
 )
 from coltsfootseam.manager.context import Context
 from coltsfootseam.manager.duty_manager import DutyManager
+from coltsfootseam.manager.inbox_storage import InboxStorage
 from coltsfootseam.manager.pool_owner import PoolOwner
 from coltsfootseam.manager.standby import Standby
-from coltsfootseam.results import Refusal, ResultCode
-from coltsfootseam.store import KeyedRecord, Membership
 
 _MAX_INBOX_AGE_S = 2.5
 _MAX_STORE_AGE_S = 1e6
@@ -39,19 +36,19 @@
 class PeerHandlers:
     """Handles the calls of other entry hosts."""
 
-    __slots__ = ("_context", "_duties", "_membership", "_standby")
+    __slots__ = ("_context", "_duties", "_standby", "_storage")
 
     def __init__(
         self,
         context: Context,
         duties: DutyManager,
-        membership: Membership,
+        storage: InboxStorage,
         standby: Standby,
     ) -> None:
         self._context = context
         self._standby = standby
         self._duties = duties
-        self._membership = membership
+        self._storage = storage
 
     def handlers(self) -> dict[Method, Handler]:
         """Returns the handler of each method."""
@@ -61,7 +58,7 @@
             ASK_PENDING: self.handle_pending,
             ASK_REACH: self.handle_reachability,
             OFFER_DUTY: self.handle_duty_offer,
-            FORWARD_APPEND: self.handle_forward,
+            FORWARD_APPEND: self._storage.handle_forward,
             EVACUATE: self.handle_evacuation,
         }
 
@@ -113,21 +110,6 @@
         """Takes over a stalled duty of a peer; returns whether it does."""
         return DutyOfferReply(self._duties.accept_offer(offer.duty))
 
-    async def handle_forward(
-        self, request: ForwardAppendRequest
-    ) -> ForwardAppendReply:
-        """Appends to an inbox for a host that can't reach the store."""
-        if self._membership.is_store_unresponsive():
-            return ForwardAppendReply(is_stored=False)
-        result = await self._context.ports.store.append(
-            self._context.inbox_of(request.pool),
-            [KeyedRecord(request.key, request.value)],
-        )
-        if not isinstance(result, Refusal):
-            return ForwardAppendReply(is_stored=True)
-        is_unknown = result.code is ResultCode.OUTCOME_PENDING
-        return ForwardAppendReply(is_stored=False, is_unknown=is_unknown)
-
     async def handle_evacuation(
         self, request: EvacuationRequest
     ) -> EvacuationReply:
--- a/libs/standins/src/coltsfootseam/standins/memory_store.py
+++ b/libs/standins/src/coltsfootseam/standins/memory_store.py
@@ -24,6 +24,8 @@
 _POLL_INTERVAL_S = 0.005
 _MAX_KEPT_REPLIES = 5
 _MAX_PAGE_RECORDS = 500
+_MAX_APPEND_WAIT_S = 2.0
+"""Wait for the earlier appends of a partition beyond which one is refused."""
 
 
 class _WriterProgress(msgspec.Struct):
@@ -102,15 +104,19 @@
     Attributes:
         partition_count: Number of partitions of a topic that a group assigns.
         appends: Number of appends that were applied.
+        append_s: How long an append takes, in which the other appends of its
+            partition wait.
         max_page_records: Maximum number of records on a page of latest
             records.
         timers: Clock and timers of the store.
     """
 
     __slots__ = (
+        "_busy_until_s_by_partition",
         "_groups_by_name",
         "_logs_by_partition",
         "_random",
+        "append_s",
         "appends",
         "max_page_records",
         "partition_count",
@@ -123,11 +129,24 @@
         self.timers = timers
         self.partition_count = partition_count
         self.appends = 0
+        self.append_s = 0.0
+        self._busy_until_s_by_partition: dict[Partition, float] = {}
         self.max_page_records = _MAX_PAGE_RECORDS
         self._logs_by_partition: dict[Partition, _PartitionLog] = {}
         self._groups_by_name: dict[str, _Group] = {}
         self._random = random.Random(seed)
 
+    def reserve_append(self, partition: Partition) -> float | None:
+        """Returns when an append is done, ``None`` if too many wait."""
+        now_s = self.timers.now_s()
+        busy_until_s = self._busy_until_s_by_partition.get(partition, now_s)
+        starts_s = max(now_s, busy_until_s)
+        if starts_s - now_s > _MAX_APPEND_WAIT_S:
+            return None
+        done_s = starts_s + self.append_s
+        self._busy_until_s_by_partition[partition] = done_s
+        return done_s
+
     def client(self, timers: TimerService | None = None) -> "MemoryStoreClient":
         """Returns a client with faults of its own.
 
@@ -290,6 +309,11 @@
         limit = self.faults.max_append_bytes
         if limit and _size_of(records) > limit:
             return Refusal(ResultCode.OUTCOME_PENDING, "append timed out")
+        done_s = self._store.reserve_append(partition)
+        if done_s is None:
+            return Refusal(ResultCode.LOG_UNAVAILABLE, "too many appends wait")
+        if done_s > self._timers.now_s():
+            await self._timers.sleep(done_s - self._timers.now_s())
         is_reply_lost = self._random.random() < self.faults.lost_reply_share
         if is_reply_lost and self.faults.delay_s:
             self._store.timers.schedule(
--- a/libs/store/src/coltsfootseam/store/__init__.py
+++ b/libs/store/src/coltsfootseam/store/__init__.py
@@ -4,6 +4,7 @@
     Claim,
     Journal,
     claim_journal,
+    in_batches,
 )
 from coltsfootseam.store.latest_records import LatestRecordsReader
 from coltsfootseam.store.membership import Membership, MembershipTimes
@@ -45,4 +46,5 @@
     "Tail",
     "Writer",
     "claim_journal",
+    "in_batches",
 ]
--- a/libs/store/src/coltsfootseam/store/journal.py
+++ b/libs/store/src/coltsfootseam/store/journal.py
@@ -97,7 +97,7 @@
         Returns:
             ``None``, or a refusal with ``STALE_EPOCH`` if the journal is lost.
         """
-        for batch in _in_batches(records):
+        for batch in in_batches(records):
             refusal = await self._append(batch)
             if refusal is not None:
                 return refusal
@@ -157,7 +157,7 @@
             self.is_lost = True
 
 
-def _in_batches(records: list[KeyedRecord]) -> Iterator[list[KeyedRecord]]:
+def in_batches(records: list[KeyedRecord]) -> Iterator[list[KeyedRecord]]:
     """Splits records into batches of limited size and at least one record."""
     batch: list[KeyedRecord] = []
     size = 0
