Log when a pool's owner gives no reply to a record

Cause: an on-call engineer could not tell from the lines why a host appended by itself. Change: one line and a counter each time an owner is avoided. Measured: asserted in the test of an owner without a reply.

--- a/daemons/manager/src/coltsfootseam/manager/inbox_storage.py
+++ b/daemons/manager/src/coltsfootseam/manager/inbox_storage.py
@@ -126,16 +126,27 @@
             owner, FORWARD_APPEND, request, _OWNER_FORWARD_TIMEOUT_S
         )
         if not isinstance(reply, ForwardAppendReply):
+            self._avoid(owner, request.pool)
             # The owner may have stored the record, or may yet store it.
-            self._avoided_until_s_by_address[owner] = (
-                self._context.timers.now_s() + _OWNER_AVOIDED_S
-            )
             appended = await self._append_here(request)
             return ForwardAppendReply(appended.is_stored, is_unknown=True)
         if reply.is_stored or reply.is_unknown:
             return reply
         return await self._append_here(request)
 
+    def _avoid(self, owner: str, pool: str) -> None:
+        """Stops sending records to an owner that gave no reply, for a while."""
+        self._avoided_until_s_by_address[owner] = (
+            self._context.timers.now_s() + _OWNER_AVOIDED_S
+        )
+        self._context.log.write(
+            "inbox.owner_avoided",
+            pool=pool,
+            owner=owner,
+            for_s=_OWNER_AVOIDED_S,
+        )
+        self._context.counters.increment("inbox.owner_avoided")
+
     def _owner_address(self, pool: str) -> str | None:
         """Returns the owner to send records to, ``None`` to append here."""
         address = self._locator.last_address_of(pool_duty(pool))
--- a/tests/cover/test_slow_store.py
+++ b/tests/cover/test_slow_store.py
@@ -102,3 +102,4 @@
         outcome = asyncio.ensure_future(submit(fleet, host, "a" * 16))
         await fleet.wait_until(outcome.done, 2 * DEADLINE_S)
         assert outcome.result().code is not ResultCode.NOT_RUN_OVERLOADED
+        assert host.lines("inbox.owner_avoided")
