Forget the address of an owner that gives no reply

What callers would see: after an owner's death each host without duties asked the dead host again every two seconds, and one of its callers waited 1 s. Cause: the address cached by an earlier call stayed until another call looked for the owner. Change: a host without a reply forgets the address and refreshes the holders; tasks that append are kept referenced; plan_moves is split in two. Measured: the new test failed without the change and passes with it.

--- a/daemons/manager/src/coltsfootseam/manager/inbox_appender.py
+++ b/daemons/manager/src/coltsfootseam/manager/inbox_appender.py
@@ -30,12 +30,18 @@
     records wait and go out together with the next append.
     """
 
-    __slots__ = ("_active_by_partition", "_context", "_pending_by_partition")
+    __slots__ = (
+        "_active_by_partition",
+        "_context",
+        "_pending_by_partition",
+        "_tasks",
+    )
 
     def __init__(self, context: Context) -> None:
         self._context = context
         self._active_by_partition: Counter[Partition] = Counter()
         self._pending_by_partition: dict[Partition, list[_PendingRecord]] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
 
     async def append(
         self, pool: str, record: KeyedRecord
@@ -51,14 +57,19 @@
         )
         self._pending_by_partition.setdefault(partition, []).append(pending)
         if self._active_by_partition[partition] < _MAX_CONCURRENT_APPENDS:
-            self._active_by_partition[partition] += 1
-            start_once(
-                self._context,
-                f"appends to {partition.topic}",
-                lambda: self._append_pending(partition),
-            )
+            self._start_appending(partition)
         return await pending.result
 
+    def _start_appending(self, partition: Partition) -> None:
+        self._active_by_partition[partition] += 1
+        task = start_once(
+            self._context,
+            f"appends to {partition.topic}",
+            lambda: self._append_pending(partition),
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     async def _append_pending(self, partition: Partition) -> None:
         try:
             while batch := self._take_batch(partition):
--- a/daemons/manager/src/coltsfootseam/manager/inbox_storage.py
+++ b/daemons/manager/src/coltsfootseam/manager/inbox_storage.py
@@ -136,6 +136,7 @@
 
     def _avoid(self, owner: str, pool: str) -> None:
         """Stops sending records to an owner that gave no reply, for a while."""
+        self._locator.forget(pool_duty(pool))
         self._avoided_until_s_by_address[owner] = (
             self._context.timers.now_s() + _OWNER_AVOIDED_S
         )
--- a/daemons/manager/src/coltsfootseam/manager/locator.py
+++ b/daemons/manager/src/coltsfootseam/manager/locator.py
@@ -57,8 +57,7 @@
                 if not isinstance(reply, Refusal) and is_from_owner(reply):
                     self._address_by_duty[duty] = guess
                     return reply
-            self._address_by_duty.pop(duty, None)
-            self._directory.request_refresh()
+            self.forget(duty)
             found = await self.find(duty)
             if found is None or found == guess:
                 break
@@ -70,6 +69,11 @@
         known = self._address_by_duty.get(duty)
         return known or self._directory.address_of(duty)
 
+    def forget(self, duty: str) -> None:
+        """Forgets where a duty's owner was, as that host doesn't reply."""
+        self._address_by_duty.pop(duty, None)
+        self._directory.request_refresh()
+
     async def find(self, duty: str) -> str | None:
         """Asks all hosts, and returns the address of a duty's owner."""
         addresses = [
--- a/libs/scheduling/src/coltsfootseam/scheduling/demand.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/demand.py
@@ -227,6 +227,24 @@
     if rules.need == NO_MOVES:
         return moves
     moved_ids: set[str] = set()
+    _move_to_short_pools(
+        balances_by_pool, machines, standby_pool, moved_ids, moves
+    )
+    if standby_pool:
+        _move_idle_to_standby(
+            balances_by_pool, machines, standby_pool, rules, moved_ids, moves
+        )
+    return moves
+
+
+def _move_to_short_pools(
+    balances_by_pool: dict[str, _Balance],
+    machines: list[MachineSupply],
+    standby_pool: str,
+    moved_ids: set[str],
+    moves: list[Move],
+) -> None:
+    """Moves machines to all pools that are short, the shortest first."""
     short = sorted(
         balances_by_pool.values(), key=_Balance.shortage, reverse=True
     )
@@ -243,11 +261,6 @@
                 moved_ids,
                 moves,
             )
-    if standby_pool:
-        _move_idle_to_standby(
-            balances_by_pool, machines, standby_pool, rules, moved_ids, moves
-        )
-    return moves
 
 
 def surplus_counts(
--- a/tests/cover/test_slow_store.py
+++ b/tests/cover/test_slow_store.py
@@ -103,3 +103,26 @@
         await fleet.wait_until(outcome.done, 2 * DEADLINE_S)
         assert outcome.result().code is not ResultCode.NOT_RUN_OVERLOADED
         assert host.lines("inbox.owner_avoided")
+
+
+# Guards against callers that wait for a dead owner again and again.
+async def test_a_dead_owner_is_asked_once_then_its_successor() -> None:
+    async with running_fleet(hosts=6, workers=3) as fleet:
+        owner = fleet.owner()
+        others = [host for host in fleet.hosts if host is not owner]
+        for host in others:
+            # From the owner's reply the host knows its address.
+            await fleet.state(host, "a" * 16)
+        await owner.kill()
+        await fleet.timers.advance(4.0)
+        # A host without duties has no other reason to look for the owner.
+        host = next(
+            host
+            for host in others
+            if host.manager is not None and not host.manager.duties.held()
+        )
+        await fleet.accept(host, "b" * 16)
+        await fleet.timers.advance(4.0)
+        started_s = fleet.timers.now_s()
+        await fleet.accept(host, "c" * 16)
+        assert fleet.timers.now_s() - started_s < 0.5
