Split one attempt to store a record from the loop around it

Change: _attempt tries each way once; the loop only decides whether to go on. What is tried, and when, is the same.

--- a/daemons/manager/src/coltsfootseam/manager/inbox_storage.py
+++ b/daemons/manager/src/coltsfootseam/manager/inbox_storage.py
@@ -77,18 +77,10 @@
         is_unknown = False
         request = ForwardAppendRequest(pool, key, value)
         while True:
-            is_unresponsive = self._membership.is_store_unresponsive()
-            if not is_unresponsive:
-                reply = await self._append(request)
-                if reply.is_stored:
-                    return OK
-                is_unknown = is_unknown or reply.is_unknown
-            # Copies of an append that is in progress would only delay it.
-            if is_unresponsive or not is_unknown:
-                reply = await self._forward_to_peers(request)
-                if reply.is_stored:
-                    return OK
-                is_unknown = is_unknown or reply.is_unknown
+            reply = await self._attempt(request, is_unknown)
+            if reply.is_stored:
+                return OK
+            is_unknown = reply.is_unknown
             # Waiting does not help the caller when no attempt can have taken
             # effect or the store is unresponsive, so this returns at once.
             is_retry_futile = (
@@ -107,6 +99,27 @@
             ResultCode.NOT_RUN_OVERLOADED, "the store can't be reached"
         )
 
+    async def _attempt(
+        self, request: ForwardAppendRequest, is_unknown: bool
+    ) -> ForwardAppendReply:
+        """Tries each way to store a record once.
+
+        Args:
+            request: The record.
+            is_unknown: Whether an earlier attempt may have stored it.
+        """
+        is_unresponsive = self._membership.is_store_unresponsive()
+        if not is_unresponsive:
+            reply = await self._append(request)
+            is_unknown = is_unknown or reply.is_unknown
+            # Copies of an append that is in progress would only delay it.
+            if reply.is_stored or is_unknown:
+                return ForwardAppendReply(reply.is_stored, is_unknown)
+        reply = await self._forward_to_peers(request)
+        return ForwardAppendReply(
+            reply.is_stored, is_unknown or reply.is_unknown
+        )
+
     async def handle_forward(
         self, request: ForwardAppendRequest
     ) -> ForwardAppendReply:
