--- a/daemons/manager/src/coltsfootseam/manager/run_reconciler.py
+++ b/daemons/manager/src/coltsfootseam/manager/run_reconciler.py
@@ -1,8 +1,9 @@
 """Reconciles the job table with what workers report."""
 
-from coltsfootseam.jobs import Run, RunEnd, Task, TaskId
+from coltsfootseam.jobs import Run, RunEnd, RunPair, Task, TaskId
 from coltsfootseam.manager.orders import Orders
 from coltsfootseam.manager.pool_state import PoolState
+from coltsfootseam.scheduling import find_unproven
 from coltsfootseam.workers import (
     EndedRun,
     HeartbeatReply,
@@ -41,11 +42,44 @@
             self._apply_running(link, reported)
         self._end_unlisted_runs(link, listed, sent_s)
 
-    def lapse_runs_on(self, worker_id: str, reason: str) -> None:
-        """Ends all runs on a worker, as nothing runs there any more."""
-        for task, run in self._state.job_table.runs.runs_of(worker_id):
+    def lapse_runs_on(
+        self, worker_id: str, reason: str, is_crash: bool
+    ) -> None:
+        """Ends all runs on a worker, as nothing runs there any more.
+
+        Args:
+            worker_id: The worker.
+            reason: Why its runs have ended.
+            is_crash: Whether the worker is known to have crashed. One that was
+                cut off has only lost its lease.
+        """
+        pairs = self._state.job_table.runs.runs_of(worker_id)
+        if pairs:
+            self._report_lost_runs(worker_id, pairs, reason, is_crash)
+        for task, run in pairs:
             self._end_run(task, run, RunEnd.LAPSED, run.saved, reason)
 
+    def _report_lost_runs(
+        self,
+        worker_id: str,
+        pairs: list[RunPair],
+        reason: str,
+        is_crash: bool,
+    ) -> None:
+        state = self._state
+        unproven = find_unproven(pairs)
+        state.context.log.write(
+            "crash.observed" if is_crash else "contact.lost",
+            worker=worker_id,
+            pool=state.pool,
+            runs=len(pairs),
+            unproven=[[task.id.job_id, run.number] for task, run in unproven],
+            why=reason,
+        )
+        state.context.counters.increment(
+            "crash.observed" if is_crash else "contact.lost"
+        )
+
     def _apply_end(self, link: WorkerLink, ended: EndedRun) -> None:
         state = self._state
         last_sequence = state.end_sequences_by_worker.get(link.worker_id, 0)
--- a/daemons/manager/src/coltsfootseam/manager/worker_links.py
+++ b/daemons/manager/src/coltsfootseam/manager/worker_links.py
@@ -111,16 +111,22 @@
             self._drop_link(link, "its incarnation has ended")
         elif not link.is_reachable and link.lease.has_ended():
             self._reconciler.lapse_runs_on(
-                link.worker_id, "its lease has ended"
+                link.worker_id, "its lease has ended", is_crash=False
             )
             if latest is None:
                 self._drop_link(link, "it does not respond and has no entry")
 
+    def _is_leaving(self, entry: WorkerEntry) -> bool:
+        """Returns whether a worker's end was planned."""
+        is_evacuating = entry.worker_id in self._state.evacuating_worker_ids
+        return entry.is_draining or is_evacuating
+
     def _drop_link(self, link: WorkerLink, reason: str) -> None:
         worker_id = link.worker_id
         if link.is_gone:
             self._state.ended_worker_ids.add(worker_id)
-        self._reconciler.lapse_runs_on(worker_id, reason)
+        is_crash = link.is_gone and not self._is_leaving(link.entry)
+        self._reconciler.lapse_runs_on(worker_id, reason, is_crash)
         self._state.links_by_id.pop(worker_id, None)
         self._state.end_sequences_by_worker.pop(worker_id, None)
         self._state.health.forget(worker_id)
@@ -147,10 +153,14 @@
                 or self._has_newer_incarnation(worker_id)
             ):
                 self._reconciler.lapse_runs_on(
-                    worker_id, "its incarnation has ended"
+                    worker_id,
+                    "its incarnation has ended",
+                    worker_id not in self._state.evacuating_worker_ids,
                 )
             elif has_ended:
-                self._reconciler.lapse_runs_on(worker_id, "its lease has ended")
+                self._reconciler.lapse_runs_on(
+                    worker_id, "its lease has ended", is_crash=False
+                )
 
     def _has_newer_incarnation(self, worker_id: str) -> bool:
         latest = self._state.cluster.workers_by_instance.get(
--- a/libs/scheduling/src/coltsfootseam/scheduling/__init__.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/__init__.py
@@ -1,5 +1,6 @@
 """Scheduling decisions over snapshots, without network access."""
 
+from coltsfootseam.scheduling.crashes import find_unproven, is_proven
 from coltsfootseam.scheduling.demand import (
     NEED_RULES,
     DemandHistory,
@@ -83,6 +84,8 @@
     "find_problem",
     "find_slow_runs",
     "find_stalled",
+    "find_unproven",
+    "is_proven",
     "plan_moves",
     "plan_pace",
     "plan_preemption",
