--- a/libs/standins/src/coltsfootseam/standins/memory_workers.py
+++ b/libs/standins/src/coltsfootseam/standins/memory_workers.py
@@ -51,6 +51,10 @@
         checkpointing_jobs: Ids of jobs whose tasks save checkpoints.
         duplicable_jobs: Ids of jobs whose tasks may run twice at once.
         loads_by_task: Load that the workers report for a task.
+        deadly_tasks: Tasks that crash each worker that starts them.
+        crash_delay_s: Time from the start of such a task to the crash.
+        crashes_by_task: Workers that crashed under each of them, in order.
+        on_crash: Called with the instance id of each worker that crashed.
         pace_orders: Orders on the speed of a run, in order.
     """
 
@@ -60,9 +64,13 @@
         "_random",
         "_timers",
         "checkpointing_jobs",
+        "crash_delay_s",
+        "crashes_by_task",
+        "deadly_tasks",
         "duplicable_jobs",
         "loads_by_task",
         "max_starts_in_flight",
+        "on_crash",
         "pace_orders",
         "start_transfer_s",
         "starts",
@@ -87,6 +95,10 @@
         self.checkpointing_jobs: set[str] = set()
         self.duplicable_jobs: set[str] = set()
         self.loads_by_task: dict[TaskId, int] = {}
+        self.deadly_tasks: set[TaskId] = set()
+        self.crash_delay_s = 0.01
+        self.crashes_by_task: dict[TaskId, list[str]] = {}
+        self.on_crash: Callable[[str], None] = lambda instance_id: None
         self.pace_orders: list[PaceOrder] = []
         timers.subscribe(_TICK_S, self._tick)
 
@@ -161,6 +173,10 @@
             total_s,
             total_s - float(order.checkpoint or 0),
         )
+        if order.task in self.deadly_tasks:
+            self._timers.schedule(
+                self.crash_delay_s, lambda: self._crash(worker, order)
+            )
         return OrderOutcome.DONE
 
     def apply_stop(
@@ -215,6 +231,15 @@
             ended=list(worker.ended_runs),
         )
 
+    def _crash(self, worker: MemoryWorker, order: StartOrder) -> None:
+        run = worker.runs_by_task.get(order.task)
+        if worker.is_dead or run is None or run.number != order.number:
+            return
+        crashed = self.crashes_by_task.setdefault(order.task, [])
+        crashed.append(worker.entry.worker_id)
+        self.kill(worker.entry.instance_id)
+        self.on_crash(worker.entry.instance_id)
+
     def _extend_lease(self, worker: MemoryWorker, lease_end_ms: int) -> None:
         max_end_ms = self.clock_ms(worker) + _MAX_LEASE_S * _MS_PER_S
         end_ms = min(lease_end_ms, max_end_ms)
--- a/tests/common/fleets.py
+++ b/tests/common/fleets.py
@@ -46,6 +46,8 @@
 WORKERS = Partition("workers")
 STATUS = Partition("status")
 DEADLINE_S = 3.0
+RESTART_S = 3.0
+"""Time from the crash of a worker to its next incarnation."""
 
 T = TypeVar("T")
 
@@ -216,6 +218,7 @@
         self.advice = MemoryAdvice(timers)
         self.peers = MemoryPeers(timers)
         self.hosts: list[Host] = []
+        self.workers.on_crash = self._handle_crash
 
     def configure(self, version: int = 1, *queues: Queue) -> None:
         """Publishes a configuration with queues and their pools."""
@@ -264,6 +267,30 @@
         )
         return instance_id
 
+    def _handle_crash(self, instance_id: str) -> None:
+        """Has the platform list a crash; the worker is back in a while."""
+        entry = self.workers.workers_by_instance[instance_id].entry
+        self._set_machine_state(entry, MachineState.DOWN)
+        self.timers.schedule(RESTART_S, lambda: self._restart(entry))
+
+    def _restart(self, entry: WorkerEntry) -> None:
+        """Starts a crashed worker again, under the instance id it had."""
+        worker_id = f"{entry.instance_id}@{entry.started_ms + 1}"
+        entry = msgspec.structs.replace(
+            entry, worker_id=worker_id, started_ms=entry.started_ms + 1
+        )
+        self.workers.add(entry)
+        self.put_entry(entry)
+        self._set_machine_state(entry, MachineState.UP)
+
+    def _set_machine_state(
+        self, entry: WorkerEntry, state: MachineState
+    ) -> None:
+        machines = self.machines.machines_by_id
+        machines[entry.machine_id] = msgspec.structs.replace(
+            machines[entry.machine_id], state=state
+        )
+
     def put_entry(self, entry: WorkerEntry) -> None:
         """Writes a worker's entry into the store."""
         self.store.put(
--- /dev/null
+++ b/tests/cover/test_deadly_tasks.py
@@ -0,0 +1,102 @@
+"""Tasks that crash each worker that starts them, beside ordinary ones."""
+
+import contextlib
+from collections.abc import AsyncIterator
+
+from coltsfootseam.jobs import JobState, Step, TaskId
+from tests.common.fleets import Fleet, running_fleet
+
+DEADLY_JOB = "d" * 16
+MAX_CRASHES = 3
+MAX_STARTS_AFTER_BUDGET = 2
+"""One more start than these after the third crash breaks the budget."""
+TASK = Step(count=4, cpu_millis=500, estimate_ms=500)
+
+
+def deadly_task(index: int = 0, job_id: str = DEADLY_JOB) -> TaskId:
+    """Returns a task of a job's first step."""
+    return TaskId(job_id, 0, 0, index)
+
+
+def crashes(fleet: Fleet, task: TaskId) -> int:
+    """Returns how many workers have crashed under a task."""
+    return len(fleet.workers.crashes_by_task.get(task, []))
+
+
+@contextlib.asynccontextmanager
+async def deadly_fleet(
+    *tasks: TaskId, hosts: int = 2, workers: int = 6
+) -> AsyncIterator[Fleet]:
+    """Yields a fleet on which some tasks crash their workers."""
+    async with running_fleet(hosts=hosts, workers=workers) as fleet:
+        fleet.workers.deadly_tasks = set(tasks)
+        # A worker that has just appeared may be missing in the platform's
+        # list of machines, so a crash within this time shows later.
+        await fleet.timers.advance(1.5)
+        yield fleet
+
+
+async def submit_others(fleet: Fleet, count: int = 6) -> list[str]:
+    """Submits ordinary jobs at short intervals and returns their ids."""
+    job_ids = [f"{number:016x}" for number in range(count)]
+    for job_id in job_ids:
+        await fleet.accept(fleet.hosts[-1], job_id, TASK)
+        await fleet.timers.advance(0.1)
+    return job_ids
+
+
+# Guards against a task that crashes worker after worker without end, as its
+# runs that end with their worker count for nothing.
+async def test_a_task_that_crashes_its_workers_is_given_up() -> None:
+    async with deadly_fleet(deadly_task()) as fleet:
+        await fleet.accept(fleet.hosts[0], DEADLY_JOB, TASK)
+        others = await submit_others(fleet)
+        await fleet.wait_for_state(DEADLY_JOB, JobState.FAILED)
+        for job_id in others:
+            await fleet.wait_for_state(job_id, JobState.COMPLETED)
+        await fleet.timers.advance(5.0)
+        assert 2 <= crashes(fleet, deadly_task()) <= MAX_CRASHES
+
+
+# Guards against the count of crashes starting anew with each owner.
+async def test_crashes_count_over_a_takeover() -> None:
+    async with deadly_fleet(deadly_task(), hosts=3) as fleet:
+        await fleet.accept(fleet.hosts[0], DEADLY_JOB, TASK)
+        await fleet.wait_until(lambda: crashes(fleet, deadly_task()) == 1)
+        await fleet.timers.advance(1.0)
+        await fleet.owner().kill()
+        await fleet.wait_for_state(DEADLY_JOB, JobState.FAILED)
+        await fleet.timers.advance(5.0)
+        assert crashes(fleet, deadly_task()) <= MAX_CRASHES
+
+
+# Guards against tasks that crash together and so are never told apart.
+async def test_several_deadly_tasks_are_all_given_up() -> None:
+    jobs = [f"d{number:015x}" for number in range(3)]
+    tasks = [deadly_task(1, job_id) for job_id in jobs]
+    async with deadly_fleet(*tasks, workers=8) as fleet:
+        for job_id in jobs:
+            await fleet.accept(fleet.hosts[0], job_id, TASK)
+        others = await submit_others(fleet)
+        for job_id in jobs:
+            await fleet.wait_for_state(job_id, JobState.FAILED)
+        for job_id in others:
+            await fleet.wait_for_state(job_id, JobState.COMPLETED)
+        for task in tasks:
+            assert crashes(fleet, task) <= MAX_CRASHES
+
+
+# Guards against a task that works for a while before it crashes its worker,
+# when later tasks have started beside it.
+async def test_a_task_that_crashes_late_stays_within_its_budget() -> None:
+    async with deadly_fleet(deadly_task(), workers=8) as fleet:
+        fleet.workers.crash_delay_s = 0.4
+        await fleet.accept(fleet.hosts[0], DEADLY_JOB, TASK)
+        others = await submit_others(fleet, 20)
+        await fleet.wait_for_state(DEADLY_JOB, JobState.FAILED)
+        for job_id in others:
+            await fleet.wait_for_state(job_id, JobState.COMPLETED)
+        assert (
+            crashes(fleet, deadly_task())
+            <= MAX_CRASHES + MAX_STARTS_AFTER_BUDGET
+        )
