Run tasks that may have crashed their worker in isolation, and give up on proof

Cause: a run that ended with its worker counted for nothing. Neither the limit on attempts nor the choice of workers saw it, so the next start was at once, on a worker full of other tasks. Evidence: crash.observed lines; the same two tasks are among the unproven runs of every crash, and their failures stay 0. Change: a crash (not a lost lease) is recorded in the progress document of each task that was on the worker, before the next start is ordered. Up to four of the runs that the worker had not reported for a while are suspects and run in isolation; a task that crashes a worker in isolation too is given up and its job fails with JOB_CRASHES_WORKERS; tasks that its crashes explain are cleared. Unproven suspects never share a worker, and get no second copies. A task that crashes late becomes a suspect as its crashes add up. Why it works: proof needs two crashes, one of them in isolation, so a neighbour is not condemned; and every path ends in isolation after three crashes at most.

--- /dev/null
+++ b/daemons/manager/src/coltsfootseam/manager/crash_evidence.py
@@ -0,0 +1,120 @@
+"""Turns the loss of a worker into evidence against the tasks on it."""
+
+from coltsfootseam.jobs import RunPair, Task
+from coltsfootseam.manager.pool_state import PoolState
+from coltsfootseam.results import ResultCode
+from coltsfootseam.scheduling import find_unproven, judge_crash
+
+
+class CrashEvidence:
+    """Records which workers were lost, and judges the tasks on them.
+
+    A worker whose lease has ended may be cut off and is no evidence. Its runs
+    are remembered until it is known whether it has crashed.
+    """
+
+    __slots__ = ("_lost_pairs_by_worker", "_state")
+
+    def __init__(self, state: PoolState) -> None:
+        self._state = state
+        self._lost_pairs_by_worker: dict[str, list[RunPair]] = {}
+
+    def lost_worker_ids(self) -> list[str]:
+        """Returns the workers that lost their runs and may have crashed."""
+        return list(self._lost_pairs_by_worker)
+
+    def record_contact(self, worker_id: str) -> None:
+        """Records that a worker answers again, so it has not crashed."""
+        self._lost_pairs_by_worker.pop(worker_id, None)
+
+    def record_loss(
+        self, worker_id: str, pairs: list[RunPair], reason: str
+    ) -> None:
+        """Records the runs on a worker whose lease has ended."""
+        if not pairs:
+            return
+        self._report("contact.lost", worker_id, pairs, reason)
+        lost = self._lost_pairs_by_worker.setdefault(worker_id, [])
+        lost.extend(pairs)
+
+    def record_crash(
+        self, worker_id: str, pairs: list[RunPair], reason: str
+    ) -> None:
+        """Records that a worker has crashed, and judges the tasks on it.
+
+        Args:
+            worker_id: The worker.
+            pairs: The runs on it that have not ended otherwise.
+            reason: How the crash is known.
+        """
+        pairs = [*self._lost_pairs_by_worker.pop(worker_id, []), *pairs]
+        pairs = [pair for pair in pairs if not pair[0].is_done]
+        if not pairs:
+            return
+        self._report("crash.observed", worker_id, pairs, reason)
+        job_table = self._state.job_table
+        for task, _ in pairs:
+            if task.id.job_id in job_table.jobs_by_id:
+                job_table.record_crash(task, worker_id)
+        verdict = judge_crash(pairs)
+        for task in verdict.suspects:
+            self._suspect(task)
+        for task in verdict.guilty:
+            self._give_up(task)
+
+    def _suspect(self, task: Task) -> None:
+        state = self._state
+        if task.id.job_id not in state.job_table.active_by_id:
+            return
+        if not task.is_suspect:
+            state.context.counters.increment("crash.suspects")
+            state.context.log.write(
+                "crash.suspected",
+                job=task.id.job_id,
+                task=_position(task),
+                workers=task.crashed_worker_ids,
+            )
+        state.job_table.suspect(task, state.now_s())
+
+    def _give_up(self, task: Task) -> None:
+        state = self._state
+        explained_ids = frozenset(task.crashed_worker_ids)
+        state.context.counters.increment("crash.verdicts")
+        state.context.log.write(
+            "crash.task_given_up",
+            job=task.id.job_id,
+            task=_position(task),
+            workers=task.crashed_worker_ids,
+            code=ResultCode.JOB_CRASHES_WORKERS.value,
+        )
+        if task.id.job_id in state.job_table.jobs_by_id:
+            state.job_table.give_up(task, state.wall_ms())
+        cleared = state.job_table.clear_crashes(explained_ids)
+        innocent = [item for item in cleared if item is not task]
+        state.context.counters.increment("crash.cleared", len(innocent))
+        state.context.log.write(
+            "crash.cleared",
+            job=task.id.job_id,
+            tasks=[[item.id.job_id, *_position(item)] for item in innocent],
+        )
+
+    def _report(
+        self, event: str, worker_id: str, pairs: list[RunPair], reason: str
+    ) -> None:
+        state = self._state
+        state.context.counters.increment(event)
+        state.context.log.write(
+            event,
+            worker=worker_id,
+            pool=state.pool,
+            runs=len(pairs),
+            unproven=[
+                [task.id.job_id, *_position(task), run.number]
+                for task, run in find_unproven(pairs)
+            ],
+            why=reason,
+        )
+
+
+def _position(task: Task) -> list[int]:
+    return [task.id.occurrence, task.id.step, task.id.index]
--- a/daemons/manager/src/coltsfootseam/manager/evacuation.py
+++ b/daemons/manager/src/coltsfootseam/manager/evacuation.py
@@ -3,9 +3,14 @@
 import msgspec
 
 from coltsfootseam.calls import EvacuationReply, EvacuationRequest
-from coltsfootseam.jobs import Run, RunPair, RunPhase, Task
+from coltsfootseam.jobs import Run, RunPair, RunPhase, Step, Task
 from coltsfootseam.manager.pool_state import PoolState
-from coltsfootseam.scheduling import Occupancy, Shortage, typical_size
+from coltsfootseam.scheduling import (
+    Occupancy,
+    Shortage,
+    WorkerSize,
+    typical_size,
+)
 
 _MS_PER_S = 1000
 _READY_PERCENT = 100
@@ -24,14 +29,16 @@
 
     Attributes:
         shortages: What could not be placed in the last planning round.
+        reserved_ids: Workers that get no new tasks, to run a suspect.
     """
 
-    __slots__ = ("_requested_s", "_state", "shortages")
+    __slots__ = ("_requested_s", "_state", "reserved_ids", "shortages")
 
     def __init__(self, state: PoolState) -> None:
         self._state = state
         self._requested_s = float("-inf")
         self.shortages: list[Shortage] = []
+        self.reserved_ids: set[str] = set()
 
     def handle_request(self, request: EvacuationRequest) -> EvacuationReply:
         """Applies the fleet owner's request and returns the pool's demand."""
@@ -148,9 +155,11 @@
         """Returns what tasks occupy and what waiting ones will, in cores."""
         size = typical_size(self._state.cluster.workers_by_instance.values())
         occupancy = Occupancy()
-        for task, _ in self._state.job_table.runs.all_runs():
-            if not task.step.best_effort:
+        exclusive_ids = self._exclusive_ids()
+        for task, run in self._state.job_table.runs.all_runs():
+            if not task.step.best_effort and run.worker_id not in exclusive_ids:
                 occupancy.add(task.step, 1, size)
+        occupancy.add(_whole_worker(size), len(exclusive_ids), size)
         used_cores = occupancy.cores(size)
         for shortage in shortages:
             step = shortage.ready.step
@@ -158,6 +167,12 @@
                 occupancy.add(step, shortage.count, size)
         return _Demand(used_cores, occupancy.cores(size) - used_cores)
 
+    def _exclusive_ids(self) -> set[str]:
+        """Returns the workers that run a suspect alone, or are to do so."""
+        runs = self._state.job_table.runs.all_runs()
+        isolating_ids = {run.worker_id for _, run in runs if run.is_isolated}
+        return isolating_ids | self.reserved_ids
+
     def _fits_any_worker(self, shortage: Shortage) -> bool:
         """Returns whether a task fits on any existing worker when empty."""
         step = shortage.ready.step
@@ -215,6 +230,15 @@
         ]
 
 
+def _whole_worker(size: WorkerSize) -> Step:
+    """Returns a step whose task takes all resources of a worker."""
+    return Step(
+        cpu_millis=size.cpu_millis,
+        memory_mb=size.memory_mb,
+        accelerators=size.accelerators,
+    )
+
+
 def _is_ready(task: Task) -> bool:
     return any(
         run.phase is RunPhase.RUNNING and run.progress == _READY_PERCENT
--- a/daemons/manager/src/coltsfootseam/manager/planning.py
+++ b/daemons/manager/src/coltsfootseam/manager/planning.py
@@ -10,17 +10,25 @@
 from coltsfootseam.scheduling import (
     FITS,
     JOB_ORDERS,
+    IsolationPlan,
     Placement,
     Plan,
     ReadyStep,
     WorkerCapacity,
+    WorkerSize,
     critical_path_s,
+    is_proven,
+    max_isolating_workers,
+    plan_isolated_starts,
     plan_starts,
     step_key,
 )
 from coltsfootseam.workers import WorkerLink
 
 _MS_PER_S = 1000
+_MAX_ISOLATION_S = 10.0
+"""After this time the worker of a suspect, such as one that never ends, gets
+other tasks again."""
 
 
 class NewRun(msgspec.Struct, frozen=True):
@@ -36,9 +44,18 @@
 
     Attributes:
         plan: The latest plan.
+        isolation: The latest plan for suspects.
     """
 
-    __slots__ = ("_fit", "_order", "_speculation", "_state", "_tickets", "plan")
+    __slots__ = (
+        "_fit",
+        "_order",
+        "_speculation",
+        "_state",
+        "_tickets",
+        "isolation",
+        "plan",
+    )
 
     def __init__(self, state: PoolState, tickets: TicketCache) -> None:
         self._state = state
@@ -48,6 +65,7 @@
         self._order = JOB_ORDERS.lookup(policies.job_order)
         self._fit = FITS.lookup(policies.fit)
         self.plan = Plan()
+        self.isolation = IsolationPlan()
 
     def plan_runs(self, max_starts: int | None = None) -> list[NewRun]:
         """Returns the runs to start now, after adding them to the job table.
@@ -59,9 +77,19 @@
         slow = self._speculation.find_slow_steps()
         if not ready and not slow:
             self.plan = Plan()
+            self.isolation = IsolationPlan()
             return []
         workers = self.worker_capacities()
         now_s = self._state.now_s()
+        self.isolation = plan_isolated_starts(
+            ready,
+            workers,
+            now_s,
+            self._tickets.find,
+            self._fit,
+            self._max_isolating(len(workers)),
+            self.isolation.reserved_ids,
+        )
         self.plan = plan_starts(
             ready, workers, now_s, self._tickets.find, self._fit, max_starts
         )
@@ -69,7 +97,10 @@
         copies = []
         if not self.plan.shortages and not self.plan.undecided:
             copies = self._speculation.place(slow, workers)
-        new_runs = self._record_runs(self.plan.placements + copies)
+        new_runs = self._record_runs(
+            self.isolation.placements, is_isolated=True
+        )
+        new_runs += self._record_runs(self.plan.placements + copies)
         preempt(self._state, self.plan.shortages, workers)
         return new_runs
 
@@ -81,13 +112,31 @@
             if not link.is_gone
         }
         for worker_id, worker in workers_by_id.items():
-            for task, _ in self._state.job_table.runs.runs_of(worker_id):
-                probation_slots = worker.probation_slots
-                worker.reserve(task.step, step_key(task.id))
-                if probation_slots is not None and task.step.long_running:
-                    worker.probation_slots = probation_slots
+            for task, run in self._state.job_table.runs.runs_of(worker_id):
+                self._add_run(worker, task, run)
         return list(workers_by_id.values())
 
+    def _add_run(self, worker: WorkerCapacity, task: Task, run: Run) -> None:
+        """Adds an active run to the snapshot of its worker."""
+        probation_slots = worker.probation_slots
+        worker.reserve(task.step, step_key(task.id))
+        if probation_slots is not None and task.step.long_running:
+            worker.probation_slots = probation_slots
+        age_s = self._state.now_s() - run.ordered_s
+        estimate_s = task.step.estimate_ms / _MS_PER_S
+        worker.remaining_s = max(worker.remaining_s, estimate_s - age_s)
+        worker.long_running_count += task.step.long_running
+        if run.is_isolated and age_s < _MAX_ISOLATION_S:
+            worker.is_isolating = True
+        if not is_proven(run):
+            worker.unproven_count += 1
+            if task.crashed_worker_ids:
+                worker.has_unproven_suspect = True
+
+    def _max_isolating(self, worker_count: int) -> int:
+        share = self._state.context.policies.isolation_share
+        return max_isolating_workers(worker_count, share)
+
     def _worker_capacity(self, link: WorkerLink) -> WorkerCapacity:
         entry = link.entry
         state = self._state
@@ -111,6 +160,9 @@
             probation_slots=state.health.probation_slots(worker_id),
             slowness=state.health.slowness(worker_id),
             counts_by_step={},
+            size=WorkerSize(
+                entry.cpu_millis, entry.memory_mb, entry.accelerators
+            ),
         )
 
     def _ready_steps(self) -> list[ReadyStep]:
@@ -167,7 +219,9 @@
             objective_s=max(objective_s, 0.1),
         )
 
-    def _record_runs(self, placements: list[Placement]) -> list[NewRun]:
+    def _record_runs(
+        self, placements: list[Placement], is_isolated: bool = False
+    ) -> list[NewRun]:
         now_s = self._state.now_s()
         run_numbers_by_gang: dict[tuple[str, int, int], int] = {}
         new_runs = []
@@ -180,7 +234,7 @@
                     key, self._next_gang_run_number(task)
                 )
             run = self._state.job_table.add_run(
-                task, placement.worker_id, now_s, number
+                task, placement.worker_id, now_s, number, is_isolated
             )
             new_runs.append(NewRun(task, run, placement.ticket))
         return new_runs
--- a/daemons/manager/src/coltsfootseam/manager/planning_rounds.py
+++ b/daemons/manager/src/coltsfootseam/manager/planning_rounds.py
@@ -52,6 +52,7 @@
             self._orders.remaining_start_capacity()
         )
         self._evacuation.shortages = self._machine_shortages()
+        self._evacuation.reserved_ids = self._planner.isolation.reserved_ids
         self._orders.send_stops()
         end_sequences_by_worker = dict(state.end_sequences_by_worker)
         documents_by_id = state.job_table.drain_changes()
--- a/daemons/manager/src/coltsfootseam/manager/run_reconciler.py
+++ b/daemons/manager/src/coltsfootseam/manager/run_reconciler.py
@@ -1,9 +1,9 @@
 """Reconciles the job table with what workers report."""
 
 from coltsfootseam.jobs import Run, RunEnd, RunPair, Task, TaskId
+from coltsfootseam.manager.crash_evidence import CrashEvidence
 from coltsfootseam.manager.orders import Orders
 from coltsfootseam.manager.pool_state import PoolState
-from coltsfootseam.scheduling import find_unproven
 from coltsfootseam.workers import (
     EndedRun,
     HeartbeatReply,
@@ -18,11 +18,12 @@
 class RunReconciler:
     """Applies heartbeat replies and the loss of workers to the job table."""
 
-    __slots__ = ("_orders", "_state")
+    __slots__ = ("_crashes", "_orders", "_state")
 
     def __init__(self, state: PoolState, orders: Orders) -> None:
         self._state = state
         self._orders = orders
+        self._crashes = CrashEvidence(state)
 
     def apply_reply(
         self, link: WorkerLink, report: HeartbeatReply, sent_s: float
@@ -34,6 +35,7 @@
             report: The worker's ended and current runs.
             sent_s: When the heartbeat was sent; the reply is no older.
         """
+        self._crashes.record_contact(link.worker_id)
         for ended in report.ended:
             self._apply_end(link, ended)
         listed = set()
@@ -42,44 +44,31 @@
             self._apply_running(link, reported)
         self._end_unlisted_runs(link, listed, sent_s)
 
-    def lapse_runs_on(
-        self, worker_id: str, reason: str, is_crash: bool
-    ) -> None:
-        """Ends all runs on a worker, as nothing runs there any more.
+    def end_lost_runs(self, worker_id: str, reason: str) -> None:
+        """Ends all runs on a worker whose lease has ended."""
+        pairs = self._state.job_table.runs.runs_of(worker_id)
+        self._crashes.record_loss(worker_id, pairs, reason)
+        self._lapse(pairs, reason)
 
-        Args:
-            worker_id: The worker.
-            reason: Why its runs have ended.
-            is_crash: Whether the worker is known to have crashed. One that was
-                cut off has only lost its lease.
-        """
+    def end_crashed_runs(self, worker_id: str, reason: str) -> None:
+        """Ends all runs on a worker that has crashed."""
         pairs = self._state.job_table.runs.runs_of(worker_id)
-        if pairs:
-            self._report_lost_runs(worker_id, pairs, reason, is_crash)
+        self._crashes.record_crash(worker_id, pairs, reason)
+        self._lapse(pairs, reason)
+
+    def end_evacuated_runs(self, worker_id: str, reason: str) -> None:
+        """Ends all runs on a worker that has left as planned."""
+        pairs = self._state.job_table.runs.runs_of(worker_id)
+        self._lapse(pairs, reason)
+
+    def lost_worker_ids(self) -> list[str]:
+        """Returns the workers that lost their runs and may have crashed."""
+        return self._crashes.lost_worker_ids()
+
+    def _lapse(self, pairs: list[RunPair], reason: str) -> None:
         for task, run in pairs:
             self._end_run(task, run, RunEnd.LAPSED, run.saved, reason)
 
-    def _report_lost_runs(
-        self,
-        worker_id: str,
-        pairs: list[RunPair],
-        reason: str,
-        is_crash: bool,
-    ) -> None:
-        state = self._state
-        unproven = find_unproven(pairs)
-        state.context.log.write(
-            "crash.observed" if is_crash else "contact.lost",
-            worker=worker_id,
-            pool=state.pool,
-            runs=len(pairs),
-            unproven=[[task.id.job_id, run.number] for task, run in unproven],
-            why=reason,
-        )
-        state.context.counters.increment(
-            "crash.observed" if is_crash else "contact.lost"
-        )
-
     def _apply_end(self, link: WorkerLink, ended: EndedRun) -> None:
         state = self._state
         last_sequence = state.end_sequences_by_worker.get(link.worker_id, 0)
--- a/daemons/manager/src/coltsfootseam/manager/worker_links.py
+++ b/daemons/manager/src/coltsfootseam/manager/worker_links.py
@@ -18,6 +18,7 @@
 )
 
 _ISOLATION_CHECK_S = 0.8
+_INCARNATION_ENDED = "its incarnation has ended"
 
 
 class WorkerLinks:
@@ -51,7 +52,7 @@
                 self._sync_link(entry)
         for link in list(self._state.links_by_id.values()):
             self._check_link(link)
-        self._lapse_unlinked_runs()
+        self._end_unlinked_runs()
 
     def close(self) -> None:
         """Closes all links; the workers' leases run on."""
@@ -108,10 +109,10 @@
         if latest is not None and latest.started_ms > link.entry.started_ms:
             link.is_gone = True
         if link.is_gone:
-            self._drop_link(link, "its incarnation has ended")
+            self._drop_link(link, _INCARNATION_ENDED)
         elif not link.is_reachable and link.lease.has_ended():
-            self._reconciler.lapse_runs_on(
-                link.worker_id, "its lease has ended", is_crash=False
+            self._reconciler.end_lost_runs(
+                link.worker_id, "its lease has ended"
             )
             if latest is None:
                 self._drop_link(link, "it does not respond and has no entry")
@@ -125,8 +126,12 @@
         worker_id = link.worker_id
         if link.is_gone:
             self._state.ended_worker_ids.add(worker_id)
-        is_crash = link.is_gone and not self._is_leaving(link.entry)
-        self._reconciler.lapse_runs_on(worker_id, reason, is_crash)
+        if not link.is_gone:
+            self._reconciler.end_lost_runs(worker_id, reason)
+        elif self._is_leaving(link.entry):
+            self._reconciler.end_evacuated_runs(worker_id, reason)
+        else:
+            self._reconciler.end_crashed_runs(worker_id, reason)
         self._state.links_by_id.pop(worker_id, None)
         self._state.end_sequences_by_worker.pop(worker_id, None)
         self._state.health.forget(worker_id)
@@ -139,28 +144,27 @@
             "worker.dropped", worker=worker_id, why=reason
         )
 
-    def _lapse_unlinked_runs(self) -> None:
+    def _end_unlinked_runs(self) -> None:
         """Ends the runs on workers to which there is no link."""
-        has_ended = self._have_previous_leases_ended()
-        unlinked_ids = {
-            worker_id
-            for worker_id in self._state.job_table.runs.worker_ids()
-            if worker_id not in self._state.links_by_id
+        state = self._state
+        have_leases_ended = self._have_previous_leases_ended()
+        worker_ids = {
+            *state.job_table.runs.worker_ids(),
+            *self._reconciler.lost_worker_ids(),
         }
-        for worker_id in sorted(unlinked_ids):
-            if (
-                worker_id in self._state.ended_worker_ids
+        for worker_id in sorted(worker_ids - state.links_by_id.keys()):
+            has_ended = (
+                worker_id in state.ended_worker_ids
                 or self._has_newer_incarnation(worker_id)
-            ):
-                self._reconciler.lapse_runs_on(
-                    worker_id,
-                    "its incarnation has ended",
-                    worker_id not in self._state.evacuating_worker_ids,
+            )
+            if has_ended and worker_id in state.evacuating_worker_ids:
+                self._reconciler.end_evacuated_runs(
+                    worker_id, _INCARNATION_ENDED
                 )
             elif has_ended:
-                self._reconciler.lapse_runs_on(
-                    worker_id, "its lease has ended", is_crash=False
-                )
+                self._reconciler.end_crashed_runs(worker_id, _INCARNATION_ENDED)
+            elif have_leases_ended:
+                self._reconciler.end_lost_runs(worker_id, "its lease has ended")
 
     def _has_newer_incarnation(self, worker_id: str) -> bool:
         latest = self._state.cluster.workers_by_instance.get(
--- a/libs/jobs/src/coltsfootseam/jobs/documents.py
+++ b/libs/jobs/src/coltsfootseam/jobs/documents.py
@@ -20,6 +20,7 @@
     number: int
     worker_id: str
     is_stopping: bool = False
+    is_isolated: bool = False
 
 
 class StoredTask(msgspec.Struct, array_like=True, omit_defaults=True):
@@ -34,6 +35,8 @@
     checkpoint: str = ""
     runs: list[StoredRun] = []
     last_failed_run_number: int = 0
+    crashed_worker_ids: tuple[str, ...] = ()
+    is_suspect: bool = False
 
 
 class Progress(msgspec.Struct, array_like=True, omit_defaults=True):
@@ -139,6 +142,8 @@
     task.failures = stored.failures
     task.last_failed_run_number = stored.last_failed_run_number
     task.checkpoint = stored.checkpoint
+    task.crashed_worker_ids = stored.crashed_worker_ids
+    task.suspect_since_s = now_s if stored.is_suspect else None
     if stored.is_done and not task.is_done:
         task.is_done = True
         occurrence.open_count_by_step[stored.step] -= 1
@@ -156,6 +161,7 @@
         ordered_s=now_s,
         settled_s=now_s,
         pace=None,
+        is_isolated=stored.is_isolated,
     )
 
 
@@ -169,10 +175,17 @@
         failures=task.failures,
         checkpoint=task.checkpoint,
         runs=[
-            StoredRun(run.number, run.worker_id, run.phase is RunPhase.STOPPING)
+            StoredRun(
+                run.number,
+                run.worker_id,
+                run.phase is RunPhase.STOPPING,
+                run.is_isolated,
+            )
             for run in task.runs
         ],
         last_failed_run_number=task.last_failed_run_number,
+        crashed_worker_ids=task.crashed_worker_ids,
+        is_suspect=task.is_suspect,
     )
 
 
--- a/libs/jobs/src/coltsfootseam/jobs/entities.py
+++ b/libs/jobs/src/coltsfootseam/jobs/entities.py
@@ -32,6 +32,7 @@
             earlier owner may have ordered another.
         load: Tail latency in ms for a serving task, else processor in use.
         reason: Why it is stopped, or empty.
+        is_isolated: Whether its worker gets no other tasks meanwhile.
     """
 
     number: int
@@ -47,6 +48,7 @@
     pace: int | None = 100
     load: int = 0
     reason: str = ""
+    is_isolated: bool = False
 
 
 class Task(msgspec.Struct):
@@ -68,6 +70,10 @@
         wait_until_s: Earliest time of a new run, monotonic seconds.
         last_inactive_s: When it was last seen inactive, monotonic seconds, or
             ``None``.
+        crashed_worker_ids: Workers that crashed while a run of the task was on
+            them, unless another task is known to be the cause.
+        suspect_since_s: Since when the task is likely enough to crash workers
+            that it has to run in isolation, monotonic seconds, or ``None``.
     """
 
     id: TaskId
@@ -82,6 +88,13 @@
     stall_count: int = 0
     wait_until_s: float = 0.0
     last_inactive_s: float | None = None
+    crashed_worker_ids: tuple[str, ...] = ()
+    suspect_since_s: float | None = None
+
+    @property
+    def is_suspect(self) -> bool:
+        """Whether the task has to run in isolation."""
+        return self.suspect_since_s is not None
 
     def find_run(self, number: int, worker_id: str) -> Run | None:
         """Returns a run by number and worker, ``None`` if it isn't active."""
--- a/libs/jobs/src/coltsfootseam/jobs/job_table.py
+++ b/libs/jobs/src/coltsfootseam/jobs/job_table.py
@@ -122,7 +122,12 @@
         return None if job is None else job.task(task_id)
 
     def add_run(
-        self, task: Task, worker_id: str, now_s: float, number: int = 0
+        self,
+        task: Task,
+        worker_id: str,
+        now_s: float,
+        number: int = 0,
+        is_isolated: bool = False,
     ) -> Run:
         """Adds and returns a run that is about to be ordered.
 
@@ -132,6 +137,7 @@
             now_s: Monotonic time.
             number: Lowest number that the run may get. All tasks of a gang get
                 the same number.
+            is_isolated: Whether its worker gets no other tasks meanwhile.
         """
         task.last_run_number = max(task.last_run_number + 1, number)
         run = Run(
@@ -139,6 +145,7 @@
             worker_id,
             ordered_s=now_s,
             checkpoint=task.checkpoint,
+            is_isolated=is_isolated,
         )
         task.runs = [*task.runs, run]
         self.runs.add(task, run)
@@ -186,6 +193,55 @@
             self._apply_failure(job, task, run, now_ms)
         self._update_active(job)
 
+    def record_crash(self, task: Task, worker_id: str) -> None:
+        """Records that a worker crashed while a run of a task was on it.
+
+        A crash under any member of a gang counts for each of them.
+        """
+        job = self.jobs_by_id[task.id.job_id]
+        for member in _members(job, task):
+            if worker_id not in member.crashed_worker_ids:
+                member.crashed_worker_ids += (worker_id,)
+        self.changed_ids.add(job.id)
+
+    def suspect(self, task: Task, now_s: float) -> None:
+        """Has a task, and its whole gang, run in isolation from now on."""
+        job = self.jobs_by_id[task.id.job_id]
+        for member in _members(job, task):
+            member.suspect_since_s = now_s
+        self.changed_ids.add(job.id)
+
+    def give_up(self, task: Task, now_ms: int) -> None:
+        """Fails the job of a task that crashes its workers."""
+        job = self.jobs_by_id[task.id.job_id]
+        if not job.state.is_final:
+            self._finish(job, JobState.FAILED, now_ms)
+
+    def clear_crashes(self, explained_ids: frozenset[str]) -> list[Task]:
+        """Clears tasks of crashes that another task is known to have caused.
+
+        Args:
+            explained_ids: The workers that crashed under that other task.
+
+        Returns:
+            The tasks that no crash is left for.
+        """
+        cleared = []
+        for job in self.active_by_id.values():
+            for task in job.tasks():
+                if explained_ids.isdisjoint(task.crashed_worker_ids):
+                    continue
+                task.crashed_worker_ids = tuple(
+                    worker_id
+                    for worker_id in task.crashed_worker_ids
+                    if worker_id not in explained_ids
+                )
+                self.changed_ids.add(job.id)
+                if not task.crashed_worker_ids:
+                    task.suspect_since_s = None
+                    cleared.append(task)
+        return cleared
+
     def drain_changes(self) -> dict[str, bytes]:
         """Returns the encoded progress of each changed job, by id.
 
@@ -250,8 +306,7 @@
         """Counts a failure for all members, once for each run of the gang."""
         if task.last_failed_run_number >= run_number:
             return
-        occurrence = job.occurrence(task.id.occurrence)
-        for member in occurrence.tasks_by_step[task.id.step]:
+        for member in _members(job, task):
             member.failures += 1
             member.last_failed_run_number = run_number
 
@@ -272,3 +327,10 @@
             self.active_by_id[job.id] = job
         else:
             self.active_by_id.pop(job.id, None)
+
+
+def _members(job: Job, task: Task) -> list[Task]:
+    """Returns the tasks that only run together with a task, itself included."""
+    if not task.step.gang:
+        return [task]
+    return job.occurrence(task.id.occurrence).tasks_by_step[task.id.step]
--- a/libs/results/src/coltsfootseam/results/codes.py
+++ b/libs/results/src/coltsfootseam/results/codes.py
@@ -37,6 +37,7 @@
     HOST_PHASE = 41
     MEMBER_RENEWED = 42
     JOB_UNKNOWN = 43
+    JOB_CRASHES_WORKERS = 44
 
     NOT_RUN_OVERLOADED = 50
     NOT_RUN_NO_ENDPOINT = 51
--- a/libs/scheduling/src/coltsfootseam/scheduling/__init__.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/__init__.py
@@ -1,6 +1,11 @@
 """Scheduling decisions over snapshots, without network access."""
 
-from coltsfootseam.scheduling.crashes import find_unproven, is_proven
+from coltsfootseam.scheduling.crashes import (
+    Verdict,
+    find_unproven,
+    is_proven,
+    judge_crash,
+)
 from coltsfootseam.scheduling.demand import (
     NEED_RULES,
     DemandHistory,
@@ -15,6 +20,11 @@
 )
 from coltsfootseam.scheduling.fits import FITS
 from coltsfootseam.scheduling.health import WorkerHealth
+from coltsfootseam.scheduling.isolation import (
+    IsolationPlan,
+    max_isolating_workers,
+    plan_isolated_starts,
+)
 from coltsfootseam.scheduling.maintenance import (
     DueMachine,
     WaveProgress,
@@ -60,6 +70,7 @@
     "DemandHistory",
     "DueMachine",
     "IdleTimes",
+    "IsolationPlan",
     "MachineSupply",
     "Move",
     "NeedRule",
@@ -75,6 +86,7 @@
     "Shortage",
     "SlowRun",
     "StepKey",
+    "Verdict",
     "WaveProgress",
     "WorkerCapacity",
     "WorkerHealth",
@@ -86,6 +98,9 @@
     "find_stalled",
     "find_unproven",
     "is_proven",
+    "judge_crash",
+    "max_isolating_workers",
+    "plan_isolated_starts",
     "plan_moves",
     "plan_pace",
     "plan_preemption",
--- a/libs/scheduling/src/coltsfootseam/scheduling/crashes.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/crashes.py
@@ -1,13 +1,34 @@
-"""Which of the runs on a worker may have crashed it.
+"""Which task crashed a worker, by the runs that were on it.
 
-A worker may crash because of a task that it runs. A run that the worker has
-reported for a while since its start is an unlikely cause; one that it never
-reported, or only just after the start, is a likely one.
+A run that its worker has reported for a while is proven: it is an unlikely
+cause of a crash. Among the others a few likely ones are suspects, which run in
+isolation from then on. A task that crashes a worker in isolation as well is the
+cause. One that only crashes workers after a while becomes a suspect, too, as
+the crashes under it add up.
 """
 
-from coltsfootseam.jobs import Run, RunPair
+import msgspec
+
+from coltsfootseam.jobs import Run, RunPair, Task
 
 _PROVEN_AFTER_S = 0.25
+_MAX_SUSPECTS_PER_CRASH = 4
+_SUSPECT_AFTER_UNPROVEN_CRASHES = 2
+_SUSPECT_AFTER_CRASHES = 3
+_GUILTY_AFTER_UNPROVEN_CRASHES = 2
+_GUILTY_AFTER_CRASHES = 3
+
+
+class Verdict(msgspec.Struct, frozen=True):
+    """What a crash says about the tasks that were on the worker.
+
+    Attributes:
+        suspects: Tasks to run in isolation.
+        guilty: Tasks that have crashed a worker in isolation.
+    """
+
+    suspects: list[Task]
+    guilty: list[Task]
 
 
 def is_proven(run: Run) -> bool:
@@ -27,8 +48,58 @@
     return sorted(unproven, key=_likelihood)
 
 
-def _likelihood(pair: RunPair) -> tuple[bool, float]:
-    """Returns a sort key: never reported first, then started last."""
-    _, run = pair
+def judge_crash(pairs: list[RunPair]) -> Verdict:
+    """Returns which tasks are suspect or guilty after a crash.
+
+    Args:
+        pairs: All runs on the worker; their tasks include this crash already.
+    """
+    unproven = find_unproven(pairs)
+    guilty = [pair[0] for pair in pairs if _is_guilty(pair, unproven)]
+    if guilty:
+        return Verdict([], guilty)
+    suspects = [task for task, _ in unproven[:_MAX_SUSPECTS_PER_CRASH]]
+    suspects += [
+        task
+        for task, _ in unproven[_MAX_SUSPECTS_PER_CRASH:]
+        if len(task.crashed_worker_ids) >= _SUSPECT_AFTER_UNPROVEN_CRASHES
+    ]
+    suspects += [
+        task
+        for task, run in pairs
+        if is_proven(run)
+        and len(task.crashed_worker_ids) >= _SUSPECT_AFTER_CRASHES
+    ]
+    return Verdict(suspects, [])
+
+
+def _is_guilty(pair: RunPair, unproven: list[RunPair]) -> bool:
+    task, run = pair
+    if not run.is_isolated:
+        return False
+    if any(not _is_same_unit(task, other) for other, _ in unproven):
+        return False
+    needed = (
+        _GUILTY_AFTER_CRASHES
+        if is_proven(run)
+        else _GUILTY_AFTER_UNPROVEN_CRASHES
+    )
+    return len(task.crashed_worker_ids) >= needed
+
+
+def _is_same_unit(task: Task, other: Task) -> bool:
+    """Returns whether two tasks are the same, or of the same gang."""
+    if not task.step.gang:
+        return task is other
+    return (task.id.job_id, task.id.occurrence, task.id.step) == (
+        other.id.job_id,
+        other.id.occurrence,
+        other.id.step,
+    )
+
+
+def _likelihood(pair: RunPair) -> tuple[int, bool, float]:
+    """Returns a sort key: earlier crashes, never reported, started last."""
+    task, run = pair
     started_s = run.ordered_s if run.started_s is None else run.started_s
-    return run.progress_s is not None, -started_s
+    return -len(task.crashed_worker_ids), run.progress_s is not None, -started_s
--- /dev/null
+++ b/libs/scheduling/src/coltsfootseam/scheduling/isolation.py
@@ -0,0 +1,176 @@
+"""Places suspects: tasks that may crash the worker that starts them.
+
+A suspect runs on a worker that runs nothing else, so that a crash harms no
+other task and tells whether the suspect is the cause. While no worker is empty,
+some get no new tasks until they are. A suspect that has waited for long accepts
+a worker all of whose runs are proven.
+"""
+
+import msgspec
+
+from coltsfootseam.jobs import Task
+from coltsfootseam.scheduling.fits import Fit
+from coltsfootseam.scheduling.ordering import ReadyStep
+from coltsfootseam.scheduling.placement import Placement, TicketOf, place_step
+from coltsfootseam.scheduling.worker_capacity import WorkerCapacity, step_key
+
+_MAX_EXCLUSIVE_WAIT_S = 2.0
+_MIN_ISOLATING_WORKERS = 1
+
+
+class _Group(msgspec.Struct, frozen=True):
+    """Suspects to place together: a single task, or a gang."""
+
+    ready: ReadyStep
+    tasks: list[Task]
+
+    def suspect_since_s(self) -> float:
+        """Returns since when one of the tasks has been a suspect."""
+        return min(
+            task.suspect_since_s
+            for task in self.tasks
+            if task.suspect_since_s is not None
+        )
+
+    def crash_count(self) -> int:
+        """Returns how many workers have crashed under the tasks."""
+        return max(len(task.crashed_worker_ids) for task in self.tasks)
+
+
+class IsolationPlan(msgspec.Struct):
+    """The result of placing suspects.
+
+    Attributes:
+        placements: Suspects to start.
+        reserved_ids: Workers that get no new tasks, so that they become empty.
+    """
+
+    placements: list[Placement] = []
+    reserved_ids: set[str] = set()
+
+
+def max_isolating_workers(worker_count: int, share: float) -> int:
+    """Returns how many workers of a pool may run suspects at once."""
+    return max(_MIN_ISOLATING_WORKERS, int(worker_count * share))
+
+
+def plan_isolated_starts(
+    ready_steps: list[ReadyStep],
+    workers: list[WorkerCapacity],
+    now_s: float,
+    ticket_of: TicketOf,
+    fit: Fit,
+    max_isolating: int,
+    reserved_ids: set[str],
+) -> IsolationPlan:
+    """Returns a plan that places suspects; call it before all other tasks.
+
+    Args:
+        ready_steps: Ready steps, in the order in which they are to be served.
+        workers: Snapshot of the workers. Those that the plan uses or reserves
+            are closed.
+        now_s: Monotonic time.
+        ticket_of: Finds tickets for queues that have a policy service.
+        fit: Chooses among workers of otherwise equal cost.
+        max_isolating: How many workers may run suspects at once. A suspect that
+            has waited for long does not count.
+        reserved_ids: Workers that the previous plan reserved.
+    """
+    plan = IsolationPlan()
+    free_slots = max_isolating
+    for worker in workers:
+        if worker.is_isolating:
+            worker.is_open = False
+            free_slots -= 1
+    for group in _waiting_groups(ready_steps, now_s):
+        is_overdue = now_s - group.suspect_since_s() > _MAX_EXCLUSIVE_WAIT_S
+        if free_slots <= 0 and not is_overdue:
+            continue
+        used = _place_group(group, workers, is_overdue, ticket_of, fit, plan)
+        if used:
+            free_slots -= used
+            continue
+        reserved = _choose_reserve(group, workers, is_overdue, reserved_ids)
+        if reserved is not None:
+            reserved.is_open = False
+            plan.reserved_ids.add(reserved.worker_id)
+            free_slots -= 1
+    return plan
+
+
+def _waiting_groups(ready_steps: list[ReadyStep], now_s: float) -> list[_Group]:
+    """Returns the waiting suspects, those with the most crashes first."""
+    groups: list[_Group] = []
+    for ready in ready_steps:
+        tasks = ready.occurrence.tasks_by_step[ready.number]
+        waiting = [
+            task
+            for task in tasks
+            if task.is_pending() and task.wait_until_s <= now_s
+        ]
+        suspects = [task for task in waiting if task.is_suspect]
+        if not ready.step.gang:
+            groups.extend(_Group(ready, [task]) for task in suspects)
+        elif suspects and len(waiting) == len(tasks):
+            groups.append(_Group(ready, waiting))
+    groups.sort(key=lambda group: -group.crash_count())
+    return groups
+
+
+def _place_group(
+    group: _Group,
+    workers: list[WorkerCapacity],
+    is_overdue: bool,
+    ticket_of: TicketOf,
+    fit: Fit,
+    plan: IsolationPlan,
+) -> int:
+    """Places a group; returns how many workers it uses, 0 if it can't."""
+    candidates = [
+        worker
+        for worker in workers
+        if worker.is_open and _is_safe_company(worker, is_overdue)
+    ]
+    placements = place_step(
+        group.ready, group.tasks, candidates, ticket_of, fit
+    )
+    used_ids = {placement.worker_id for placement in placements}
+    for worker in candidates:
+        if worker.worker_id in used_ids:
+            worker.is_open = False
+    plan.placements.extend(placements)
+    return len(used_ids)
+
+
+def _is_safe_company(worker: WorkerCapacity, is_overdue: bool) -> bool:
+    """Returns whether a crash there would tell the cause, and harm few."""
+    if worker.is_empty():
+        return True
+    return is_overdue and worker.unproven_count == 0
+
+
+def _choose_reserve(
+    group: _Group,
+    workers: list[WorkerCapacity],
+    is_overdue: bool,
+    reserved_ids: set[str],
+) -> WorkerCapacity | None:
+    """Returns the open worker that is empty soonest, if any suits a group."""
+    key = step_key(group.tasks[0].id)
+    suitable = [
+        worker
+        for worker in workers
+        if worker.is_open
+        and worker.may_run(group.ready.step, key)
+        and worker.fits_when_empty(group.ready.step)
+        and (is_overdue or not worker.long_running_count)
+    ]
+    return min(
+        suitable,
+        key=lambda worker: (
+            worker.worker_id not in reserved_ids,
+            worker.long_running_count,
+            worker.remaining_s,
+        ),
+        default=None,
+    )
--- a/libs/scheduling/src/coltsfootseam/scheduling/placement.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/placement.py
@@ -100,7 +100,7 @@
             continue
         placed: list[Placement] = []
         if bound.may_fit(ready.step):
-            placed = _place_step(ready, tasks, open_workers, ticket_of, fit)
+            placed = place_step(ready, tasks, open_workers, ticket_of, fit)
             bound.record_reservations(len(placed))
         plan.placements.extend(placed)
         missing = len(tasks) - len(placed)
@@ -118,20 +118,31 @@
     waiting = [
         task
         for task in tasks
-        if task.is_pending() and task.wait_until_s <= now_s
+        if task.is_pending()
+        and task.wait_until_s <= now_s
+        and not task.is_suspect
     ]
     if ready.step.gang and len(waiting) < len(tasks):
         return []
     return waiting
 
 
-def _place_step(
+def place_step(
     ready: ReadyStep,
     tasks: list[Task],
     workers: list[WorkerCapacity],
     ticket_of: TicketOf,
     fit: Fit,
 ) -> list[Placement]:
+    """Reserves capacity for tasks of a step and returns their placements.
+
+    Args:
+        ready: The step.
+        tasks: Waiting tasks of it; all of them if it is a gang.
+        workers: Workers that may get them.
+        ticket_of: Finds tickets for queues that have a policy service.
+        fit: Chooses among workers of otherwise equal cost.
+    """
     key = step_key(tasks[0].id)
     tickets_by_worker = _find_tickets(ready, key, workers, ticket_of)
     eligible = workers
@@ -164,10 +175,11 @@
     """Returns whether all tasks of a step have the same cost on a worker.
 
     The cost of a long-running task depends on where its step's other tasks are,
-    the cost of a task that failed on where it failed.
+    the cost of a task that failed on where it failed. A task under which a
+    worker has crashed may not run beside another such task.
     """
     return not tasks[0].step.long_running and not any(
-        task.failed_worker_ids for task in tasks
+        task.failed_worker_ids or task.crashed_worker_ids for task in tasks
     )
 
 
@@ -207,6 +219,8 @@
         if worker is None:
             break
         worker.reserve(task.step, key)
+        if task.crashed_worker_ids:
+            worker.has_unproven_suspect = True
         placed.append((task, worker))
     return placed
 
@@ -250,6 +264,8 @@
     for worker in workers:
         if not _can_accept(worker, step, key):
             continue
+        if task.crashed_worker_ids and worker.has_unproven_suspect:
+            continue
         cost = _cost(task, worker, workers, key, fit)
         if cost < best_cost:
             best = worker
--- a/libs/scheduling/src/coltsfootseam/scheduling/policies.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/policies.py
@@ -16,12 +16,15 @@
         fit: Rule that chooses among workers of otherwise equal cost.
         copies: Rule that decides which slow tasks get a copy.
         pools: How pools are sized.
+        isolation_share: Share of a pool's workers, from 0 to 1, that may run
+            suspects at once; at least one worker may.
     """
 
     job_order: str = "objective"
     fit: str = "tightest"
     copies: str = "remaining"
     pools: PoolRules = PoolRules()
+    isolation_share: float = 0.25
 
 
 def find_problem(policies: Policies) -> str:
@@ -36,4 +39,6 @@
     pools = policies.pools
     if min(pools.headroom_cores, pools.least_machines, pools.idle_s) < 0:
         return "headroom_cores, least_machines and idle_s must not be negative"
+    if not 0 <= policies.isolation_share <= 1:
+        return "isolation_share must be between 0 and 1"
     return ""
--- a/libs/scheduling/src/coltsfootseam/scheduling/speculation.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/speculation.py
@@ -96,7 +96,7 @@
     """
     slow_runs = []
     for task in tasks:
-        if task.is_done or len(task.runs) != 1:
+        if task.is_done or len(task.runs) != 1 or task.crashed_worker_ids:
             continue
         run = task.runs[0]
         if run.phase is not RunPhase.RUNNING or run.started_s is None:
--- a/libs/scheduling/src/coltsfootseam/scheduling/worker_capacity.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/worker_capacity.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from coltsfootseam.jobs import Step, TaskId
+from coltsfootseam.scheduling.occupancy import WorkerSize
 
 StepKey = tuple[str, int, int]
 """Identifies a step of one occurrence: job id, occurrence, step."""
@@ -33,6 +34,13 @@
         slowness: Ratio of its run times to the pool's.
         best_effort_count: Best-effort tasks on it.
         counts_by_step: How many tasks of each step it runs.
+        long_running_count: Long-running tasks on it.
+        unproven_count: Runs on it that it hasn't reported for a while yet.
+        has_unproven_suspect: Whether one of these is of a task under which a
+            worker has crashed before.
+        is_isolating: Whether a suspect runs there in isolation.
+        remaining_s: Estimated time until all runs on it have ended.
+        size: Its resources when nothing runs on it.
     """
 
     worker_id: str
@@ -48,6 +56,12 @@
     slowness: float = 1.0
     best_effort_count: int = 0
     counts_by_step: dict[StepKey, int] = {}
+    long_running_count: int = 0
+    unproven_count: int = 0
+    has_unproven_suspect: bool = False
+    is_isolating: bool = False
+    remaining_s: float = 0.0
+    size: WorkerSize = WorkerSize()
 
     def is_empty(self) -> bool:
         """Returns whether no task runs on the worker."""
@@ -61,6 +75,14 @@
             return False
         return step.best_effort or step.cpu_millis <= self.free_cpu_millis
 
+    def fits_when_empty(self, step: Step) -> bool:
+        """Returns whether a task of the step fits if nothing else runs."""
+        return (
+            step.memory_mb <= self.size.memory_mb
+            and step.accelerators <= self.size.accelerators
+            and (step.best_effort or step.cpu_millis <= self.size.cpu_millis)
+        )
+
     def may_run(self, step: Step, key: StepKey) -> bool:
         """Returns whether the step's label and limit allow this worker."""
         if step.label and step.label not in self.labels:
