Count a crash only under runs that the worker confirmed

Cause: its first start was sent 5 ms after the worker had crashed and never answered; the crash counted all the same, so the second one was taken as proof. Change: only runs that the worker confirmed are counted and can be guilty. Orders without an answer can still make their task a suspect.

--- a/daemons/manager/src/coltsfootseam/manager/crash_evidence.py
+++ b/daemons/manager/src/coltsfootseam/manager/crash_evidence.py
@@ -3,7 +3,7 @@
 from coltsfootseam.jobs import RunPair, Task
 from coltsfootseam.manager.pool_state import PoolState
 from coltsfootseam.results import ResultCode
-from coltsfootseam.scheduling import find_unproven, judge_crash
+from coltsfootseam.scheduling import find_unproven, is_confirmed, judge_crash
 
 
 class CrashEvidence:
@@ -53,8 +53,9 @@
             return
         self._report("crash.observed", worker_id, pairs, reason)
         job_table = self._state.job_table
-        for task, _ in pairs:
-            if task.id.job_id in job_table.jobs_by_id:
+        for task, run in pairs:
+            is_known = task.id.job_id in job_table.jobs_by_id
+            if is_known and is_confirmed(run):
                 job_table.record_crash(task, worker_id)
         verdict = judge_crash(pairs)
         for task in verdict.suspects:
--- a/libs/scheduling/src/coltsfootseam/scheduling/__init__.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/__init__.py
@@ -3,6 +3,7 @@
 from coltsfootseam.scheduling.crashes import (
     Verdict,
     find_unproven,
+    is_confirmed,
     is_proven,
     judge_crash,
 )
@@ -97,6 +98,7 @@
     "find_slow_runs",
     "find_stalled",
     "find_unproven",
+    "is_confirmed",
     "is_proven",
     "judge_crash",
     "max_isolating_workers",
--- a/libs/scheduling/src/coltsfootseam/scheduling/crashes.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/crashes.py
@@ -3,7 +3,8 @@
 A run that its worker has reported for a while is proven: it is an unlikely
 cause of a crash. Among the others a few likely ones are suspects, which run in
 isolation from then on. A task that crashes a worker in isolation as well is the
-cause. One that only crashes workers after a while becomes a suspect, too, as
+cause. Only runs that the worker confirmed count as proof, as an order that was
+not answered may have reached a worker that had crashed already. One that only crashes workers after a while becomes a suspect, too, as
 the crashes under it add up.
 """
 
@@ -38,6 +39,11 @@
     return run.progress_s - run.started_s >= _PROVEN_AFTER_S
 
 
+def is_confirmed(run: Run) -> bool:
+    """Returns whether the worker is known to have started a run."""
+    return run.started_s is not None
+
+
 def find_unproven(pairs: list[RunPair]) -> list[RunPair]:
     """Returns the runs that aren't proven, the likeliest cause first.
 
@@ -75,7 +81,7 @@
 
 def _is_guilty(pair: RunPair, unproven: list[RunPair]) -> bool:
     task, run = pair
-    if not run.is_isolated:
+    if not run.is_isolated or not is_confirmed(run):
         return False
     if any(not _is_same_unit(task, other) for other, _ in unproven):
         return False
@@ -98,8 +104,12 @@
     )
 
 
-def _likelihood(pair: RunPair) -> tuple[int, bool, float]:
-    """Returns a sort key: earlier crashes, never reported, started last."""
+def _likelihood(pair: RunPair) -> tuple[int, bool, bool, float]:
+    """Returns a sort key: earlier crashes, confirmed, never reported, young."""
     task, run = pair
-    started_s = run.ordered_s if run.started_s is None else run.started_s
-    return -len(task.crashed_worker_ids), run.progress_s is not None, -started_s
+    return (
+        -len(task.crashed_worker_ids),
+        not is_confirmed(run),
+        run.progress_s is not None,
+        -(run.started_s or run.ordered_s),
+    )
--- a/tests/cover/test_deadly_tasks.py
+++ b/tests/cover/test_deadly_tasks.py
@@ -100,3 +100,27 @@
             crashes(fleet, deadly_task())
             <= MAX_CRASHES + MAX_STARTS_AFTER_BUDGET
         )
+
+
+# Guards against a job that is given up though its worker crashed before the
+# start of its task got there.
+async def test_an_order_to_a_worker_that_is_gone_proves_nothing() -> None:
+    async with running_fleet(workers=2) as fleet:
+        await fleet.timers.advance(1.5)
+        for _ in range(3):
+            for worker in fleet.workers.workers_by_instance.values():
+                worker.faults.late_start_share = 1.0
+            if not fleet.workers.max_starts_in_flight:
+                await fleet.accept(fleet.hosts[0], DEADLY_JOB, TASK)
+            await fleet.wait_until(lambda: fleet.workers.starts_in_flight > 0)
+            await fleet.timers.advance(0.1)
+            for instance_id in ("i-1", "i-2"):
+                fleet.workers.kill(instance_id)
+                fleet.workers.on_crash(instance_id)
+            await fleet.wait_until(lambda: _are_all_alive(fleet))
+        await fleet.wait_for_state(DEADLY_JOB, JobState.COMPLETED)
+
+
+def _are_all_alive(fleet: Fleet) -> bool:
+    workers = fleet.workers.workers_by_instance.values()
+    return not any(worker.is_dead for worker in workers)
