--- a/daemons/manager/src/coltsfootseam/manager/evacuation.py
+++ b/daemons/manager/src/coltsfootseam/manager/evacuation.py
@@ -6,6 +6,7 @@
 from coltsfootseam.jobs import Run, RunPair, RunPhase, Step, Task
 from coltsfootseam.manager.pool_state import PoolState
 from coltsfootseam.scheduling import (
+    IsolationPlan,
     Occupancy,
     Shortage,
     WorkerSize,
@@ -29,16 +30,16 @@
 
     Attributes:
         shortages: What could not be placed in the last planning round.
-        reserved_ids: Workers that get no new tasks, to run a suspect.
+        isolation: The latest plan for suspects.
     """
 
-    __slots__ = ("_requested_s", "_state", "reserved_ids", "shortages")
+    __slots__ = ("_requested_s", "_state", "isolation", "shortages")
 
     def __init__(self, state: PoolState) -> None:
         self._state = state
         self._requested_s = float("-inf")
         self.shortages: list[Shortage] = []
-        self.reserved_ids: set[str] = set()
+        self.isolation = IsolationPlan()
 
     def handle_request(self, request: EvacuationRequest) -> EvacuationReply:
         """Applies the fleet owner's request and returns the pool's demand."""
@@ -161,6 +162,7 @@
                 occupancy.add(task.step, 1, size)
         occupancy.add(_whole_worker(size), len(exclusive_ids), size)
         used_cores = occupancy.cores(size)
+        occupancy.add(_whole_worker(size), self.isolation.waiting_count, size)
         for shortage in shortages:
             step = shortage.ready.step
             if not step.best_effort:
@@ -171,7 +173,7 @@
         """Returns the workers that run a suspect alone, or are to do so."""
         runs = self._state.job_table.runs.all_runs()
         isolating_ids = {run.worker_id for _, run in runs if run.is_isolated}
-        return isolating_ids | self.reserved_ids
+        return isolating_ids | self.isolation.reserved_ids
 
     def _fits_any_worker(self, shortage: Shortage) -> bool:
         """Returns whether a task fits on any existing worker when empty."""
--- a/daemons/manager/src/coltsfootseam/manager/planning.py
+++ b/daemons/manager/src/coltsfootseam/manager/planning.py
@@ -16,6 +16,7 @@
     ReadyStep,
     WorkerCapacity,
     WorkerSize,
+    crashes_late,
     critical_path_s,
     is_proven,
     max_isolating_workers,
@@ -126,12 +127,13 @@
         estimate_s = task.step.estimate_ms / _MS_PER_S
         worker.remaining_s = max(worker.remaining_s, estimate_s - age_s)
         worker.long_running_count += task.step.long_running
-        if run.is_isolated and age_s < _MAX_ISOLATION_S:
-            worker.is_isolating = True
+        if not run.is_isolated:
+            worker.has_only_isolated = False
+        elif age_s < _MAX_ISOLATION_S:
+            worker.is_isolating |= not is_proven(run) or crashes_late(task)
         if not is_proven(run):
             worker.unproven_count += 1
-            if task.crashed_worker_ids:
-                worker.has_unproven_suspect = True
+            worker.has_unproven_suspect |= bool(task.crashed_worker_ids)
 
     def _max_isolating(self, worker_count: int) -> int:
         share = self._state.context.policies.isolation_share
--- a/daemons/manager/src/coltsfootseam/manager/planning_rounds.py
+++ b/daemons/manager/src/coltsfootseam/manager/planning_rounds.py
@@ -52,7 +52,8 @@
             self._orders.remaining_start_capacity()
         )
         self._evacuation.shortages = self._machine_shortages()
-        self._evacuation.reserved_ids = self._planner.isolation.reserved_ids
+        self._evacuation.isolation = self._planner.isolation
+        self._watch_isolating_workers()
         self._orders.send_stops()
         end_sequences_by_worker = dict(state.end_sequences_by_worker)
         documents_by_id = state.job_table.drain_changes()
@@ -76,6 +77,13 @@
         self._apply_stored(stored, end_sequences_by_worker)
         self._send_starts(new_runs)
 
+    def _watch_isolating_workers(self) -> None:
+        """Has workers report suspects often, which soon proves the innocent."""
+        runs = self._state.job_table.runs.all_runs()
+        isolating_ids = {run.worker_id for _, run in runs if run.is_isolated}
+        for link in self._state.links_by_id.values():
+            link.is_watched = link.worker_id in isolating_ids
+
     def _machine_shortages(self) -> list[Shortage]:
         """Returns the shortages for which the pool needs more machines.
 
--- a/libs/scheduling/src/coltsfootseam/scheduling/__init__.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/__init__.py
@@ -2,6 +2,7 @@
 
 from coltsfootseam.scheduling.crashes import (
     Verdict,
+    crashes_late,
     find_unproven,
     is_confirmed,
     is_proven,
@@ -93,6 +94,7 @@
     "WorkerHealth",
     "WorkerSize",
     "choose_maintenance",
+    "crashes_late",
     "critical_path_s",
     "find_problem",
     "find_slow_runs",
--- a/libs/scheduling/src/coltsfootseam/scheduling/crashes.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/crashes.py
@@ -4,8 +4,8 @@
 cause of a crash. Among the others a few likely ones are suspects, which run in
 isolation from then on. A task that crashes a worker in isolation as well is the
 cause. Only runs that the worker confirmed count as proof, as an order that was
-not answered may have reached a worker that had crashed already. One that only crashes workers after a while becomes a suspect, too, as
-the crashes under it add up.
+not answered may have reached a worker that had crashed already. A task that
+crashes workers only after a while becomes a suspect as its crashes add up.
 """
 
 import msgspec
@@ -13,7 +13,7 @@
 from coltsfootseam.jobs import Run, RunPair, Task
 
 _PROVEN_AFTER_S = 0.25
-_MAX_SUSPECTS_PER_CRASH = 4
+_MAX_SUSPECTS_PER_CRASH = 8
 _SUSPECT_AFTER_UNPROVEN_CRASHES = 2
 _SUSPECT_AFTER_CRASHES = 3
 _GUILTY_AFTER_UNPROVEN_CRASHES = 2
@@ -71,14 +71,16 @@
         if len(task.crashed_worker_ids) >= _SUSPECT_AFTER_UNPROVEN_CRASHES
     ]
     suspects += [
-        task
-        for task, run in pairs
-        if is_proven(run)
-        and len(task.crashed_worker_ids) >= _SUSPECT_AFTER_CRASHES
+        task for task, run in pairs if is_proven(run) and crashes_late(task)
     ]
     return Verdict(suspects, [])
 
 
+def crashes_late(task: Task) -> bool:
+    """Returns whether a task may crash workers on which it seemed proven."""
+    return len(task.crashed_worker_ids) >= _SUSPECT_AFTER_CRASHES
+
+
 def _is_guilty(pair: RunPair, unproven: list[RunPair]) -> bool:
     task, run = pair
     if not run.is_isolated or not is_confirmed(run):
--- a/libs/scheduling/src/coltsfootseam/scheduling/isolation.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/isolation.py
@@ -1,9 +1,10 @@
 """Places suspects: tasks that may crash the worker that starts them.
 
 A suspect runs on a worker that runs nothing else, so that a crash harms no
-other task and tells whether the suspect is the cause. While no worker is empty,
-some get no new tasks until they are. A suspect that has waited for long accepts
-a worker all of whose runs are proven.
+other task and tells whether the suspect is the cause. The next suspect may join
+it once it is proven. While no worker is empty, some get no new tasks until they
+are. A suspect that has waited for long accepts a worker all of whose runs are
+proven.
 """
 
 import msgspec
@@ -15,7 +16,7 @@
 from coltsfootseam.scheduling.worker_capacity import WorkerCapacity, step_key
 
 _MAX_EXCLUSIVE_WAIT_S = 2.0
-_MIN_ISOLATING_WORKERS = 1
+_MIN_ISOLATING_WORKERS = 2
 
 
 class _Group(msgspec.Struct, frozen=True):
@@ -43,10 +44,12 @@
     Attributes:
         placements: Suspects to start.
         reserved_ids: Workers that get no new tasks, so that they become empty.
+        waiting_count: How many more workers suspects could use.
     """
 
     placements: list[Placement] = []
     reserved_ids: set[str] = set()
+    waiting_count: int = 0
 
 
 def max_isolating_workers(worker_count: int, share: float) -> int:
@@ -94,7 +97,9 @@
         if reserved is not None:
             reserved.is_open = False
             plan.reserved_ids.add(reserved.worker_id)
-            free_slots -= 1
+        else:
+            plan.waiting_count += 1
+        free_slots -= 1
     return plan
 
 
@@ -144,9 +149,9 @@
 
 def _is_safe_company(worker: WorkerCapacity, is_overdue: bool) -> bool:
     """Returns whether a crash there would tell the cause, and harm few."""
-    if worker.is_empty():
-        return True
-    return is_overdue and worker.unproven_count == 0
+    if worker.unproven_count:
+        return False
+    return worker.has_only_isolated or is_overdue
 
 
 def _choose_reserve(
--- a/libs/scheduling/src/coltsfootseam/scheduling/policies.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/policies.py
@@ -17,7 +17,7 @@
         copies: Rule that decides which slow tasks get a copy.
         pools: How pools are sized.
         isolation_share: Share of a pool's workers, from 0 to 1, that may run
-            suspects at once; at least one worker may.
+            suspects at once; at least two workers may.
     """
 
     job_order: str = "objective"
--- a/libs/scheduling/src/coltsfootseam/scheduling/worker_capacity.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/worker_capacity.py
@@ -38,7 +38,9 @@
         unproven_count: Runs on it that it hasn't reported for a while yet.
         has_unproven_suspect: Whether one of these is of a task under which a
             worker has crashed before.
-        is_isolating: Whether a suspect runs there in isolation.
+        is_isolating: Whether a suspect runs there in isolation and isn't
+            proven.
+        has_only_isolated: Whether suspects are all that runs there.
         remaining_s: Estimated time until all runs on it have ended.
         size: Its resources when nothing runs on it.
     """
@@ -60,6 +62,7 @@
     unproven_count: int = 0
     has_unproven_suspect: bool = False
     is_isolating: bool = False
+    has_only_isolated: bool = True
     remaining_s: float = 0.0
     size: WorkerSize = WorkerSize()
 
--- a/libs/workers/src/coltsfootseam/workers/link.py
+++ b/libs/workers/src/coltsfootseam/workers/link.py
@@ -19,6 +19,7 @@
 _MS_PER_S = 1000
 _RETRY_DELAY_S = 0.15
 _ACKNOWLEDGEMENT_WAIT_S = 0.3
+_WATCHED_WAIT_S = 0.2
 
 OnHeartbeatReply = Callable[["WorkerLink", HeartbeatReply, float], None]
 """Called with the link, a reply and when the heartbeat was sent."""
@@ -36,6 +37,7 @@
         heartbeat_outcome: Outcome of the last heartbeat that failed.
         is_gone: Whether this incarnation has ended for certain.
         is_fenced: Whether the worker has seen a newer owner.
+        is_watched: Whether heartbeats follow each other at short intervals.
         last_reply_s: When the worker last replied to a heartbeat, monotonic
             seconds, or ``None``.
     """
@@ -54,6 +56,7 @@
         "is_fenced",
         "is_gone",
         "is_reachable",
+        "is_watched",
         "last_reply_s",
         "lease",
     )
@@ -82,6 +85,7 @@
         self.heartbeat_outcome = OrderOutcome.UNKNOWN
         self.is_gone = False
         self.is_fenced = False
+        self.is_watched = False
         self.last_reply_s: float | None = None
 
     @property
@@ -107,7 +111,8 @@
         sent_s = self._timers.now_s()
         has_unstored_ends = self._max_listed > self.acknowledged
         is_settled = self.last_reply_s is not None and not has_unstored_ends
-        wait_s = self._wait_s if is_settled else 0.0
+        longest_s = _WATCHED_WAIT_S if self.is_watched else self._wait_s
+        wait_s = longest_s if is_settled else 0.0
         # A heartbeat may take effect though it isn't answered, so an
         # unresponsive worker gets no new lease: otherwise its lease would
         # never be known to have ended, and its tasks could not run elsewhere.
--- a/tests/cover/test_crashes.py
+++ b/tests/cover/test_crashes.py
@@ -33,13 +33,14 @@
 
 
 def test_a_crash_makes_only_a_few_of_many_runs_suspects() -> None:
-    pairs = [a_pair(number, started_s=float(number)) for number in range(9)]
+    pairs = [a_pair(number, started_s=float(number)) for number in range(20)]
     suspects = judge_crash(pairs).suspects
-    assert suspects == [pairs[number][0] for number in (8, 7, 6, 5)]
+    youngest = [pairs[number][0] for number in range(19, 11, -1)]
+    assert suspects == youngest
 
 
 def test_a_second_crash_makes_an_unproven_task_a_suspect_among_many() -> None:
-    pairs = [a_pair(number, started_s=9.5) for number in range(9)]
+    pairs = [a_pair(number, started_s=9.5) for number in range(20)]
     again = a_pair(10, "earlier", started_s=9.0)
     assert judge_crash([*pairs, again]).suspects[0] is again[0]
 
