Withdraw starts that no longer fit when their worker has shrunk

Cause: a start reserves capacity when it is decided; on a slow link it may be sent seconds later, after the worker reported less. Change: each start is checked against the worker's newest report right before it is first sent, beside what was sent there and what is being stopped; one that does not fit is withdrawn and planned again.

--- a/daemons/manager/src/coltsfootseam/manager/orders.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders.py
@@ -11,6 +11,7 @@
 from coltsfootseam.jobs import Run, RunEnd, RunPhase, Task
 from coltsfootseam.manager.background import start_once, start_restarting
 from coltsfootseam.manager.pool_state import PoolState
+from coltsfootseam.scheduling import fits_beside
 from coltsfootseam.workers import (
     OrderOutcome,
     PaceOrder,
@@ -162,6 +163,9 @@
                     return
                 if not _is_start_pending(task, run):
                     break
+                if order is None and not self._has_room(link, task, run):
+                    self._withdraw_start(task, run)
+                    return
                 if order is None:
                     order = self._build_start_order(link, task, run, ticket)
                     # The time limit runs from the first send, not from the
@@ -181,6 +185,28 @@
         self._unsent.discard((task.id, run.number))
         self._apply_start_outcome(task, run, outcome, attempts)
 
+    def _has_room(self, link: WorkerLink, task: Task, run: Run) -> bool:
+        """Returns whether a start still fits its worker, which may shrink.
+
+        Starts that are not sent yet don't count: each of them is checked too.
+        """
+        pairs = self._state.job_table.runs.runs_of(run.worker_id)
+        others = [
+            other
+            for other, other_run in pairs
+            if other_run is not run
+            and (other.id, other_run.number) not in self._unsent
+        ]
+        return fits_beside(task, others, link.entry)
+
+    def _withdraw_start(self, task: Task, run: Run) -> None:
+        """Ends a run whose start was never sent."""
+        self._report_start(task, run, "WITHDRAWN")
+        self._state.job_table.end_run(
+            task, run, RunEnd.NEVER_STARTED, "", self._state.wall_ms()
+        )
+        self._on_change()
+
     def _build_start_order(
         self, link: WorkerLink, task: Task, run: Run, ticket: str
     ) -> StartOrder | None:
@@ -205,16 +231,7 @@
     ) -> None:
         state = self._state
         now_s = state.now_s()
-        state.context.log.write(
-            "run.ordered",
-            job=task.id.job_id,
-            task=[task.id.occurrence, task.id.step, task.id.index],
-            run=run.number,
-            worker=run.worker_id,
-            token=state.journal.epoch,
-            outcome=outcome.name,
-        )
-        state.context.counters.increment(f"start.{outcome.name.lower()}")
+        self._report_start(task, run, outcome.name)
         if run not in task.runs:
             return
         if outcome is OrderOutcome.DONE:
@@ -224,6 +241,19 @@
             self._apply_refusal(task, run, outcome, attempts)
         self._on_change()
 
+    def _report_start(self, task: Task, run: Run, outcome: str) -> None:
+        state = self._state
+        state.context.log.write(
+            "run.ordered",
+            job=task.id.job_id,
+            task=[task.id.occurrence, task.id.step, task.id.index],
+            run=run.number,
+            worker=run.worker_id,
+            token=state.journal.epoch,
+            outcome=outcome,
+        )
+        state.context.counters.increment(f"start.{outcome.lower()}")
+
     def _apply_refusal(
         self, task: Task, run: Run, outcome: OrderOutcome, attempts: int
     ) -> None:
--- a/libs/scheduling/src/coltsfootseam/scheduling/__init__.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/__init__.py
@@ -61,6 +61,7 @@
 from coltsfootseam.scheduling.worker_capacity import (
     StepKey,
     WorkerCapacity,
+    fits_beside,
     step_key,
 )
 
@@ -100,6 +101,7 @@
     "find_slow_runs",
     "find_stalled",
     "find_unproven",
+    "fits_beside",
     "is_confirmed",
     "is_proven",
     "judge_crash",
--- a/libs/scheduling/src/coltsfootseam/scheduling/worker_capacity.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/worker_capacity.py
@@ -2,8 +2,9 @@
 
 import msgspec
 
-from coltsfootseam.jobs import Step, TaskId
+from coltsfootseam.jobs import Step, Task, TaskId
 from coltsfootseam.scheduling.occupancy import WorkerSize
+from coltsfootseam.workers import WorkerEntry
 
 StepKey = tuple[str, int, int]
 """Identifies a step of one occurrence: job id, occurrence, step."""
@@ -119,6 +120,22 @@
             self.probation_slots += 1
 
 
+def fits_beside(task: Task, others: list[Task], entry: WorkerEntry) -> bool:
+    """Returns whether a task fits on a worker that runs other tasks."""
+    worker = WorkerCapacity(
+        worker_id=entry.worker_id,
+        zone=entry.zone,
+        rack="",
+        labels=entry.labels,
+        free_cpu_millis=entry.cpu_millis,
+        free_memory_mb=entry.memory_mb,
+        free_accelerators=entry.accelerators,
+    )
+    for other in others:
+        worker.reserve(other.step, step_key(other.id))
+    return worker.fits(task.step)
+
+
 class FreeCapacityBound:
     """Upper bound of the free capacity of any worker.
 
--- a/libs/standins/src/coltsfootseam/standins/memory_worker.py
+++ b/libs/standins/src/coltsfootseam/standins/memory_worker.py
@@ -7,6 +7,8 @@
 
 _FULL_PERCENT = 100
 _MIN_LONG_RUNNING_S = 1e8
+_MAX_REPORT_AGE_S = 4.5
+"""How long after a change of its capacity a worker's report may be late."""
 
 
 class MemoryRun(msgspec.Struct):
@@ -74,3 +76,11 @@
     highest_ended_by_task: dict[TaskId, int] = {}
     faults: WorkerFaults = msgspec.field(default_factory=WorkerFaults)
     is_dead: bool = False
+    resized_s: float = float("-inf")
+    tolerated_cpu_millis: int = 0
+
+    def capacity_millis(self, now_s: float) -> int:
+        """Returns the processor that starts may use, in thousandths."""
+        if now_s - self.resized_s < _MAX_REPORT_AGE_S:
+            return max(self.entry.cpu_millis, self.tolerated_cpu_millis)
+        return self.entry.cpu_millis
--- a/libs/standins/src/coltsfootseam/standins/memory_workers.py
+++ b/libs/standins/src/coltsfootseam/standins/memory_workers.py
@@ -7,6 +7,8 @@
 import random
 from collections.abc import Callable
 
+import msgspec
+
 from coltsfootseam.jobs import RunEnd, TaskId
 from coltsfootseam.standins.memory_worker import (
     MemoryRun,
@@ -55,6 +57,8 @@
         crash_delay_s: Time from the start of such a task to the crash.
         crashes_by_task: Workers that crashed under each of them, in order.
         on_crash: Called with the instance id of each worker that crashed.
+        cpu_millis_of: Processor that a task takes; starts that exceed the
+            capacity of their worker are violations.
         pace_orders: Orders on the speed of a run, in order.
     """
 
@@ -64,6 +68,7 @@
         "_random",
         "_timers",
         "checkpointing_jobs",
+        "cpu_millis_of",
         "crash_delay_s",
         "crashes_by_task",
         "deadly_tasks",
@@ -99,6 +104,7 @@
         self.crash_delay_s = 0.01
         self.crashes_by_task: dict[TaskId, list[str]] = {}
         self.on_crash: Callable[[str], None] = lambda instance_id: None
+        self.cpu_millis_of: Callable[[TaskId], int] = lambda task: 0
         self.pace_orders: list[PaceOrder] = []
         timers.subscribe(_TICK_S, self._tick)
 
@@ -114,6 +120,22 @@
         worker.is_dead = True
         worker.runs_by_task.clear()
 
+    def resize(self, instance_id: str, cpu_millis: int) -> WorkerEntry:
+        """Changes a worker's capacity; returns the entry that reports it.
+
+        Starts that exceed a capacity that has shrunk are tolerated for as long
+        as a report of it may take.
+        """
+        worker = self.workers_by_instance[instance_id]
+        worker.tolerated_cpu_millis = worker.capacity_millis(
+            self._timers.now_s()
+        )
+        worker.resized_s = self._timers.now_s()
+        worker.entry = msgspec.structs.replace(
+            worker.entry, cpu_millis=cpu_millis
+        )
+        return worker.entry
+
     def calls(
         self, host_id: str, timers: TimerService | None = None
     ) -> "MemoryWorkerCalls":
@@ -165,6 +187,7 @@
             return OrderOutcome.OLD
         self._extend_lease(worker, order.lease_end_ms)
         self._check_start(worker, order)
+        self._check_capacity(worker, order)
         self.starts.append(order)
         total_s = self._duration_of(order.task)
         worker.runs_by_task[order.task] = MemoryRun(
@@ -266,6 +289,20 @@
                 )
             )
 
+    def _check_capacity(self, worker: MemoryWorker, order: StartOrder) -> None:
+        tasks = {*worker.runs_by_task, order.task}
+        used_millis = sum(self.cpu_millis_of(task) for task in tasks)
+        capacity_millis = worker.capacity_millis(self._timers.now_s())
+        if used_millis > capacity_millis:
+            self.violations.append(
+                Violation(
+                    "start beyond capacity",
+                    order.task,
+                    f"{worker.entry.worker_id}: {used_millis} of "
+                    f"{capacity_millis}",
+                )
+            )
+
     def _tick(self) -> None:
         for worker in self.workers_by_instance.values():
             if worker.is_dead:
--- a/tests/common/fleets.py
+++ b/tests/common/fleets.py
@@ -291,6 +291,10 @@
             machines[entry.machine_id], state=state
         )
 
+    def resize_worker(self, instance_id: str, cores: int) -> None:
+        """Changes a worker's capacity, which its entry shows at once."""
+        self.put_entry(self.workers.resize(instance_id, cores * 1000))
+
     def put_entry(self, entry: WorkerEntry) -> None:
         """Writes a worker's entry into the store."""
         self.store.put(
