Size pools by the capacity that workers report now

Cause: moves counted a machine with the processor in the platform's list, which may be that of its start, while its worker reports less. Change: the newest entry of the machine's worker decides; the list where there is none. Test on FleetView, which had no such figure before.

--- a/daemons/manager/src/coltsfootseam/manager/fleet_view.py
+++ b/daemons/manager/src/coltsfootseam/manager/fleet_view.py
@@ -6,6 +6,8 @@
 from coltsfootseam.scheduling import PoolDemand
 from coltsfootseam.workers import Machine, WorkerEntry
 
+_MILLIS_PER_CORE = 1000
+
 
 class FleetView(msgspec.Struct):
     """The fleet as its owner sees it in one planning round.
@@ -54,7 +56,19 @@
     def worker_of(self, machine_id: str) -> str | None:
         """Returns the incarnation of the worker on a machine, if any."""
         machine = self.machines_by_id.get(machine_id)
-        if machine is None or not machine.instance_id:
-            return None
-        entry = self.workers_by_instance.get(machine.instance_id)
+        entry = None if machine is None else self._entry_on(machine)
         return None if entry is None else entry.worker_id
+
+    def cores_of(self, machine: Machine) -> float:
+        """Returns the processor that a machine offers now, in cores.
+
+        Its worker reports a capacity that shrinks or grows while it runs.
+        """
+        entry = self._entry_on(machine)
+        cpu_millis = machine.cpu_millis if entry is None else entry.cpu_millis
+        return cpu_millis / _MILLIS_PER_CORE
+
+    def _entry_on(self, machine: Machine) -> WorkerEntry | None:
+        if not machine.instance_id:
+            return None
+        return self.workers_by_instance.get(machine.instance_id)
--- a/daemons/manager/src/coltsfootseam/manager/machine_rounds.py
+++ b/daemons/manager/src/coltsfootseam/manager/machine_rounds.py
@@ -28,7 +28,6 @@
 _ROUND_PERIOD_S = 0.4
 _POOL_CALL_TIMEOUT_S = 0.5
 _MAX_CONCURRENT_MOVES = 4
-_MILLIS_PER_CORE = 1000
 
 
 class MachineRounds:
@@ -278,7 +277,7 @@
                 MachineSupply(
                     machine_id=machine.machine_id,
                     pool=pool,
-                    cores=machine.cpu_millis / _MILLIS_PER_CORE,
+                    cores=self._view.cores_of(machine),
                     is_free=is_in_pool
                     and is_idle
                     and not self._orders.is_reserved(machine.machine_id)
--- a/tests/cover/test_capacity_changes.py
+++ b/tests/cover/test_capacity_changes.py
@@ -1,6 +1,7 @@
 """Workers whose capacity shrinks and grows while they run tasks."""
 
 from coltsfootseam.jobs import JobState, Step
+from coltsfootseam.manager.fleet_view import FleetView
 from tests.common.fleets import Fleet, running_fleet
 
 JOB = "c" * 16
@@ -59,6 +60,16 @@
         await fleet.wait_for_state(LATER_JOB, JobState.COMPLETED)
 
 
+# Guards against a pool that is sized by what its machines had at their start.
+async def test_moves_go_by_the_capacity_of_now() -> None:
+    async with running_fleet(workers=1) as fleet:
+        entry = fleet.workers.resize("i-1", 1000)
+        machine = fleet.machines.machines_by_id["m-1"]
+        view = FleetView({"m-1": machine}, {}, {"i-1": entry})
+        assert view.cores_of(machine) == 1.0
+        assert FleetView().cores_of(machine) == CORES
+
+
 # Guards against starts that were decided before a worker shrank and sent
 # after it, as the link of the owner was slow.
 async def test_starts_that_wait_to_be_sent_see_that_a_worker_shrank() -> None:
