Draw deadly tasks and changing capacities in the random scenarios

New events of make fuzz and of test_random_faults: a job with a task that crashes its workers, a worker that shrinks or grows. New invariants: at most two starts after the third crash, no start beyond a worker's capacity, and no task given up unless two workers ended while they ran it.

--- a/libs/standins/src/coltsfootseam/standins/memory_workers.py
+++ b/libs/standins/src/coltsfootseam/standins/memory_workers.py
@@ -56,6 +56,8 @@
         deadly_tasks: Tasks that crash each worker that starts them.
         crash_delay_s: Time from the start of such a task to the crash.
         crashes_by_task: Workers that crashed under each of them, in order.
+        lost_workers_by_task: Workers that ended for any cause while they ran
+            a task.
         on_crash: Called with the instance id of each worker that crashed.
         cpu_millis_of: Processor that a task takes; starts that exceed the
             capacity of their worker are violations.
@@ -74,6 +76,7 @@
         "deadly_tasks",
         "duplicable_jobs",
         "loads_by_task",
+        "lost_workers_by_task",
         "max_starts_in_flight",
         "on_crash",
         "pace_orders",
@@ -103,6 +106,7 @@
         self.deadly_tasks: set[TaskId] = set()
         self.crash_delay_s = 0.01
         self.crashes_by_task: dict[TaskId, list[str]] = {}
+        self.lost_workers_by_task: dict[TaskId, list[str]] = {}
         self.on_crash: Callable[[str], None] = lambda instance_id: None
         self.cpu_millis_of: Callable[[TaskId], int] = lambda task: 0
         self.pace_orders: list[PaceOrder] = []
@@ -118,6 +122,9 @@
         """Ends a worker's incarnation with all of its runs."""
         worker = self.workers_by_instance[instance_id]
         worker.is_dead = True
+        for task in worker.runs_by_task:
+            lost = self.lost_workers_by_task.setdefault(task, [])
+            lost.append(worker.entry.worker_id)
         worker.runs_by_task.clear()
 
     def resize(self, instance_id: str, cpu_millis: int) -> WorkerEntry:
--- a/tests/common/fleets.py
+++ b/tests/common/fleets.py
@@ -275,6 +275,9 @@
 
     def _restart(self, entry: WorkerEntry) -> None:
         """Starts a crashed worker again, under the instance id it had."""
+        latest = self.workers.workers_by_instance[entry.instance_id].entry
+        if latest.started_ms != entry.started_ms:
+            return
         worker_id = f"{entry.instance_id}@{entry.started_ms + 1}"
         entry = msgspec.structs.replace(
             entry, worker_id=worker_id, started_ms=entry.started_ms + 1
--- a/tests/common/scenarios.py
+++ b/tests/common/scenarios.py
@@ -2,16 +2,20 @@
 
 A scenario applies a list of events and then removes all faults. Whatever the
 events, accepted jobs end, refused ones never start, no task runs twice at once
-or again after its end, and a cancelled job starts no more tasks.
+or again after its end, and a cancelled job starts no more tasks. No start
+exceeds the capacity of its worker. A task that crashes its workers is started
+within its budget, and no other task is given up unless workers crashed under it
+twice.
 """
 
 import asyncio
 import random
 from collections.abc import Awaitable, Callable, Sequence
+from typing import cast
 
 import msgspec
 
-from coltsfootseam.jobs import JobState, Step
+from coltsfootseam.jobs import JobState, Step, TaskId
 from coltsfootseam.results import OK, ResultCode
 from coltsfootseam.standins.memory_worker import WorkerFaults
 from tests.common.fleets import Fleet, Host, running_fleet
@@ -20,9 +24,14 @@
 WORKERS = 4
 END_LIMIT_S = 60.0
 CANCEL_S = 3.0
+CPU_MILLIS = 1000
+CORES = 4
+MAX_CRASHES = 5
+"""Two starts after the third crash are within the budget, a third is not."""
+MIN_CRASHES_TO_GIVE_UP = 2
 STEPS = (
-    Step(count=3, cpu_millis=1000, estimate_ms=600),
-    Step(count=1, cpu_millis=1000, estimate_ms=600, after=(0,)),
+    Step(count=3, cpu_millis=CPU_MILLIS, estimate_ms=600),
+    Step(count=1, cpu_millis=CPU_MILLIS, estimate_ms=600, after=(0,)),
 )
 
 
@@ -43,7 +52,8 @@
         self.accepted: set[str] = set()
         self.refused: set[str] = set()
         self.cancelled: set[str] = set()
-        self.incarnations_by_worker = dict.fromkeys(range(1, WORKERS + 1), 1)
+        self.deadly: set[str] = set()
+        fleet.workers.cpu_millis_of = lambda task: CPU_MILLIS
 
     async def apply(self, event: Event) -> None:
         """Applies one event."""
@@ -72,6 +82,13 @@
         elif outcome.code is ResultCode.NOT_RUN_OVERLOADED:
             self.refused.add(job_id)
 
+    async def submit_deadly(self, number: int) -> None:
+        """A caller submits a job with a task that crashes its workers."""
+        job_id = f"{self.submitted + 1:016x}"
+        self.deadly.add(job_id)
+        self.fleet.workers.deadly_tasks.add(TaskId(job_id, 0, 0, number % 3))
+        await self.submit(number)
+
     async def cancel(self, number: int) -> None:
         """A caller cancels the latest job."""
         host = self.host(number)
@@ -135,11 +152,14 @@
     async def restart_worker(self, number: int) -> None:
         """A worker is killed and starts again under the same id."""
         worker = number % WORKERS + 1
-        self.incarnations_by_worker[worker] += 1
-        self.fleet.workers.kill(f"i-{worker}")
-        self.fleet.add_worker(
-            worker, started_ms=self.incarnations_by_worker[worker]
-        )
+        workers = self.fleet.workers
+        entry = workers.workers_by_instance[f"i-{worker}"].entry
+        workers.kill(entry.instance_id)
+        self.fleet.add_worker(worker, started_ms=entry.started_ms + 1)
+
+    async def resize_worker(self, number: int) -> None:
+        """A worker's capacity shrinks, or grows again."""
+        self.fleet.resize_worker(f"i-{number % WORKERS + 1}", number % CORES)
 
     async def silence_worker(self, number: int) -> None:
         """A worker is cut off and keeps running."""
@@ -161,6 +181,7 @@
         """All workers recover."""
         del number
         for index in range(WORKERS):
+            self.fleet.resize_worker(f"i-{index + 1}", CORES)
             faults = self.worker_faults(index)
             faults.is_unresponsive = False
             faults.fails_all = False
@@ -182,6 +203,18 @@
             assert self.fleet.started(job_id) == count
         for job_id in self.refused:
             assert self.fleet.started(job_id) == 0
+        self._check_crashes()
+
+    def _check_crashes(self) -> None:
+        workers = self.fleet.workers
+        for task, crashed in workers.crashes_by_task.items():
+            assert len(crashed) <= MAX_CRASHES, f"{task}: {crashed}"
+        for host in self.fleet.hosts:
+            for line in host.lines("crash.task_given_up"):
+                occurrence, step, index = cast(list[int], line["task"])
+                task = TaskId(str(line["job"]), occurrence, step, index)
+                lost = workers.lost_workers_by_task.get(task, [])
+                assert len(lost) >= MIN_CRASHES_TO_GIVE_UP, f"{task}: {lost}"
 
     async def _wait_until_final(self, job_id: str) -> None:
         await self.fleet.wait_until(lambda: self._is_final(job_id), END_LIMIT_S)
@@ -199,7 +232,11 @@
         return False
 
     def _is_expected(self, job_id: str, state: JobState) -> bool:
-        if job_id in self.cancelled:
+        if job_id in self.deadly and job_id in self.cancelled:
+            assert state in (JobState.CANCELLED, JobState.FAILED)
+        elif job_id in self.deadly:
+            assert state is JobState.FAILED
+        elif job_id in self.cancelled:
             assert state in (JobState.CANCELLED, JobState.COMPLETED)
         else:
             # Failing workers may use up all attempts of a task.
@@ -215,6 +252,7 @@
 
 HANDLERS_BY_KIND: dict[str, Callable[[Scenario, int], Awaitable[None]]] = {
     "submit": Scenario.submit,
+    "submit_deadly": Scenario.submit_deadly,
     "cancel": Scenario.cancel,
     "kill_host": Scenario.kill_host,
     "start_host": Scenario.start_host,
@@ -226,6 +264,7 @@
     "heal_store": Scenario.heal_store,
     "forget_history": Scenario.drop_history,
     "restart_worker": Scenario.restart_worker,
+    "resize_worker": Scenario.resize_worker,
     "silence_worker": Scenario.silence_worker,
     "fail_worker": Scenario.fail_worker,
     "slow_worker": Scenario.slow_worker,
