Show operators which workers a task crashed, and prove each mechanism

The failure reason of a job, with its numbered code and the workers, is stored with its final state and shown by explain; tasks show the workers that crashed under them and what suspects wait for. Switches take out the verdict, the rule on unconfirmed runs and the check at sending: their tests fail without, pass with. Gangs, long-running and duplicable steps have a test each; they passed at once.

--- a/bench/prove.py
+++ b/bench/prove.py
@@ -221,6 +221,21 @@
         "tests/cover/test_jobs_path.py::"
         "test_ends_are_acknowledged_soon_and_forgotten_by_workers",
     ),
+    Proof(
+        "crashes-judged",
+        "tests/cover/test_deadly_tasks.py::"
+        "test_a_task_that_crashes_its_workers_is_given_up",
+    ),
+    Proof(
+        "confirmed-runs-judged",
+        "tests/cover/test_deadly_tasks.py::"
+        "test_an_order_to_a_worker_that_is_gone_proves_nothing",
+    ),
+    Proof(
+        "starts-fit-when-sent",
+        "tests/cover/test_capacity_changes.py::"
+        "test_starts_that_wait_to_be_sent_see_that_a_worker_shrank",
+    ),
 ]
 
 
--- a/daemons/cli/src/coltsfootseam/cli/manager.py
+++ b/daemons/cli/src/coltsfootseam/cli/manager.py
@@ -109,8 +109,18 @@
         f"{status.job_id}: {status.state}, queue {status.queue}, pool "
         f"{status.pool}, {status.age_s} s old"
     )
+    if status.failure_reason:
+        print(status.failure_reason)
     print_table(
-        ("step", "task", "runs so far", "failed", "worker", "waits for"),
+        (
+            "step",
+            "task",
+            "runs so far",
+            "failed",
+            "worker",
+            "crashed under it",
+            "waits for",
+        ),
         [
             (
                 task.step,
@@ -118,6 +128,7 @@
                 task.last_run,
                 task.failures,
                 " ".join(task.workers),
+                " ".join(task.crashed_workers),
                 task.waits_for,
             )
             for task in status.open_tasks
--- a/daemons/manager/src/coltsfootseam/manager/crash_evidence.py
+++ b/daemons/manager/src/coltsfootseam/manager/crash_evidence.py
@@ -89,14 +89,15 @@
             code=ResultCode.JOB_CRASHES_WORKERS.value,
         )
         if task.id.job_id in state.job_table.jobs_by_id:
-            state.job_table.give_up(task, state.wall_ms())
+            state.job_table.give_up(
+                task, _failure_reason(task), state.wall_ms()
+            )
         cleared = state.job_table.clear_crashes(explained_ids)
-        innocent = [item for item in cleared if item is not task]
-        state.context.counters.increment("crash.cleared", len(innocent))
+        state.context.counters.increment("crash.cleared", len(cleared))
         state.context.log.write(
             "crash.cleared",
             job=task.id.job_id,
-            tasks=[[item.id.job_id, *_position(item)] for item in innocent],
+            tasks=[[item.id.job_id, *_position(item)] for item in cleared],
         )
 
     def _report(
@@ -117,5 +118,12 @@
         )
 
 
+def _failure_reason(task: Task) -> str:
+    code = ResultCode.JOB_CRASHES_WORKERS
+    position = ".".join(str(number) for number in _position(task))
+    workers = ", ".join(task.crashed_worker_ids)
+    return f"{code.value} {code.name}: task {position} crashed {workers}"
+
+
 def _position(task: Task) -> list[int]:
     return [task.id.occurrence, task.id.step, task.id.index]
--- a/daemons/manager/src/coltsfootseam/manager/status.py
+++ b/daemons/manager/src/coltsfootseam/manager/status.py
@@ -80,10 +80,21 @@
     failures: int
     workers: list[str]
     waits_for: str
+    crashed_workers: list[str] = []
 
 
 class JobStatus(msgspec.Struct):
-    """A job of a pool that this host owns."""
+    """A job of a pool that this host owns.
+
+    Attributes:
+        job_id: The caller's id of it.
+        queue: Queue that it was submitted to.
+        pool: Pool that runs its tasks.
+        state: Its state.
+        age_s: Time since it was accepted.
+        open_tasks: Its tasks that aren't done.
+        failure_reason: Why it failed, if not by its limit on attempts.
+    """
 
     job_id: str
     queue: str
@@ -91,6 +102,7 @@
     state: str
     age_s: float
     open_tasks: list[TaskStatus]
+    failure_reason: str = ""
 
 
 class StatusPage:
@@ -195,6 +207,7 @@
             for task in job.tasks()
             if not task.is_done
         ],
+        failure_reason=job.failure_reason,
     )
 
 
@@ -207,6 +220,7 @@
         failures=task.failures,
         workers=[run.worker_id for run in task.runs],
         waits_for=_waiting_reason(state, job, task),
+        crashed_workers=list(task.crashed_worker_ids),
     )
 
 
@@ -227,6 +241,8 @@
             if occurrence.open_count_by_step[number]
         ]
         return f"steps {', '.join(open_steps)}"
+    if task.is_suspect:
+        return "a worker of its own, as workers crashed under it"
     if state.queue_of(job).advice is not None:
         return "a ticket of the policy service, or room"
     if task.step.label:
--- a/libs/jobs/src/coltsfootseam/jobs/documents.py
+++ b/libs/jobs/src/coltsfootseam/jobs/documents.py
@@ -46,6 +46,7 @@
     ended_ms: int = 0
     finished_occurrences: list[int] = []
     tasks: list[StoredTask] = []
+    failure_reason: str = ""
 
 
 class PoolKey(msgspec.Struct, frozen=True):
@@ -102,12 +103,18 @@
     Of a final job without runs only the state is kept.
     """
     if job.state.is_final and not _has_runs(job):
-        return msgspec.msgpack.encode(Progress(job.state, job.ended_ms))
+        return msgspec.msgpack.encode(
+            Progress(job.state, job.ended_ms, failure_reason=job.failure_reason)
+        )
     stored_tasks = [
         _to_stored_task(task) for task in job.tasks() if task.last_run_number
     ]
     progress = Progress(
-        job.state, job.ended_ms, sorted(job.finished_occurrences), stored_tasks
+        job.state,
+        job.ended_ms,
+        sorted(job.finished_occurrences),
+        stored_tasks,
+        job.failure_reason,
     )
     return msgspec.msgpack.encode(progress)
 
@@ -126,6 +133,7 @@
     job.state = progress.state
     job.stored_state = progress.state
     job.ended_ms = progress.ended_ms
+    job.failure_reason = progress.failure_reason
     job.finished_occurrences = set(progress.finished_occurrences)
     for stored in progress.tasks:
         _restore_task(job, stored, now_s)
--- a/libs/jobs/src/coltsfootseam/jobs/entities.py
+++ b/libs/jobs/src/coltsfootseam/jobs/entities.py
@@ -146,6 +146,7 @@
         occurrences_by_number: Occurrences that have tasks.
         finished_occurrences: Occurrences whose tasks are all done.
         ended_ms: When it reached a final state, Unix milliseconds.
+        failure_reason: Why it failed, if not by its limit on attempts.
     """
 
     id: str
@@ -155,6 +156,7 @@
     occurrences_by_number: dict[int, Occurrence] = {}
     finished_occurrences: set[int] = set()
     ended_ms: int = 0
+    failure_reason: str = ""
 
     def tasks(self) -> list[Task]:
         """Returns the tasks of all occurrences that have any yet."""
--- a/libs/jobs/src/coltsfootseam/jobs/job_table.py
+++ b/libs/jobs/src/coltsfootseam/jobs/job_table.py
@@ -211,10 +211,11 @@
             member.suspect_since_s = now_s
         self.changed_ids.add(job.id)
 
-    def give_up(self, task: Task, now_ms: int) -> None:
-        """Fails the job of a task that crashes its workers."""
+    def give_up(self, task: Task, reason: str, now_ms: int) -> None:
+        """Fails the job of a task that must not be started again."""
         job = self.jobs_by_id[task.id.job_id]
         if not job.state.is_final:
+            job.failure_reason = reason
             self._finish(job, JobState.FAILED, now_ms)
 
     def clear_crashes(self, explained_ids: frozenset[str]) -> list[Task]:
@@ -228,6 +229,8 @@
         """
         cleared = []
         for job in self.active_by_id.values():
+            if job.state.is_final:
+                continue
             for task in job.tasks():
                 if explained_ids.isdisjoint(task.crashed_worker_ids):
                     continue
--- a/libs/standins/src/coltsfootseam/standins/memory_workers.py
+++ b/libs/standins/src/coltsfootseam/standins/memory_workers.py
@@ -52,6 +52,8 @@
         max_starts_in_flight: Maximum of ``starts_in_flight`` so far.
         checkpointing_jobs: Ids of jobs whose tasks save checkpoints.
         duplicable_jobs: Ids of jobs whose tasks may run twice at once.
+        gang_jobs: Ids of jobs whose steps are gangs: when a crash ends a
+            member, the others break off.
         loads_by_task: Load that the workers report for a task.
         deadly_tasks: Tasks that crash each worker that starts them.
         crash_delay_s: Time from the start of such a task to the crash.
@@ -75,6 +77,7 @@
         "crashes_by_task",
         "deadly_tasks",
         "duplicable_jobs",
+        "gang_jobs",
         "loads_by_task",
         "lost_workers_by_task",
         "max_starts_in_flight",
@@ -102,6 +105,7 @@
         self.max_starts_in_flight = 0
         self.checkpointing_jobs: set[str] = set()
         self.duplicable_jobs: set[str] = set()
+        self.gang_jobs: set[str] = set()
         self.loads_by_task: dict[TaskId, int] = {}
         self.deadly_tasks: set[TaskId] = set()
         self.crash_delay_s = 0.01
@@ -268,8 +272,18 @@
         crashed = self.crashes_by_task.setdefault(order.task, [])
         crashed.append(worker.entry.worker_id)
         self.kill(worker.entry.instance_id)
+        if order.task.job_id in self.gang_jobs:
+            self._break_gang(order.task)
         self.on_crash(worker.entry.instance_id)
 
+    def _break_gang(self, lost: TaskId) -> None:
+        """Ends the runs of the other members of a gang."""
+        for worker in self.workers_by_instance.values():
+            for run in list(worker.runs_by_task.values()):
+                task = run.task
+                if task.job_id == lost.job_id and task.step == lost.step:
+                    self._end_run(worker, run, RunEnd.BROKEN)
+
     def _extend_lease(self, worker: MemoryWorker, lease_end_ms: int) -> None:
         max_end_ms = self.clock_ms(worker) + _MAX_LEASE_S * _MS_PER_S
         end_ms = min(lease_end_ms, max_end_ms)
--- a/libs/testbed/src/coltsfootseam/testbed/manager_switches.py
+++ b/libs/testbed/src/coltsfootseam/testbed/manager_switches.py
@@ -13,7 +13,7 @@
     RunEnd,
     Task,
 )
-from coltsfootseam.manager import job_service, pacer
+from coltsfootseam.manager import crash_evidence, job_service, orders, pacer
 from coltsfootseam.manager.cluster_state import ClusterState
 from coltsfootseam.manager.duty_manager import DutyManager
 from coltsfootseam.manager.evacuation import Evacuation
@@ -23,7 +23,12 @@
 from coltsfootseam.manager.standby import Standby
 from coltsfootseam.manager.waves import Waves
 from coltsfootseam.results import Refusal, ResultCode
-from coltsfootseam.scheduling import WorkerCapacity, placement
+from coltsfootseam.scheduling import (
+    Verdict,
+    WorkerCapacity,
+    crashes,
+    placement,
+)
 from coltsfootseam.store import (
     Journal,
     LatestRecords,
@@ -249,3 +254,19 @@
     def __instancecheck__(self, value: Any) -> bool:
         """Returns whether a value is a refusal."""
         return isinstance(value, Refusal)
+
+
+@switch("crashes-judged")
+def _ignore_crashes() -> None:
+    replace(crash_evidence, "judge_crash", lambda pairs: Verdict([], []))
+
+
+@switch("confirmed-runs-judged")
+def _judge_unconfirmed_runs() -> None:
+    replace(crashes, "is_confirmed", lambda run: True)
+    replace(crash_evidence, "is_confirmed", lambda run: True)
+
+
+@switch("starts-fit-when-sent")
+def _send_starts_that_no_longer_fit() -> None:
+    replace(orders, "fits_beside", lambda task, others, entry: True)
--- a/tests/cover/test_deadly_tasks.py
+++ b/tests/cover/test_deadly_tasks.py
@@ -3,7 +3,10 @@
 import contextlib
 from collections.abc import AsyncIterator
 
+import pytest
+
 from coltsfootseam.jobs import JobState, Step, TaskId
+from coltsfootseam.manager.status import JobStatus, StatusPage
 from tests.common.fleets import Fleet, running_fleet
 
 DEADLY_JOB = "d" * 16
@@ -58,6 +61,39 @@
         assert 2 <= crashes(fleet, deadly_task()) <= MAX_CRASHES
 
 
+async def test_operators_see_which_workers_a_task_crashed() -> None:
+    async with deadly_fleet(deadly_task(), hosts=2) as fleet:
+        await fleet.accept(fleet.hosts[0], DEADLY_JOB, TASK)
+        await fleet.wait_until(lambda: crashes(fleet, deadly_task()) == 1)
+        await fleet.wait_until(
+            lambda: bool(fleet.owner().lines("crash.suspected"))
+        )
+        suspect = shown_job(fleet).open_tasks[0]
+        assert (
+            suspect.crashed_workers
+            == fleet.workers.crashes_by_task[deadly_task()]
+        )
+        await fleet.wait_for_state(DEADLY_JOB, JobState.FAILED)
+        crashed = fleet.workers.crashes_by_task[deadly_task()]
+        reason = shown_job(fleet).failure_reason
+        assert reason.startswith("44 JOB_CRASHES_WORKERS")
+        assert all(worker_id in reason for worker_id in crashed)
+        assert fleet.owner().count("crash.verdicts") == 1
+        await fleet.owner().kill()
+        await fleet.wait_until(lambda: any(host.owns() for host in fleet.hosts))
+        assert shown_job(fleet).failure_reason == reason
+
+
+def shown_job(fleet: Fleet) -> JobStatus:
+    """Returns the deadly job's status page of the pool's owner."""
+    manager = fleet.owner().manager
+    assert manager is not None
+    page = StatusPage(manager.context, manager.cluster, manager.duties)
+    status = page.job(DEADLY_JOB)
+    assert isinstance(status, JobStatus)
+    return status
+
+
 # Guards against the count of crashes starting anew with each owner.
 async def test_crashes_count_over_a_takeover() -> None:
     async with deadly_fleet(deadly_task(), hosts=3) as fleet:
@@ -102,6 +138,35 @@
         )
 
 
+@pytest.mark.parametrize(
+    ("step", "run_s"),
+    [
+        (Step(count=3, cpu_millis=500, estimate_ms=500, gang=True), 0.5),
+        (Step(count=3, cpu_millis=500, long_running=True), 1e9),
+        (Step(count=3, cpu_millis=500, estimate_ms=500, duplicable=True), 0.5),
+    ],
+    ids=["gang", "long-running", "duplicable"],
+)
+async def test_each_kind_of_step_stays_within_the_budget(
+    step: Step, run_s: float
+) -> None:
+    async with running_fleet(
+        workers=6, duration_of=lambda task: run_s
+    ) as fleet:
+        fleet.workers.deadly_tasks = {deadly_task()}
+        if step.gang:
+            fleet.workers.gang_jobs = {DEADLY_JOB}
+        await fleet.timers.advance(1.5)
+        await fleet.accept(fleet.hosts[0], DEADLY_JOB, step)
+        await fleet.wait_for_state(DEADLY_JOB, JobState.FAILED)
+        await fleet.timers.advance(5.0)
+        assert crashes(fleet, deadly_task()) <= MAX_CRASHES
+        assert not any(
+            worker.runs_by_task
+            for worker in fleet.workers.workers_by_instance.values()
+        )
+
+
 # Guards against a job that is given up though its worker crashed before the
 # start of its task got there.
 async def test_an_order_to_a_worker_that_is_gone_proves_nothing() -> None:
