Correct two false alarms of the random scenarios, seeds 10215 and 20224

Traces: in 10215 the cancellation's append lost its answer, so it may well take effect; the scenario only knew done or not. In 20224 worker i-2 was cut off until its lease ended, the owner gave its runs up and started them elsewhere, and one that had been done before the lease ended was listed after the return. The users' rule leaves out ends where the lease ended between the end and its acknowledgement; the stand-in did not. Change: both follow the rule; a cancellation that was refused or done is held as strictly as before. Both seeds stay as tests; a test of the stand-in shows that an end without such a lapse still counts.

--- a/libs/standins/src/coltsfootseam/standins/memory_worker.py
+++ b/libs/standins/src/coltsfootseam/standins/memory_worker.py
@@ -64,7 +64,27 @@
 
 
 class MemoryWorker(msgspec.Struct):
-    """One incarnation of a worker."""
+    """One incarnation of a worker.
+
+    Attributes:
+        entry: What it reports about itself.
+        started_s: When it started, monotonic seconds.
+        token: Highest fencing token that it has seen.
+        lease_end_ms: End of its lease on its own clock.
+        runs_by_task: Its runs in progress.
+        ended_runs: Ended runs that are not acknowledged.
+        ended_count: How many runs have ended.
+        highest_ended_by_task: Highest number of an ended run of each task.
+        faults: Its faults.
+        is_dead: Whether it has ended.
+        is_lapsed: Whether its lease has ended.
+        lapse_count: How often its lease has ended.
+        lapse_count_by_end: That count when each of its runs ended, by the
+            sequence number of the end.
+        resized_s: When its capacity last changed, monotonic seconds.
+        tolerated_cpu_millis: Processor that starts may use until a report of
+            that change must have been read.
+    """
 
     entry: WorkerEntry
     started_s: float
@@ -76,6 +96,9 @@
     highest_ended_by_task: dict[TaskId, int] = {}
     faults: WorkerFaults = msgspec.field(default_factory=WorkerFaults)
     is_dead: bool = False
+    is_lapsed: bool = False
+    lapse_count: int = 0
+    lapse_count_by_end: dict[int, int] = {}
     resized_s: float = float("-inf")
     tolerated_cpu_millis: int = 0
 
--- a/libs/standins/src/coltsfootseam/standins/memory_workers.py
+++ b/libs/standins/src/coltsfootseam/standins/memory_workers.py
@@ -237,8 +237,10 @@
         if order.lease_end_ms is not None:
             self._extend_lease(worker, order.lease_end_ms)
         for row in worker.ended_runs:
-            is_acknowledged = row.sequence <= order.acknowledged
-            if is_acknowledged and row.end is RunEnd.DONE:
+            if row.sequence > order.acknowledged or row.end is not RunEnd.DONE:
+                continue
+            # An owner may have given the run up when the lease ended.
+            if worker.lapse_count_by_end[row.sequence] == worker.lapse_count:
                 self._acknowledged_done.add(row.task)
         worker.ended_runs = [
             row
@@ -328,6 +330,9 @@
         for worker in self.workers_by_instance.values():
             if worker.is_dead:
                 continue
+            is_lapsed = self.clock_ms(worker) > worker.lease_end_ms
+            worker.lapse_count += is_lapsed and not worker.is_lapsed
+            worker.is_lapsed = is_lapsed
             for run in list(worker.runs_by_task.values()):
                 self._advance_run(worker, run)
 
@@ -350,6 +355,7 @@
         highest = worker.highest_ended_by_task.get(run.task, 0)
         worker.highest_ended_by_task[run.task] = max(highest, run.number)
         worker.ended_count += 1
+        worker.lapse_count_by_end[worker.ended_count] = worker.lapse_count
         checkpoint = (
             run.checkpoint()
             if run.task.job_id in self.checkpointing_jobs
--- a/tests/common/scenarios.py
+++ b/tests/common/scenarios.py
@@ -52,6 +52,7 @@
         self.accepted: set[str] = set()
         self.refused: set[str] = set()
         self.cancelled: set[str] = set()
+        self.maybe_cancelled: set[str] = set()
         self.deadly: set[str] = set()
         fleet.workers.cpu_millis_of = lambda task: CPU_MILLIS
 
@@ -95,8 +96,11 @@
         if not _can_answer(host) or not self.accepted:
             return
         job_id = max(self.accepted)
-        if await self.fleet.cancel(host, job_id) is OK:
+        outcome = await self.fleet.cancel(host, job_id)
+        if outcome is OK:
             self.cancelled.add(job_id)
+        elif outcome.code is ResultCode.OUTCOME_UNKNOWN:
+            self.maybe_cancelled.add(job_id)
 
     async def kill_host(self, number: int) -> None:
         """A process is killed."""
@@ -232,6 +236,8 @@
         return False
 
     def _is_expected(self, job_id: str, state: JobState) -> bool:
+        if job_id in self.maybe_cancelled and state is JobState.CANCELLED:
+            return True
         if job_id in self.deadly and job_id in self.cancelled:
             assert state in (JobState.CANCELLED, JobState.FAILED)
         elif job_id in self.deadly:
--- a/tests/nocover/test_random_faults.py
+++ b/tests/nocover/test_random_faults.py
@@ -1,5 +1,8 @@
 """Guarantees to callers under random faults, in virtual time."""
 
+import random
+
+import pytest
 from hypothesis import HealthCheck, example, given, settings
 from hypothesis import strategies as st
 
@@ -9,6 +12,7 @@
     MIN_EVENTS,
     PAUSES_S,
     Event,
+    random_events,
     run_scenario,
 )
 
@@ -59,3 +63,11 @@
 @given(events=EVENTS)
 def test_promises_hold_where_small_hosts_stand_by(events: list[Event]) -> None:
     run_scenario(events, millicores=(2000, 2000, 500, 500))
+
+
+# 10215: a cancellation of unknown outcome was taken for one without effect.
+# 20224: an end that was acknowledged after the worker's lease had ended was
+# taken for one that rules out another run.
+@pytest.mark.parametrize("seed", [10215, 20224])
+def test_promises_hold_on_seeds_that_failed_once(seed: int) -> None:
+    run_scenario(random_events(random.Random(seed)))
