--- a/daemons/manager/src/coltsfootseam/manager/worker_links.py
+++ b/daemons/manager/src/coltsfootseam/manager/worker_links.py
@@ -1,7 +1,7 @@
 """Keeps links to all workers of a pool."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from coltsfootseam.manager.background import start_restarting
 from coltsfootseam.manager.context import Times
@@ -25,6 +25,7 @@
     """Opens a link to each new worker and closes those of ended workers."""
 
     __slots__ = (
+        "_latest_by_machine",
         "_on_change",
         "_reachability",
         "_reconciler",
@@ -42,11 +43,14 @@
         self._reconciler = reconciler
         self._on_change = on_change
         self._reachability = ReachabilityLog(state.context)
+        self._latest_by_machine: dict[str, WorkerEntry] = {}
         self._tasks_by_id: dict[str, asyncio.Task[None]] = {}
 
     def sync_links(self) -> None:
         """Opens, updates and drops links according to the workers' entries."""
-        for entry in self._state.cluster.workers_by_instance.values():
+        entries = self._state.cluster.workers_by_instance.values()
+        self._latest_by_machine = _latest_by_machine(entries)
+        for entry in entries:
             is_gone = entry.worker_id in self._state.ended_worker_ids
             if entry.pool == self._state.pool and not is_gone:
                 self._sync_link(entry)
@@ -106,7 +110,7 @@
         latest = self._state.cluster.workers_by_instance.get(
             link.entry.instance_id
         )
-        if latest is not None and latest.started_ms > link.entry.started_ms:
+        if self._successor_of(link.entry, latest) is not None:
             link.is_gone = True
         if link.is_gone:
             self._drop_link(link, _INCARNATION_ENDED)
@@ -117,10 +121,29 @@
             if latest is None:
                 self._drop_link(link, "it does not respond and has no entry")
 
+    def _successor_of(
+        self, entry: WorkerEntry, latest: WorkerEntry | None
+    ) -> WorkerEntry | None:
+        """Returns a later incarnation of a worker, if any.
+
+        It may have another instance id, but is on the same machine.
+        """
+        candidates = (latest, self._latest_by_machine.get(entry.machine_id))
+        for candidate in candidates:
+            if candidate is None or candidate.worker_id == entry.worker_id:
+                continue
+            if candidate.started_ms > entry.started_ms:
+                return candidate
+        return None
+
     def _is_leaving(self, entry: WorkerEntry) -> bool:
         """Returns whether a worker's end was planned."""
-        is_evacuating = entry.worker_id in self._state.evacuating_worker_ids
-        return entry.is_draining or is_evacuating
+        if entry.is_draining:
+            return True
+        if entry.worker_id in self._state.evacuating_worker_ids:
+            return True
+        successor = self._latest_by_machine.get(entry.machine_id)
+        return successor is not None and successor.pool != entry.pool
 
     def _drop_link(self, link: WorkerLink, reason: str) -> None:
         worker_id = link.worker_id
@@ -179,6 +202,19 @@
         return self._state.now_s() > claimed_s + wait_s
 
 
+def _latest_by_machine(
+    entries: Iterable[WorkerEntry],
+) -> dict[str, WorkerEntry]:
+    """Returns the worker that started last on each machine."""
+    latest: dict[str, WorkerEntry] = {}
+    for entry in entries:
+        known = latest.get(entry.machine_id)
+        is_later = known is None or entry.started_ms > known.started_ms
+        if entry.machine_id and is_later:
+            latest[entry.machine_id] = entry
+    return latest
+
+
 def previous_owner_lease_s(times: Times) -> float:
     """Returns how long after a claim the previous owner's leases may last.
 
--- a/tests/common/fleets.py
+++ b/tests/common/fleets.py
@@ -219,6 +219,7 @@
         self.peers = MemoryPeers(timers)
         self.hosts: list[Host] = []
         self.workers.on_crash = self._handle_crash
+        self.renames_restarted_workers = False
 
     def configure(self, version: int = 1, *queues: Queue) -> None:
         """Publishes a configuration with queues and their pools."""
@@ -278,9 +279,15 @@
         latest = self.workers.workers_by_instance[entry.instance_id].entry
         if latest.started_ms != entry.started_ms:
             return
-        worker_id = f"{entry.instance_id}@{entry.started_ms + 1}"
+        instance_id = entry.instance_id
+        if self.renames_restarted_workers:
+            instance_id += "x"
+        started_ms = entry.started_ms + 1
         entry = msgspec.structs.replace(
-            entry, worker_id=worker_id, started_ms=entry.started_ms + 1
+            entry,
+            worker_id=f"{instance_id}@{started_ms}",
+            instance_id=instance_id,
+            started_ms=started_ms,
         )
         self.workers.add(entry)
         self.put_entry(entry)
--- a/tests/cover/test_deadly_tasks.py
+++ b/tests/cover/test_deadly_tasks.py
@@ -138,6 +138,36 @@
         )
 
 
+# Guards against crashes that nobody notices while the platform's list of
+# machines is away: each worker comes back under another id.
+async def test_crashes_are_seen_without_the_list_of_machines() -> None:
+    async with deadly_fleet(deadly_task()) as fleet:
+        fleet.machines.is_down = True
+        fleet.renames_restarted_workers = True
+        await fleet.accept(fleet.hosts[0], DEADLY_JOB, TASK)
+        await fleet.wait_for_state(DEADLY_JOB, JobState.FAILED)
+        assert crashes(fleet, deadly_task()) <= MAX_CRASHES
+
+
+# Guards against giving up a task whose workers were only cut off for a while.
+async def test_workers_that_are_cut_off_are_no_evidence() -> None:
+    async with running_fleet(workers=4, duration_of=lambda task: 2.0) as fleet:
+        step = Step(cpu_millis=500, estimate_ms=2000)
+        await fleet.accept(fleet.hosts[0], DEADLY_JOB, step)
+        for number in range(1, 4):
+            await silence_worker_of_start(fleet, number)
+        await fleet.wait_for_state(DEADLY_JOB, JobState.COMPLETED)
+        assert not fleet.owner().lines("crash.observed")
+
+
+async def silence_worker_of_start(fleet: Fleet, number: int) -> None:
+    """Cuts off the worker that starts the job for the given time."""
+    await fleet.wait_until(lambda: fleet.started(DEADLY_JOB) == number)
+    for worker in fleet.workers.workers_by_instance.values():
+        if worker.runs_by_task:
+            worker.faults.is_unresponsive = True
+
+
 @pytest.mark.parametrize(
     ("step", "run_s"),
     [
