--- /dev/null
+++ b/daemons/manager/src/coltsfootseam/manager/pool_loading.py
@@ -0,0 +1,79 @@
+"""Reads what the store has of a pool, at the start of its ownership."""
+
+import msgspec
+
+from coltsfootseam.jobs import Progress, decode_progress, parse_pool_key
+from coltsfootseam.manager.context import Context
+from coltsfootseam.manager.duty_progress import DutyProgress
+from coltsfootseam.results import Refusal
+from coltsfootseam.store import LatestRecordsReader, StoredRecord, Tail
+
+_RETRY_DELAY_S = 0.15
+_MS_PER_S = 1000
+
+
+class PoolLoader:
+    """Reads a pool's journal and inbox, and retries until that succeeds."""
+
+    __slots__ = ("_context", "_pool", "_progress", "_started_s")
+
+    def __init__(
+        self, pool: str, context: Context, progress: DutyProgress
+    ) -> None:
+        self._pool = pool
+        self._context = context
+        self._progress = progress
+        self._started_s = context.timers.now_s()
+
+    async def load_journal(self) -> dict[str, Progress]:
+        """Returns the progress of each job, by the job's id.
+
+        The claim fences all earlier owners, so the journal no longer changes.
+        """
+        self._started_s = self._context.timers.now_s()
+        reader = LatestRecordsReader(
+            self._context.ports.store,
+            self._context.journal_of(self._pool),
+            self._progress.record_progress,
+        )
+        while True:
+            latest = await reader.read()
+            if not isinstance(latest, Refusal):
+                return self._decode(latest.records)
+            await self._retry_later("journal", latest)
+
+    async def load_inbox(self, inbox: Tail) -> None:
+        """Loads all requests and cancellations."""
+        self._started_s = self._context.timers.now_s()
+        while (refusal := await inbox.load()) is not None:
+            await self._retry_later("inbox", refusal)
+
+    def _decode(self, records: list[StoredRecord]) -> dict[str, Progress]:
+        progress_by_id = {}
+        for record in records:
+            key = parse_pool_key(self._pool, record.key)
+            if key is None or not record.value:
+                continue
+            try:
+                progress = decode_progress(record.value)
+            except msgspec.DecodeError as error:
+                self._context.log.write(
+                    "record.unreadable", key=record.key, why=str(error)
+                )
+                continue
+            progress_by_id[key.job_id] = progress
+        return progress_by_id
+
+    async def _retry_later(self, part: str, refusal: Refusal) -> None:
+        since_s = self._context.timers.now_s() - self._started_s
+        self._context.log.write(
+            "pool.load_failed",
+            pool=self._pool,
+            part=part,
+            code=refusal.code.name,
+            why=refusal.reason,
+            since_ms=round(since_s * _MS_PER_S),
+        )
+        self._context.counters.increment("pool.load_failed")
+        self._progress.record_failure()
+        await self._context.timers.sleep(_RETRY_DELAY_S)
--- a/daemons/manager/src/coltsfootseam/manager/pool_owner.py
+++ b/daemons/manager/src/coltsfootseam/manager/pool_owner.py
@@ -7,7 +7,6 @@
 from coltsfootseam.jobs import (
     JobTable,
     Progress,
-    decode_progress,
     decode_request,
     key_prefix,
     parse_pool_key,
@@ -21,21 +20,20 @@
 from coltsfootseam.manager.orders import Orders
 from coltsfootseam.manager.pacer import Pacer
 from coltsfootseam.manager.planning_rounds import PlanningRounds
+from coltsfootseam.manager.pool_loading import PoolLoader
 from coltsfootseam.manager.pool_state import PoolState
 from coltsfootseam.manager.retention import Retention
 from coltsfootseam.manager.run_reconciler import RunReconciler
 from coltsfootseam.manager.ticket_cache import TicketCache
 from coltsfootseam.manager.worker_links import WorkerLinks
-from coltsfootseam.results import Refusal
 from coltsfootseam.scheduling import WorkerHealth
 from coltsfootseam.store import (
     Journal,
-    LatestRecordsReader,
     StoredRecord,
     Tail,
 )
+from coltsfootseam.timers import Subscription
 
-_LOAD_RETRY_DELAY_S = 0.15
 _MAX_ROUND_INTERVAL_S = 0.1
 _MIN_ROUND_INTERVAL_S = 0.02
 _CONFIRM_PERIOD_S = 0.7
@@ -90,7 +88,8 @@
             f"pool.{self._pool}",
             self.progress,
         )
-        await self._load_journal()
+        loader = PoolLoader(self._pool, self._context, self.progress)
+        self._progress_by_id = await loader.load_journal()
         state = PoolState(
             pool=self._pool,
             context=self._context,
@@ -108,7 +107,7 @@
             prefix=key_prefix(self._pool),
             on_page=self.progress.record_progress,
         )
-        await self._load_inbox(inbox)
+        await loader.load_inbox(inbox)
         self._add_ended_jobs(state)
         self._context.log.write(
             "pool.loaded",
@@ -120,46 +119,6 @@
         self.progress.is_active = True
         await self._run_rounds(state, inbox)
 
-    async def _load_journal(self) -> None:
-        """Loads the progress of each job.
-
-        The claim fences all earlier owners, so the journal no longer changes.
-        """
-        started_s = self._context.timers.now_s()
-        reader = LatestRecordsReader(
-            self._context.ports.store,
-            self._context.journal_of(self._pool),
-            self.progress.record_progress,
-        )
-        while True:
-            latest = await reader.read()
-            if not isinstance(latest, Refusal):
-                break
-            self._report_failed_load("journal", latest, started_s)
-            await self._context.timers.sleep(_LOAD_RETRY_DELAY_S)
-        for record in latest.records:
-            key = parse_pool_key(self._pool, record.key)
-            if key is None or not record.value:
-                continue
-            try:
-                progress = decode_progress(record.value)
-            except msgspec.DecodeError as error:
-                self._context.log.write(
-                    "record.unreadable", key=record.key, why=str(error)
-                )
-                continue
-            self._progress_by_id[key.job_id] = progress
-
-    async def _load_inbox(self, inbox: Tail) -> None:
-        """Loads all requests and cancellations."""
-        started_s = self._context.timers.now_s()
-        while True:
-            refusal = await inbox.load()
-            if refusal is None:
-                return
-            self._report_failed_load("inbox", refusal, started_s)
-            await self._context.timers.sleep(_LOAD_RETRY_DELAY_S)
-
     def _add_ended_jobs(self, state: PoolState) -> None:
         """Adds jobs of which only the final state is stored.
 
@@ -174,21 +133,6 @@
                 job_table.add_ended(job_id, progress)
         self._progress_by_id.clear()
 
-    def _report_failed_load(
-        self, part: str, refusal: Refusal, started_s: float
-    ) -> None:
-        since_s = self._context.timers.now_s() - started_s
-        self._context.log.write(
-            "pool.load_failed",
-            pool=self._pool,
-            part=part,
-            code=refusal.code.name,
-            why=refusal.reason,
-            since_ms=round(since_s * _MS_PER_S),
-        )
-        self._context.counters.increment("pool.load_failed")
-        self.progress.record_failure()
-
     def _apply_inbox_record(
         self, state: PoolState, record: StoredRecord
     ) -> None:
@@ -235,28 +179,13 @@
         rounds = PlanningRounds(
             state, orders, workers, tickets, self.evacuation
         )
-        pacer = Pacer(state, orders)
         inbox_task = start_once(
             self._context,
             f"inbox of {self._pool}",
             inbox.run,
             lambda: self._abandon(state),
         )
-        subscriptions = [
-            self._context.timers.subscribe(
-                _MAX_ROUND_INTERVAL_S, self._wake.set
-            ),
-            *Retention(state, inbox).subscribe(),
-            pacer.subscribe(),
-            self._context.timers.subscribe(
-                _CONFIRM_PERIOD_S,
-                logging_failures(
-                    self._context,
-                    f"epoch of {self._pool}",
-                    lambda: self._confirm_ownership(state),
-                ),
-            ),
-        ]
+        subscriptions = self._subscribe(state, inbox, orders)
         try:
             while not state.journal.is_lost:
                 await self._wake.wait()
@@ -275,6 +204,23 @@
                 "pool.left", pool=self._pool, epoch=state.journal.epoch
             )
 
+    def _subscribe(
+        self, state: PoolState, inbox: Tail, orders: Orders
+    ) -> list[Subscription]:
+        """Starts what happens at intervals while the pool is owned."""
+        confirm = logging_failures(
+            self._context,
+            f"epoch of {self._pool}",
+            lambda: self._confirm_ownership(state),
+        )
+        timers = self._context.timers
+        return [
+            timers.subscribe(_MAX_ROUND_INTERVAL_S, self._wake.set),
+            *Retention(state, inbox).subscribe(),
+            Pacer(state, orders).subscribe(),
+            timers.subscribe(_CONFIRM_PERIOD_S, confirm),
+        ]
+
     def _abandon(self, state: PoolState) -> None:
         """Releases the pool, so that its next owner loads it from the store."""
         state.journal.is_lost = True
--- a/libs/scheduling/src/coltsfootseam/scheduling/isolation.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/isolation.py
@@ -80,29 +80,26 @@
         reserved_ids: Workers that the previous plan reserved.
     """
     plan = IsolationPlan()
-    free_slots = max_isolating
-    for worker in workers:
-        if worker.is_isolating:
-            worker.is_open = False
-            free_slots -= 1
+    free_slots = max_isolating - _close_isolating(workers)
     for group in _waiting_groups(ready_steps, now_s):
         is_overdue = now_s - group.suspect_since_s() > _MAX_EXCLUSIVE_WAIT_S
         if free_slots <= 0 and not is_overdue:
             continue
         used = _place_group(group, workers, is_overdue, ticket_of, fit, plan)
-        if used:
-            free_slots -= used
-            continue
-        reserved = _choose_reserve(group, workers, is_overdue, reserved_ids)
-        if reserved is not None:
-            reserved.is_open = False
-            plan.reserved_ids.add(reserved.worker_id)
-        else:
-            plan.waiting_count += 1
-        free_slots -= 1
+        if not used:
+            _reserve_worker(group, workers, is_overdue, reserved_ids, plan)
+        free_slots -= max(1, used)
     return plan
 
 
+def _close_isolating(workers: list[WorkerCapacity]) -> int:
+    """Closes the workers that run suspects, and returns how many they are."""
+    isolating = [worker for worker in workers if worker.is_isolating]
+    for worker in isolating:
+        worker.is_open = False
+    return len(isolating)
+
+
 def _waiting_groups(ready_steps: list[ReadyStep], now_s: float) -> list[_Group]:
     """Returns the waiting suspects, those with the most crashes first."""
     groups: list[_Group] = []
@@ -154,13 +151,14 @@
     return worker.has_only_isolated or is_overdue
 
 
-def _choose_reserve(
+def _reserve_worker(
     group: _Group,
     workers: list[WorkerCapacity],
     is_overdue: bool,
     reserved_ids: set[str],
-) -> WorkerCapacity | None:
-    """Returns the open worker that is empty soonest, if any suits a group."""
+    plan: IsolationPlan,
+) -> None:
+    """Closes the open worker that is empty soonest, if any suits a group."""
     key = step_key(group.tasks[0].id)
     suitable = [
         worker
@@ -170,12 +168,16 @@
         and worker.fits_when_empty(group.ready.step)
         and (is_overdue or not worker.long_running_count)
     ]
-    return min(
+    if not suitable:
+        plan.waiting_count += 1
+        return
+    reserved = min(
         suitable,
         key=lambda worker: (
             worker.worker_id not in reserved_ids,
             worker.long_running_count,
             worker.remaining_s,
         ),
-        default=None,
     )
+    reserved.is_open = False
+    plan.reserved_ids.add(reserved.worker_id)
