--- a/daemons/manager/src/coltsfootseam/manager/planning.py
+++ b/daemons/manager/src/coltsfootseam/manager/planning.py
@@ -7,6 +7,7 @@
 from coltsfootseam.manager.preemption import preempt
 from coltsfootseam.manager.speculation import SpeculationPlanner
 from coltsfootseam.manager.ticket_cache import TicketCache
+from coltsfootseam.manager.worker_snapshot import worker_capacities
 from coltsfootseam.scheduling import (
     FITS,
     JOB_ORDERS,
@@ -14,22 +15,14 @@
     Placement,
     Plan,
     ReadyStep,
-    WorkerCapacity,
-    WorkerSize,
-    crashes_late,
     critical_path_s,
-    is_proven,
     max_isolating_workers,
     plan_isolated_starts,
     plan_starts,
     step_key,
 )
-from coltsfootseam.workers import WorkerLink
 
 _MS_PER_S = 1000
-_MAX_ISOLATION_S = 10.0
-"""After this time the worker of a suspect, such as one that never ends, gets
-other tasks again."""
 
 
 class NewRun(msgspec.Struct, frozen=True):
@@ -80,7 +73,7 @@
             self.plan = Plan()
             self.isolation = IsolationPlan()
             return []
-        workers = self.worker_capacities()
+        workers = worker_capacities(self._state)
         now_s = self._state.now_s()
         self.isolation = plan_isolated_starts(
             ready,
@@ -105,68 +98,10 @@
         preempt(self._state, self.plan.shortages, workers)
         return new_runs
 
-    def worker_capacities(self) -> list[WorkerCapacity]:
-        """Returns a snapshot of the free capacity of each worker."""
-        workers_by_id = {
-            link.worker_id: self._worker_capacity(link)
-            for link in self._state.links_by_id.values()
-            if not link.is_gone
-        }
-        for worker_id, worker in workers_by_id.items():
-            for task, run in self._state.job_table.runs.runs_of(worker_id):
-                self._add_run(worker, task, run)
-        return list(workers_by_id.values())
-
-    def _add_run(self, worker: WorkerCapacity, task: Task, run: Run) -> None:
-        """Adds an active run to the snapshot of its worker."""
-        probation_slots = worker.probation_slots
-        worker.reserve(task.step, step_key(task.id))
-        if probation_slots is not None and task.step.long_running:
-            worker.probation_slots = probation_slots
-        age_s = self._state.now_s() - run.ordered_s
-        estimate_s = task.step.estimate_ms / _MS_PER_S
-        worker.remaining_s = max(worker.remaining_s, estimate_s - age_s)
-        worker.long_running_count += task.step.long_running
-        if not run.is_isolated:
-            worker.has_only_isolated = False
-        elif age_s < _MAX_ISOLATION_S:
-            worker.is_isolating |= not is_proven(run) or crashes_late(task)
-        if not is_proven(run):
-            worker.unproven_count += 1
-            worker.has_unproven_suspect |= bool(task.crashed_worker_ids)
-
     def _max_isolating(self, worker_count: int) -> int:
         share = self._state.context.policies.isolation_share
         return max_isolating_workers(worker_count, share)
 
-    def _worker_capacity(self, link: WorkerLink) -> WorkerCapacity:
-        entry = link.entry
-        state = self._state
-        worker_id = link.worker_id
-        is_open = (
-            link.is_reachable
-            and not entry.is_draining
-            and worker_id not in state.evacuating_worker_ids
-            and not state.health.is_quarantined(worker_id, state.now_s())
-        )
-        return WorkerCapacity(
-            worker_id=worker_id,
-            zone=entry.zone,
-            rack=entry.labels[-1] if entry.labels else "",
-            labels=entry.labels,
-            free_cpu_millis=entry.cpu_millis,
-            free_memory_mb=entry.memory_mb,
-            free_accelerators=entry.accelerators,
-            is_open=is_open,
-            is_surplus=worker_id in state.surplus_worker_ids,
-            probation_slots=state.health.probation_slots(worker_id),
-            slowness=state.health.slowness(worker_id),
-            counts_by_step={},
-            size=WorkerSize(
-                entry.cpu_millis, entry.memory_mb, entry.accelerators
-            ),
-        )
-
     def _ready_steps(self) -> list[ReadyStep]:
         ready = []
         for job in self._state.job_table.active_by_id.values():
