Let suspects of policy queues and gangs find their workers

Found by reading what isolation does to each kind of step. A suspect of a queue with a policy service never got a ticket: tickets were asked for steps that ordinary planning could not place, and it leaves suspects out. A gang of suspects that needs several empty workers had one reserved at a time, and waited for as long as its pool was busy. Change: the isolation plan lists suspects that lack tickets, also while a worker is emptied for them; a gang reserves as many workers as it needs. What is remembered of lost workers is bounded. Both tests failed before.

--- a/daemons/manager/src/coltsfootseam/manager/crash_evidence.py
+++ b/daemons/manager/src/coltsfootseam/manager/crash_evidence.py
@@ -5,6 +5,8 @@
 from coltsfootseam.results import ResultCode
 from coltsfootseam.scheduling import find_unproven, is_confirmed, judge_crash
 
+_MAX_LOST_WORKERS = 64
+
 
 class CrashEvidence:
     """Records which workers were lost, and judges the tasks on them.
@@ -36,6 +38,10 @@
         self._report("contact.lost", worker_id, pairs, reason)
         lost = self._lost_pairs_by_worker.setdefault(worker_id, [])
         lost.extend(pairs)
+        if len(self._lost_pairs_by_worker) > _MAX_LOST_WORKERS:
+            # Oldest first, as a dict keeps insertion order.
+            oldest_id = next(iter(self._lost_pairs_by_worker))
+            del self._lost_pairs_by_worker[oldest_id]
 
     def record_crash(
         self, worker_id: str, pairs: list[RunPair], reason: str
--- a/daemons/manager/src/coltsfootseam/manager/planning.py
+++ b/daemons/manager/src/coltsfootseam/manager/planning.py
@@ -87,7 +87,9 @@
         self.plan = plan_starts(
             ready, workers, now_s, self._tickets.find, self._fit, max_starts
         )
-        self._tickets.request_tickets(self.plan.shortages, workers)
+        self._tickets.request_tickets(
+            self.plan.shortages, self.isolation.lacking_tickets, workers
+        )
         copies = []
         if not self.plan.shortages and not self.plan.undecided:
             copies = self._speculation.place(slow, workers)
--- a/daemons/manager/src/coltsfootseam/manager/ticket_cache.py
+++ b/daemons/manager/src/coltsfootseam/manager/ticket_cache.py
@@ -55,12 +55,32 @@
         return cached.ticket
 
     def request_tickets(
-        self, shortages: list[Shortage], workers: list[WorkerCapacity]
+        self,
+        shortages: list[Shortage],
+        suspects: list[Shortage],
+        workers: list[WorkerCapacity],
     ) -> None:
-        """Requests tickets for steps that have no worker with a ticket."""
-        lacking = [item for item in shortages if item.needs_ticket]
-        for shortage in lacking:
-            self._queue_request(shortage, workers)
+        """Requests tickets for steps that have no worker with a ticket.
+
+        Args:
+            shortages: Steps whose tasks could not be placed.
+            suspects: Steps of suspects. They need a ticket of a worker that
+                isn't empty yet, so that it can be emptied.
+            workers: The workers of the pool.
+        """
+        for shortage in shortages:
+            if shortage.needs_ticket:
+                step = shortage.ready.step
+                open_workers = [
+                    worker
+                    for worker in workers
+                    if worker.is_open and worker.fits(step)
+                ]
+                self._queue_request(shortage, open_workers)
+        for shortage in suspects:
+            step = shortage.ready.step
+            large = [item for item in workers if item.fits_when_empty(step)]
+            self._queue_request(shortage, large)
         is_idle = self._task is None or self._task.done()
         if self._requested_workers_by_step and is_idle:
             self._task = start_restarting(
@@ -86,9 +106,7 @@
         candidates = [
             worker
             for worker in workers
-            if worker.is_open
-            and worker.fits(step)
-            and worker.may_run(step, key)
+            if worker.may_run(step, key)
             and (key, worker.worker_id) not in self._refused
             and self.find(key, worker.worker_id) is None
         ]
--- a/libs/scheduling/src/coltsfootseam/scheduling/isolation.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/isolation.py
@@ -12,7 +12,12 @@
 from coltsfootseam.jobs import Task
 from coltsfootseam.scheduling.fits import Fit
 from coltsfootseam.scheduling.ordering import ReadyStep
-from coltsfootseam.scheduling.placement import Placement, TicketOf, place_step
+from coltsfootseam.scheduling.placement import (
+    Placement,
+    Shortage,
+    TicketOf,
+    place_step,
+)
 from coltsfootseam.scheduling.worker_capacity import WorkerCapacity, step_key
 
 _MAX_EXCLUSIVE_WAIT_S = 2.0
@@ -45,11 +50,13 @@
         placements: Suspects to start.
         reserved_ids: Workers that get no new tasks, so that they become empty.
         waiting_count: How many more workers suspects could use.
+        lacking_tickets: Suspects that wait for a ticket of a policy service.
     """
 
     placements: list[Placement] = []
     reserved_ids: set[str] = set()
     waiting_count: int = 0
+    lacking_tickets: list[Shortage] = []
 
 
 def max_isolating_workers(worker_count: int, share: float) -> int:
@@ -87,7 +94,8 @@
             continue
         used = _place_group(group, workers, is_overdue, ticket_of, fit, plan)
         if not used:
-            _reserve_worker(group, workers, is_overdue, reserved_ids, plan)
+            suitable = _suitable_workers(group, workers, is_overdue, ticket_of)
+            used = _reserve_workers(group, suitable, reserved_ids, plan)
         free_slots -= max(1, used)
     return plan
 
@@ -151,33 +159,64 @@
     return worker.has_only_isolated or is_overdue
 
 
-def _reserve_worker(
+def _suitable_workers(
     group: _Group,
     workers: list[WorkerCapacity],
     is_overdue: bool,
-    reserved_ids: set[str],
-    plan: IsolationPlan,
-) -> None:
-    """Closes the open worker that is empty soonest, if any suits a group."""
+    ticket_of: TicketOf,
+) -> list[WorkerCapacity]:
+    """Returns the open workers that could run a group once they are empty."""
+    step = group.ready.step
     key = step_key(group.tasks[0].id)
-    suitable = [
+    needs_ticket = group.ready.queue.advice is not None
+    return [
         worker
         for worker in workers
         if worker.is_open
-        and worker.may_run(group.ready.step, key)
-        and worker.fits_when_empty(group.ready.step)
+        and worker.may_run(step, key)
+        and worker.fits_when_empty(step)
         and (is_overdue or not worker.long_running_count)
+        and not (needs_ticket and ticket_of(key, worker.worker_id) is None)
     ]
-    if not suitable:
-        plan.waiting_count += 1
-        return
-    reserved = min(
-        suitable,
+
+
+def _reserve_workers(
+    group: _Group,
+    suitable: list[WorkerCapacity],
+    reserved_ids: set[str],
+    plan: IsolationPlan,
+) -> int:
+    """Closes the workers that are empty soonest; returns how many.
+
+    A gang gets as many as it may need, as it starts on all of them at once.
+    """
+    if group.ready.queue.advice is not None:
+        # Also while workers are reserved, as their tickets may expire before
+        # they are empty.
+        plan.lacking_tickets.append(
+            Shortage(group.ready, len(group.tasks), needs_ticket=True)
+        )
+    suitable.sort(
         key=lambda worker: (
             worker.worker_id not in reserved_ids,
             worker.long_running_count,
             worker.remaining_s,
         ),
     )
-    reserved.is_open = False
-    plan.reserved_ids.add(reserved.worker_id)
+    chosen = suitable[: _workers_needed(group, suitable)]
+    for worker in chosen:
+        worker.is_open = False
+        plan.reserved_ids.add(worker.worker_id)
+    if not chosen:
+        plan.waiting_count += 1
+    return len(chosen)
+
+
+def _workers_needed(group: _Group, workers: list[WorkerCapacity]) -> int:
+    """Returns how many empty workers a group fits on, at most one a task."""
+    step = group.ready.step
+    largest = max((item.size.cpu_millis for item in workers), default=0)
+    per_worker = max(1, largest // max(1, step.cpu_millis))
+    if step.per_worker_limit:
+        per_worker = min(per_worker, step.per_worker_limit)
+    return -(-len(group.tasks) // per_worker)
--- a/tests/cover/test_deadly_tasks.py
+++ b/tests/cover/test_deadly_tasks.py
@@ -5,9 +5,9 @@
 
 import pytest
 
-from coltsfootseam.jobs import JobState, Step, TaskId
+from coltsfootseam.jobs import Advice, JobState, Queue, Step, TaskId
 from coltsfootseam.manager.status import JobStatus, StatusPage
-from tests.common.fleets import Fleet, running_fleet
+from tests.common.fleets import POOL, QUEUE, Fleet, running_fleet
 
 DEADLY_JOB = "d" * 16
 MAX_CRASHES = 3
@@ -138,6 +138,48 @@
         )
 
 
+# Guards against suspects that wait forever for a ticket: only one worker may
+# run them, other jobs keep it busy, and tickets expire.
+async def test_suspects_get_tickets_of_the_policy_service() -> None:
+    async with deadly_fleet(deadly_task()) as fleet:
+        queue = Queue(
+            QUEUE,
+            "host",
+            "/q/",
+            POOL,
+            attempts=3,
+            stretch=2.0,
+            target_ms=600,
+            advice=Advice(10, 5, 3000),
+        )
+        fleet.advice.allowed_ids = {"i-2"}
+        fleet.configure(2, queue)
+        await fleet.timers.advance(1.0)
+        await fleet.accept(fleet.hosts[0], DEADLY_JOB, TASK)
+        others = await submit_others(fleet, 12)
+        await fleet.wait_for_state(DEADLY_JOB, JobState.FAILED)
+        for job_id in others:
+            await fleet.wait_for_state(job_id, JobState.COMPLETED, 120.0)
+        assert crashes(fleet, deadly_task()) <= MAX_CRASHES
+
+
+# Guards against a gang of suspects that needs several empty workers at once,
+# in a pool that never has one.
+async def test_a_gang_of_suspects_finds_room_in_a_busy_pool() -> None:
+    async with deadly_fleet(deadly_task(), workers=8) as fleet:
+        fleet.workers.gang_jobs = {DEADLY_JOB}
+        gang = Step(count=3, cpu_millis=3000, estimate_ms=500, gang=True)
+        await fleet.accept(fleet.hosts[0], DEADLY_JOB, gang)
+        load = Step(count=7, cpu_millis=1000, estimate_ms=500)
+        for number in range(80):
+            job_id = f"{number:016x}"
+            await fleet.accept(fleet.hosts[-1], job_id, load)
+            await fleet.timers.advance(0.12)
+        state = await fleet.state(fleet.hosts[0], DEADLY_JOB)
+        assert state is JobState.FAILED
+        assert crashes(fleet, deadly_task()) <= MAX_CRASHES
+
+
 # Guards against crashes that nobody notices while the platform's list of
 # machines is away: each worker comes back under another id.
 async def test_crashes_are_seen_without_the_list_of_machines() -> None:
