Name the assessment of a crash in the field's words

Culprit, assessment and counter crash.given_up in place of guilty, verdict and judge; a job whose tasks crash workers together is given up once.

--- a/bench/prove.py
+++ b/bench/prove.py
@@ -222,12 +222,12 @@
         "test_ends_are_acknowledged_soon_and_forgotten_by_workers",
     ),
     Proof(
-        "crashes-judged",
+        "crashes-assessed",
         "tests/cover/test_deadly_tasks.py::"
         "test_a_task_that_crashes_its_workers_is_given_up",
     ),
     Proof(
-        "confirmed-runs-judged",
+        "confirmed-runs-only",
         "tests/cover/test_deadly_tasks.py::"
         "test_an_order_to_a_worker_that_is_gone_proves_nothing",
     ),
--- a/bench/quarantine.py
+++ b/bench/quarantine.py
@@ -15,7 +15,11 @@
 from bench.results import Row, make_row, print_rows, write_rows
 from coltsfootseam.jobs import JobState, RunPair, Step, Task, TaskId
 from coltsfootseam.manager import crash_evidence
-from coltsfootseam.scheduling import Verdict, find_unproven, judge_crash
+from coltsfootseam.scheduling import (
+    CrashAssessment,
+    assess_crash,
+    find_unproven,
+)
 from coltsfootseam.scheduling.registry import Registry
 from coltsfootseam.testbed.switchboard import replace
 from tests.common.fleets import Fleet, running_fleet
@@ -29,58 +33,62 @@
 _DEADLY_JOBS = (10, 11, 30)
 _ARRIVAL_S = 0.2
 _OWN_CRASHES_BY_JOB = {20: "i-3", 40: "i-6"}
-_GUILTY_CRASHES = 2
+_CULPRIT_CRASHES = 2
 _MIN_TASK_S = 0.4
 _MAX_TASK_S = 1.4
 _LIMIT_S = 40.0
 _PERCENTILE_95 = 18
 """Index among the 19 cuts that divide the values into twentieths."""
 
-Judge = Callable[[list[RunPair]], Verdict]
+AssessCrash = Callable[[list[RunPair]], CrashAssessment]
 
-WAYS: Registry[Judge] = Registry("way to judge a crash")
+WAYS: Registry[AssessCrash] = Registry("way to assess a crash")
 
 
 @WAYS.register("nothing")
-def judge_nobody(pairs: list[RunPair]) -> Verdict:
+def assess_nobody(pairs: list[RunPair]) -> CrashAssessment:
     """No crash counts."""
     del pairs
-    return Verdict([], [])
+    return CrashAssessment([], [])
 
 
 @WAYS.register("everyone")
-def judge_everyone(pairs: list[RunPair]) -> Verdict:
-    """Two crashes condemn any task, and nothing is isolated."""
-    return Verdict([], [task for task, _ in pairs if _is_second_crash(task)])
+def assess_everyone(pairs: list[RunPair]) -> CrashAssessment:
+    """Any task fails after two crashes, and nothing is isolated."""
+    return CrashAssessment(
+        [], [task for task, _ in pairs if _is_second_crash(task)]
+    )
 
 
 @WAYS.register("youngest")
-def judge_youngest(pairs: list[RunPair]) -> Verdict:
-    """Two crashes condemn the task that started last."""
+def assess_youngest(pairs: list[RunPair]) -> CrashAssessment:
+    """The task that started last fails after two crashes."""
     unproven = find_unproven(pairs)[:1]
-    return Verdict([], [task for task, _ in unproven if _is_second_crash(task)])
+    return CrashAssessment(
+        [], [task for task, _ in unproven if _is_second_crash(task)]
+    )
 
 
 @WAYS.register("all alone")
-def judge_all_alone(pairs: list[RunPair]) -> Verdict:
+def assess_all_alone(pairs: list[RunPair]) -> CrashAssessment:
     """Every task of a crashed worker is isolated."""
-    verdict = judge_crash(pairs)
-    suspects = [] if verdict.guilty else [task for task, _ in pairs]
-    return Verdict(suspects, verdict.guilty)
+    assessment = assess_crash(pairs)
+    suspects = [] if assessment.culprits else [task for task, _ in pairs]
+    return CrashAssessment(suspects, assessment.culprits)
 
 
 @WAYS.register("spread")
-def judge_spread(pairs: list[RunPair]) -> Verdict:
+def assess_spread(pairs: list[RunPair]) -> CrashAssessment:
     """Nothing is isolated; the only unproven task with two crashes is it."""
     again = [task for task, _ in find_unproven(pairs) if _is_second_crash(task)]
-    return Verdict([], again if len(again) == 1 else [])
+    return CrashAssessment([], again if len(again) == 1 else [])
 
 
-WAYS.register("likely alone")(judge_crash)
+WAYS.register("likely alone")(assess_crash)
 
 
 def _is_second_crash(task: Task) -> bool:
-    return len(task.crashed_worker_ids) >= _GUILTY_CRASHES
+    return len(task.crashed_worker_ids) >= _CULPRIT_CRASHES
 
 
 class Outcome(msgspec.Struct):
@@ -102,7 +110,7 @@
 
 
 async def _play(way: str) -> Outcome:
-    replace(crash_evidence, "judge_crash", WAYS.lookup(way))
+    replace(crash_evidence, "assess_crash", WAYS.lookup(way))
 
     def duration_of(task: TaskId) -> float:
         # The same in each way, whatever was started before.
--- a/daemons/manager/src/coltsfootseam/manager/crash_evidence.py
+++ b/daemons/manager/src/coltsfootseam/manager/crash_evidence.py
@@ -3,13 +3,13 @@
 from coltsfootseam.jobs import RunPair, Task
 from coltsfootseam.manager.pool_state import PoolState
 from coltsfootseam.results import ResultCode
-from coltsfootseam.scheduling import find_unproven, is_confirmed, judge_crash
+from coltsfootseam.scheduling import assess_crash, find_unproven, is_confirmed
 
 _MAX_LOST_WORKERS = 64
 
 
 class CrashEvidence:
-    """Records which workers were lost, and judges the tasks on them.
+    """Records which workers were lost, and assesses the tasks on them.
 
     A worker whose lease has ended may be cut off and is no evidence. Its runs
     are remembered until it is known whether it has crashed.
@@ -46,7 +46,7 @@
     def record_crash(
         self, worker_id: str, pairs: list[RunPair], reason: str
     ) -> None:
-        """Records that a worker has crashed, and judges the tasks on it.
+        """Records that a worker has crashed, and assesses the tasks on it.
 
         Args:
             worker_id: The worker.
@@ -63,10 +63,10 @@
             is_known = task.id.job_id in job_table.jobs_by_id
             if is_known and is_confirmed(run):
                 job_table.record_crash(task, worker_id)
-        verdict = judge_crash(pairs)
-        for task in verdict.suspects:
+        assessment = assess_crash(pairs)
+        for task in assessment.suspects:
             self._suspect(task)
-        for task in verdict.guilty:
+        for task in assessment.culprits:
             self._give_up(task)
 
     def _suspect(self, task: Task) -> None:
@@ -85,8 +85,12 @@
 
     def _give_up(self, task: Task) -> None:
         state = self._state
+        job = state.job_table.jobs_by_id.get(task.id.job_id)
+        if job is None or job.state.is_final:
+            # It was cancelled, or another task of it was given up.
+            return
         explained_ids = frozenset(task.crashed_worker_ids)
-        state.context.counters.increment("crash.verdicts")
+        state.context.counters.increment("crash.given_up")
         state.context.log.write(
             "crash.task_given_up",
             job=task.id.job_id,
@@ -94,10 +98,7 @@
             workers=task.crashed_worker_ids,
             code=ResultCode.JOB_CRASHES_WORKERS.value,
         )
-        if task.id.job_id in state.job_table.jobs_by_id:
-            state.job_table.give_up(
-                task, _failure_reason(task), state.wall_ms()
-            )
+        state.job_table.give_up(task, _failure_reason(task), state.wall_ms())
         cleared = state.job_table.clear_crashes(explained_ids)
         state.context.counters.increment("crash.cleared", len(cleared))
         state.context.log.write(
--- a/daemons/manager/src/coltsfootseam/manager/planning_rounds.py
+++ b/daemons/manager/src/coltsfootseam/manager/planning_rounds.py
@@ -78,7 +78,7 @@
         self._send_starts(new_runs)
 
     def _watch_isolating_workers(self) -> None:
-        """Has workers report suspects often, which soon proves the innocent."""
+        """Has workers report suspects often, so that they are soon proven."""
         runs = self._state.job_table.runs.all_runs()
         isolating_ids = {run.worker_id for _, run in runs if run.is_isolated}
         for link in self._state.links_by_id.values():
--- a/libs/scheduling/src/coltsfootseam/scheduling/__init__.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/__init__.py
@@ -1,12 +1,12 @@
 """Scheduling decisions over snapshots, without network access."""
 
 from coltsfootseam.scheduling.crashes import (
-    Verdict,
+    CrashAssessment,
+    assess_crash,
     crashes_late,
     find_unproven,
     is_confirmed,
     is_proven,
-    judge_crash,
 )
 from coltsfootseam.scheduling.demand import (
     NEED_RULES,
@@ -70,6 +70,7 @@
     "JOB_ORDERS",
     "NEED_RULES",
     "SPECULATION_RULES",
+    "CrashAssessment",
     "DemandHistory",
     "DueMachine",
     "IdleTimes",
@@ -89,11 +90,11 @@
     "Shortage",
     "SlowRun",
     "StepKey",
-    "Verdict",
     "WaveProgress",
     "WorkerCapacity",
     "WorkerHealth",
     "WorkerSize",
+    "assess_crash",
     "choose_maintenance",
     "crashes_late",
     "critical_path_s",
@@ -104,7 +105,6 @@
     "fits_beside",
     "is_confirmed",
     "is_proven",
-    "judge_crash",
     "max_isolating_workers",
     "plan_isolated_starts",
     "plan_moves",
--- a/libs/scheduling/src/coltsfootseam/scheduling/crashes.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/crashes.py
@@ -16,20 +16,20 @@
 _MAX_SUSPECTS_PER_CRASH = 8
 _SUSPECT_AFTER_UNPROVEN_CRASHES = 2
 _SUSPECT_AFTER_CRASHES = 3
-_GUILTY_AFTER_UNPROVEN_CRASHES = 2
-_GUILTY_AFTER_CRASHES = 3
+_CULPRIT_AFTER_UNPROVEN_CRASHES = 2
+_CULPRIT_AFTER_CRASHES = 3
 
 
-class Verdict(msgspec.Struct, frozen=True):
+class CrashAssessment(msgspec.Struct, frozen=True):
     """What a crash says about the tasks that were on the worker.
 
     Attributes:
         suspects: Tasks to run in isolation.
-        guilty: Tasks that have crashed a worker in isolation.
+        culprits: Tasks that have crashed a worker in isolation.
     """
 
     suspects: list[Task]
-    guilty: list[Task]
+    culprits: list[Task]
 
 
 def is_proven(run: Run) -> bool:
@@ -54,16 +54,16 @@
     return sorted(unproven, key=_likelihood)
 
 
-def judge_crash(pairs: list[RunPair]) -> Verdict:
-    """Returns which tasks are suspect or guilty after a crash.
+def assess_crash(pairs: list[RunPair]) -> CrashAssessment:
+    """Returns which tasks are suspect or culprits after a crash.
 
     Args:
         pairs: All runs on the worker; their tasks include this crash already.
     """
     unproven = find_unproven(pairs)
-    guilty = [pair[0] for pair in pairs if _is_guilty(pair, unproven)]
-    if guilty:
-        return Verdict([], guilty)
+    culprits = [pair[0] for pair in pairs if _is_culprit(pair, unproven)]
+    if culprits:
+        return CrashAssessment([], culprits)
     suspects = [task for task, _ in unproven[:_MAX_SUSPECTS_PER_CRASH]]
     suspects += [
         task
@@ -73,7 +73,7 @@
     suspects += [
         task for task, run in pairs if is_proven(run) and crashes_late(task)
     ]
-    return Verdict(suspects, [])
+    return CrashAssessment(suspects, [])
 
 
 def crashes_late(task: Task) -> bool:
@@ -81,16 +81,16 @@
     return len(task.crashed_worker_ids) >= _SUSPECT_AFTER_CRASHES
 
 
-def _is_guilty(pair: RunPair, unproven: list[RunPair]) -> bool:
+def _is_culprit(pair: RunPair, unproven: list[RunPair]) -> bool:
     task, run = pair
     if not run.is_isolated or not is_confirmed(run):
         return False
     if any(not _is_same_unit(task, other) for other, _ in unproven):
         return False
     needed = (
-        _GUILTY_AFTER_CRASHES
+        _CULPRIT_AFTER_CRASHES
         if is_proven(run)
-        else _GUILTY_AFTER_UNPROVEN_CRASHES
+        else _CULPRIT_AFTER_UNPROVEN_CRASHES
     )
     return len(task.crashed_worker_ids) >= needed
 
--- a/libs/testbed/src/coltsfootseam/testbed/manager_switches.py
+++ b/libs/testbed/src/coltsfootseam/testbed/manager_switches.py
@@ -29,7 +29,7 @@
 from coltsfootseam.manager.waves import Waves
 from coltsfootseam.results import Refusal, ResultCode
 from coltsfootseam.scheduling import (
-    Verdict,
+    CrashAssessment,
     WorkerCapacity,
     crashes,
     placement,
@@ -261,13 +261,15 @@
         return isinstance(value, Refusal)
 
 
-@switch("crashes-judged")
+@switch("crashes-assessed")
 def _ignore_crashes() -> None:
-    replace(crash_evidence, "judge_crash", lambda pairs: Verdict([], []))
+    replace(
+        crash_evidence, "assess_crash", lambda pairs: CrashAssessment([], [])
+    )
 
 
-@switch("confirmed-runs-judged")
-def _judge_unconfirmed_runs() -> None:
+@switch("confirmed-runs-only")
+def _count_unconfirmed_runs() -> None:
     replace(crashes, "is_confirmed", lambda run: True)
     replace(crash_evidence, "is_confirmed", lambda run: True)
 
--- a/tests/cover/test_deadly_tasks.py
+++ b/tests/cover/test_deadly_tasks.py
@@ -78,7 +78,7 @@
         reason = shown_job(fleet).failure_reason
         assert reason.startswith("44 JOB_CRASHES_WORKERS")
         assert all(worker_id in reason for worker_id in crashed)
-        assert fleet.owner().count("crash.verdicts") == 1
+        assert fleet.owner().count("crash.given_up") == 1
         await fleet.owner().kill()
         await fleet.wait_until(lambda: any(host.owns() for host in fleet.hosts))
         assert shown_job(fleet).failure_reason == reason
