--- a/daemons/manager/src/coltsfootseam/manager/crash_evidence.py
+++ b/daemons/manager/src/coltsfootseam/manager/crash_evidence.py
@@ -78,7 +78,7 @@
             state.context.log.write(
                 "crash.suspected",
                 job=task.id.job_id,
-                task=_position(task),
+                task=task.id.position(),
                 workers=task.crashed_worker_ids,
             )
         state.job_table.suspect(task, state.now_s())
@@ -94,7 +94,7 @@
         state.context.log.write(
             "crash.task_given_up",
             job=task.id.job_id,
-            task=_position(task),
+            task=task.id.position(),
             workers=task.crashed_worker_ids,
             code=ResultCode.JOB_CRASHES_WORKERS.value,
         )
@@ -104,7 +104,7 @@
         state.context.log.write(
             "crash.cleared",
             job=task.id.job_id,
-            tasks=[[item.id.job_id, *_position(item)] for item in cleared],
+            tasks=[[item.id.job_id, *item.id.position()] for item in cleared],
         )
 
     def _report(
@@ -118,7 +118,7 @@
             pool=state.pool,
             runs=len(pairs),
             unproven=[
-                [task.id.job_id, *_position(task), run.number]
+                [task.id.job_id, *task.id.position(), run.number]
                 for task, run in find_unproven(pairs)
             ],
             why=reason,
@@ -127,10 +127,6 @@
 
 def _failure_reason(task: Task) -> str:
     code = ResultCode.JOB_CRASHES_WORKERS
-    position = ".".join(str(number) for number in _position(task))
+    position = ".".join(str(number) for number in task.id.position())
     workers = ", ".join(task.crashed_worker_ids)
     return f"{code.value} {code.name}: task {position} crashed {workers}"
-
-
-def _position(task: Task) -> list[int]:
-    return [task.id.occurrence, task.id.step, task.id.index]
--- a/daemons/manager/src/coltsfootseam/manager/evacuation.py
+++ b/daemons/manager/src/coltsfootseam/manager/evacuation.py
@@ -171,8 +171,7 @@
 
     def _exclusive_ids(self) -> set[str]:
         """Returns the workers that run a suspect alone, or are to do so."""
-        runs = self._state.job_table.runs.all_runs()
-        isolating_ids = {run.worker_id for _, run in runs if run.is_isolated}
+        isolating_ids = self._state.job_table.runs.isolating_worker_ids()
         return isolating_ids | self.isolation.reserved_ids
 
     def _fits_any_worker(self, shortage: Shortage) -> bool:
--- a/daemons/manager/src/coltsfootseam/manager/orders.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders.py
@@ -8,10 +8,10 @@
 import asyncio
 from collections.abc import Callable
 
-from coltsfootseam.jobs import Run, RunEnd, RunPhase, Task
+from coltsfootseam.jobs import Run, RunEnd, RunKey, RunPhase, Task
 from coltsfootseam.manager.background import start_once, start_restarting
 from coltsfootseam.manager.pool_state import PoolState
-from coltsfootseam.manager.start_capacity import RunKey, StartCapacity
+from coltsfootseam.manager.start_capacity import StartCapacity
 from coltsfootseam.workers import (
     OrderOutcome,
     PaceOrder,
@@ -239,7 +239,7 @@
         state.context.log.write(
             "run.ordered",
             job=task.id.job_id,
-            task=[task.id.occurrence, task.id.step, task.id.index],
+            task=task.id.position(),
             run=run.number,
             worker=run.worker_id,
             token=state.journal.epoch,
@@ -303,7 +303,7 @@
         self._state.context.log.write(
             "stop.unanswered",
             job=task.id.job_id,
-            task=[task.id.occurrence, task.id.step, task.id.index],
+            task=task.id.position(),
             run=run.number,
             worker=run.worker_id,
             outcome=outcome.name,
--- a/daemons/manager/src/coltsfootseam/manager/planning_rounds.py
+++ b/daemons/manager/src/coltsfootseam/manager/planning_rounds.py
@@ -79,8 +79,7 @@
 
     def _watch_isolating_workers(self) -> None:
         """Has workers report suspects often, so that they are soon proven."""
-        runs = self._state.job_table.runs.all_runs()
-        isolating_ids = {run.worker_id for _, run in runs if run.is_isolated}
+        isolating_ids = self._state.job_table.runs.isolating_worker_ids()
         for link in self._state.links_by_id.values():
             link.is_watched = link.worker_id in isolating_ids
 
--- a/daemons/manager/src/coltsfootseam/manager/run_reconciler.py
+++ b/daemons/manager/src/coltsfootseam/manager/run_reconciler.py
@@ -135,7 +135,7 @@
         state.context.log.write(
             "run.ended",
             job=task.id.job_id,
-            task=[task.id.occurrence, task.id.step, task.id.index],
+            task=task.id.position(),
             run=run.number,
             worker=run.worker_id,
             end=end.name,
--- a/daemons/manager/src/coltsfootseam/manager/start_capacity.py
+++ b/daemons/manager/src/coltsfootseam/manager/start_capacity.py
@@ -6,16 +6,13 @@
 
 from collections.abc import Set
 
-from coltsfootseam.jobs import Run, Task, TaskId
+from coltsfootseam.jobs import Run, RunKey, Task
 from coltsfootseam.manager.pool_state import PoolState
 from coltsfootseam.scheduling import fits_beside
 from coltsfootseam.workers import WorkerEntry, WorkerLink
 
 _MAX_ENTRIES_AGE_S = 2.0
 
-RunKey = tuple[TaskId, int]
-"""The id of a task and the number of a run within it."""
-
 
 class StartCapacity:
     """Checks starts against the latest reports of the workers."""
--- a/daemons/manager/src/coltsfootseam/manager/worker_links.py
+++ b/daemons/manager/src/coltsfootseam/manager/worker_links.py
@@ -110,7 +110,7 @@
         latest = self._state.cluster.workers_by_instance.get(
             link.entry.instance_id
         )
-        if self._successor_of(link.entry, latest) is not None:
+        if self._has_successor(link.entry, latest):
             link.is_gone = True
         if link.is_gone:
             self._drop_link(link, _INCARNATION_ENDED)
@@ -121,20 +121,18 @@
             if latest is None:
                 self._drop_link(link, "it does not respond and has no entry")
 
-    def _successor_of(
+    def _has_successor(
         self, entry: WorkerEntry, latest: WorkerEntry | None
-    ) -> WorkerEntry | None:
-        """Returns a later incarnation of a worker, if any.
+    ) -> bool:
+        """Returns whether a later incarnation of a worker has started.
 
         It may have another instance id, but is on the same machine.
         """
         candidates = (latest, self._latest_by_machine.get(entry.machine_id))
-        for candidate in candidates:
-            if candidate is None or candidate.worker_id == entry.worker_id:
-                continue
-            if candidate.started_ms > entry.started_ms:
-                return candidate
-        return None
+        return any(
+            candidate is not None and candidate.started_ms > entry.started_ms
+            for candidate in candidates
+        )
 
     def _is_leaving(self, entry: WorkerEntry) -> bool:
         """Returns whether a worker's end was planned."""
--- a/libs/jobs/src/coltsfootseam/jobs/__init__.py
+++ b/libs/jobs/src/coltsfootseam/jobs/__init__.py
@@ -32,7 +32,7 @@
     Step,
     TaskId,
 )
-from coltsfootseam.jobs.run_index import RunIndex, RunPair
+from coltsfootseam.jobs.run_index import RunIndex, RunKey, RunPair
 
 __all__ = [
     "Advice",
@@ -50,6 +50,7 @@
     "Run",
     "RunEnd",
     "RunIndex",
+    "RunKey",
     "RunPair",
     "RunPhase",
     "Step",
--- a/libs/jobs/src/coltsfootseam/jobs/model.py
+++ b/libs/jobs/src/coltsfootseam/jobs/model.py
@@ -93,6 +93,10 @@
     step: int
     index: int
 
+    def position(self) -> list[int]:
+        """Returns occurrence, step and index, as log lines show them."""
+        return [self.occurrence, self.step, self.index]
+
 
 class JobState(enum.IntEnum):
     """State of a job. A final state never changes."""
--- a/libs/jobs/src/coltsfootseam/jobs/run_index.py
+++ b/libs/jobs/src/coltsfootseam/jobs/run_index.py
@@ -6,7 +6,7 @@
 RunPair = tuple[Task, Run]
 """A task and one of its runs."""
 
-_RunKey = tuple[TaskId, int]
+RunKey = tuple[TaskId, int]
 """The id of a task and the number of a run within it."""
 
 
@@ -16,7 +16,7 @@
     __slots__ = ("_pairs_by_worker",)
 
     def __init__(self) -> None:
-        self._pairs_by_worker: dict[str, dict[_RunKey, RunPair]] = {}
+        self._pairs_by_worker: dict[str, dict[RunKey, RunPair]] = {}
 
     def add(self, task: Task, run: Run) -> None:
         """Adds a run."""
@@ -40,6 +40,10 @@
         """Returns the runs that may be active on a worker."""
         return list(self._pairs_by_worker.get(worker_id, {}).values())
 
+    def isolating_worker_ids(self) -> set[str]:
+        """Returns the ids of the workers that run a task in isolation."""
+        return {run.worker_id for _, run in self.all_runs() if run.is_isolated}
+
     def all_runs(self) -> list[RunPair]:
         """Returns all runs that may be active."""
         return [
--- a/libs/scheduling/src/coltsfootseam/scheduling/crashes.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/crashes.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from coltsfootseam.jobs import Run, RunPair, Task
+from coltsfootseam.scheduling.worker_capacity import step_key
 
 _PROVEN_AFTER_S = 0.25
 _MAX_SUSPECTS_PER_CRASH = 8
@@ -99,11 +100,7 @@
     """Returns whether two tasks are the same, or of the same gang."""
     if not task.step.gang:
         return task is other
-    return (task.id.job_id, task.id.occurrence, task.id.step) == (
-        other.id.job_id,
-        other.id.occurrence,
-        other.id.step,
-    )
+    return step_key(task.id) == step_key(other.id)
 
 
 def _likelihood(pair: RunPair) -> tuple[int, bool, bool, float]:
--- a/libs/standins/src/coltsfootseam/standins/memory_worker_calls.py
+++ b/libs/standins/src/coltsfootseam/standins/memory_worker_calls.py
@@ -1,7 +1,7 @@
 """Access of one host to the in-memory workers, with its faults."""
 
 import random
-from typing import Protocol
+from typing import TYPE_CHECKING
 
 from coltsfootseam.standins.memory_worker import MemoryWorker
 from coltsfootseam.timers import TimerService
@@ -16,50 +16,15 @@
     WorkerEntry,
 )
 
+if TYPE_CHECKING:
+    from coltsfootseam.standins.memory_workers import MemoryWorkers
+
 _MS_PER_S = 1000
 _POLL_S = 0.02
 _LATENCY_S = 0.002
 _TIMEOUT_S = 0.5
 
 
-class AppliesOrders(Protocol):
-    """The workers, as the calls of a host use them."""
-
-    start_transfer_s: float
-    starts_in_flight: int
-    max_starts_in_flight: int
-    pace_orders: list[PaceOrder]
-
-    def find(self, entry: WorkerEntry) -> MemoryWorker | None:
-        """Returns the current incarnation of an entry's instance, if alive."""
-
-    def clock_ms(self, worker: MemoryWorker) -> int:
-        """Returns the worker's monotonic clock."""
-
-    def apply_start(
-        self, worker: MemoryWorker, order: StartOrder
-    ) -> OrderOutcome:
-        """Applies a start."""
-
-    def apply_stop(
-        self, worker: MemoryWorker, order: StopOrder
-    ) -> OrderOutcome:
-        """Applies a stop."""
-
-    def apply_heartbeat(
-        self, worker: MemoryWorker, order: HeartbeatRequest
-    ) -> bool:
-        """Applies a heartbeat; returns false if the sender is fenced."""
-
-    def heartbeat_reply(self, worker: MemoryWorker) -> HeartbeatReply:
-        """Returns a worker's reply with its running and ended runs."""
-
-    def schedule_start(
-        self, delay_s: float, worker: MemoryWorker, order: StartOrder
-    ) -> None:
-        """Applies a start after a delay, even if its sender is gone."""
-
-
 class MemoryWorkerCalls:
     """Access of one host to the workers."""
 
@@ -67,7 +32,7 @@
 
     def __init__(
         self,
-        workers: AppliesOrders,
+        workers: "MemoryWorkers",
         timers: TimerService,
         rng: random.Random,
         host_id: str,
--- a/tests/common/fleets.py
+++ b/tests/common/fleets.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from coltsfootseam.jobs import (
+    Advice,
     Configuration,
     JobRequest,
     JobState,
@@ -52,6 +53,24 @@
 T = TypeVar("T")
 
 
+def bookings_queue(advice: Advice | None = None) -> Queue:
+    """Returns the queue that fleets have by default.
+
+    Args:
+        advice: Response times of its policy service, if it has one.
+    """
+    return Queue(
+        QUEUE,
+        "host",
+        "/q/",
+        POOL,
+        attempts=3,
+        stretch=2.0,
+        target_ms=600,
+        advice=advice,
+    )
+
+
 class HostTimers(TimerService):
     """Timers of one host, whose callbacks are delayed while it is frozen."""
 
@@ -223,9 +242,7 @@
 
     def configure(self, version: int = 1, *queues: Queue) -> None:
         """Publishes a configuration with queues and their pools."""
-        default = Queue(
-            QUEUE, "host", "/q/", POOL, attempts=3, stretch=2.0, target_ms=600
-        )
+        default = bookings_queue()
         configuration = Configuration(
             version,
             {queue.name: queue for queue in queues or (default,)},
--- a/tests/cover/test_deadly_tasks.py
+++ b/tests/cover/test_deadly_tasks.py
@@ -5,9 +5,9 @@
 
 import pytest
 
-from coltsfootseam.jobs import Advice, JobState, Queue, Step, TaskId
+from coltsfootseam.jobs import Advice, JobState, Step, TaskId
 from coltsfootseam.manager.status import JobStatus, StatusPage
-from tests.common.fleets import POOL, QUEUE, Fleet, running_fleet
+from tests.common.fleets import Fleet, bookings_queue, running_fleet
 
 DEADLY_JOB = "d" * 16
 MAX_CRASHES = 3
@@ -142,18 +142,8 @@
 # run them, other jobs keep it busy, and tickets expire.
 async def test_suspects_get_tickets_of_the_policy_service() -> None:
     async with deadly_fleet(deadly_task()) as fleet:
-        queue = Queue(
-            QUEUE,
-            "host",
-            "/q/",
-            POOL,
-            attempts=3,
-            stretch=2.0,
-            target_ms=600,
-            advice=Advice(10, 5, 3000),
-        )
         fleet.advice.allowed_ids = {"i-2"}
-        fleet.configure(2, queue)
+        fleet.configure(2, bookings_queue(Advice(10, 5, 3000)))
         await fleet.timers.advance(1.0)
         await fleet.accept(fleet.hosts[0], DEADLY_JOB, TASK)
         others = await submit_others(fleet, 12)
--- a/tests/cover/test_kinds_of_steps.py
+++ b/tests/cover/test_kinds_of_steps.py
@@ -13,10 +13,10 @@
 from coltsfootseam.results import OK
 from tests.common.fleets import (
     DEADLINE_S,
-    POOL,
     QUEUE,
     WORKERS,
     Fleet,
+    bookings_queue,
     running_fleet,
 )
 
@@ -133,18 +133,8 @@
 
 async def test_a_queue_with_a_policy_starts_with_tickets_only() -> None:
     async with running_fleet(workers=3) as fleet:
-        queue = Queue(
-            QUEUE,
-            "host",
-            "/q/",
-            POOL,
-            attempts=3,
-            stretch=2.0,
-            target_ms=600,
-            advice=Advice(10, 5, 3000),
-        )
         fleet.advice.allowed_ids = {"i-2"}
-        fleet.configure(2, queue)
+        fleet.configure(2, bookings_queue(Advice(10, 5, 3000)))
         await fleet.timers.advance(1.0)
         step = Step(count=2, cpu_millis=1000, estimate_ms=500)
         await fleet.accept(fleet.hosts[0], JOB, step)
