Log what peers say of the store, and when earlier leases count as ended

The lines had only the verdict that a host is isolated: neither what its peers had said of the store and which of them were silent, nor from when a successor took the leases of its predecessor as ended. Change: store.peers_asked and pool.previous_leases_ended, both once for each change. No decision is changed.

--- a/daemons/manager/src/coltsfootseam/manager/membership/duty_manager.py
+++ b/daemons/manager/src/coltsfootseam/manager/membership/duty_manager.py
@@ -77,6 +77,7 @@
         "_duties_by_name",
         "_handed_over_until_s_by_duty",
         "_locator",
+        "_logged_verdict",
         "_membership",
         "_offer_rotation",
         "_offers_by_duty",
@@ -116,6 +117,7 @@
         self._takeovers_by_duty: dict[str, asyncio.Task[None]] = {}
         self._started_s_by_duty: dict[str, float] = {}
         self._outage_seen_s = float("-inf")
+        self._logged_verdict: object = None
         self.owners_by_pool: dict[str, PoolOwner] = {}
         self.is_stopping = False
 
@@ -387,7 +389,36 @@
             reply.store_unanswered_s for reply in replies if reply is not None
         ]
         isolation_s = self._context.times.isolation_s
-        return bool(ages_s) and min(ages_s) > isolation_s / 2
+        is_down = bool(ages_s) and min(ages_s) > isolation_s / 2
+        self._log_reachability(
+            dict(zip(addresses, replies, strict=True)), is_down
+        )
+        return is_down
+
+    def _log_reachability(
+        self,
+        replies_by_address: dict[str, ReachabilityReply | None],
+        is_down: bool,
+    ) -> None:
+        """Logs what the peers say of the store, once for each set of peers."""
+        answered = {
+            address: round(reply.store_unanswered_s, 2)
+            for address, reply in replies_by_address.items()
+            if reply is not None
+        }
+        silent = sorted(replies_by_address.keys() - answered.keys())
+        verdict = (is_down, tuple(sorted(answered)), tuple(silent))
+        if verdict == self._logged_verdict:
+            return
+        self._logged_verdict = verdict
+        self._context.log.write(
+            "store.peers_asked",
+            store_silence_s=round(self._context.ports.store.unanswered_s(), 2),
+            store_silence_s_by_peer=answered,
+            peers_without_reply=silent,
+            outcome="down for all" if is_down else "down here only",
+        )
+        self._context.counters.increment("store.peers_asked")
 
     async def _request_reachability(
         self, address: str
--- a/daemons/manager/src/coltsfootseam/manager/orders/worker_links.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders/worker_links.py
@@ -25,6 +25,7 @@
     """Opens a link to each new worker and closes those of ended workers."""
 
     __slots__ = (
+        "_are_previous_ended",
         "_latest_by_machine",
         "_on_change",
         "_reachability",
@@ -43,6 +44,7 @@
         self._reconciler = reconciler
         self._on_change = on_change
         self._reachability = ReachabilityLog(state.context)
+        self._are_previous_ended = False
         self._latest_by_machine: dict[str, WorkerEntry] = {}
         self._tasks_by_id: dict[str, asyncio.Task[None]] = {}
 
@@ -197,7 +199,24 @@
         """Returns whether all leases of previous owners have ended."""
         claimed_s = self._state.journal.claimed_s
         wait_s = previous_owner_lease_s(self._state.context.times)
-        return self._state.now_s() > claimed_s + wait_s
+        has_ended = self._state.now_s() > claimed_s + wait_s
+        if has_ended and not self._are_previous_ended:
+            self._are_previous_ended = True
+            self._log_previous_ended(wait_s)
+        return has_ended
+
+    def _log_previous_ended(self, wait_s: float) -> None:
+        """Logs from when on unreachable workers count as without runs."""
+        links = self._state.links_by_id.values()
+        self._state.context.log.write(
+            "pool.previous_leases_ended",
+            pool=self._state.pool,
+            epoch=self._state.journal.epoch,
+            waited_s=round(wait_s, 2),
+            unreachable=sorted(
+                link.worker_id for link in links if not link.is_reachable
+            ),
+        )
 
 
 def _latest_by_machine(
