Cut the test network between any hosts, workers and the store

The stand-in of the workers saw a run after an acknowledged end, not a run after an end that is acknowledged later (TWICE). Change: each host has its own view of the peers; a cut parts hosts, workers and the store, both ways or one way (of a call only the reply is lost), by zone too, and cuts may overlap. A frozen host answers its peers once it has thawed. The workers record "started after an end that was noted later", unless the lease lapsed between the end and its acknowledgement.

--- a/libs/standins/src/coltsfootseam/standins/memory_store.py
+++ b/libs/standins/src/coltsfootseam/standins/memory_store.py
@@ -22,6 +22,7 @@
 from coltsfootseam.timers import TimerService
 
 _POLL_INTERVAL_S = 0.005
+_TIMEOUT_S = 1.0
 _MAX_KEPT_REPLIES = 5
 _MAX_PAGE_RECORDS = 500
 _MAX_APPEND_WAIT_S = 2.0
@@ -63,6 +64,7 @@
     Attributes:
         is_down: Every call is refused and has no effect.
         is_unresponsive: Every call times out and has no effect.
+        is_unheard: Every call takes effect but is not answered.
         lost_reply_share: Share of the appends that are applied without a
             reply.
         delay_s: Delay after which such appends are applied.
@@ -85,6 +87,7 @@
 
     is_down: bool = False
     is_unresponsive: bool = False
+    is_unheard: bool = False
     lost_reply_share: float = 0.0
     delay_s: float = 0.0
     latency_s: float = 0.004
@@ -108,6 +111,8 @@
             partition wait.
         max_page_records: Maximum number of records on a page of latest
             records.
+        poll_interval_s: Pause after which a waiting read looks for records
+            again. Simulating a long time takes less work with a longer one.
         timers: Clock and timers of the store.
     """
 
@@ -120,6 +125,7 @@
         "appends",
         "max_page_records",
         "partition_count",
+        "poll_interval_s",
         "timers",
     )
 
@@ -130,6 +136,7 @@
         self.partition_count = partition_count
         self.appends = 0
         self.append_s = 0.0
+        self.poll_interval_s = _POLL_INTERVAL_S
         self._busy_until_s_by_partition: dict[Partition, float] = {}
         self.max_page_records = _MAX_PAGE_RECORDS
         self._logs_by_partition: dict[Partition, _PartitionLog] = {}
@@ -301,7 +308,7 @@
         writer: Writer | None = None,
     ) -> Appended | Refusal:
         """Appends all records or none of them."""
-        refusal = await self._simulate_call()
+        refusal = await self._simulate_call(is_effective=True)
         if refusal is not None:
             return refusal
         if partition.topic in self.faults.unwritable_topics:
@@ -324,6 +331,8 @@
         result = self._store.apply_append(partition, records, writer)
         if is_reply_lost:
             return Refusal(ResultCode.OUTCOME_PENDING, "reply lost")
+        if self.faults.is_unheard:
+            return await self._lose_reply()
         return result
 
     def _append_late(
@@ -351,7 +360,7 @@
             records = log.records[max(0, from_offset - log.first) :]
             if records or self._timers.now_s() >= until_s:
                 return Page(log.end, log.first, log.end, list(records))
-            await self._timers.sleep(_POLL_INTERVAL_S)
+            await self._timers.sleep(self._store.poll_interval_s)
 
     async def latest_page(
         self, partition: Partition, after_key: str = ""
@@ -381,19 +390,24 @@
     ) -> Assignment | Refusal:
         """Joins the group that assigns a topic's partitions, or renews."""
         del topic, generation
-        refusal = await self._simulate_call()
+        refusal = await self._simulate_call(is_effective=True)
         if refusal is not None:
             return refusal
         if self.faults.refuse_joins:
             return Refusal(ResultCode.LOG_UNAVAILABLE, "joins are refused")
-        return self._store.apply_join(group, member, ttl_s)
+        assignment = self._store.apply_join(group, member, ttl_s)
+        if self.faults.is_unheard:
+            return await self._lose_reply()
+        return assignment
 
     async def leave(self, group: str, member: str) -> Refusal | None:
         """Leaves a group, whose partitions are then rebalanced."""
-        refusal = await self._simulate_call()
+        refusal = await self._simulate_call(is_effective=True)
         if refusal is not None:
             return refusal
         self._store.apply_leave(group, member)
+        if self.faults.is_unheard:
+            return await self._lose_reply()
         return None
 
     async def list_holders(self, group: str) -> list[PartitionHolder] | Refusal:
@@ -407,16 +421,29 @@
             )
         return self._store.list_partition_holders(group)
 
-    async def _simulate_call(self) -> Refusal | None:
-        if self.faults.is_unresponsive:
-            await self._timers.sleep(1.0)
-            return Refusal(ResultCode.OUTCOME_PENDING, "no reply")
+    async def _simulate_call(
+        self, is_effective: bool = False
+    ) -> Refusal | None:
+        """Returns the refusal of a call that has no effect, if any.
+
+        Args:
+            is_effective: Whether the call changes anything, so that it matters
+                if only its reply is lost.
+        """
+        if self.faults.is_unresponsive or (
+            self.faults.is_unheard and not is_effective
+        ):
+            return await self._lose_reply()
         await self._timers.sleep(self.faults.latency_s)
         if self.faults.is_down:
             return Refusal(ResultCode.LOG_UNAVAILABLE, "store is down")
         await asyncio.sleep(0)
         return None
 
+    async def _lose_reply(self) -> Refusal:
+        await self._timers.sleep(_TIMEOUT_S)
+        return Refusal(ResultCode.OUTCOME_PENDING, "no reply")
+
 
 def _size_of(records: Sequence[KeyedRecord]) -> int:
     return sum(len(record.key) + len(record.value) for record in records)
--- a/libs/standins/src/coltsfootseam/standins/memory_worker.py
+++ b/libs/standins/src/coltsfootseam/standins/memory_worker.py
@@ -52,6 +52,8 @@
         delay_s: Delay after which such starts are applied.
         unreachable_from_hosts: Ids of hosts whose calls are neither applied
             nor answered.
+        unheard_by_hosts: Ids of hosts whose calls are applied but not
+            answered.
     """
 
     is_unresponsive: bool = False
@@ -61,6 +63,7 @@
     late_start_share: float = 0.0
     delay_s: float = 3.0
     unreachable_from_hosts: set[str] = set()
+    unheard_by_hosts: set[str] = set()
 
 
 class MemoryWorker(msgspec.Struct):
@@ -81,6 +84,8 @@
         lapse_count: How often its lease has ended.
         lapse_count_by_end: That count when each of its runs ended, by the
             sequence number of the end.
+        starts_before_end: How many starts all workers had applied when each
+            of its runs ended, by the sequence number of the end.
         resized_s: When its capacity last changed, monotonic seconds.
         tolerated_cpu_millis: Processor that starts may use until a report of
             that change must have been read.
@@ -99,6 +104,7 @@
     is_lapsed: bool = False
     lapse_count: int = 0
     lapse_count_by_end: dict[int, int] = {}
+    starts_before_end: dict[int, int] = {}
     resized_s: float = float("-inf")
     tolerated_cpu_millis: int = 0
 
--- a/libs/standins/src/coltsfootseam/standins/memory_worker_calls.py
+++ b/libs/standins/src/coltsfootseam/standins/memory_worker_calls.py
@@ -57,6 +57,8 @@
             await self._timers.sleep(_POLL_S)
         if self._is_unreachable(found):
             return OrderReply(OrderOutcome.UNKNOWN)
+        if self._is_unheard(found):
+            return await self._lose_reply()
         return self._workers.heartbeat_reply(found)
 
     async def start(self, worker: WorkerEntry, order: StartOrder) -> OrderReply:
@@ -88,9 +90,10 @@
             return found
         if self._random.random() < found.faults.late_start_share:
             self._workers.schedule_start(found.faults.delay_s, found, order)
-            await self._timers.sleep(_TIMEOUT_S)
-            return OrderReply(OrderOutcome.UNKNOWN)
+            return await self._lose_reply()
         outcome = self._workers.apply_start(found, order)
+        if self._is_unheard(found):
+            return await self._lose_reply()
         return OrderReply(outcome, self._workers.clock_ms(found))
 
     async def stop(self, worker: WorkerEntry, order: StopOrder) -> OrderReply:
@@ -99,6 +102,8 @@
         if isinstance(found, OrderReply):
             return found
         outcome = self._workers.apply_stop(found, order)
+        if self._is_unheard(found):
+            return await self._lose_reply()
         return OrderReply(outcome, self._workers.clock_ms(found))
 
     async def pace(self, worker: WorkerEntry, order: PaceOrder) -> OrderReply:
@@ -107,6 +112,8 @@
         if isinstance(found, OrderReply):
             return found
         self._workers.pace_orders.append(order)
+        if self._is_unheard(found):
+            return await self._lose_reply()
         return OrderReply(OrderOutcome.DONE, self._workers.clock_ms(found))
 
     def forget(self, worker: WorkerEntry) -> None:
@@ -118,12 +125,19 @@
         await self._timers.sleep(_LATENCY_S)
         worker = self._workers.find(entry)
         if worker is None or self._is_unreachable(worker):
-            await self._timers.sleep(_TIMEOUT_S)
-            return OrderReply(OrderOutcome.UNKNOWN)
+            return await self._lose_reply()
         if worker.entry.started_ms != entry.started_ms:
             return OrderReply(OrderOutcome.OTHER_LIFE)
         return worker
 
+    async def _lose_reply(self) -> OrderReply:
+        """Returns the outcome of a call that isn't answered, after a while."""
+        await self._timers.sleep(_TIMEOUT_S)
+        return OrderReply(OrderOutcome.UNKNOWN)
+
+    def _is_unheard(self, worker: MemoryWorker) -> bool:
+        return self._host_id in worker.faults.unheard_by_hosts
+
     def _is_unreachable(self, worker: MemoryWorker) -> bool:
         is_cut_off = self._host_id in worker.faults.unreachable_from_hosts
         return worker.faults.is_unresponsive or is_cut_off or worker.is_dead
--- a/libs/standins/src/coltsfootseam/standins/memory_workers.py
+++ b/libs/standins/src/coltsfootseam/standins/memory_workers.py
@@ -1,7 +1,8 @@
 """In-memory workers with injectable faults, driven by a timer service.
 
 Besides running tasks they record violations of what callers rely on: a task
-must not run twice at once, nor again after its end was acknowledged.
+must not run twice at once, nor again after it was done and that end is
+acknowledged, before the second start or after it.
 """
 
 import random
@@ -247,6 +248,7 @@
                 continue
             # An owner may have given the run up when the lease ended.
             if worker.lapse_count_by_end[row.sequence] == worker.lapse_count:
+                self._check_starts_since_end(worker, row)
                 self._acknowledged_done.add(row.task)
         worker.ended_runs = [
             row
@@ -319,6 +321,28 @@
                 )
             )
 
+    def _check_starts_since_end(
+        self, worker: MemoryWorker, row: EndedRun
+    ) -> None:
+        """Records the starts of a task between an end and its acknowledgement.
+
+        Args:
+            worker: The worker on which the run was done.
+            row: The end, which is acknowledged now.
+        """
+        if row.task.job_id in self.duplicable_jobs:
+            return
+        first = worker.starts_before_end[row.sequence]
+        for order in self.starts[first:]:
+            if order.task == row.task:
+                self.violations.append(
+                    Violation(
+                        "started after an end that was noted later",
+                        row.task,
+                        f"run {order.number} after run {row.number} was done",
+                    )
+                )
+
     def _check_capacity(self, worker: MemoryWorker, order: StartOrder) -> None:
         tasks = {*worker.runs_by_task, order.task}
         used_millis = sum(self.cpu_millis_of(task) for task in tasks)
@@ -363,6 +387,7 @@
         worker.highest_ended_by_task[run.task] = max(highest, run.number)
         worker.ended_count += 1
         worker.lapse_count_by_end[worker.ended_count] = worker.lapse_count
+        worker.starts_before_end[worker.ended_count] = len(self.starts)
         checkpoint = (
             run.checkpoint()
             if run.task.job_id in self.checkpointing_jobs
--- a/tests/common/fleets.py
+++ b/tests/common/fleets.py
@@ -46,6 +46,8 @@
 )
 from coltsfootseam.timers import TimerService, VirtualTimers
 from coltsfootseam.workers import Machine, MachineState, WorkerEntry
+from tests.common.cuts import Cut
+from tests.common.host_timers import HostTimers
 from tests.common.peers import MemoryPeers
 
 POOL = "counter"
@@ -53,6 +55,8 @@
 OPERATOR = Partition("operator")
 WORKERS = Partition("workers")
 STATUS = Partition("status")
+ZONE = "a"
+PARTITIONS = 12
 DEADLINE_S = 3.0
 RESTART_S = 3.0
 """Time from the crash of a worker to its next incarnation."""
@@ -78,41 +82,6 @@
     )
 
 
-class HostTimers(TimerService):
-    """Timers of one host, whose callbacks are delayed while it is frozen."""
-
-    def __init__(self, timers: VirtualTimers) -> None:
-        self._timers = timers
-        self._waiting: list[Callable[[], None]] = []
-        self.is_frozen = False
-
-    def now_s(self) -> float:
-        """Returns monotonic time, which advances while the host is frozen."""
-        return self._timers.now_s()
-
-    def wall_ms(self) -> int:
-        """Returns wall-clock time."""
-        return self._timers.wall_ms()
-
-    def schedule(self, delay_s: float, callback: Callable[[], None]) -> Any:
-        """Calls ``callback`` once, not before the host has thawed."""
-
-        def fire() -> None:
-            if self.is_frozen:
-                self._waiting.append(callback)
-            else:
-                callback()
-
-        return self._timers.schedule(delay_s, fire)
-
-    def thaw(self) -> None:
-        """Resumes the host and calls the delayed callbacks."""
-        self.is_frozen = False
-        waiting, self._waiting = self._waiting, []
-        for callback in waiting:
-            callback()
-
-
 class RecordingLog(DecisionLog):
     """A log that records its lines.
 
@@ -159,14 +128,20 @@
     """One entry host of the deployment."""
 
     def __init__(
-        self, fleet: "Fleet", number: int, millicores: int = 0
+        self,
+        fleet: "Fleet",
+        number: int,
+        millicores: int = 0,
+        zone: str = ZONE,
     ) -> None:
         self.fleet = fleet
         self.millicores = millicores
+        self.zone = zone
         self.host_id = f"entry-{number}"
         self.address = f"10.0.0.{number}:7000"
         self.timers = HostTimers(fleet.timers)
         self.store: MemoryStoreClient = fleet.store.client(self.timers)
+        self.peers = fleet.peers.calls_from(self.address, self.timers)
         self.manager: Manager | None = None
         self.log = RecordingLog(self.timers, self.host_id)
         self.starts = 0
@@ -217,7 +192,7 @@
                 fleet.advice,
                 MemoryFeeds(),
             ),
-            peers=fleet.peers,
+            peers=self.peers,
             log=self.log,
             counters=Counters(),
             times=fleet.times,
@@ -235,16 +210,20 @@
     """Store, workers, machines and hosts of a deployment."""
 
     def __init__(
-        self, timers: VirtualTimers, duration_of: Callable[[TaskId], float]
+        self,
+        timers: VirtualTimers,
+        duration_of: Callable[[TaskId], float],
+        partitions: int = PARTITIONS,
     ) -> None:
         self.timers = timers
         self.times = Times()
         self.policies = Policies()
-        self.store = MemoryStore(timers)
+        self.store = MemoryStore(timers, partitions)
         self.workers = MemoryWorkers(timers, duration_of)
         self.machines = MemoryMachines(timers, [])
         self.advice = MemoryAdvice(timers)
-        self.peers = MemoryPeers(timers)
+        self.peers = MemoryPeers()
+        self.cuts: list[Cut] = []
         self.hosts: list[Host] = []
         self.workers.on_crash = self._handle_crash
         self.machines.on_taken_down = self._end_worker_on
@@ -276,6 +255,7 @@
         rack: str = "r1",
         cores: int = 4,
         pool: str = POOL,
+        zone: str = ZONE,
     ) -> str:
         """Adds a worker, its machine and entry; returns its instance id."""
         instance_id = f"i-{number}"
@@ -285,7 +265,7 @@
             started_ms=started_ms,
             pool=pool,
             address=f"10.1.0.{number}:80",
-            zone="a",
+            zone=zone,
             is_draining=False,
             remaining_ms=None,
             cpu_millis=cores * 1000,
@@ -300,7 +280,7 @@
             entry.machine_id,
             pool,
             MachineState.UP,
-            "a",
+            zone,
             entry.labels,
             instance_id,
             entry.cpu_millis,
@@ -383,9 +363,9 @@
             WORKERS, entry.instance_id, msgspec.msgpack.encode(entry)
         )
 
-    def add_host(self, millicores: int = 0) -> Host:
+    def add_host(self, millicores: int = 0, zone: str = ZONE) -> Host:
         """Adds and starts an entry host."""
-        host = Host(self, len(self.hosts) + 1, millicores)
+        host = Host(self, len(self.hosts) + 1, millicores, zone)
         self.hosts.append(host)
         host.start()
         return host
@@ -518,6 +498,7 @@
     duration_of: Callable[[TaskId], float] = lambda task: 0.5,
     millicores: Sequence[int] = (),
     policies: Policies | None = None,
+    partitions: int = PARTITIONS,
 ) -> AsyncIterator[Fleet]:
     """Yields a deployment whose pool has an owner; checks it at the end.
 
@@ -527,8 +508,9 @@
         duration_of: How long a task runs, in seconds.
         millicores: Capacity of each entry host, in place of ``hosts``.
         policies: Scheduling policies, ``None`` for the default ones.
+        partitions: Number of partitions that the group of hosts assigns.
     """
-    fleet = Fleet(VirtualTimers(), duration_of)
+    fleet = Fleet(VirtualTimers(), duration_of, partitions)
     fleet.policies = policies or fleet.policies
     fleet.configure()
     for number in range(1, workers + 1):
