--- a/tests/common/peers.py
+++ b/tests/common/peers.py
@@ -11,6 +11,8 @@
 from coltsfootseam.results import Refusal, ResultCode
 from tests.common.host_timers import HostTimers
 
+LOST = object()
+"""Stands for a reply that doesn't arrive."""
 _LATENCY_S = 0.001
 
 
@@ -67,14 +69,14 @@
     async def handle(
         self, caller: str, address: str, method: Method, request: Any
     ) -> Any:
-        """Returns a host's reply; waits for good if it is lost."""
+        """Returns a host's reply, ``LOST`` if it doesn't arrive."""
         await self._timers_by_address[address].wait_until_thawed()
         handlers = self._handlers_by_address.get(address)
         if handlers is None:
-            return await asyncio.Future()
+            return LOST
         reply = await handlers[method](request)
         if self.is_cut(address, caller):
-            return await asyncio.Future()
+            return LOST
         return reply
 
 
@@ -103,12 +105,18 @@
             peers.handle(self._address, address, method, request)
         )
         timeout = asyncio.ensure_future(self._timers.sleep(timeout_s))
-        await asyncio.wait({reply, timeout}, return_when=FIRST_COMPLETED)
-        timeout.cancel()
+        try:
+            await asyncio.wait({reply, timeout}, return_when=FIRST_COMPLETED)
+            if reply.done() and reply.result() is LOST:
+                await timeout
+        finally:
+            timeout.cancel()
+            if not reply.done():
+                self._cancel(reply, address)
+        is_answered = reply.done()
         await self._timers.wait_until_thawed()
-        if reply.done():
+        if is_answered and reply.result() is not LOST:
             return reply.result()
-        self._cancel(reply, address)
         return Refusal(ResultCode.UNREACHABLE, address)
 
     def _cancel(self, reply: asyncio.Future[Any], address: str) -> None:
