Grant leases only while no successor can rely on their end

Cause: an owner without the store asked its peers, and counted only those that replied. Behind the same cut they are as silent about the store as the owner, so it went on granting leases without limit, while its successor waited for 6.63 s after its claim. The two bounds came from different facts. The same held for an owner that knew no peer or had no assignment. The check is made at each grant. The monitor of isolation leaves the duty manager.

--- /dev/null
+++ b/daemons/manager/src/coltsfootseam/manager/leases/__init__.py
@@ -0,0 +1,1 @@
+"""Which owner of a pool may grant leases to workers, and until when."""
--- /dev/null
+++ b/daemons/manager/src/coltsfootseam/manager/leases/pool_leases.py
@@ -0,0 +1,273 @@
+"""Until when a pool's owner grants leases, and when those before have ended.
+
+Both follow from the same facts. An owner grants leases
+
+* for a short time after the store has last confirmed its epoch, or
+* as long as a majority of its witnesses says that the store has not replied to
+  them since that confirmation, up to a limit.
+
+A successor claims the pool in the store, so it has contact later than that
+confirmation. Once half of the witnesses have had contact after the claim, the
+former owner can't get a majority again. A witness that does not reply is no
+evidence for either side.
+"""
+
+from collections.abc import Iterable
+
+from coltsfootseam.manager.context import Context, Times
+from coltsfootseam.manager.leases.store_contacts import StoreContacts
+from coltsfootseam.manager.leases.witnesses import (
+    WitnessSet,
+    deniers_needed,
+    encode_witnesses,
+    vouchers_needed,
+    witness_key,
+)
+from coltsfootseam.store import Journal, KeyedRecord
+from coltsfootseam.workers import max_lease_duration_s
+
+_PEER_ROUND_S = 0.8
+"""Time for a round of requests to the witnesses, added to the time after which
+they are asked."""
+
+_VOUCH_VALIDITY_S = 1.2
+"""How long a witness's reply counts, from the request for it."""
+
+_CONTACT_TOLERANCE_S = 1.5
+"""How much later than the owner's last confirmation a witness may have had
+contact. An owner confirms its epoch less often than hosts read the store, so in
+an outage the last contact of the others is later."""
+
+_MAX_VOUCHED_S = 25.0
+"""Longest time for which witnesses can extend a confirmation; it covers an
+outage of 20 s. A successor that can't ask half of the witnesses waits for it.
+"""
+
+_MEMBERS_SETTLE_S = 1.0
+"""How long the members must be the same before they become the witnesses. After
+an outage some are missing until their next join."""
+
+_NO_WITNESSES: WitnessSet = frozenset()
+
+
+class PoolLeases:
+    """The right of one owner of a pool to grant leases to its workers."""
+
+    __slots__ = (
+        "_candidates",
+        "_candidates_since_s",
+        "_contacts",
+        "_context",
+        "_denied_s",
+        "_earlier",
+        "_has_logged_end",
+        "_journal",
+        "_may_grant",
+        "_pool",
+        "_stored",
+        "_storing",
+    )
+
+    def __init__(
+        self,
+        pool: str,
+        context: Context,
+        journal: Journal,
+        contacts: StoreContacts,
+        earlier: Iterable[WitnessSet],
+    ) -> None:
+        """Makes the right of an owner that has just claimed its pool.
+
+        Args:
+            pool: Name of the pool.
+            context: Shared context of the manager.
+            journal: The pool's journal, claimed by this owner.
+            contacts: When the store last replied to each host.
+            earlier: Witnesses of the owners before, as stored.
+        """
+        self._pool = pool
+        self._context = context
+        self._journal = journal
+        self._contacts = contacts
+        self._earlier = frozenset(earlier)
+        self._denied_s: float | None = None
+        self._has_logged_end = False
+        self._may_grant = True
+        self._candidates = _NO_WITNESSES
+        self._candidates_since_s = context.timers.now_s()
+        # The witnesses as stored, and as in an append in flight. Either may be
+        # what a successor reads, so both must vouch.
+        self._stored: tuple[WitnessSet, frozenset[WitnessSet]] | None = None
+        self._storing: tuple[WitnessSet, frozenset[WitnessSet]] | None = None
+
+    def may_grant(self) -> bool:
+        """Returns whether this owner may grant leases now."""
+        may_grant = (
+            not self._journal.is_lost and self._is_confirmed_or_vouched()
+        )
+        if may_grant != self._may_grant:
+            self._may_grant = may_grant
+            self._log_right(may_grant)
+        return may_grant
+
+    def have_earlier_ended(self) -> bool:
+        """Returns whether all leases of earlier owners have ended."""
+        lease_s = max_lease_duration_s(self._context.times.lease_s)
+        has_ended = self._now_s() > self._earlier_stopped_s() + lease_s
+        if has_ended and not self._has_logged_end:
+            self._has_logged_end = True
+            self._log_end()
+        return has_ended
+
+    def addresses_to_ask(self) -> set[str]:
+        """Returns the hosts whose contact with the store matters now."""
+        addresses: set[str] = set()
+        if self._confirmed_age_s() > self._context.times.isolation_s / 2:
+            addresses.update(*self._own_sets())
+        if self._denied_s is None and self._now_s() > self._denial_from_s():
+            addresses.update(*self._earlier)
+        return addresses - {self._context.address}
+
+    def update(self, members: WitnessSet) -> None:
+        """Applies new contacts and the members of the group, as last read.
+
+        Args:
+            members: Addresses of the members, empty if unknown.
+        """
+        now_s = self._now_s()
+        if members != self._candidates:
+            self._candidates = members
+            self._candidates_since_s = now_s
+        if self._denied_s is None and all(map(self._is_denied, self._earlier)):
+            self._denied_s = now_s
+
+    def record_to_store(self) -> KeyedRecord | None:
+        """Returns the record of the witnesses if the stored one is outdated.
+
+        The caller stores it with the journal's next append, and then calls
+        `confirm_stored`.
+        """
+        same_s = self._now_s() - self._candidates_since_s
+        own = self._stored[0] if self._stored else _NO_WITNESSES
+        # The first ones are stored at once: without any, an outage of the store
+        # would stop the pool's work.
+        if self._candidates and (not own or same_s >= _MEMBERS_SETTLE_S):
+            own = self._candidates
+        earlier = frozenset() if self._have_earlier_stopped() else self._earlier
+        if not own or (own, earlier) == self._stored:
+            return None
+        self._storing = (own, earlier)
+        return KeyedRecord(
+            witness_key(self._pool), encode_witnesses(own, earlier)
+        )
+
+    def confirm_stored(self) -> None:
+        """Records that the last record of the witnesses is stored."""
+        if self._storing is not None:
+            self._stored = self._storing
+            self._storing = None
+
+    def _now_s(self) -> float:
+        return self._context.timers.now_s()
+
+    def _confirmed_age_s(self) -> float:
+        return self._now_s() - self._journal.confirmed_s
+
+    def _own_sets(self) -> list[WitnessSet]:
+        return [
+            record[0]
+            for record in (self._stored, self._storing)
+            if record is not None
+        ]
+
+    def _is_confirmed_or_vouched(self) -> bool:
+        age_s = self._confirmed_age_s()
+        if age_s <= unvouched_s(self._context.times):
+            return True
+        if age_s > _MAX_VOUCHED_S or self._stored is None:
+            return False
+        return all(
+            len(self._vouchers(witnesses)) >= vouchers_needed(witnesses)
+            for witnesses in self._own_sets()
+        )
+
+    def _vouchers(self, witnesses: WitnessSet) -> list[str]:
+        """Returns who had no contact since this owner's last confirmation."""
+        asked_after_s = self._now_s() - _VOUCH_VALIDITY_S
+        contact_until_s = self._journal.confirmed_s + _CONTACT_TOLERANCE_S
+        return [
+            address
+            for address in sorted(witnesses)
+            if (contact := self._contacts.of(address)) is not None
+            and contact.asked_s >= asked_after_s
+            and contact.latest_s <= contact_until_s
+        ]
+
+    def _denial_from_s(self) -> float:
+        """Returns from when on contact rules out vouching for earlier owners.
+
+        The store has confirmed their epochs before the claim for the last time.
+        """
+        return self._journal.claimed_s + _CONTACT_TOLERANCE_S
+
+    def _is_denied(self, witnesses: WitnessSet) -> bool:
+        denial_from_s = self._denial_from_s()
+        deniers = [
+            address
+            for address in witnesses
+            if (contact := self._contacts.of(address)) is not None
+            and contact.earliest_s > denial_from_s
+        ]
+        return len(deniers) >= deniers_needed(witnesses)
+
+    def _earlier_stopped_s(self) -> float:
+        """Returns when earlier owners stop granting leases at the latest."""
+        claimed_s = self._journal.claimed_s
+        stopped_s = claimed_s + _MAX_VOUCHED_S
+        if self._denied_s is not None:
+            stopped_s = min(stopped_s, self._denied_s + _VOUCH_VALIDITY_S)
+        if not self._earlier:
+            stopped_s = claimed_s
+        return max(stopped_s, claimed_s + unvouched_s(self._context.times))
+
+    def _have_earlier_stopped(self) -> bool:
+        return self._now_s() > self._earlier_stopped_s()
+
+    def _log_right(self, may_grant: bool) -> None:
+        self._context.log.write(
+            "pool.leases_resumed" if may_grant else "pool.leases_paused",
+            pool=self._pool,
+            epoch=self._journal.epoch,
+            confirmed_age_s=round(self._confirmed_age_s(), 2),
+            witnesses=[sorted(witnesses) for witnesses in self._own_sets()],
+            vouchers=[
+                self._vouchers(witnesses) for witnesses in self._own_sets()
+            ],
+        )
+        self._context.counters.increment(
+            "pool.leases_resumed" if may_grant else "pool.leases_paused"
+        )
+
+    def _log_end(self) -> None:
+        claimed_s = self._journal.claimed_s
+        self._context.log.write(
+            "pool.previous_leases_ended",
+            pool=self._pool,
+            epoch=self._journal.epoch,
+            waited_s=round(self._now_s() - claimed_s, 2),
+            denied_after_s=(
+                None
+                if self._denied_s is None
+                else round(self._denied_s - claimed_s, 2)
+            ),
+            witnesses=sorted(sorted(witnesses) for witnesses in self._earlier),
+        )
+
+
+def unvouched_s(times: Times) -> float:
+    """Returns how long an owner grants leases without any witness.
+
+    It counts from the send time of the last call that the store accepted under
+    the owner's epoch.
+    """
+    return times.isolation_s + _PEER_ROUND_S
--- a/daemons/manager/src/coltsfootseam/manager/manager.py
+++ b/daemons/manager/src/coltsfootseam/manager/manager.py
@@ -15,9 +15,11 @@
 from coltsfootseam.manager.jobs.job_service import JobService
 from coltsfootseam.manager.jobs.owned_jobs import OwnedJobs
 from coltsfootseam.manager.jobs.owner_forwarding import OwnerForwarder
+from coltsfootseam.manager.leases.store_contacts import StoreContacts
 from coltsfootseam.manager.membership.duties import DutyDirectory
 from coltsfootseam.manager.membership.duty_manager import DutyManager
 from coltsfootseam.manager.membership.group_monitor import GroupMonitor
+from coltsfootseam.manager.membership.isolation import IsolationMonitor
 from coltsfootseam.manager.membership.locator import Locator
 from coltsfootseam.manager.membership.members import member_name
 from coltsfootseam.manager.membership.standby import Standby
@@ -43,6 +45,8 @@
         membership: This host's membership in the group.
         standby: Decides whether this is a standby host, and knows others.
         duties: Runs the duties of this host.
+        contacts: When the store last replied to each host.
+        isolation: Notices that this host is cut off from the store.
         storage: Stores callers' records.
         jobs: Handles callers' requests.
         status: Status pages for operators.
@@ -54,6 +58,8 @@
     membership: Membership
     standby: Standby
     duties: DutyManager
+    contacts: StoreContacts
+    isolation: IsolationMonitor
     storage: InboxStorage
     jobs: JobService
     status: StatusPage
@@ -106,7 +112,9 @@
     membership = manager.membership
     duties = manager.duties
     standby = manager.standby
-    peer_handlers = PeerHandlers(context, duties, manager.storage, standby)
+    peer_handlers = PeerHandlers(
+        context, duties, manager.storage, standby, manager.contacts
+    )
     manager.status.show_group_problems(membership.refusals_by_call)
     async with serving(context.address, peer_handlers.handlers()):
         functions_by_name = {
@@ -118,6 +126,7 @@
             "group": GroupMonitor(context, membership).run,
             "standby": standby.run,
             "duties": duties.run,
+            "isolation": manager.isolation.run,
         }
         with running(context, functions_by_name):
             try:
@@ -139,7 +148,13 @@
     standby = Standby(context, membership)
     directory = DutyDirectory(membership, standby, context.duty_slots)
     locator = Locator(context, directory)
-    duties = DutyManager(context, cluster, membership, directory, locator)
+    contacts = StoreContacts(context)
+    duties = DutyManager(
+        context, cluster, membership, directory, locator, contacts
+    )
+    isolation = IsolationMonitor(
+        context, contacts, membership, directory, duties
+    )
     storage = InboxStorage(
         context,
         directory,
@@ -159,5 +174,14 @@
 
     cluster.add_listener(on_configuration)
     return Manager(
-        context, cluster, membership, standby, duties, storage, jobs, status
+        context,
+        cluster,
+        membership,
+        standby,
+        duties,
+        contacts,
+        isolation,
+        storage,
+        jobs,
+        status,
     )
--- a/daemons/manager/src/coltsfootseam/manager/membership/duties.py
+++ b/daemons/manager/src/coltsfootseam/manager/membership/duties.py
@@ -98,6 +98,18 @@
             return [*self._standby.unlisted_addresses(), *addresses]
         return addresses
 
+    def member_addresses(self) -> frozenset[str]:
+        """Returns the addresses of all members with this one, as last read.
+
+        Returns:
+            An empty set if the members are unknown.
+        """
+        members = set(self._membership.members_by_partition.values())
+        if not members:
+            return frozenset()
+        members.add(self._membership.member)
+        return frozenset(map(address_of_member, members))
+
     def request_refresh(self) -> None:
         """Requests a refresh of the holders, as one seems to be outdated."""
         self._membership.request_holders_refresh()
--- a/daemons/manager/src/coltsfootseam/manager/membership/duty_manager.py
+++ b/daemons/manager/src/coltsfootseam/manager/membership/duty_manager.py
@@ -5,17 +5,16 @@
 from typing import Protocol
 
 from coltsfootseam.calls import (
-    ASK_REACH,
     OFFER_DUTY,
     DutyOffer,
     DutyOfferReply,
     OwnerReply,
     OwnerRequest,
-    ReachabilityReply,
-    ReachabilityRequest,
 )
 from coltsfootseam.manager.cluster_state import ClusterState
 from coltsfootseam.manager.context import Context
+from coltsfootseam.manager.leases.pool_leases import PoolLeases
+from coltsfootseam.manager.leases.store_contacts import StoreContacts
 from coltsfootseam.manager.machines.fleet_owner import FleetOwner
 from coltsfootseam.manager.membership.duties import DutyDirectory, pool_of_duty
 from coltsfootseam.manager.membership.duty_progress import DutyProgress
@@ -27,7 +26,6 @@
 _PEER_CALL_TIMEOUT_S = 0.4
 _TAKEOVER_RETRY_DELAY_S = 0.5
 _MIN_TENURE_S = 10.0
-_RECOVERY_GRACE_S = 1.0
 _MAX_UNANSWERED_S = 0.7
 _FREEZE_THRESHOLD_S = 1.5
 _MIN_STALL_TIMEOUT_S = 5.0
@@ -72,16 +70,15 @@
         "_accepted_until_s_by_duty",
         "_checked_s",
         "_cluster",
+        "_contacts",
         "_context",
         "_directory",
         "_duties_by_name",
         "_handed_over_until_s_by_duty",
         "_locator",
-        "_logged_verdict",
         "_membership",
         "_offer_rotation",
         "_offers_by_duty",
-        "_outage_seen_s",
         "_stall_timeout_s",
         "_started_s_by_duty",
         "_takeovers_by_duty",
@@ -97,8 +94,10 @@
         membership: Membership,
         directory: DutyDirectory,
         locator: Locator,
+        contacts: StoreContacts,
     ) -> None:
         self._context = context
+        self._contacts = contacts
         self._cluster = cluster
         self._membership = membership
         self._directory = directory
@@ -116,15 +115,12 @@
         self._tasks_by_duty: dict[str, asyncio.Task[None]] = {}
         self._takeovers_by_duty: dict[str, asyncio.Task[None]] = {}
         self._started_s_by_duty: dict[str, float] = {}
-        self._outage_seen_s = float("-inf")
-        self._logged_verdict: object = None
         self.owners_by_pool: dict[str, PoolOwner] = {}
         self.is_stopping = False
 
     async def run(self) -> None:
         """Follows the assignment until cancelled."""
         while not self.is_stopping:
-            await self._check_isolation()
             self._check_progress()
             self.follow_assignment()
             await self._context.timers.sleep(_CHECK_PERIOD_S)
@@ -175,6 +171,14 @@
         """Returns a duty of this host, ``None`` if it doesn't own it."""
         return self._duties_by_name.get(name)
 
+    def pool_leases(self) -> list[PoolLeases]:
+        """Returns the right to grant leases of each pool of this host."""
+        return [
+            owner.leases
+            for owner in self.owners_by_pool.values()
+            if owner.leases is not None
+        ]
+
     def held(self) -> list[str]:
         """Returns the duties that this host owns."""
         return sorted(self._tasks_by_duty)
@@ -244,7 +248,13 @@
         if pool is None:
             owner = FleetOwner(self._context, self._cluster, self._locator)
         else:
-            owner = PoolOwner(pool, self._context, self._cluster, self._locator)
+            owner = PoolOwner(
+                pool,
+                self._context,
+                self._cluster,
+                self._locator,
+                self._contacts,
+            )
             self.owners_by_pool[pool] = owner
         self._context.log.write("duty.begun", duty=duty)
         self._started_s_by_duty[duty] = self._context.timers.now_s()
@@ -351,79 +361,3 @@
         self._accepted_until_s_by_duty.pop(duty, None)
         if duty in self._tasks_by_duty:
             self._release(duty)
-
-    async def _check_isolation(self) -> None:
-        """Drops the assignment if this host alone is cut off from the store.
-
-        When the store recovers from an outage, some hosts notice it a moment
-        before the others, which are not isolated because of that.
-        """
-        unanswered_s = self._context.ports.store.unanswered_s()
-        is_unassigned = self._membership.assignment is None
-        if is_unassigned or unanswered_s < self._context.times.isolation_s:
-            return
-        now_s = self._context.timers.now_s()
-        if await self._is_store_down_for_peers():
-            self._outage_seen_s = now_s
-            return
-        if now_s - self._outage_seen_s < _RECOVERY_GRACE_S:
-            return
-        self._membership.assignment = None
-        self._context.log.write(
-            "host.isolated", silence_s=round(unanswered_s, 2)
-        )
-
-    async def _is_store_down_for_peers(self) -> bool:
-        """Returns whether the store answers none of the peers.
-
-        A host that reaches none of its peers counts as isolated. One that
-        doesn't know of any peer doesn't.
-        """
-        addresses = self._directory.peer_addresses()
-        if not addresses:
-            return True
-        replies = await asyncio.gather(
-            *(self._request_reachability(address) for address in addresses)
-        )
-        ages_s = [
-            reply.store_unanswered_s for reply in replies if reply is not None
-        ]
-        isolation_s = self._context.times.isolation_s
-        is_down = bool(ages_s) and min(ages_s) > isolation_s / 2
-        self._log_reachability(
-            dict(zip(addresses, replies, strict=True)), is_down
-        )
-        return is_down
-
-    def _log_reachability(
-        self,
-        replies_by_address: dict[str, ReachabilityReply | None],
-        is_down: bool,
-    ) -> None:
-        """Logs what the peers say of the store, once for each set of peers."""
-        answered = {
-            address: round(reply.store_unanswered_s, 2)
-            for address, reply in replies_by_address.items()
-            if reply is not None
-        }
-        silent = sorted(replies_by_address.keys() - answered.keys())
-        verdict = (is_down, tuple(sorted(answered)), tuple(silent))
-        if verdict == self._logged_verdict:
-            return
-        self._logged_verdict = verdict
-        self._context.log.write(
-            "store.peers_asked",
-            store_silence_s=round(self._context.ports.store.unanswered_s(), 2),
-            store_silence_s_by_peer=answered,
-            peers_without_reply=silent,
-            outcome="down for all" if is_down else "down here only",
-        )
-        self._context.counters.increment("store.peers_asked")
-
-    async def _request_reachability(
-        self, address: str
-    ) -> ReachabilityReply | None:
-        reply = await self._context.peers.call(
-            address, ASK_REACH, ReachabilityRequest(), _PEER_CALL_TIMEOUT_S
-        )
-        return reply if isinstance(reply, ReachabilityReply) else None
--- /dev/null
+++ b/daemons/manager/src/coltsfootseam/manager/membership/isolation.py
@@ -0,0 +1,139 @@
+"""Asks other hosts about the store, and notices that this host is cut off."""
+
+from coltsfootseam.manager.context import Context
+from coltsfootseam.manager.leases.store_contacts import (
+    StoreContact,
+    StoreContacts,
+)
+from coltsfootseam.manager.membership.duties import DutyDirectory
+from coltsfootseam.manager.membership.duty_manager import DutyManager
+from coltsfootseam.store import Membership
+
+_PERIOD_S = 0.2
+_RECOVERY_GRACE_S = 1.0
+
+
+class IsolationMonitor:
+    """Asks peers when the store last replied to them, while that matters.
+
+    If the store answers others and not this host, the host drops its
+    assignment and with it all duties. Whether its pools may go on granting
+    leases until then is decided by `PoolLeases`.
+    """
+
+    __slots__ = (
+        "_contacts",
+        "_context",
+        "_directory",
+        "_duties",
+        "_logged_outcome",
+        "_membership",
+        "_outage_seen_s",
+    )
+
+    def __init__(
+        self,
+        context: Context,
+        contacts: StoreContacts,
+        membership: Membership,
+        directory: DutyDirectory,
+        duties: DutyManager,
+    ) -> None:
+        self._context = context
+        self._contacts = contacts
+        self._membership = membership
+        self._directory = directory
+        self._duties = duties
+        self._outage_seen_s = float("-inf")
+        self._logged_outcome: object = None
+
+    async def run(self) -> None:
+        """Asks and checks until cancelled."""
+        while True:
+            await self._check()
+            await self._context.timers.sleep(_PERIOD_S)
+
+    async def _check(self) -> None:
+        asked_s = self._context.timers.now_s()
+        peers = self._directory.peer_addresses() if self._is_silent() else []
+        addresses = set(peers)
+        for leases in self._duties.pool_leases():
+            addresses |= leases.addresses_to_ask()
+        if addresses:
+            await self._contacts.ask(sorted(addresses))
+        members = self._directory.member_addresses()
+        for leases in self._duties.pool_leases():
+            leases.update(members)
+        if peers:
+            self._check_isolation(peers, asked_s)
+
+    def _is_silent(self) -> bool:
+        """Returns whether this host should find out if it alone is cut off."""
+        unanswered_s = self._context.ports.store.unanswered_s()
+        is_assigned = self._membership.assignment is not None
+        return is_assigned and unanswered_s >= self._context.times.isolation_s
+
+    def _check_isolation(self, peers: list[str], asked_s: float) -> None:
+        """Drops the assignment if this host alone is cut off from the store.
+
+        A host that reaches none of its peers counts as isolated. One that
+        doesn't know of any peer doesn't. When the store recovers from an
+        outage, some hosts notice it a moment before the others, which are not
+        isolated because of that.
+        """
+        if not self._is_silent():
+            return
+        replies_by_address = {
+            address: contact
+            for address in peers
+            if (contact := self._contacts.by_address.get(address)) is not None
+            and contact.asked_s >= asked_s
+        }
+        is_down = _is_down_for_all(
+            replies_by_address, self._context.times.isolation_s
+        )
+        self._log_replies(peers, replies_by_address, is_down)
+        now_s = self._context.timers.now_s()
+        if is_down:
+            self._outage_seen_s = now_s
+            return
+        if now_s - self._outage_seen_s < _RECOVERY_GRACE_S:
+            return
+        self._membership.assignment = None
+        self._context.log.write(
+            "host.isolated",
+            silence_s=round(self._context.ports.store.unanswered_s(), 2),
+        )
+        self._duties.follow_assignment()
+
+    def _log_replies(
+        self,
+        peers: list[str],
+        replies_by_address: dict[str, StoreContact],
+        is_down: bool,
+    ) -> None:
+        """Logs what the peers say of the store, once for each set of peers."""
+        silent = sorted(set(peers) - replies_by_address.keys())
+        outcome = (is_down, sorted(replies_by_address), silent)
+        if outcome == self._logged_outcome:
+            return
+        self._logged_outcome = outcome
+        self._context.log.write(
+            "store.peers_asked",
+            store_silence_s=round(self._context.ports.store.unanswered_s(), 2),
+            store_silence_s_by_peer={
+                address: round(contact.silence_s, 2)
+                for address, contact in replies_by_address.items()
+            },
+            peers_without_reply=silent,
+            outcome="down for all" if is_down else "down here only",
+        )
+        self._context.counters.increment("store.peers_asked")
+
+
+def _is_down_for_all(
+    replies_by_address: dict[str, StoreContact], isolation_s: float
+) -> bool:
+    """Returns whether the store answers none of the peers that replied."""
+    silences_s = [contact.silence_s for contact in replies_by_address.values()]
+    return bool(silences_s) and min(silences_s) > isolation_s / 2
--- a/daemons/manager/src/coltsfootseam/manager/orders/worker_links.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders/worker_links.py
@@ -4,20 +4,16 @@
 from collections.abc import Callable, Iterable
 
 from coltsfootseam.manager.background import start_restarting
-from coltsfootseam.manager.context import Times
 from coltsfootseam.manager.membership.reachability_log import ReachabilityLog
 from coltsfootseam.manager.pools.pool_state import PoolState
 from coltsfootseam.manager.pools.run_reconciler import RunReconciler
 from coltsfootseam.workers import (
     HeartbeatReply,
-    LeaseTimes,
     WorkerEntry,
     WorkerLink,
     instance_of,
-    max_lease_duration_s,
 )
 
-_ISOLATION_CHECK_S = 0.8
 _INCARNATION_ENDED = "its incarnation has ended"
 
 
@@ -25,7 +21,6 @@
     """Opens a link to each new worker and closes those of ended workers."""
 
     __slots__ = (
-        "_are_previous_ended",
         "_latest_by_machine",
         "_on_change",
         "_reachability",
@@ -44,7 +39,6 @@
         self._reconciler = reconciler
         self._on_change = on_change
         self._reachability = ReachabilityLog(state.context)
-        self._are_previous_ended = False
         self._latest_by_machine: dict[str, WorkerEntry] = {}
         self._tasks_by_id: dict[str, asyncio.Task[None]] = {}
 
@@ -77,7 +71,8 @@
             entry,
             self._state.context.ports.workers,
             self._state.context.timers,
-            LeaseTimes(times.lease_s, previous_owner_lease_s(times)),
+            times.lease_s,
+            self._state.leases,
             self._state.journal.epoch,
             times.hold_wait_s,
             self._handle_reply,
@@ -170,7 +165,7 @@
     def _end_unlinked_runs(self) -> None:
         """Ends the runs on workers to which there is no link."""
         state = self._state
-        have_leases_ended = self._have_previous_leases_ended()
+        have_leases_ended = state.leases.have_earlier_ended()
         worker_ids = {
             *state.job_table.runs.worker_ids(),
             *self._reconciler.lost_worker_ids(),
@@ -195,29 +190,6 @@
         )
         return latest is not None and latest.worker_id != worker_id
 
-    def _have_previous_leases_ended(self) -> bool:
-        """Returns whether all leases of previous owners have ended."""
-        claimed_s = self._state.journal.claimed_s
-        wait_s = previous_owner_lease_s(self._state.context.times)
-        has_ended = self._state.now_s() > claimed_s + wait_s
-        if has_ended and not self._are_previous_ended:
-            self._are_previous_ended = True
-            self._log_previous_ended(wait_s)
-        return has_ended
-
-    def _log_previous_ended(self, wait_s: float) -> None:
-        """Logs from when on unreachable workers count as without runs."""
-        links = self._state.links_by_id.values()
-        self._state.context.log.write(
-            "pool.previous_leases_ended",
-            pool=self._state.pool,
-            epoch=self._state.journal.epoch,
-            waited_s=round(wait_s, 2),
-            unreachable=sorted(
-                link.worker_id for link in links if not link.is_reachable
-            ),
-        )
-
 
 def _latest_by_machine(
     entries: Iterable[WorkerEntry],
@@ -230,16 +202,3 @@
         if entry.machine_id and is_later:
             latest[entry.machine_id] = entry
     return latest
-
-
-def previous_owner_lease_s(times: Times) -> float:
-    """Returns how long after a claim the previous owner's leases may last.
-
-    An isolated owner notices its isolation within the isolation timeout and
-    one round of requests to its peers, and grants no leases from then on.
-    """
-    return (
-        times.isolation_s
-        + _ISOLATION_CHECK_S
-        + max_lease_duration_s(times.lease_s)
-    )
--- a/daemons/manager/src/coltsfootseam/manager/peer_handlers.py
+++ b/daemons/manager/src/coltsfootseam/manager/peer_handlers.py
@@ -26,6 +26,7 @@
 )
 from coltsfootseam.manager.context import Context
 from coltsfootseam.manager.jobs.inbox_storage import InboxStorage
+from coltsfootseam.manager.leases.store_contacts import StoreContacts
 from coltsfootseam.manager.machines.fleet_owner import FleetOwner
 from coltsfootseam.manager.membership.duties import FLEET_DUTY
 from coltsfootseam.manager.membership.duty_manager import DutyManager
@@ -41,7 +42,7 @@
 class PeerHandlers:
     """Handles the calls of other entry hosts."""
 
-    __slots__ = ("_context", "_duties", "_standby", "_storage")
+    __slots__ = ("_contacts", "_context", "_duties", "_standby", "_storage")
 
     def __init__(
         self,
@@ -49,8 +50,10 @@
         duties: DutyManager,
         storage: InboxStorage,
         standby: Standby,
+        contacts: StoreContacts,
     ) -> None:
         self._context = context
+        self._contacts = contacts
         self._standby = standby
         self._duties = duties
         self._storage = storage
@@ -111,7 +114,9 @@
         if request.address:
             self._standby.record_introduction(request)
         unanswered_s = self._context.ports.store.unanswered_s()
-        return ReachabilityReply(min(unanswered_s, _MAX_STORE_AGE_S))
+        return ReachabilityReply(
+            min(unanswered_s, _MAX_STORE_AGE_S), self._contacts.uptime_s()
+        )
 
     async def handle_duty_offer(self, offer: DutyOffer) -> DutyOfferReply:
         """Takes over a stalled duty of a peer; returns whether it does."""
--- a/daemons/manager/src/coltsfootseam/manager/pools/planning_rounds.py
+++ b/daemons/manager/src/coltsfootseam/manager/pools/planning_rounds.py
@@ -69,11 +69,15 @@
             KeyedRecord(job_key(state.pool, job_id), document)
             for job_id, document in documents_by_id.items()
         )
+        witness_record = state.leases.record_to_store()
+        if witness_record is not None:
+            records.append(witness_record)
         if records:
             refusal = await state.journal.commit(records)
             if refusal is not None:
                 return
             state.outdated_state_keys -= outdated_state_keys
+            state.leases.confirm_stored()
         self._apply_stored(stored, end_sequences_by_worker)
         self._send_starts(new_runs)
 
--- a/daemons/manager/src/coltsfootseam/manager/pools/pool_loading.py
+++ b/daemons/manager/src/coltsfootseam/manager/pools/pool_loading.py
@@ -4,6 +4,12 @@
 
 from coltsfootseam.jobs import Progress, decode_progress, parse_pool_key
 from coltsfootseam.manager.context import Context
+from coltsfootseam.manager.leases.witnesses import (
+    UNKNOWN_WITNESSES,
+    WitnessSet,
+    decode_witnesses,
+    witness_key,
+)
 from coltsfootseam.manager.membership.duty_progress import DutyProgress
 from coltsfootseam.results import Refusal
 from coltsfootseam.store import LatestRecordsReader, StoredRecord, Tail
@@ -13,9 +19,13 @@
 
 
 class PoolLoader:
-    """Reads a pool's journal and inbox, and retries until that succeeds."""
+    """Reads a pool's journal and inbox, and retries until that succeeds.
 
-    __slots__ = ("_context", "_pool", "_progress", "_started_s")
+    Attributes:
+        witnesses: The witnesses of earlier owners, once the journal is loaded.
+    """
+
+    __slots__ = ("_context", "_pool", "_progress", "_started_s", "witnesses")
 
     def __init__(
         self, pool: str, context: Context, progress: DutyProgress
@@ -24,6 +34,7 @@
         self._context = context
         self._progress = progress
         self._started_s = context.timers.now_s()
+        self.witnesses: frozenset[WitnessSet] = frozenset()
 
     async def load_journal(self) -> dict[str, Progress]:
         """Returns the progress of each job, by the job's id.
@@ -51,6 +62,8 @@
     def _decode(self, records: list[StoredRecord]) -> dict[str, Progress]:
         progress_by_id = {}
         for record in records:
+            if record.key == witness_key(self._pool):
+                self.witnesses = self._decode_witnesses(record)
             key = parse_pool_key(self._pool, record.key)
             if key is None or not record.value:
                 continue
@@ -64,6 +77,15 @@
             progress_by_id[key.job_id] = progress
         return progress_by_id
 
+    def _decode_witnesses(self, record: StoredRecord) -> frozenset[WitnessSet]:
+        try:
+            return decode_witnesses(record.value)
+        except msgspec.DecodeError as error:
+            self._context.log.write(
+                "record.unreadable", key=record.key, why=str(error)
+            )
+            return frozenset([UNKNOWN_WITNESSES])
+
     async def _retry_later(self, part: str, refusal: Refusal) -> None:
         since_s = self._context.timers.now_s() - self._started_s
         self._context.log.write(
--- a/daemons/manager/src/coltsfootseam/manager/pools/pool_owner.py
+++ b/daemons/manager/src/coltsfootseam/manager/pools/pool_owner.py
@@ -14,6 +14,8 @@
 from coltsfootseam.manager.background import logging_failures, start_once
 from coltsfootseam.manager.cluster_state import ClusterState
 from coltsfootseam.manager.context import Context
+from coltsfootseam.manager.leases.pool_leases import PoolLeases
+from coltsfootseam.manager.leases.store_contacts import StoreContacts
 from coltsfootseam.manager.membership.claiming import claim_duty
 from coltsfootseam.manager.membership.duty_progress import DutyProgress
 from coltsfootseam.manager.membership.locator import Locator
@@ -54,6 +56,7 @@
         state: The pool's state, ``None`` until the journal is claimed and
             everything is loaded.
         progress: Whether the duty becomes active and stays so.
+        leases: The right to grant leases, ``None`` before that.
         inbox: The tail of the pool's inbox, ``None`` before that.
         evacuation: Evacuates workers whose machines are needed elsewhere,
             ``None`` before that.
@@ -61,6 +64,7 @@
 
     __slots__ = (
         "_cluster",
+        "_contacts",
         "_context",
         "_locator",
         "_pool",
@@ -68,6 +72,7 @@
         "_wake",
         "evacuation",
         "inbox",
+        "leases",
         "progress",
         "state",
     )
@@ -78,8 +83,10 @@
         context: Context,
         cluster: ClusterState,
         locator: Locator,
+        contacts: StoreContacts,
     ) -> None:
         self._pool = pool
+        self._contacts = contacts
         self._locator = locator
         self._context = context
         self._cluster = cluster
@@ -88,6 +95,7 @@
         self.progress = DutyProgress(context.timers)
         self.state: PoolState | None = None
         self.inbox: Tail | None = None
+        self.leases: PoolLeases | None = None
         self.evacuation: Evacuation | None = None
 
     async def run(self) -> None:
@@ -100,12 +108,21 @@
         )
         loader = PoolLoader(self._pool, self._context, self.progress)
         self._progress_by_id = await loader.load_journal()
+        leases = PoolLeases(
+            self._pool,
+            self._context,
+            journal,
+            self._contacts,
+            loader.witnesses,
+        )
+        self.leases = leases
         state = PoolState(
             pool=self._pool,
             context=self._context,
             cluster=self._cluster,
             journal=journal,
             job_table=JobTable(self._cluster.max_attempts_of),
+            leases=leases,
             health=WorkerHealth(),
         )
         inbox = Tail(
@@ -279,7 +296,8 @@
         """
         journal = state.journal
         self._check_commits(journal)
-        if state.now_s() - journal.confirmed_s < _CONFIRM_PERIOD_S:
+        # Half of the period, or one confirmation would suppress the next.
+        if state.now_s() - journal.confirmed_s < _CONFIRM_PERIOD_S / 2:
             return
         await journal.confirm()
         age_s = state.now_s() - journal.confirmed_s
--- a/daemons/manager/src/coltsfootseam/manager/pools/pool_state.py
+++ b/daemons/manager/src/coltsfootseam/manager/pools/pool_state.py
@@ -5,6 +5,7 @@
 from coltsfootseam.jobs import Job, JobTable, Queue
 from coltsfootseam.manager.cluster_state import ClusterState
 from coltsfootseam.manager.context import Context
+from coltsfootseam.manager.leases.pool_leases import PoolLeases
 from coltsfootseam.manager.quotas.pool_quotas import PoolQuotas
 from coltsfootseam.scheduling import StepKey, WorkerHealth
 from coltsfootseam.scheduling.lookahead import EstimateRatios, Reservation
@@ -21,6 +22,7 @@
         cluster: Configuration and workers.
         journal: The pool's journal; its epoch is the fencing token of orders.
         job_table: Table of the pool's jobs.
+        leases: The right to grant leases to the workers.
         health: Health of each worker, by the outcomes of its runs.
         links_by_id: Links to the workers of the pool.
         end_sequences_by_worker: Sequence number of the last reported end of
@@ -45,6 +47,7 @@
     cluster: ClusterState
     journal: Journal
     job_table: JobTable
+    leases: PoolLeases
     health: WorkerHealth
     links_by_id: dict[str, WorkerLink] = {}
     end_sequences_by_worker: dict[str, int] = {}
--- a/libs/calls/src/coltsfootseam/calls/messages.py
+++ b/libs/calls/src/coltsfootseam/calls/messages.py
@@ -125,9 +125,16 @@
 
 
 class ReachabilityReply(msgspec.Struct, frozen=True, array_like=True):
-    """Seconds since the store last replied to the callee."""
+    """What the callee knows of the store.
+
+    Attributes:
+        store_unanswered_s: Seconds since the store last replied to it.
+        uptime_s: Seconds since its process started. It knows nothing of the
+            time before.
+    """
 
     store_unanswered_s: float
+    uptime_s: float = 0.0
 
 
 class EvacuationRequest(msgspec.Struct, frozen=True, array_like=True):
--- a/libs/store/src/coltsfootseam/store/journal.py
+++ b/libs/store/src/coltsfootseam/store/journal.py
@@ -73,6 +73,7 @@
         partition: Partition,
         name: str,
         epoch: int,
+        confirmed_s: float | None = None,
     ) -> None:
         self._store = store
         self._timers = timers
@@ -83,7 +84,9 @@
         self._unacknowledged_since_s: float | None = None
         self.epoch = epoch
         self.claimed_s = timers.now_s()
-        self.confirmed_s = self.claimed_s
+        self.confirmed_s = (
+            self.claimed_s if confirmed_s is None else confirmed_s
+        )
         self.is_lost = False
 
     async def commit(self, records: list[KeyedRecord]) -> Refusal | None:
@@ -212,7 +215,8 @@
         return claimed
     epoch = epoch_of_claim(claimed.offset)
     # The first append under the epoch makes it current.
+    sent_s = timers.now_s()
     activated = await store.append(partition, [], writer=Writer(name, epoch, 0))
     if isinstance(activated, Refusal):
         return activated
-    return Journal(store, timers, partition, name, epoch)
+    return Journal(store, timers, partition, name, epoch, sent_s)
--- a/libs/testbed/src/coltsfootseam/testbed/model/pool.py
+++ b/libs/testbed/src/coltsfootseam/testbed/model/pool.py
@@ -6,6 +6,8 @@
 from coltsfootseam.jobs import JobRequest, JobTable, RunEnd, RunPhase
 from coltsfootseam.manager.cluster_state import ClusterState
 from coltsfootseam.manager.context import Context
+from coltsfootseam.manager.leases.pool_leases import PoolLeases
+from coltsfootseam.manager.leases.store_contacts import StoreContacts
 from coltsfootseam.manager.pools.evacuation import Evacuation
 from coltsfootseam.manager.pools.planning import Planner
 from coltsfootseam.manager.pools.pool_state import PoolState
@@ -14,7 +16,7 @@
 from coltsfootseam.store import Journal, Partition
 from coltsfootseam.testbed.model.load import Arrival
 from coltsfootseam.testbed.model.workers import ModelRun, ModelWorker
-from coltsfootseam.workers import LeaseTimes, WorkerLink
+from coltsfootseam.workers import WorkerLink
 
 _MS_PER_S = 1000
 _REPORT_INTERVAL_S = 1.0
@@ -46,6 +48,7 @@
             cluster,
             journal,
             JobTable(cluster.max_attempts_of),
+            PoolLeases(pool, context, journal, StoreContacts(context), ()),
             WorkerHealth(),
             links_by_id={},
             end_sequences_by_worker={},
@@ -70,7 +73,8 @@
             worker.entry,
             context.ports.workers,
             context.timers,
-            LeaseTimes(context.times.lease_s, 0.0),
+            context.times.lease_s,
+            self.state.leases,
             1,
             1.0,
             lambda *report: None,
--- a/libs/workers/src/coltsfootseam/workers/__init__.py
+++ b/libs/workers/src/coltsfootseam/workers/__init__.py
@@ -2,7 +2,7 @@
 
 from coltsfootseam.workers.advice import AdviceCalls, AdviceDecision, Ticket
 from coltsfootseam.workers.lease import (
-    LeaseTimes,
+    LeaseAuthority,
     WorkerLease,
     max_lease_duration_s,
 )
@@ -37,7 +37,7 @@
     "HeartbeatReply",
     "HeartbeatRequest",
     "Holder",
-    "LeaseTimes",
+    "LeaseAuthority",
     "Machine",
     "MachineCalls",
     "MachineOutcome",
--- a/libs/workers/src/coltsfootseam/workers/lease.py
+++ b/libs/workers/src/coltsfootseam/workers/lease.py
@@ -1,6 +1,6 @@
 """The lease of all runs on one worker, as its pool's owner tracks it."""
 
-import msgspec
+from typing import Protocol
 
 from coltsfootseam.timers import TimerService
 
@@ -9,17 +9,14 @@
 _MAX_READING_ERROR_S = 0.25
 
 
-class LeaseTimes(msgspec.Struct, frozen=True):
-    """Lengths of leases.
+class LeaseAuthority(Protocol):
+    """What an owner of a pool knows of its right to grant leases."""
 
-    Attributes:
-        lease_s: Length of the leases that this owner grants.
-        previous_owner_lease_s: How much longer a lease that a previous owner
-            granted may last.
-    """
+    def may_grant(self) -> bool:
+        """Returns whether this owner may grant leases now."""
 
-    lease_s: float
-    previous_owner_lease_s: float
+    def have_earlier_ended(self) -> bool:
+        """Returns whether all leases of earlier owners have ended."""
 
 
 class WorkerLease:
@@ -31,17 +28,35 @@
 
     Attributes:
         safe_after_s: Monotonic time after which nothing runs on the worker
-            unless a new lease is granted.
+            under a lease of this owner, unless it grants a new one.
     """
 
-    __slots__ = ("_offset_ms", "_read_s", "_timers", "_times", "safe_after_s")
-
-    def __init__(self, timers: TimerService, times: LeaseTimes) -> None:
+    __slots__ = (
+        "_authority",
+        "_lease_s",
+        "_offset_ms",
+        "_read_s",
+        "_timers",
+        "safe_after_s",
+    )
+
+    def __init__(
+        self, timers: TimerService, lease_s: float, authority: LeaseAuthority
+    ) -> None:
+        """Makes a lease that isn't granted yet.
+
+        Args:
+            timers: Clock and timers.
+            lease_s: Length of the leases that this owner grants.
+            authority: Tells whether this owner may grant leases, and whether
+                those of earlier owners have ended.
+        """
         self._timers = timers
-        self._times = times
+        self._lease_s = lease_s
+        self._authority = authority
         self._offset_ms: float | None = None
         self._read_s = timers.now_s()
-        self.safe_after_s = timers.now_s() + times.previous_owner_lease_s
+        self.safe_after_s = timers.now_s()
 
     def read_clock(self, clock_ms: int) -> None:
         """Applies a reading of the worker's clock that has just arrived."""
@@ -59,19 +74,23 @@
     def grant(self) -> int | None:
         """Grants a lease and returns its end on the worker's clock.
 
-        Returns ``None`` and grants nothing if the clock isn't known yet.
+        Returns ``None`` and grants nothing if the clock isn't known yet, or if
+        this owner may have a successor.
         """
-        if self._offset_ms is None:
+        if self._offset_ms is None or not self._authority.may_grant():
             return None
         now_s = self._timers.now_s()
-        end_s = now_s + max_lease_duration_s(self._times.lease_s)
+        end_s = now_s + max_lease_duration_s(self._lease_s)
         self.safe_after_s = max(self.safe_after_s, end_s)
         clock_ms = now_s * _MS_PER_S + self._offset_ms
-        return round(clock_ms + self._times.lease_s * _MS_PER_S)
+        return round(clock_ms + self._lease_s * _MS_PER_S)
 
     def has_ended(self) -> bool:
         """Returns whether all runs on the worker are certain to have ended."""
-        return self._timers.now_s() >= self.safe_after_s
+        return (
+            self._timers.now_s() >= self.safe_after_s
+            and self._authority.have_earlier_ended()
+        )
 
 
 def max_lease_duration_s(lease_s: float) -> float:
--- a/libs/workers/src/coltsfootseam/workers/link.py
+++ b/libs/workers/src/coltsfootseam/workers/link.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from coltsfootseam.timers import TimerService
-from coltsfootseam.workers.lease import LeaseTimes, WorkerLease
+from coltsfootseam.workers.lease import LeaseAuthority, WorkerLease
 from coltsfootseam.workers.messages import (
     HeartbeatReply,
     HeartbeatRequest,
@@ -66,7 +66,8 @@
         entry: WorkerEntry,
         calls: WorkerCalls,
         timers: TimerService,
-        times: LeaseTimes,
+        lease_s: float,
+        authority: LeaseAuthority,
         token: int,
         wait_s: float,
         on_reply: OnHeartbeatReply,
@@ -79,7 +80,7 @@
         self._all_acknowledged = asyncio.Event()
         self._max_listed = 0
         self.entry = entry
-        self.lease = WorkerLease(timers, times)
+        self.lease = WorkerLease(timers, lease_s, authority)
         self.acknowledged = 0
         self.is_reachable = False
         self.heartbeat_outcome = OrderOutcome.UNKNOWN
