Count a lease from before the check of the right to grant it

Cause: WorkerLease.grant read the clock after the check. A process frozen between the two granted a lease that began after its right had ended. Change: the clock is read first; a later check can only refuse. Result: tests/cover/test_lease_freezes.py passes, which failed before.

--- a/libs/workers/src/coltsfootseam/workers/lease.py
+++ b/libs/workers/src/coltsfootseam/workers/lease.py
@@ -77,9 +77,10 @@
         Returns ``None`` and grants nothing if the clock isn't known yet, or if
         this owner may have a successor.
         """
+        # Read before the check, as this process may be frozen in between.
+        now_s = self._timers.now_s()
         if self._offset_ms is None or not self._authority.may_grant():
             return None
-        now_s = self._timers.now_s()
         end_s = now_s + max_lease_duration_s(self._lease_s)
         self.safe_after_s = max(self.safe_after_s, end_s)
         clock_ms = now_s * _MS_PER_S + self._offset_ms
