Don't wait for earlier owners' leases on a worker that has replied

Cause: a lease counted as ended only once those of all earlier owners had, for up to 29.3 s after the claim, also on workers that had replied to this owner. Change: a worker that has replied refuses the orders of earlier owners, so its leases end within one lease of the reply.

--- a/libs/workers/src/coltsfootseam/workers/lease.py
+++ b/libs/workers/src/coltsfootseam/workers/lease.py
@@ -33,6 +33,7 @@
 
     __slots__ = (
         "_authority",
+        "_is_earlier_fenced",
         "_lease_s",
         "_offset_ms",
         "_read_s",
@@ -55,6 +56,7 @@
         self._lease_s = lease_s
         self._authority = authority
         self._offset_ms: float | None = None
+        self._is_earlier_fenced = False
         self._read_s = timers.now_s()
         self.safe_after_s = timers.now_s()
 
@@ -71,6 +73,17 @@
         self._offset_ms = max(self._offset_ms - drift_ms, offset_ms)
         self._read_s = now_s
 
+    def record_fencing(self) -> None:
+        """Records that the worker refuses the orders of earlier owners.
+
+        It has replied to this owner, so what it was granted before then ends
+        within one lease.
+        """
+        if not self._is_earlier_fenced:
+            self._is_earlier_fenced = True
+            end_s = self._timers.now_s() + max_lease_duration_s(self._lease_s)
+            self.safe_after_s = max(self.safe_after_s, end_s)
+
     def grant(self) -> int | None:
         """Grants a lease and returns its end on the worker's clock.
 
@@ -88,10 +101,9 @@
 
     def has_ended(self) -> bool:
         """Returns whether all runs on the worker are certain to have ended."""
-        return (
-            self._timers.now_s() >= self.safe_after_s
-            and self._authority.have_earlier_ended()
-        )
+        if self._timers.now_s() < self.safe_after_s:
+            return False
+        return self._is_earlier_fenced or self._authority.have_earlier_ended()
 
 
 def max_lease_duration_s(lease_s: float) -> float:
--- a/libs/workers/src/coltsfootseam/workers/link.py
+++ b/libs/workers/src/coltsfootseam/workers/link.py
@@ -178,6 +178,7 @@
             self.is_gone = True
             return
         self.lease.read_clock(reply.clock_ms)
+        self.lease.record_fencing()
         self.last_reply_s = self._timers.now_s()
         self.is_reachable = True
         for run in reply.ended:
