Count the end of earlier owners' rights from the witnesses' contacts

Cause: a successor counted the last 1.2 s from when it noticed that enough witnesses rule out vouching. It notices up to 0.6 s later, as a round waits for silent hosts. Change: they count from the contacts themselves: replies asked for before a contact expire 1.2 s after it.

--- a/daemons/manager/src/coltsfootseam/manager/leases/pool_leases.py
+++ b/daemons/manager/src/coltsfootseam/manager/leases/pool_leases.py
@@ -138,8 +138,8 @@
         if members != self._candidates:
             self._candidates = members
             self._candidates_since_s = now_s
-        if self._denied_s is None and all(map(self._is_denied, self._earlier)):
-            self._denied_s = now_s
+        if self._denied_s is None:
+            self._denied_s = self._find_denied_s()
 
     def record_to_store(self) -> KeyedRecord | None:
         """Returns the record of the witnesses if the stored one is outdated.
@@ -210,15 +210,30 @@
         """
         return self._journal.claimed_s + _CONTACT_TOLERANCE_S
 
-    def _is_denied(self, witnesses: WitnessSet) -> bool:
+    def _find_denied_s(self) -> float | None:
+        """Returns when no earlier owner could get a majority any more.
+
+        Returns:
+            ``None`` if that isn't known of all of them yet.
+        """
+        denied_s = self._journal.claimed_s
+        for witnesses in self._earlier:
+            contacts_s = self._denying_contacts_s(witnesses)
+            needed = deniers_needed(witnesses)
+            if len(contacts_s) < needed:
+                return None
+            denied_s = max([denied_s, *contacts_s[:needed]])
+        return denied_s
+
+    def _denying_contacts_s(self, witnesses: WitnessSet) -> list[float]:
+        """Returns when the witnesses that deny had contact, earliest first."""
         denial_from_s = self._denial_from_s()
-        deniers = [
-            address
+        return sorted(
+            contact.latest_s
             for address in witnesses
             if (contact := self._contacts.of(address)) is not None
             and contact.earliest_s > denial_from_s
-        ]
-        return len(deniers) >= deniers_needed(witnesses)
+        )
 
     def _earlier_stopped_s(self) -> float:
         """Returns when earlier owners stop granting leases at the latest."""
