Ask each witness by itself, and count less time after a takeover

What callers saw: after the loss of an owner with a worker and of two more hosts, a lasting task began again after up to 9.7 s; 9 s are allowed. Cause: a round of requests waited for the hosts that don't reply, 0.4 s each time, and the tolerances added up. Change: each witness has a request of its own; a reply counts for 1.0 s, a contact may be 1.2 s later than the confirmation. The successor adds 2% for its clock to the longest wait. A confirmation never moves back.

--- a/daemons/manager/src/coltsfootseam/manager/leases/pool_leases.py
+++ b/daemons/manager/src/coltsfootseam/manager/leases/pool_leases.py
@@ -30,10 +30,10 @@
 """Time for a round of requests to the witnesses, added to the time after which
 they are asked."""
 
-_VOUCH_VALIDITY_S = 1.2
+_VOUCH_VALIDITY_S = 1.0
 """How long a witness's reply counts, from the request for it."""
 
-_CONTACT_TOLERANCE_S = 1.5
+_CONTACT_TOLERANCE_S = 1.2
 """How much later than the owner's last confirmation a witness may have had
 contact. An owner confirms its epoch less often than hosts read the store, so in
 an outage the last contact of the others is later."""
@@ -43,6 +43,12 @@
 outage of 20 s. A successor that can't ask half of the witnesses waits for it.
 """
 
+_MAX_CLOCK_DRIFT = 0.02
+"""How much faster a successor's clock may run than that of the owner before."""
+
+_ASK_AFTER_S = 1.0
+"""Age of a confirmation at which an owner begins to ask its witnesses."""
+
 _MEMBERS_SETTLE_S = 1.0
 """How long the members must be the same before they become the witnesses. After
 an outage some are missing until their next join."""
@@ -122,7 +128,7 @@
     def addresses_to_ask(self) -> set[str]:
         """Returns the hosts whose contact with the store matters now."""
         addresses: set[str] = set()
-        if self._confirmed_age_s() > self._context.times.isolation_s / 2:
+        if self._confirmed_age_s() > _ASK_AFTER_S:
             addresses.update(*self._own_sets())
         if self._denied_s is None and self._now_s() > self._denial_from_s():
             addresses.update(*self._earlier)
@@ -238,7 +244,7 @@
     def _earlier_stopped_s(self) -> float:
         """Returns when earlier owners stop granting leases at the latest."""
         claimed_s = self._journal.claimed_s
-        stopped_s = claimed_s + _MAX_VOUCHED_S
+        stopped_s = claimed_s + _MAX_VOUCHED_S * (1 + _MAX_CLOCK_DRIFT)
         if self._denied_s is not None:
             stopped_s = min(stopped_s, self._denied_s + _VOUCH_VALIDITY_S)
         if not self._earlier:
--- a/daemons/manager/src/coltsfootseam/manager/leases/store_contacts.py
+++ b/daemons/manager/src/coltsfootseam/manager/leases/store_contacts.py
@@ -10,9 +10,11 @@
     ReachabilityReply,
     ReachabilityRequest,
 )
+from coltsfootseam.manager.background import start_once
 from coltsfootseam.manager.context import Context
 
 _CALL_TIMEOUT_S = 0.4
+_MIN_REQUEST_INTERVAL_S = 0.2
 
 
 class StoreContact(msgspec.Struct, frozen=True):
@@ -42,11 +44,12 @@
         by_address: The latest reply of each peer.
     """
 
-    __slots__ = ("_context", "_started_s", "by_address")
+    __slots__ = ("_context", "_requests_by_address", "_started_s", "by_address")
 
     def __init__(self, context: Context) -> None:
         self._context = context
         self._started_s = context.timers.now_s()
+        self._requests_by_address: dict[str, asyncio.Task[None]] = {}
         self.by_address: dict[str, StoreContact] = {}
 
     def uptime_s(self) -> float:
@@ -66,6 +69,26 @@
         """Asks peers side by side; a peer without a reply changes nothing."""
         await asyncio.gather(*(self._ask(address) for address in addresses))
 
+    def request(self, addresses: Iterable[str]) -> None:
+        """Asks peers in the background, unless they were asked just now."""
+        asked_after_s = self._context.timers.now_s() - _MIN_REQUEST_INTERVAL_S
+        for address in addresses:
+            known = self.by_address.get(address)
+            is_recent = known is not None and known.asked_s > asked_after_s
+            if not is_recent and address not in self._requests_by_address:
+                self._start_request(address)
+
+    def _start_request(self, address: str) -> None:
+        task = start_once(
+            self._context,
+            f"contact of {address}",
+            lambda: self._ask(address),
+        )
+        self._requests_by_address[address] = task
+        task.add_done_callback(
+            lambda done: self._requests_by_address.pop(address, None)
+        )
+
     async def _ask(self, address: str) -> None:
         asked_s = self._context.timers.now_s()
         reply = await self._context.peers.call(
--- a/daemons/manager/src/coltsfootseam/manager/manager.py
+++ b/daemons/manager/src/coltsfootseam/manager/manager.py
@@ -16,6 +16,7 @@
 from coltsfootseam.manager.jobs.owned_jobs import OwnedJobs
 from coltsfootseam.manager.jobs.owner_forwarding import OwnerForwarder
 from coltsfootseam.manager.leases.store_contacts import StoreContacts
+from coltsfootseam.manager.leases.witness_polling import WitnessPolling
 from coltsfootseam.manager.membership.duties import DutyDirectory
 from coltsfootseam.manager.membership.duty_manager import DutyManager
 from coltsfootseam.manager.membership.group_monitor import GroupMonitor
@@ -47,6 +48,7 @@
         duties: Runs the duties of this host.
         contacts: When the store last replied to each host.
         isolation: Notices that this host is cut off from the store.
+        witnesses: Asks the witnesses of the pools' leases.
         storage: Stores callers' records.
         jobs: Handles callers' requests.
         status: Status pages for operators.
@@ -60,6 +62,7 @@
     duties: DutyManager
     contacts: StoreContacts
     isolation: IsolationMonitor
+    witnesses: WitnessPolling
     storage: InboxStorage
     jobs: JobService
     status: StatusPage
@@ -127,6 +130,7 @@
             "standby": standby.run,
             "duties": duties.run,
             "isolation": manager.isolation.run,
+            "witnesses": manager.witnesses.run,
         }
         with running(context, functions_by_name):
             try:
@@ -155,6 +159,7 @@
     isolation = IsolationMonitor(
         context, contacts, membership, directory, duties
     )
+    witnesses = WitnessPolling(context, contacts, directory, duties)
     storage = InboxStorage(
         context,
         directory,
@@ -181,6 +186,7 @@
         duties,
         contacts,
         isolation,
+        witnesses,
         storage,
         jobs,
         status,
--- a/daemons/manager/src/coltsfootseam/manager/membership/isolation.py
+++ b/daemons/manager/src/coltsfootseam/manager/membership/isolation.py
@@ -14,7 +14,7 @@
 
 
 class IsolationMonitor:
-    """Asks peers when the store last replied to them, while that matters.
+    """Asks peers when the store last replied to them, if it is silent here.
 
     If the store answers others and not this host, the host drops its
     assignment and with it all duties. Whether its pools may go on granting
@@ -55,19 +55,12 @@
 
     async def _check(self) -> None:
         asked_s = self._context.timers.now_s()
-        peers = self._directory.peer_addresses() if self._is_silent() else []
-        addresses = set(peers)
-        for leases in self._duties.pool_leases():
-            addresses |= leases.addresses_to_ask()
-        if addresses:
-            await self._contacts.ask(sorted(addresses))
-        members = self._directory.member_addresses()
-        for leases in self._duties.pool_leases():
-            leases.update(members)
-        if peers:
+        peers = self._directory.peer_addresses()
+        if peers and self._should_ask():
+            await self._contacts.ask(peers)
             self._check_isolation(peers, asked_s)
 
-    def _is_silent(self) -> bool:
+    def _should_ask(self) -> bool:
         """Returns whether this host should find out if it alone is cut off."""
         unanswered_s = self._context.ports.store.unanswered_s()
         is_assigned = self._membership.assignment is not None
@@ -81,7 +74,7 @@
         outage, some hosts notice it a moment before the others, which are not
         isolated because of that.
         """
-        if not self._is_silent():
+        if not self._should_ask():
             return
         replies_by_address = {
             address: contact
--- a/libs/store/src/coltsfootseam/store/journal.py
+++ b/libs/store/src/coltsfootseam/store/journal.py
@@ -122,7 +122,7 @@
                 self.partition, records, writer=writer
             )
             if isinstance(result, Appended):
-                self.confirmed_s = sent_s
+                self.confirmed_s = max(self.confirmed_s, sent_s)
                 self._acknowledged_sequence = writer.sequence
                 self._unacknowledged_since_s = None
                 return None
