--- a/tests/cover/test_lasting_tasks_after_losses.py
+++ b/tests/cover/test_lasting_tasks_after_losses.py
@@ -10,6 +10,9 @@
 MAX_GAP_S = 9.0
 """How long a lasting task may be without a run where there is capacity."""
 ENTRY_RETURN_S = 6.0
+STRONG = 2000
+WEAK = 500
+HOSTS_RETURN_S = 5.5
 
 
 def run_counts(fleet: Fleet) -> dict[str, int]:
@@ -65,3 +68,23 @@
         await fleet.wait_until(
             lambda: task_count(fleet) == LASTING.count, MAX_GAP_S
         )
+
+
+# A standby host handed its pools back as soon as stronger hosts had returned,
+# so that the wait for the leases of earlier owners began anew.
+async def test_the_return_of_strong_hosts_does_not_prolong_that_wait() -> None:
+    capacities = [STRONG, STRONG, WEAK, WEAK, WEAK]
+    async with running_fleet(
+        millicores=capacities, duration_of=lambda task: 1e9
+    ) as fleet:
+        await fleet.timers.advance(4.0)
+        cut_worker(fleet, await accept_lasting_job(fleet))
+        strong = fleet.hosts[:2]
+        assert fleet.owner() in strong
+        for host in strong:
+            await host.kill()
+            fleet.timers.schedule(HOSTS_RETURN_S, host.start)
+        await wait_for_lapse(fleet)
+        await fleet.wait_until(
+            lambda: task_count(fleet) == LASTING.count, MAX_GAP_S
+        )
--- a/tests/cover/test_standby.py
+++ b/tests/cover/test_standby.py
@@ -77,6 +77,27 @@
         await fleet.accept(fleet.hosts[3], "0000000000000001")
 
 
+# Standby hosts handed pools back 1.5 s after they had taken them over. Each
+# change of owner delays the tasks that wait for a worker.
+async def test_a_standby_host_keeps_pools_for_a_while() -> None:
+    capacities = [STRONG, STRONG, WEAK, WEAK, WEAK]
+    async with running_fleet(millicores=capacities) as fleet:
+        await fleet.timers.advance(4.0)
+        strong = fleet.hosts[:2]
+        for host in strong:
+            await host.kill()
+        await fleet.wait_until(lambda: any(host.owns() for host in fleet.hosts))
+        owner = fleet.owner()
+        for host in strong:
+            host.start()
+        for _ in range(60):
+            await fleet.timers.advance(0.1)
+            assert fleet.owner() is owner
+        await fleet.wait_until(
+            lambda: any(host.owns() and is_strong(host) for host in fleet.hosts)
+        )
+
+
 # One strong host alone would have more load than the weak ones together.
 async def test_weak_hosts_are_members_beside_a_single_strong_one() -> None:
     capacities = [STRONG, WEAK, WEAK, WEAK]
