Leave a pool with its owner over an outage of the store

Cause: an owner without the store denies its duties. The host with the assignment, itself without the store, began to claim them and took them once it was back. A confirmation that was sent in the outage counted as one that the store refused, and released the pool; and a host that got its reply a second after the others counted as isolated. Change: no duty is taken over while the store is silent or for 2 s after; a pool is released when a second confirmation in a row fails; the grace after an outage is longer than a call waits.

--- a/daemons/manager/src/coltsfootseam/manager/membership/isolation.py
+++ b/daemons/manager/src/coltsfootseam/manager/membership/isolation.py
@@ -10,7 +10,8 @@
 from coltsfootseam.store import Membership
 
 _PERIOD_S = 0.2
-_RECOVERY_GRACE_S = 1.0
+_RECOVERY_GRACE_S = 2.0
+"""Longer than a call may wait for its reply that was sent in the outage."""
 
 
 class IsolationMonitor:
--- a/daemons/manager/src/coltsfootseam/manager/pools/pool_owner.py
+++ b/daemons/manager/src/coltsfootseam/manager/pools/pool_owner.py
@@ -44,6 +44,7 @@
 _MIN_ROUND_INTERVAL_S = 0.02
 _CONFIRM_PERIOD_S = 0.7
 _MAX_UNCONFIRMED_S = 2.0
+_MIN_UNCONFIRMED_ATTEMPTS = 2
 _MAX_UNSETTLED_S = 2.0
 _INBOX_LONG_POLL_S = 2.0
 _MS_PER_S = 1000
@@ -69,6 +70,7 @@
         "_locator",
         "_pool",
         "_progress_by_id",
+        "_unconfirmed_attempts",
         "_wake",
         "evacuation",
         "inbox",
@@ -91,6 +93,7 @@
         self._context = context
         self._cluster = cluster
         self._progress_by_id: dict[str, Progress] = {}
+        self._unconfirmed_attempts = 0
         self._wake = asyncio.Event()
         self.progress = DutyProgress(context.timers)
         self.state: PoolState | None = None
@@ -304,6 +307,11 @@
         is_answered = (
             self._context.ports.store.unanswered_s() < _CONFIRM_PERIOD_S
         )
-        if age_s > _MAX_UNCONFIRMED_S and is_answered:
+        if age_s <= _MAX_UNCONFIRMED_S or not is_answered:
+            self._unconfirmed_attempts = 0
+            return
+        # The first attempt may have been sent before the store was back.
+        self._unconfirmed_attempts += 1
+        if self._unconfirmed_attempts >= _MIN_UNCONFIRMED_ATTEMPTS:
             self._context.log.write("pool.unconfirmed", pool=self._pool)
             self._abandon(state)
--- a/tests/cover/test_owners_over_outages.py
+++ b/tests/cover/test_owners_over_outages.py
@@ -2,11 +2,13 @@
 
 import pytest
 
-from tests.common.fleets import Fleet, Host, running_fleet
+from tests.common.fleets import Fleet, Host
+from tests.common.long_jobs import settled_fleet
 
 GROUP = "duties"
 REBALANCES = 3
 RECOVERY_S = 5.0
+TASK_S = 1.0
 
 
 def claims(fleet: Fleet) -> int:
@@ -26,7 +28,7 @@
 # store, and took it from its owner when the store was back.
 @pytest.mark.parametrize("outage_s", [0.8, 1.5, 2.5, 4.0])
 async def test_an_outage_of_the_store_moves_no_pool(outage_s: float) -> None:
-    async with running_fleet(hosts=4) as fleet:
+    async with settled_fleet(4, TASK_S) as fleet:
         owner = await take_owner(fleet)
         claims_before = claims(fleet)
         for host in fleet.hosts:
