Add a soak of real processes in zones that are parted

Change: links between each two nodes, which are proxies of the stand-in that hold data back one way or both; managers that connect through them; overlapping cuts, pauses, restarts and outages from a seed (`make soak SEED=1 COUNT=10`), with TWICE, UNASKED and LOST checked at the workers and callers. The launcher of test_managers moves to a module.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES := $(sort $(wildcard libs/*) $(wildcard daemons/*) platform)
 SOURCES := libs daemons platform deploy tests bench
 
-.PHONY: setup demo test faults lint format bench-control bench-requests bench-placement bench-quarantine bench-quotas bench-teams bench-scheduling fuzz proofs proto
+.PHONY: setup demo test faults lint format bench-control bench-requests bench-placement bench-quarantine bench-quotas bench-teams bench-scheduling fuzz soak proofs proto
 
 setup: .venv/.installed
 
@@ -56,6 +56,9 @@
 fuzz: setup
 	$(BIN)/python -m bench.fuzz $(SEED) $(COUNT)
 
+soak: setup
+	$(BIN)/python -m bench.soak $(SEED) $(COUNT)
+
 proofs: setup
 	$(BIN)/python -m bench.prove
 
--- /dev/null
+++ b/bench/soak.py
@@ -0,0 +1,49 @@
+"""Runs soaks of real processes in zones that are parted, with new seeds."""
+
+import asyncio
+import pathlib
+import random
+import shutil
+import sys
+import tempfile
+import time
+
+from tests.common.soak import run_soak
+
+COUNT = 10
+LENGTH_S = 30.0
+MAX_TASK_S = 20.0
+
+
+def main() -> None:
+    """Runs soaks; the exit code is 1 if one broke a guarantee.
+
+    The arguments are the first seed and the number of soaks; each soak uses the
+    next seed. The logs of the hosts are kept if it fails.
+    """
+    first = int(sys.argv[1]) if len(sys.argv) > 1 else random.randrange(10**9)
+    count = int(sys.argv[2]) if len(sys.argv) > 2 else COUNT
+    failed = 0
+    for seed in range(first, first + count):
+        folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+        started_s = time.monotonic()
+        result = asyncio.run(run_soak(seed, folder, LENGTH_S, MAX_TASK_S))
+        took_s = time.monotonic() - started_s
+        print(
+            f"seed {seed}: {len(result.findings)} findings in {took_s:.0f} s, "
+            f"{result.accepted} jobs, {result.starts} starts, "
+            f"{len(result.faults)} faults",
+            flush=True,
+        )
+        if result.findings:
+            failed += 1
+            for row in (*result.findings, *result.faults, f"logs: {folder}"):
+                print(f"    {row}", flush=True)
+        else:
+            shutil.rmtree(folder)
+    print(f"{count} soaks from seed {first}: {failed} failed")
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/libs/standins/src/coltsfootseam/standins/proxy.py
+++ b/libs/standins/src/coltsfootseam/standins/proxy.py
@@ -22,6 +22,9 @@
             open but drop all further data, while new ones work.
         silence_all: All connections, including new ones, drop all data.
         cut: Connections that are open when the fault is set are reset.
+        hold_to_target: Data and ends of connections from the callers wait
+            until the fault ends, as on a path that resends lost packets.
+        hold_from_target: The same for what the target sends.
     """
 
     delay_ms: int = 0
@@ -29,6 +32,8 @@
     silence_open: bool = False
     silence_all: bool = False
     cut: bool = False
+    hold_to_target: bool = False
+    hold_from_target: bool = False
 
 
 class ProxyTally(msgspec.Struct):
@@ -55,20 +60,26 @@
         self._host = host
         self._port = int(port)
         self._connections: set[_Connection] = set()
-        self.faults = ProxyFaults()
+        self._to_target_open = asyncio.Event()
+        self._from_target_open = asyncio.Event()
+        self.apply(ProxyFaults())
         self.tally = ProxyTally()
 
     async def set_faults(self, request: web.Request) -> web.Response:
         """Replaces the faults and applies them to open connections."""
-        self.faults = msgspec.json.decode(
-            await request.read(), type=ProxyFaults
-        )
+        self.apply(msgspec.json.decode(await request.read(), type=ProxyFaults))
+        return json_response(self.faults)
+
+    def apply(self, faults: ProxyFaults) -> None:
+        """Replaces the faults and applies them to open connections."""
+        self.faults = faults
+        _set_event(self._to_target_open, not faults.hold_to_target)
+        _set_event(self._from_target_open, not faults.hold_from_target)
         for connection in list(self._connections):
             if self.faults.silence_open:
                 connection.is_silenced = True
             if self.faults.cut:
                 _abort(connection)
-        return json_response(self.faults)
 
     async def show_tally(self, request: web.Request) -> web.Response:
         """Responds with the tally."""
@@ -88,7 +99,9 @@
                 return
             await self._forward(connection, reader, writer)
         except OSError:
-            pass
+            # A reset doesn't pass the path while it holds data back.
+            await self._to_target_open.wait()
+            await self._from_target_open.wait()
         finally:
             self._connections.discard(connection)
             _abort(connection)
@@ -124,9 +137,11 @@
         writer: asyncio.StreamWriter,
         to_target: bool,
     ) -> None:
+        is_open = self._to_target_open if to_target else self._from_target_open
         while data := await reader.read(_READ_BYTES):
             if self.faults.delay_ms:
                 await asyncio.sleep(self.faults.delay_ms / _MS_PER_S)
+            await is_open.wait()
             # Data is dropped without closing the connection, as on a path
             # that loses all packets.
             if connection.is_silenced or self.faults.silence_all:
@@ -139,9 +154,17 @@
             await writer.drain()
         if connection.is_silenced or self.faults.silence_all:
             await asyncio.Event().wait()
+        await is_open.wait()
         writer.write_eof()
 
 
+def _set_event(event: asyncio.Event, is_set: bool) -> None:
+    if is_set:
+        event.set()
+    else:
+        event.clear()
+
+
 def _abort(connection: _Connection) -> None:
     for writer in connection.writers:
         writer.transport.abort()
--- /dev/null
+++ b/tests/common/soak.py
@@ -0,0 +1,405 @@
+"""A soak of real processes: overlapping faults drawn from a seed.
+
+Whatever the faults, and as callers and workers see it: no task runs twice at
+once or after an end that was noted (TWICE), none starts or runs on after its
+job's cancel (UNASKED), and accepted jobs complete once all is healed (LOST).
+"""
+
+import asyncio
+import contextlib
+import pathlib
+import random
+import signal
+import time
+from collections.abc import AsyncIterator, Callable
+
+import msgspec
+
+from coltsfootseam.adapter.tasks import task_name
+from coltsfootseam.testbed.links import Cut, both_ways, one_way
+from coltsfootseam.testbed.waiting import wait_until
+from coltsfootseam.workers import StartOrder
+from tests.common.zoned_deployment import (
+    LONG_RUNNING_S,
+    ZONES,
+    ZonedDeployment,
+    ZonedHost,
+    running_zones,
+)
+
+_CANCEL_S = 3.0
+_STALE_START_S = 10.0
+"""A host that is parted may start tasks of a cancelled job until it notices,
+and a worker refuses a start whose lease has ended on the way."""
+_STOP_GRACE_S = 6.0
+_SUBMIT_LIMIT_S = 30.0
+_RETRY_S = 0.3
+_END_LIMIT_S = 60.0
+_LASTING_SHARE = 0.1
+_CANCEL_SHARE = 0.2
+
+
+class PlannedFault(msgspec.Struct, frozen=True):
+    """A fault at one host or zone.
+
+    Attributes:
+        kind: Name of the handler.
+        number: Selects the host or zone, and a variant.
+        at_s: When it begins, from the start of the faults.
+        for_s: How long it lasts at least.
+    """
+
+    kind: str
+    number: int
+    at_s: float
+    for_s: float
+
+
+class PlannedJob(msgspec.Struct, frozen=True):
+    """A job of one step.
+
+    Attributes:
+        job_id: Its id.
+        host: Index of the host to which it is sent first.
+        at_s: When it is sent first.
+        tasks: Number of its tasks.
+        task_s: Duration of a task.
+        cancel_s: Time from the reply to its cancel, ``None`` for no cancel.
+    """
+
+    job_id: str
+    host: int
+    at_s: float
+    tasks: int
+    task_s: float
+    cancel_s: float | None
+
+    def is_lasting(self) -> bool:
+        """Returns whether its tasks run until it is cancelled."""
+        return self.task_s == LONG_RUNNING_S
+
+
+FaultHandler = Callable[
+    [ZonedDeployment, int], contextlib.AbstractAsyncContextManager[None]
+]
+_handlers_by_kind: dict[str, FaultHandler] = {}
+
+
+def fault(handler: FaultHandler) -> FaultHandler:
+    """Registers a fault, which lasts while its context is open."""
+    _handlers_by_kind[handler.__name__] = handler  # type: ignore[attr-defined]
+    return handler
+
+
+@contextlib.asynccontextmanager
+async def _cutting(
+    deployment: ZonedDeployment, cut: Cut, number: int
+) -> AsyncIterator[None]:
+    with deployment.links.cutting(cut, loses_data=number % 2 == 0):
+        yield
+
+
+@fault
+def part_zone(
+    deployment: ZonedDeployment, number: int
+) -> contextlib.AbstractAsyncContextManager[None]:
+    """Parts a zone from the store and the other zones."""
+    zone = ZONES[number % len(ZONES)]
+    cut = both_ways(deployment.nodes(zone), deployment.other_nodes(zone))
+    return _cutting(deployment, cut, number)
+
+
+@fault
+def part_zone_one_way(
+    deployment: ZonedDeployment, number: int
+) -> contextlib.AbstractAsyncContextManager[None]:
+    """Drops what a zone sends to the rest, or what the rest sends to it."""
+    zone = ZONES[number % len(ZONES)]
+    inside, outside = deployment.nodes(zone), deployment.other_nodes(zone)
+    if number % 4 < 2:
+        inside, outside = outside, inside
+    return _cutting(deployment, one_way(inside, outside), number)
+
+
+@fault
+def part_zone_from_store(
+    deployment: ZonedDeployment, number: int
+) -> contextlib.AbstractAsyncContextManager[None]:
+    """Parts a zone from the store alone."""
+    nodes = deployment.nodes(ZONES[number % len(ZONES)])
+    cut = both_ways(nodes, [deployment.store_node])
+    return _cutting(deployment, cut, number)
+
+
+@fault
+def part_host(
+    deployment: ZonedDeployment, number: int
+) -> contextlib.AbstractAsyncContextManager[None]:
+    """Parts a host from one zone, its own or another."""
+    host = _host(deployment, number)
+    others = deployment.nodes(ZONES[number // 8 % len(ZONES)]) - {host.node}
+    return _cutting(deployment, both_ways([host.node], others), number)
+
+
+@fault
+def silence_store(
+    deployment: ZonedDeployment, number: int
+) -> contextlib.AbstractAsyncContextManager[None]:
+    """Parts the store from everything."""
+    nodes = set().union(*(deployment.nodes(zone) for zone in ZONES))
+    cut = both_ways(nodes, [deployment.store_node])
+    return _cutting(deployment, cut, number)
+
+
+@fault
+@contextlib.asynccontextmanager
+async def stop_store(
+    deployment: ZonedDeployment, number: int
+) -> AsyncIterator[None]:
+    """The store refuses every call."""
+    del number
+    deployment.store.is_down = True
+    try:
+        yield
+    finally:
+        deployment.store.is_down = False
+
+
+@fault
+@contextlib.asynccontextmanager
+async def pause_host(
+    deployment: ZonedDeployment, number: int
+) -> AsyncIterator[None]:
+    """Pauses a process."""
+    host = _host(deployment, number)
+    async with host.lock:
+        host.send(signal.SIGSTOP)
+        try:
+            yield
+        finally:
+            host.send(signal.SIGCONT)
+
+
+@fault
+@contextlib.asynccontextmanager
+async def restart_host(
+    deployment: ZonedDeployment, number: int
+) -> AsyncIterator[None]:
+    """Kills a process or requests its stop, and starts it again."""
+    host = _host(deployment, number)
+    async with host.lock:
+        try:
+            if number // 8 % 2:
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(_STOP_GRACE_S):
+                        await host.terminate(signal.SIGTERM)
+            await host.terminate(signal.SIGKILL)
+            yield
+        finally:
+            await host.terminate(signal.SIGKILL)
+            await host.start()
+
+
+def _host(deployment: ZonedDeployment, number: int) -> ZonedHost:
+    return deployment.hosts[number % len(deployment.hosts)]
+
+
+def plan_faults(rng: random.Random, length_s: float) -> list[PlannedFault]:
+    """Draws faults, of which most parts of a zone last longer than a lease."""
+    kinds = [*_handlers_by_kind, "part_zone", "part_zone"]
+    faults: list[PlannedFault] = []
+    at_s = 1.0
+    while at_s < length_s - 1.0:
+        for_s = rng.choice((0.7, 3.0, 6.0, 10.0, 14.0))
+        for_s = min(for_s, length_s - at_s)
+        faults.append(
+            PlannedFault(rng.choice(kinds), rng.randrange(96), at_s, for_s)
+        )
+        at_s += rng.choice((0.3, 1.5, 4.0, 8.0))
+    return faults
+
+
+def plan_jobs(
+    rng: random.Random, length_s: float, max_task_s: float, hosts: int
+) -> list[PlannedJob]:
+    """Draws jobs that are sent to all hosts in turn."""
+    jobs: list[PlannedJob] = []
+    at_s = 0.0
+    while at_s < length_s:
+        is_lasting = rng.random() < _LASTING_SHARE
+        cancel_s = rng.uniform(0.0, 8.0)
+        jobs.append(
+            PlannedJob(
+                f"{len(jobs) + 1:016x}",
+                len(jobs) % hosts,
+                at_s,
+                rng.randint(1, 3),
+                LONG_RUNNING_S if is_lasting else rng.uniform(1.0, max_task_s),
+                cancel_s if rng.random() < _CANCEL_SHARE else None,
+            )
+        )
+        at_s += rng.uniform(0.3, 1.2)
+    return jobs
+
+
+class Soak:
+    """Sends jobs and checks what becomes of them.
+
+    Attributes:
+        findings: Broken guarantees so far.
+        accepted: Jobs that were accepted.
+    """
+
+    def __init__(self, deployment: ZonedDeployment) -> None:
+        self.findings: list[str] = []
+        self.accepted: list[PlannedJob] = []
+        self._deployment = deployment
+        self._started_s = time.monotonic()
+        self._cancel_sent: set[str] = set()
+        self._cancelled_s_by_job: dict[str, float] = {}
+        self._healed_s = float("inf")
+        deployment.workers.on_start = self._check_start
+
+    async def run(
+        self, faults: list[PlannedFault], jobs: list[PlannedJob]
+    ) -> None:
+        """Applies all faults while jobs are sent, then checks all jobs."""
+        callers = [asyncio.ensure_future(self._play_job(job)) for job in jobs]
+        try:
+            await asyncio.gather(*(self._apply(item) for item in faults))
+            self._healed_s = time.monotonic()
+            await asyncio.gather(*callers)
+            await self._deployment.wait_until_ready()
+            await self._check_ends()
+        finally:
+            for caller in callers:
+                caller.cancel()
+        for item in self._deployment.workers.violations:
+            self.findings.append(
+                f"TWICE: {task_name(item.task)}: {item.rule}: {item.detail}"
+            )
+
+    async def _apply(self, planned: PlannedFault) -> None:
+        await self._sleep_until(planned.at_s)
+        handler = _handlers_by_kind[planned.kind]
+        async with handler(self._deployment, planned.number):
+            await self._sleep_until(planned.at_s + planned.for_s)
+
+    async def _sleep_until(self, at_s: float) -> None:
+        elapsed_s = time.monotonic() - self._started_s
+        await asyncio.sleep(max(0.0, at_s - elapsed_s))
+
+    async def _play_job(self, job: PlannedJob) -> None:
+        await self._sleep_until(job.at_s)
+        self._deployment.durations_s_by_job[job.job_id] = job.task_s
+        step = {"count": job.tasks, "cpu": 500, "mem_mb": 64}
+        if job.is_lasting():
+            step["long_running"] = True
+        body = {"spec": "x", "steps": [step]}
+        if not await self._send("POST", job, body, {200}):
+            return
+        self.accepted.append(job)
+        if job.cancel_s is not None:
+            await asyncio.sleep(job.cancel_s)
+            await self._cancel(job)
+
+    async def _cancel(self, job: PlannedJob) -> None:
+        self._cancel_sent.add(job.job_id)
+        if await self._send("DELETE", job, None, {200, 410}):
+            self._cancelled_s_by_job[job.job_id] = time.monotonic()
+
+    async def _send(
+        self, method: str, job: PlannedJob, body: object, statuses: set[int]
+    ) -> bool:
+        """Sends a request to one host after the other until one serves it."""
+        hosts = self._deployment.hosts
+        until_s = time.monotonic() + _SUBMIT_LIMIT_S
+        number = job.host
+        while time.monotonic() < until_s:
+            status, _ = await self._deployment.call(
+                method, hosts[number % len(hosts)], f"/q/{job.job_id}", body
+            )
+            if status in statuses:
+                return True
+            number += 1
+            await asyncio.sleep(_RETRY_S)
+        return False
+
+    def _check_start(self, order: StartOrder) -> None:
+        now_s = time.monotonic()
+        cancelled_s = self._cancelled_s_by_job.get(order.task.job_id, now_s)
+        late_s = now_s - cancelled_s
+        is_healed = now_s - self._healed_s > _CANCEL_S
+        if late_s > (_CANCEL_S if is_healed else _STALE_START_S):
+            self.findings.append(
+                f"UNASKED: {task_name(order.task)} starts {late_s:.1f} s after "
+                "its cancel"
+            )
+
+    async def _check_ends(self) -> None:
+        for job in self.accepted:
+            if job.job_id not in self._cancel_sent:
+                await self._check_done(job)
+        for job in self.accepted:
+            is_cancelled = job.job_id in self._cancelled_s_by_job
+            if job.is_lasting() and not is_cancelled:
+                await self._cancel(job)
+        await asyncio.sleep(_CANCEL_S)
+        for job_id in self._cancelled_s_by_job:
+            for task, entry in self._deployment.running_tasks(job_id):
+                self.findings.append(
+                    f"UNASKED: {task_name(task)} runs on {entry.worker_id} "
+                    "after its cancel"
+                )
+
+    async def _check_done(self, job: PlannedJob) -> None:
+        """Waits until a job is completed or, if it lasts, runs as a whole."""
+        state = b""
+        hosts = self._deployment.hosts
+
+        async def is_done() -> bool:
+            nonlocal state
+            if job.is_lasting():
+                running = self._deployment.running_tasks(job.job_id)
+                return len(running) >= job.tasks
+            _, state = await self._deployment.call(
+                "GET", hosts[job.host], f"/q/{job.job_id}"
+            )
+            return b"completed" in state
+
+        since_heal_s = time.monotonic() - self._healed_s
+        limit_s = max(1.0, _END_LIMIT_S - since_heal_s)
+        try:
+            await wait_until(is_done, f"{job.job_id} completes", limit_s)
+        except TimeoutError:
+            self.findings.append(f"LOST: {job}, shown as {state!r}")
+
+
+class SoakResult(msgspec.Struct, frozen=True):
+    """What a soak did and the guarantees that it broke."""
+
+    faults: list[PlannedFault]
+    accepted: int
+    starts: int
+    findings: list[str]
+
+
+async def run_soak(
+    seed: int, folder: pathlib.Path, length_s: float, max_task_s: float
+) -> SoakResult:
+    """Runs a soak.
+
+    Args:
+        seed: Determines the faults and jobs.
+        folder: Receives the settings and logs of the hosts.
+        length_s: How long faults begin and jobs are sent.
+        max_task_s: Longest duration of a task that ends.
+    """
+    rng = random.Random(seed)
+    async with running_zones(folder) as deployment:
+        faults = plan_faults(rng, length_s)
+        jobs = plan_jobs(rng, length_s, max_task_s, len(deployment.hosts))
+        soak = Soak(deployment)
+        await soak.run(faults, jobs)
+        starts = len(deployment.workers.starts)
+        return SoakResult(faults, len(soak.accepted), starts, soak.findings)
--- a/tests/nocover/test_managers.py
+++ b/tests/nocover/test_managers.py
@@ -2,15 +2,12 @@
 
 import asyncio
 import contextlib
-import os
 import pathlib
 import signal
-import sys
 from collections.abc import AsyncIterator
 
 import aiohttp
 import pytest
-import yaml
 
 from coltsfootseam.jobs import TaskId
 from coltsfootseam.standins.memory_workers import MemoryWorkers
@@ -19,11 +16,11 @@
 from coltsfootseam.testbed.waiting import wait_until
 from coltsfootseam.timers import LoopTimers
 from coltsfootseam.workers import WorkerEntry
+from tests.common.manager_processes import ManagerProcess
 from tests.common.platform_servers import StoreServer, WorkerServer
 from tests.common.ports import reserved_port_pair, reserved_ports
 from tests.cover.test_odd_entries import ODD_WORKERS
 
-ROOT = pathlib.Path(__file__).parents[2]
 LIMIT_S = 60.0
 SHUTDOWN_S = 0.1
 JOB = "5c0e7a21d94b36f8"
@@ -36,57 +33,6 @@
         deployment.store.store.put(Partition("servers"), f"odd-{number}", value)
 
 
-class ManagerProcess:
-    """A manager in its own process, on ports that its maker has reserved."""
-
-    def __init__(
-        self,
-        number: int,
-        store: str,
-        folder: pathlib.Path,
-        listen_ports: list[int],
-        first_port: int,
-    ) -> None:
-        front, readiness = listen_ports
-        self.front = f"127.0.0.1:{front}"
-        self.readiness = f"127.0.0.1:{readiness}"
-        self.metrics = f"127.0.0.1:{first_port + 1}"
-        self._settings = folder / f"boot-{number}.yaml"
-        self._settings.write_text(
-            yaml.safe_dump(
-                {
-                    "node": f"edge-{number}",
-                    "ip": "127.0.0.1",
-                    "zone": "a",
-                    "listen": {
-                        "front": self.front,
-                        "readiness": self.readiness,
-                    },
-                    "port_range": [first_port, first_port + 1],
-                    "platform": {"addr": store, "parts": 12},
-                    "cloud_api": {"addr": store},
-                }
-            )
-        )
-        self.process: asyncio.subprocess.Process | None = None
-
-    async def start(self) -> None:
-        """Starts the process."""
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            str(ROOT / "deploy/start.py"),
-            env={**os.environ, "COLTSFOOTSEAM_NODE_FILE": str(self._settings)},
-            stdout=asyncio.subprocess.DEVNULL,
-        )
-
-    async def terminate(self, signal_number: signal.Signals) -> int:
-        """Sends a signal to the process; returns its exit status."""
-        assert self.process is not None
-        if self.process.returncode is None:
-            self.process.send_signal(signal_number)
-        return await self.process.wait()
-
-
 class Deployment:
     """A store, workers, managers and a caller."""
 
