--- a/bench/soak.py
+++ b/bench/soak.py
@@ -4,17 +4,27 @@
 import pathlib
 import random
 import shutil
+import signal
 import sys
 import tempfile
 import time
 
-from tests.common.soak import run_soak
+from tests.common.soak import SoakResult, run_soak
 
 COUNT = 10
 LENGTH_S = 30.0
 MAX_TASK_S = 20.0
 
 
+async def _run(seed: int, folder: pathlib.Path) -> SoakResult:
+    """Runs a soak, which ends its processes also when this one is stopped."""
+    task = asyncio.current_task()
+    assert task is not None
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, task.cancel)
+    return await run_soak(seed, folder, LENGTH_S, MAX_TASK_S)
+
+
 def main() -> None:
     """Runs soaks; the exit code is 1 if one broke a guarantee.
 
@@ -27,7 +37,7 @@
     for seed in range(first, first + count):
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         started_s = time.monotonic()
-        result = asyncio.run(run_soak(seed, folder, LENGTH_S, MAX_TASK_S))
+        result = asyncio.run(_run(seed, folder))
         took_s = time.monotonic() - started_s
         print(
             f"seed {seed}: {len(result.findings)} findings in {took_s:.0f} s, "
--- a/tests/common/platform_servers.py
+++ b/tests/common/platform_servers.py
@@ -254,3 +254,54 @@
     key = record.key.encode()
     content = bytes([len(key)]) + key + record.value
     return _RECORD_LENGTH.pack(len(content)) + content
+
+
+def worker_entry(instance_id: str, address: str, zone: str) -> WorkerEntry:
+    """Returns the entry of a worker of the pool ``pool``."""
+    return WorkerEntry(
+        worker_id=f"{instance_id}@7",
+        instance_id=instance_id,
+        started_ms=7,
+        pool="pool",
+        address=address,
+        zone=zone,
+        is_draining=False,
+        remaining_ms=None,
+        cpu_millis=4000,
+        memory_mb=4000,
+        accelerators=0,
+        labels=(zone, "r1"),
+    )
+
+
+def report_of(entry: WorkerEntry) -> dict[str, object]:
+    """Returns what a worker writes of itself to the store."""
+    return {
+        "service": entry.pool,
+        "addr": entry.address,
+        "zone": entry.zone,
+        "state": "ready",
+        "born": entry.started_ms,
+        "capacity": {"cpu": entry.cpu_millis, "mem_mb": entry.memory_mb},
+        "labels": list(entry.labels),
+    }
+
+
+def configuration(
+    version: int, host: str, prefix: str, max_attempts: int
+) -> dict[str, object]:
+    """Returns a configuration with one queue, of the pool ``pool``."""
+    route = {
+        "name": "r",
+        "host": host,
+        "path_prefix": prefix,
+        "service": "pool",
+        "max_attempts": max_attempts,
+        "stretch": 2.0,
+        "target_latency_ms": 600,
+    }
+    return {
+        "version": version,
+        "routes": [route],
+        "services": [{"name": "pool"}],
+    }
--- a/tests/common/soak.py
+++ b/tests/common/soak.py
@@ -6,24 +6,19 @@
 """
 
 import asyncio
-import contextlib
 import pathlib
 import random
-import signal
 import time
-from collections.abc import AsyncIterator, Callable
 
 import msgspec
 
 from coltsfootseam.adapter.tasks import task_name
-from coltsfootseam.testbed.links import Cut, both_ways, one_way
 from coltsfootseam.testbed.waiting import wait_until
 from coltsfootseam.workers import StartOrder
+from tests.common.zone_faults import PlannedFault, applying, plan_faults
 from tests.common.zoned_deployment import (
     LONG_RUNNING_S,
-    ZONES,
     ZonedDeployment,
-    ZonedHost,
     running_zones,
 )
 
@@ -31,7 +26,6 @@
 _STALE_START_S = 10.0
 """A host that is parted may start tasks of a cancelled job until it notices,
 and a worker refuses a start whose lease has ended on the way."""
-_STOP_GRACE_S = 6.0
 _SUBMIT_LIMIT_S = 30.0
 _RETRY_S = 0.3
 _END_LIMIT_S = 60.0
@@ -39,22 +33,6 @@
 _CANCEL_SHARE = 0.2
 
 
-class PlannedFault(msgspec.Struct, frozen=True):
-    """A fault at one host or zone.
-
-    Attributes:
-        kind: Name of the handler.
-        number: Selects the host or zone, and a variant.
-        at_s: When it begins, from the start of the faults.
-        for_s: How long it lasts at least.
-    """
-
-    kind: str
-    number: int
-    at_s: float
-    for_s: float
-
-
 class PlannedJob(msgspec.Struct, frozen=True):
     """A job of one step.
 
@@ -79,146 +57,6 @@
         return self.task_s == LONG_RUNNING_S
 
 
-FaultHandler = Callable[
-    [ZonedDeployment, int], contextlib.AbstractAsyncContextManager[None]
-]
-_handlers_by_kind: dict[str, FaultHandler] = {}
-
-
-def fault(handler: FaultHandler) -> FaultHandler:
-    """Registers a fault, which lasts while its context is open."""
-    _handlers_by_kind[handler.__name__] = handler  # type: ignore[attr-defined]
-    return handler
-
-
-@contextlib.asynccontextmanager
-async def _cutting(
-    deployment: ZonedDeployment, cut: Cut, number: int
-) -> AsyncIterator[None]:
-    with deployment.links.cutting(cut, loses_data=number % 2 == 0):
-        yield
-
-
-@fault
-def part_zone(
-    deployment: ZonedDeployment, number: int
-) -> contextlib.AbstractAsyncContextManager[None]:
-    """Parts a zone from the store and the other zones."""
-    zone = ZONES[number % len(ZONES)]
-    cut = both_ways(deployment.nodes(zone), deployment.other_nodes(zone))
-    return _cutting(deployment, cut, number)
-
-
-@fault
-def part_zone_one_way(
-    deployment: ZonedDeployment, number: int
-) -> contextlib.AbstractAsyncContextManager[None]:
-    """Drops what a zone sends to the rest, or what the rest sends to it."""
-    zone = ZONES[number % len(ZONES)]
-    inside, outside = deployment.nodes(zone), deployment.other_nodes(zone)
-    if number % 4 < 2:
-        inside, outside = outside, inside
-    return _cutting(deployment, one_way(inside, outside), number)
-
-
-@fault
-def part_zone_from_store(
-    deployment: ZonedDeployment, number: int
-) -> contextlib.AbstractAsyncContextManager[None]:
-    """Parts a zone from the store alone."""
-    nodes = deployment.nodes(ZONES[number % len(ZONES)])
-    cut = both_ways(nodes, [deployment.store_node])
-    return _cutting(deployment, cut, number)
-
-
-@fault
-def part_host(
-    deployment: ZonedDeployment, number: int
-) -> contextlib.AbstractAsyncContextManager[None]:
-    """Parts a host from one zone, its own or another."""
-    host = _host(deployment, number)
-    others = deployment.nodes(ZONES[number // 8 % len(ZONES)]) - {host.node}
-    return _cutting(deployment, both_ways([host.node], others), number)
-
-
-@fault
-def silence_store(
-    deployment: ZonedDeployment, number: int
-) -> contextlib.AbstractAsyncContextManager[None]:
-    """Parts the store from everything."""
-    nodes = set().union(*(deployment.nodes(zone) for zone in ZONES))
-    cut = both_ways(nodes, [deployment.store_node])
-    return _cutting(deployment, cut, number)
-
-
-@fault
-@contextlib.asynccontextmanager
-async def stop_store(
-    deployment: ZonedDeployment, number: int
-) -> AsyncIterator[None]:
-    """The store refuses every call."""
-    del number
-    deployment.store.is_down = True
-    try:
-        yield
-    finally:
-        deployment.store.is_down = False
-
-
-@fault
-@contextlib.asynccontextmanager
-async def pause_host(
-    deployment: ZonedDeployment, number: int
-) -> AsyncIterator[None]:
-    """Pauses a process."""
-    host = _host(deployment, number)
-    async with host.lock:
-        host.send(signal.SIGSTOP)
-        try:
-            yield
-        finally:
-            host.send(signal.SIGCONT)
-
-
-@fault
-@contextlib.asynccontextmanager
-async def restart_host(
-    deployment: ZonedDeployment, number: int
-) -> AsyncIterator[None]:
-    """Kills a process or requests its stop, and starts it again."""
-    host = _host(deployment, number)
-    async with host.lock:
-        try:
-            if number // 8 % 2:
-                with contextlib.suppress(TimeoutError):
-                    async with asyncio.timeout(_STOP_GRACE_S):
-                        await host.terminate(signal.SIGTERM)
-            await host.terminate(signal.SIGKILL)
-            yield
-        finally:
-            await host.terminate(signal.SIGKILL)
-            await host.start()
-
-
-def _host(deployment: ZonedDeployment, number: int) -> ZonedHost:
-    return deployment.hosts[number % len(deployment.hosts)]
-
-
-def plan_faults(rng: random.Random, length_s: float) -> list[PlannedFault]:
-    """Draws faults, of which most parts of a zone last longer than a lease."""
-    kinds = [*_handlers_by_kind, "part_zone", "part_zone"]
-    faults: list[PlannedFault] = []
-    at_s = 1.0
-    while at_s < length_s - 1.0:
-        for_s = rng.choice((0.7, 3.0, 6.0, 10.0, 14.0))
-        for_s = min(for_s, length_s - at_s)
-        faults.append(
-            PlannedFault(rng.choice(kinds), rng.randrange(96), at_s, for_s)
-        )
-        at_s += rng.choice((0.3, 1.5, 4.0, 8.0))
-    return faults
-
-
 def plan_jobs(
     rng: random.Random, length_s: float, max_task_s: float, hosts: int
 ) -> list[PlannedJob]:
@@ -269,7 +107,7 @@
             await asyncio.gather(*(self._apply(item) for item in faults))
             self._healed_s = time.monotonic()
             await asyncio.gather(*callers)
-            await self._deployment.wait_until_ready()
+            await self._check_ready()
             await self._check_ends()
         finally:
             for caller in callers:
@@ -281,8 +119,7 @@
 
     async def _apply(self, planned: PlannedFault) -> None:
         await self._sleep_until(planned.at_s)
-        handler = _handlers_by_kind[planned.kind]
-        async with handler(self._deployment, planned.number):
+        async with applying(planned, self._deployment):
             await self._sleep_until(planned.at_s + planned.for_s)
 
     async def _sleep_until(self, at_s: float) -> None:
@@ -336,6 +173,12 @@
                 "its cancel"
             )
 
+    async def _check_ready(self) -> None:
+        try:
+            await self._deployment.wait_until_ready()
+        except TimeoutError as error:
+            self.findings.append(f"LOST: {error}")
+
     async def _check_ends(self) -> None:
         for job in self.accepted:
             if job.job_id not in self._cancel_sent:
@@ -344,6 +187,8 @@
             is_cancelled = job.job_id in self._cancelled_s_by_job
             if job.is_lasting() and not is_cancelled:
                 await self._cancel(job)
+                if job.job_id not in self._cancelled_s_by_job:
+                    self.findings.append(f"LOST: cancel of {job}: no answer")
         await asyncio.sleep(_CANCEL_S)
         for job_id in self._cancelled_s_by_job:
             for task, entry in self._deployment.running_tasks(job_id):
--- a/tests/common/zoned_deployment.py
+++ b/tests/common/zoned_deployment.py
@@ -18,7 +18,13 @@
 from coltsfootseam.workers import WorkerEntry
 from tests.common.linked_manager import NODE_VARIABLE
 from tests.common.manager_processes import ManagerProcess
-from tests.common.platform_servers import StoreServer, WorkerServer
+from tests.common.platform_servers import (
+    StoreServer,
+    WorkerServer,
+    configuration,
+    report_of,
+    worker_entry,
+)
 
 ZONES = ("a", "b", "c")
 NODES_PER_ZONE = 2
@@ -83,7 +89,9 @@
             for node, zone in enumerate(zones, 1)
         ]
         self.entries_by_node = {
-            node: _worker_entry(node, zone, links)
+            node: worker_entry(
+                f"i-{node}", f"{links.ip(node)}:{_WORKER_PORT}", zone
+            )
             for node, zone in enumerate(zones, _FIRST_WORKER)
         }
         self._sessions_by_host: dict[str, aiohttp.ClientSession] = {}
@@ -158,7 +166,8 @@
 
     async def run(self, stack: contextlib.AsyncExitStack) -> None:
         """Starts everything, to be stopped with the stack."""
-        self._configure()
+        config = configuration(1, HOST, "/q/", max_attempts=3)
+        self.store.put("op", "config", config)
         await stack.enter_async_context(
             serving(
                 self.store.application(),
@@ -189,20 +198,6 @@
             if peer is not host:
                 await self.links.connect(host.node, peer.node, _PEER_PORT)
 
-    def _configure(self) -> None:
-        route = {
-            "name": "r",
-            "host": HOST,
-            "path_prefix": "/q/",
-            "service": "pool",
-            "max_attempts": 3,
-            "stretch": 2.0,
-            "target_latency_ms": 600,
-        }
-        services = [{"name": "pool"}]
-        config = {"version": 1, "routes": [route], "services": services}
-        self.store.put("op", "config", config)
-
     async def _report(self, node: int, entry: WorkerEntry) -> None:
         """Keeps a worker's entry in the store while the worker reaches it.
 
@@ -214,45 +209,17 @@
             if not self.store.is_down:
                 is_silent = not self.links.is_open(node, _STORE)
                 silence_s = silence_s + _REPORT_S if is_silent else 0.0
-            if is_listed and silence_s >= _EXPIRY_S:
-                partition = Partition("servers")
-                self.store.store.put(partition, entry.instance_id, b"")
-                is_listed = False
-            elif not is_listed and not silence_s and not self.store.is_down:
-                self.store.put("servers", entry.instance_id, _report_of(entry))
-                is_listed = True
+                if is_listed and silence_s >= _EXPIRY_S:
+                    partition = Partition("servers")
+                    self.store.store.put(partition, entry.instance_id, b"")
+                    is_listed = False
+                elif not is_listed and not is_silent:
+                    report = report_of(entry)
+                    self.store.put("servers", entry.instance_id, report)
+                    is_listed = True
             await asyncio.sleep(_REPORT_S)
 
 
-def _worker_entry(node: int, zone: str, links: Links) -> WorkerEntry:
-    return WorkerEntry(
-        worker_id=f"i-{node}@7",
-        instance_id=f"i-{node}",
-        started_ms=7,
-        pool="pool",
-        address=f"{links.ip(node)}:{_WORKER_PORT}",
-        zone=zone,
-        is_draining=False,
-        remaining_ms=None,
-        cpu_millis=4000,
-        memory_mb=4000,
-        accelerators=0,
-        labels=(zone, "r1"),
-    )
-
-
-def _report_of(entry: WorkerEntry) -> dict[str, object]:
-    return {
-        "service": entry.pool,
-        "addr": entry.address,
-        "zone": entry.zone,
-        "state": "ready",
-        "born": entry.started_ms,
-        "capacity": {"cpu": entry.cpu_millis, "mem_mb": entry.memory_mb},
-        "labels": list(entry.labels),
-    }
-
-
 @contextlib.asynccontextmanager
 async def running_zones(
     folder: pathlib.Path,
--- a/tests/nocover/test_managers.py
+++ b/tests/nocover/test_managers.py
@@ -15,9 +15,14 @@
 from coltsfootseam.store import Partition
 from coltsfootseam.testbed.waiting import wait_until
 from coltsfootseam.timers import LoopTimers
-from coltsfootseam.workers import WorkerEntry
 from tests.common.manager_processes import ManagerProcess
-from tests.common.platform_servers import StoreServer, WorkerServer
+from tests.common.platform_servers import (
+    StoreServer,
+    WorkerServer,
+    configuration,
+    report_of,
+    worker_entry,
+)
 from tests.common.ports import reserved_port_pair, reserved_ports
 from tests.cover.test_odd_entries import ODD_WORKERS
 
@@ -127,20 +132,8 @@
 
 
 def _configure(deployment: Deployment, version: int, prefix: str) -> None:
-    route = {
-        "name": "r",
-        "host": HOST,
-        "path_prefix": prefix,
-        "service": "pool",
-        "max_attempts": 2,
-        "stretch": 2.0,
-        "target_latency_ms": 600,
-    }
-    deployment.store.put(
-        "op",
-        "config",
-        {"version": version, "routes": [route], "services": [{"name": "pool"}]},
-    )
+    config = configuration(version, HOST, prefix, max_attempts=2)
+    deployment.store.put("op", "config", config)
 
 
 async def _add_worker(
@@ -149,38 +142,12 @@
     number: int,
     port: int,
 ) -> None:
-    instance_id = f"i-{number}"
-    entry = WorkerEntry(
-        worker_id=f"{instance_id}@7",
-        instance_id=instance_id,
-        started_ms=7,
-        pool="pool",
-        address=f"127.0.0.1:{port}",
-        zone="a",
-        is_draining=False,
-        remaining_ms=None,
-        cpu_millis=4000,
-        memory_mb=4000,
-        accelerators=0,
-        labels=("a", "r1"),
-    )
+    entry = worker_entry(f"i-{number}", f"127.0.0.1:{port}", "a")
     worker = WorkerServer(deployment.workers, entry)
     await stack.enter_async_context(
         serving(worker.application(), entry.address, SHUTDOWN_S)
     )
-    deployment.store.put(
-        "servers",
-        instance_id,
-        {
-            "service": "pool",
-            "addr": entry.address,
-            "zone": "a",
-            "state": "ready",
-            "born": 7,
-            "capacity": {"cpu": 4000, "mem_mb": 4000},
-            "labels": ["a", "r1"],
-        },
-    )
+    deployment.store.put("servers", entry.instance_id, report_of(entry))
 
 
 async def test_jobs_go_through_real_processes(tmp_path: pathlib.Path) -> None:
