--- a/libs/standins/src/coltsfootseam/standins/proxy.py
+++ b/libs/standins/src/coltsfootseam/standins/proxy.py
@@ -45,10 +45,11 @@
 
 
 class _Connection:
-    __slots__ = ("is_silenced", "writers")
+    __slots__ = ("is_silenced", "task", "writers")
 
     def __init__(self) -> None:
         self.is_silenced = False
+        self.task = asyncio.current_task()
         self.writers: list[asyncio.StreamWriter] = []
 
 
@@ -81,6 +82,13 @@
             if self.faults.cut:
                 _abort(connection)
 
+    async def close(self) -> None:
+        """Ends all connections."""
+        tasks = [item.task for item in self._connections if item.task]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
     async def show_tally(self, request: web.Request) -> web.Response:
         """Responds with the tally."""
         del request
@@ -98,6 +106,9 @@
             if self.faults.refuse:
                 return
             await self._forward(connection, reader, writer)
+        except asyncio.CancelledError:
+            # The server of the streams would report a task that is cancelled.
+            return
         except OSError:
             # A reset doesn't pass the path while it holds data back.
             await self._to_target_open.wait()
--- a/libs/testbed/src/coltsfootseam/testbed/links.py
+++ b/libs/testbed/src/coltsfootseam/testbed/links.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import Iterable, Iterator
+from collections.abc import AsyncIterator, Iterable, Iterator
 
 import msgspec
 
@@ -105,19 +105,21 @@
                 )
             )
 
-    def close(self) -> None:
-        """Stops listening."""
+    async def close(self) -> None:
+        """Stops listening and ends all connections."""
         for server in self._servers:
             server.close()
+        for proxy in self._proxies_by_pair.values():
+            await proxy.close()
 
 
-@contextlib.contextmanager
-def opening_links(first_network: int) -> Iterator[Links]:
+@contextlib.asynccontextmanager
+async def opening_links(first_network: int) -> AsyncIterator[Links]:
     """Yields the links of a network that no other launcher uses."""
     claim = claim_network(first_network)
     links = Links(claim.network)
     try:
         yield links
     finally:
-        links.close()
+        await links.close()
         claim.release()
--- a/tests/common/zoned_deployment.py
+++ b/tests/common/zoned_deployment.py
@@ -230,7 +230,7 @@
         folder: Receives the settings and logs of the hosts.
     """
     async with contextlib.AsyncExitStack() as stack:
-        links = stack.enter_context(opening_links(_FIRST_NETWORK))
+        links = await stack.enter_async_context(opening_links(_FIRST_NETWORK))
         deployment = ZonedDeployment(links, folder)
         await deployment.run(stack)
         await deployment.wait_until_ready()
