Show how late the stand-ins of a soak wake up

Nothing told whether the process of the stand-ins had stalled. Change: each soak prints its longest stall.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -42,7 +42,8 @@
         print(
             f"seed {seed}: {len(result.findings)} findings in {took_s:.0f} s, "
             f"{result.accepted} jobs, {result.starts} starts, "
-            f"{len(result.faults)} faults",
+            f"{len(result.faults)} faults, "
+            f"stalled for up to {result.longest_stall_s:.1f} s",
             flush=True,
         )
         if result.findings:
--- a/tests/common/soak.py
+++ b/tests/common/soak.py
@@ -28,6 +28,7 @@
 and a worker refuses a start whose lease has ended on the way."""
 _SUBMIT_LIMIT_S = 30.0
 _RETRY_S = 0.3
+_STALL_CHECK_S = 0.05
 _END_LIMIT_S = 60.0
 _LASTING_SHARE = 0.1
 _CANCEL_SHARE = 0.2
@@ -86,11 +87,14 @@
     Attributes:
         findings: Broken guarantees so far.
         accepted: Jobs that were accepted.
+        longest_stall_s: How late this process, which serves the store and the
+            workers, woke up at most.
     """
 
     def __init__(self, deployment: ZonedDeployment) -> None:
         self.findings: list[str] = []
         self.accepted: list[PlannedJob] = []
+        self.longest_stall_s = 0.0
         self._deployment = deployment
         self._started_s = time.monotonic()
         self._cancel_sent: set[str] = set()
@@ -103,6 +107,7 @@
     ) -> None:
         """Applies all faults while jobs are sent, then checks all jobs."""
         callers = [asyncio.ensure_future(self._play_job(job)) for job in jobs]
+        measuring = asyncio.ensure_future(self._measure_stalls())
         try:
             await asyncio.gather(*(self._apply(item) for item in faults))
             self._healed_s = time.monotonic()
@@ -110,13 +115,20 @@
             await self._check_ready()
             await self._check_ends()
         finally:
-            for caller in callers:
-                caller.cancel()
+            for task in (*callers, measuring):
+                task.cancel()
         for item in self._deployment.workers.violations:
             self.findings.append(
                 f"TWICE: {task_name(item.task)}: {item.rule}: {item.detail}"
             )
 
+    async def _measure_stalls(self) -> None:
+        while True:
+            slept_s = time.monotonic()
+            await asyncio.sleep(_STALL_CHECK_S)
+            late_s = time.monotonic() - slept_s - _STALL_CHECK_S
+            self.longest_stall_s = max(self.longest_stall_s, late_s)
+
     async def _apply(self, planned: PlannedFault) -> None:
         await self._sleep_until(planned.at_s)
         async with applying(planned, self._deployment):
@@ -226,6 +238,7 @@
     faults: list[PlannedFault]
     accepted: int
     starts: int
+    longest_stall_s: float
     findings: list[str]
 
 
@@ -247,4 +260,10 @@
         soak = Soak(deployment)
         await soak.run(faults, jobs)
         starts = len(deployment.workers.starts)
-        return SoakResult(faults, len(soak.accepted), starts, soak.findings)
+        return SoakResult(
+            faults,
+            len(soak.accepted),
+            starts,
+            soak.longest_stall_s,
+            soak.findings,
+        )
