--- a/daemons/manager/src/coltsfootseam/manager/leases/pool_leases.py
+++ b/daemons/manager/src/coltsfootseam/manager/leases/pool_leases.py
@@ -17,6 +17,7 @@
 from coltsfootseam.manager.context import Context, Times
 from coltsfootseam.manager.leases.store_contacts import StoreContacts
 from coltsfootseam.manager.leases.witnesses import (
+    Witnesses,
     WitnessSet,
     deniers_needed,
     encode_witnesses,
@@ -103,8 +104,8 @@
         self._candidates_since_s = context.timers.now_s()
         # The witnesses as stored, and as in an append in flight. Either may be
         # what a successor reads, so both must vouch.
-        self._stored: tuple[WitnessSet, frozenset[WitnessSet]] | None = None
-        self._storing: tuple[WitnessSet, frozenset[WitnessSet]] | None = None
+        self._stored: Witnesses | None = None
+        self._storing: Witnesses | None = None
 
     def may_grant(self) -> bool:
         """Returns whether this owner may grant leases now."""
@@ -154,18 +155,17 @@
         `confirm_stored`.
         """
         same_s = self._now_s() - self._candidates_since_s
-        own = self._stored[0] if self._stored else _NO_WITNESSES
+        own = self._stored.own if self._stored else _NO_WITNESSES
         # The first ones are stored at once: without any, an outage of the store
         # would stop the pool's work.
         if self._candidates and (not own or same_s >= _MEMBERS_SETTLE_S):
             own = self._candidates
         earlier = frozenset() if self._have_earlier_stopped() else self._earlier
-        if not own or (own, earlier) == self._stored:
+        witnesses = Witnesses(own, earlier)
+        if not own or witnesses == self._stored:
             return None
-        self._storing = (own, earlier)
-        return KeyedRecord(
-            witness_key(self._pool), encode_witnesses(own, earlier)
-        )
+        self._storing = witnesses
+        return KeyedRecord(witness_key(self._pool), encode_witnesses(witnesses))
 
     def confirm_stored(self) -> None:
         """Records that the last record of the witnesses is stored."""
@@ -181,7 +181,7 @@
 
     def _own_sets(self) -> list[WitnessSet]:
         return [
-            record[0]
+            record.own
             for record in (self._stored, self._storing)
             if record is not None
         ]
--- a/daemons/manager/src/coltsfootseam/manager/leases/witnesses.py
+++ b/daemons/manager/src/coltsfootseam/manager/leases/witnesses.py
@@ -6,8 +6,6 @@
 have a majority any more.
 """
 
-from collections.abc import Iterable
-
 import msgspec
 
 WitnessSet = frozenset[str]
@@ -19,14 +17,21 @@
 _KEY_PREFIX = "/witnesses/"
 
 
-class WitnessRecord(msgspec.Struct, frozen=True):
-    """What an owner stores about witnesses.
+class Witnesses(msgspec.Struct, frozen=True):
+    """The witnesses that a successor of an owner must ask.
 
     Attributes:
-        own: Its own witnesses.
-        earlier: The witnesses of earlier owners that may still grant leases.
+        own: Those of the owner itself.
+        earlier: Those of owners before it that may still grant leases.
     """
 
+    own: WitnessSet
+    earlier: frozenset[WitnessSet] = frozenset()
+
+
+class _Record(msgspec.Struct, frozen=True):
+    """The stored form of `Witnesses`."""
+
     own: list[str]
     earlier: list[list[str]] = []
 
@@ -46,12 +51,10 @@
     return _KEY_PREFIX + pool
 
 
-def encode_witnesses(own: WitnessSet, earlier: Iterable[WitnessSet]) -> bytes:
+def encode_witnesses(witnesses: Witnesses) -> bytes:
     """Encodes the record of an owner."""
-    record = WitnessRecord(
-        sorted(own), sorted(sorted(item) for item in earlier)
-    )
-    return msgspec.msgpack.encode(record)
+    earlier = sorted(sorted(addresses) for addresses in witnesses.earlier)
+    return msgspec.msgpack.encode(_Record(sorted(witnesses.own), earlier))
 
 
 def decode_witnesses(value: bytes) -> frozenset[WitnessSet]:
@@ -60,7 +63,7 @@
     Raises:
         msgspec.DecodeError: If the record can't be read.
     """
-    record = msgspec.msgpack.decode(value, type=WitnessRecord)
+    record = msgspec.msgpack.decode(value, type=_Record)
     return frozenset(
         frozenset(addresses) for addresses in [record.own, *record.earlier]
     )
--- a/tests/cover/test_pool_leases.py
+++ b/tests/cover/test_pool_leases.py
@@ -6,6 +6,7 @@
 
 from coltsfootseam.manager.leases.witnesses import (
     UNKNOWN_WITNESSES,
+    Witnesses,
     encode_witnesses,
 )
 from tests.common.lease_rights import ModelHost, ModelNetwork
@@ -101,7 +102,7 @@
 # is safe: the witnesses are unknown.
 def test_an_unreadable_record_of_witnesses_means_the_longest_wait() -> None:
     network = ModelNetwork(3)
-    network.record = encode_witnesses(UNKNOWN_WITNESSES, ())
+    network.record = encode_witnesses(Witnesses(UNKNOWN_WITNESSES))
     owner = network.claim(network.hosts[0])
     network.advance(SHORT_WAIT_S)
     assert not owner.leases.have_earlier_ended()
