--- a/daemons/manager/src/coltsfootseam/manager/membership/duty_manager.py
+++ b/daemons/manager/src/coltsfootseam/manager/membership/duty_manager.py
@@ -26,10 +26,6 @@
 _PEER_CALL_TIMEOUT_S = 0.4
 _TAKEOVER_RETRY_DELAY_S = 0.5
 _MIN_TENURE_S = 10.0
-_TAKEOVER_GRACE_S = 2.0
-"""Time after an outage of the store in which owners may not have noticed its
-return, as a call that was sent before may still wait for a reply."""
-
 _MAX_UNANSWERED_S = 0.7
 _FREEZE_THRESHOLD_S = 1.5
 _MIN_STALL_TIMEOUT_S = 5.0
@@ -87,7 +83,6 @@
         "_started_s_by_duty",
         "_takeovers_by_duty",
         "_tasks_by_duty",
-        "_unresponsive_s",
         "is_stopping",
         "owners_by_pool",
     )
@@ -120,14 +115,12 @@
         self._tasks_by_duty: dict[str, asyncio.Task[None]] = {}
         self._takeovers_by_duty: dict[str, asyncio.Task[None]] = {}
         self._started_s_by_duty: dict[str, float] = {}
-        self._unresponsive_s = float("-inf")
         self.owners_by_pool: dict[str, PoolOwner] = {}
         self.is_stopping = False
 
     async def run(self) -> None:
         """Follows the assignment until cancelled."""
         while not self.is_stopping:
-            self._was_store_unresponsive()
             self._check_progress()
             self.follow_assignment()
             await self._context.timers.sleep(_CHECK_PERIOD_S)
@@ -222,9 +215,7 @@
         """Starts a duty once no other host owns it.
 
         A duty that was handed over stays with its new owner, and is taken back
-        once several polls in a row find no owner. While the store doesn't
-        answer, owners that go on deny that they own anything, so nothing is
-        taken over then.
+        once several polls in a row find no owner.
         """
         unowned_polls = 0
         while True:
@@ -242,8 +233,7 @@
                     for address in addresses
                 )
             )
-            is_owned = any(replies) or self._was_store_unresponsive()
-            unowned_polls = 0 if is_owned else unowned_polls + 1
+            unowned_polls = 0 if any(replies) else unowned_polls + 1
             required = _UNOWNED_POLLS_TO_RECLAIM if is_handed_over else 1
             if unowned_polls >= required:
                 break
@@ -252,18 +242,6 @@
         if duty not in self._tasks_by_duty and not self.is_stopping:
             self._start(duty)
 
-    def _was_store_unresponsive(self) -> bool:
-        """Returns whether the store was unresponsive until a moment ago.
-
-        The owner of a duty may hear from it a moment later than this host. A
-        process that has just started knows of no outage.
-        """
-        now_s = self._context.timers.now_s()
-        has_replied = self._context.ports.store.last_reply_s >= 0
-        if has_replied and self._membership.is_store_unresponsive():
-            self._unresponsive_s = now_s
-        return now_s - self._unresponsive_s < _TAKEOVER_GRACE_S
-
     def _start(self, duty: str) -> None:
         pool = pool_of_duty(duty)
         owner: Duty
--- a/libs/store/src/coltsfootseam/store/membership.py
+++ b/libs/store/src/coltsfootseam/store/membership.py
@@ -27,9 +27,6 @@
         settle_s: How long the holders must call for a change before a host
             joins or becomes a standby. When the store returns after an outage,
             members are missing from the holders until their next join.
-        min_member_s: How long a standby that has joined stays a member at
-            least. It may own duties by then, and each change of owner starts
-            the waits of a takeover anew.
     """
 
     ttl_s: float = 1.0
@@ -37,7 +34,6 @@
     holders_interval_s: float = 1.0
     standby_interval_s: float = 0.6
     settle_s: float = 0.4
-    min_member_s: float = 10.0
 
 
 class Membership:
@@ -59,7 +55,6 @@
     __slots__ = (
         "_is_refresh_requested",
         "_is_surplus",
-        "_member_since_s",
         "_on_change",
         "_standby_differs_since_s",
         "_store",
@@ -99,8 +94,6 @@
         self._times = times
         self._is_surplus = is_surplus
         self._standby_differs_since_s: float | None = None
-        # When this host ceased to be a standby, monotonic seconds.
-        self._member_since_s = float("-inf")
         self._is_refresh_requested = True
         self.is_standby = False
         self.member = member
@@ -200,20 +193,16 @@
 
     def _is_standby_change_due(self) -> bool:
         """Returns whether the holders have called for it for long enough."""
-        if self._standby_differs_since_s is None or self.leaving:
+        if self._standby_differs_since_s is None:
             return False
-        now_s = self._timers.now_s()
-        member_s = now_s - self._member_since_s
-        if not self.is_standby and member_s < self._times.min_member_s:
-            return False
-        return now_s - self._standby_differs_since_s >= self._times.settle_s
+        differs_s = self._timers.now_s() - self._standby_differs_since_s
+        return differs_s >= self._times.settle_s and not self.leaving
 
     async def _toggle_standby(self) -> None:
         """Joins the group again, or leaves it as a standby."""
         self._standby_differs_since_s = None
         self.is_standby = not self.is_standby
         if not self.is_standby:
-            self._member_since_s = self._timers.now_s()
             await self.renew()
             return
         self.refusals_by_call.pop("join", None)
