Ask peers for their contact with the store in one place

Change: StoreContacts.ask returns the replies, and OwnerForwarder uses it; Witnesses is encoded as it is, with the same bytes but for the order within a set; no witnesses stored are an empty set in place of None; Membership.listed_members in place of three copies; PoolOwner.run and the start of a manager are split. Hosts that own no pool poll nobody's members.

--- a/daemons/manager/src/coltsfootseam/manager/jobs/owner_forwarding.py
+++ b/daemons/manager/src/coltsfootseam/manager/jobs/owner_forwarding.py
@@ -4,20 +4,17 @@
 from typing import Any
 
 from coltsfootseam.calls import (
-    ASK_REACH,
     FORWARD_APPEND,
     ForwardAppendReply,
     ForwardAppendRequest,
-    ReachabilityReply,
-    ReachabilityRequest,
 )
 from coltsfootseam.manager.context import Context
+from coltsfootseam.manager.leases.store_contacts import StoreContacts
 from coltsfootseam.manager.membership.duties import pool_duty
 from coltsfootseam.manager.membership.locator import Locator
 
 _PROBE_PERIOD_S = 1.0
 """How long a reply may take until the owner is asked whether it works."""
-_PROBE_TIMEOUT_S = 0.4
 _MAX_STORE_SILENCE_S = 1.0
 """Time without an answer after which an owner is cut off from the store."""
 _AVOIDED_S = 2.0
@@ -34,13 +31,17 @@
 
     __slots__ = (
         "_avoided_until_s_by_address",
+        "_contacts",
         "_context",
         "_locator",
         "_probes_by_address",
     )
 
-    def __init__(self, context: Context, locator: Locator) -> None:
+    def __init__(
+        self, context: Context, locator: Locator, contacts: StoreContacts
+    ) -> None:
         self._context = context
+        self._contacts = contacts
         self._locator = locator
         self._avoided_until_s_by_address: dict[str, float] = {}
         self._probes_by_address: dict[str, asyncio.Task[bool]] = {}
@@ -111,14 +112,8 @@
         return await asyncio.shield(probe)
 
     async def _probe(self, owner: str) -> bool:
-        reply = await self._context.peers.call(
-            owner, ASK_REACH, ReachabilityRequest(), _PROBE_TIMEOUT_S
-        )
-        silence_s = (
-            reply.store_unanswered_s
-            if isinstance(reply, ReachabilityReply)
-            else None
-        )
+        contact = (await self._contacts.ask([owner])).get(owner)
+        silence_s = None if contact is None else contact.silence_s
         is_working = silence_s is not None and silence_s < _MAX_STORE_SILENCE_S
         self._context.log.write(
             "inbox.owner_probed",
--- a/daemons/manager/src/coltsfootseam/manager/leases/pool_leases.py
+++ b/daemons/manager/src/coltsfootseam/manager/leases/pool_leases.py
@@ -14,7 +14,7 @@
 
 from collections.abc import Iterable
 
-from coltsfootseam.manager.context import Context, Times
+from coltsfootseam.manager.context import Context
 from coltsfootseam.manager.leases.store_contacts import StoreContacts
 from coltsfootseam.manager.leases.witnesses import (
     Witnesses,
@@ -28,8 +28,8 @@
 from coltsfootseam.workers import max_lease_duration_s
 
 _PEER_ROUND_S = 0.8
-"""Time for a round of requests to the witnesses, added to the time after which
-they are asked."""
+"""How long a host may need, from the isolation timeout, to hear from its peers
+that it alone is cut off. Until then its owners need no witness."""
 
 _VOUCH_VALIDITY_S = 1.0
 """How long a witness's reply counts, from the request for it."""
@@ -54,7 +54,7 @@
 """How long the members must be the same before they become the witnesses. After
 an outage some are missing until their next join."""
 
-_NO_WITNESSES: WitnessSet = frozenset()
+_NO_WITNESSES = Witnesses(frozenset())
 
 
 class PoolLeases:
@@ -100,12 +100,12 @@
         self._denied_s: float | None = None
         self._has_logged_end = False
         self._may_grant = True
-        self._candidates = _NO_WITNESSES
+        self._candidates: WitnessSet = frozenset()
         self._candidates_since_s = context.timers.now_s()
-        # The witnesses as stored, and as in an append in flight. Either may be
-        # what a successor reads, so both must vouch.
-        self._stored: Witnesses | None = None
-        self._storing: Witnesses | None = None
+        # The witnesses as stored, and as in the last append, which may be in
+        # flight. Either may be what a successor reads, so both must vouch.
+        self._stored = _NO_WITNESSES
+        self._storing = _NO_WITNESSES
 
     def may_grant(self) -> bool:
         """Returns whether this owner may grant leases now."""
@@ -155,7 +155,7 @@
         `confirm_stored`.
         """
         same_s = self._now_s() - self._candidates_since_s
-        own = self._stored.own if self._stored else _NO_WITNESSES
+        own = self._stored.own
         # The first ones are stored at once: without any, an outage of the store
         # would stop the pool's work.
         if self._candidates and (not own or same_s >= _MEMBERS_SETTLE_S):
@@ -169,9 +169,7 @@
 
     def confirm_stored(self) -> None:
         """Records that the last record of the witnesses is stored."""
-        if self._storing is not None:
-            self._stored = self._storing
-            self._storing = None
+        self._stored = self._storing
 
     def _now_s(self) -> float:
         return self._context.timers.now_s()
@@ -179,20 +177,22 @@
     def _confirmed_age_s(self) -> float:
         return self._now_s() - self._journal.confirmed_s
 
-    def _own_sets(self) -> list[WitnessSet]:
-        return [
-            record.own
-            for record in (self._stored, self._storing)
-            if record is not None
-        ]
+    def _unvouched_s(self) -> float:
+        """Returns how long an owner grants leases without any witness.
+
+        It counts from the send time of the last call that the store accepted
+        under the owner's epoch.
+        """
+        return self._context.times.isolation_s + _PEER_ROUND_S
+
+    def _own_sets(self) -> set[WitnessSet]:
+        return {self._stored.own, self._storing.own}
 
     def _is_confirmed_or_vouched(self) -> bool:
         age_s = self._confirmed_age_s()
-        if age_s <= unvouched_s(self._context.times):
+        if age_s <= self._unvouched_s():
             return True
-        if age_s > _MAX_VOUCHED_S or self._stored is None:
-            return False
-        return all(
+        return age_s <= _MAX_VOUCHED_S and all(
             len(self._vouchers(witnesses)) >= vouchers_needed(witnesses)
             for witnesses in self._own_sets()
         )
@@ -249,25 +249,23 @@
             stopped_s = min(stopped_s, self._denied_s + _VOUCH_VALIDITY_S)
         if not self._earlier:
             stopped_s = claimed_s
-        return max(stopped_s, claimed_s + unvouched_s(self._context.times))
+        return max(stopped_s, claimed_s + self._unvouched_s())
 
     def _have_earlier_stopped(self) -> bool:
         return self._now_s() > self._earlier_stopped_s()
 
     def _log_right(self, may_grant: bool) -> None:
+        event = "pool.leases_resumed" if may_grant else "pool.leases_paused"
+        own_sets = sorted(self._own_sets(), key=sorted)
         self._context.log.write(
-            "pool.leases_resumed" if may_grant else "pool.leases_paused",
+            event,
             pool=self._pool,
             epoch=self._journal.epoch,
             confirmed_age_s=round(self._confirmed_age_s(), 2),
-            witnesses=[sorted(witnesses) for witnesses in self._own_sets()],
-            vouchers=[
-                self._vouchers(witnesses) for witnesses in self._own_sets()
-            ],
-        )
-        self._context.counters.increment(
-            "pool.leases_resumed" if may_grant else "pool.leases_paused"
+            witnesses=[sorted(witnesses) for witnesses in own_sets],
+            vouchers=[self._vouchers(witnesses) for witnesses in own_sets],
         )
+        self._context.counters.increment(event)
 
     def _log_end(self) -> None:
         claimed_s = self._journal.claimed_s
@@ -283,12 +281,3 @@
             ),
             witnesses=sorted(sorted(witnesses) for witnesses in self._earlier),
         )
-
-
-def unvouched_s(times: Times) -> float:
-    """Returns how long an owner grants leases without any witness.
-
-    It counts from the send time of the last call that the store accepted under
-    the owner's epoch.
-    """
-    return times.isolation_s + _PEER_ROUND_S
--- a/daemons/manager/src/coltsfootseam/manager/leases/store_contacts.py
+++ b/daemons/manager/src/coltsfootseam/manager/leases/store_contacts.py
@@ -65,9 +65,15 @@
         last_s = max(store.last_reply_s, self._started_s)
         return StoreContact(now_s, store.unanswered_s(), last_s, last_s)
 
-    async def ask(self, addresses: Iterable[str]) -> None:
-        """Asks peers side by side; a peer without a reply changes nothing."""
-        await asyncio.gather(*(self._ask(address) for address in addresses))
+    async def ask(self, addresses: Iterable[str]) -> dict[str, StoreContact]:
+        """Asks peers side by side; returns what those that replied said."""
+        asked = list(addresses)
+        replies = await asyncio.gather(*map(self._ask, asked))
+        return {
+            address: reply
+            for address, reply in zip(asked, replies, strict=True)
+            if reply is not None
+        }
 
     def request(self, addresses: Iterable[str]) -> None:
         """Asks peers in the background, unless they were asked just now."""
@@ -79,28 +85,29 @@
                 self._start_request(address)
 
     def _start_request(self, address: str) -> None:
-        task = start_once(
-            self._context,
-            f"contact of {address}",
-            lambda: self._ask(address),
-        )
+        async def request() -> None:
+            await self._ask(address)
+
+        task = start_once(self._context, f"contact of {address}", request)
         self._requests_by_address[address] = task
         task.add_done_callback(
             lambda done: self._requests_by_address.pop(address, None)
         )
 
-    async def _ask(self, address: str) -> None:
+    async def _ask(self, address: str) -> StoreContact | None:
         asked_s = self._context.timers.now_s()
         reply = await self._context.peers.call(
             address, ASK_REACH, ReachabilityRequest(), _CALL_TIMEOUT_S
         )
         if not isinstance(reply, ReachabilityReply):
-            return
+            return None
         # Without contact since then, or since the start of the peer's process.
         age_s = min(reply.store_unanswered_s, reply.uptime_s)
-        self.by_address[address] = StoreContact(
+        contact = StoreContact(
             asked_s,
             reply.store_unanswered_s,
             asked_s - age_s,
             self._context.timers.now_s() - age_s,
         )
+        self.by_address[address] = contact
+        return contact
--- a/daemons/manager/src/coltsfootseam/manager/leases/witness_polling.py
+++ b/daemons/manager/src/coltsfootseam/manager/leases/witness_polling.py
@@ -32,10 +32,16 @@
     async def run(self) -> None:
         """Asks until cancelled."""
         while True:
-            members = self._directory.member_addresses()
-            addresses: set[str] = set()
-            for leases in self._duties.pool_leases():
-                leases.update(members)
-                addresses |= leases.addresses_to_ask()
-            self._contacts.request(addresses)
+            self._ask()
             await self._context.timers.sleep(_PERIOD_S)
+
+    def _ask(self) -> None:
+        pool_leases = self._duties.pool_leases()
+        if not pool_leases:
+            return
+        members = self._directory.member_addresses()
+        addresses: set[str] = set()
+        for leases in pool_leases:
+            leases.update(members)
+            addresses |= leases.addresses_to_ask()
+        self._contacts.request(addresses)
--- a/daemons/manager/src/coltsfootseam/manager/leases/witnesses.py
+++ b/daemons/manager/src/coltsfootseam/manager/leases/witnesses.py
@@ -18,7 +18,7 @@
 
 
 class Witnesses(msgspec.Struct, frozen=True):
-    """The witnesses that a successor of an owner must ask.
+    """The witnesses that a successor of an owner must ask, as stored.
 
     Attributes:
         own: Those of the owner itself.
@@ -29,13 +29,6 @@
     earlier: frozenset[WitnessSet] = frozenset()
 
 
-class _Record(msgspec.Struct, frozen=True):
-    """The stored form of `Witnesses`."""
-
-    own: list[str]
-    earlier: list[list[str]] = []
-
-
 def vouchers_needed(witnesses: WitnessSet) -> int:
     """Returns how many witnesses must vouch for an owner: a majority."""
     return len(witnesses) // 2 + 1
@@ -53,8 +46,7 @@
 
 def encode_witnesses(witnesses: Witnesses) -> bytes:
     """Encodes the record of an owner."""
-    earlier = sorted(sorted(addresses) for addresses in witnesses.earlier)
-    return msgspec.msgpack.encode(_Record(sorted(witnesses.own), earlier))
+    return msgspec.msgpack.encode(witnesses)
 
 
 def decode_witnesses(value: bytes) -> frozenset[WitnessSet]:
@@ -63,7 +55,5 @@
     Raises:
         msgspec.DecodeError: If the record can't be read.
     """
-    record = msgspec.msgpack.decode(value, type=_Record)
-    return frozenset(
-        frozenset(addresses) for addresses in [record.own, *record.earlier]
-    )
+    witnesses = msgspec.msgpack.decode(value, type=Witnesses)
+    return witnesses.earlier | {witnesses.own}
--- a/daemons/manager/src/coltsfootseam/manager/manager.py
+++ b/daemons/manager/src/coltsfootseam/manager/manager.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from coltsfootseam.calls import Handler, Method, serving_calls
-from coltsfootseam.manager.background import running
+from coltsfootseam.manager.background import TaskCoroutine, running
 from coltsfootseam.manager.cluster_state import ClusterState
 from coltsfootseam.manager.context import Context
 from coltsfootseam.manager.jobs.inbox_appender import InboxAppender
@@ -46,9 +46,8 @@
         membership: This host's membership in the group.
         standby: Decides whether this is a standby host, and knows others.
         duties: Runs the duties of this host.
+        directory: Finds the hosts that duties are assigned to.
         contacts: When the store last replied to each host.
-        isolation: Notices that this host is cut off from the store.
-        witnesses: Asks the witnesses of the pools' leases.
         storage: Stores callers' records.
         jobs: Handles callers' requests.
         status: Status pages for operators.
@@ -60,9 +59,8 @@
     membership: Membership
     standby: Standby
     duties: DutyManager
+    directory: DutyDirectory
     contacts: StoreContacts
-    isolation: IsolationMonitor
-    witnesses: WitnessPolling
     storage: InboxStorage
     jobs: JobService
     status: StatusPage
@@ -111,32 +109,48 @@
         serving: Serves peers' calls.
     """
     manager = _build(context, times)
-    cluster = manager.cluster
-    membership = manager.membership
-    duties = manager.duties
-    standby = manager.standby
     peer_handlers = PeerHandlers(
-        context, duties, manager.storage, standby, manager.contacts
+        context,
+        manager.duties,
+        manager.storage,
+        manager.standby,
+        manager.contacts,
     )
-    manager.status.show_group_problems(membership.refusals_by_call)
+    manager.status.show_group_problems(manager.membership.refusals_by_call)
     async with serving(context.address, peer_handlers.handlers()):
-        functions_by_name = {
-            "operator": cluster.follow_operator,
-            "workers": cluster.follow_workers,
-            "queue pools": cluster.queue_pools.follow,
-            "membership": membership.run,
-            "holdings": membership.run_holders_refresh,
-            "group": GroupMonitor(context, membership).run,
-            "standby": standby.run,
-            "duties": duties.run,
-            "isolation": manager.isolation.run,
-            "witnesses": manager.witnesses.run,
-        }
-        with running(context, functions_by_name):
+        with running(context, _background_functions(manager)):
             try:
                 yield manager
             finally:
-                duties.stop()
+                manager.duties.stop()
+
+
+def _background_functions(
+    manager: Manager,
+) -> dict[str, Callable[[], TaskCoroutine]]:
+    """Returns what runs in the background, by name."""
+    context = manager.context
+    cluster = manager.cluster
+    membership = manager.membership
+    directory = manager.directory
+    contacts = manager.contacts
+    duties = manager.duties
+    isolation = IsolationMonitor(
+        context, contacts, membership, directory, duties
+    )
+    witnesses = WitnessPolling(context, contacts, directory, duties)
+    return {
+        "operator": cluster.follow_operator,
+        "workers": cluster.follow_workers,
+        "queue pools": cluster.queue_pools.follow,
+        "membership": membership.run,
+        "holdings": membership.run_holders_refresh,
+        "group": GroupMonitor(context, membership).run,
+        "standby": manager.standby.run,
+        "duties": duties.run,
+        "isolation": isolation.run,
+        "witnesses": witnesses.run,
+    }
 
 
 def _build(context: Context, times: MembershipTimes) -> Manager:
@@ -156,14 +170,10 @@
     duties = DutyManager(
         context, cluster, membership, directory, locator, contacts
     )
-    isolation = IsolationMonitor(
-        context, contacts, membership, directory, duties
-    )
-    witnesses = WitnessPolling(context, contacts, directory, duties)
     storage = InboxStorage(
         context,
         directory,
-        OwnerForwarder(context, locator),
+        OwnerForwarder(context, locator, contacts),
         membership,
         InboxAppender(context),
         OwnedJobs(duties),
@@ -184,9 +194,8 @@
         membership,
         standby,
         duties,
+        directory,
         contacts,
-        isolation,
-        witnesses,
         storage,
         jobs,
         status,
--- a/daemons/manager/src/coltsfootseam/manager/membership/duties.py
+++ b/daemons/manager/src/coltsfootseam/manager/membership/duties.py
@@ -91,7 +91,7 @@
         members may be cut off from it too, and standby hosts may have taken
         over their duties.
         """
-        members = set(self._membership.members_by_partition.values())
+        members = self._membership.listed_members()
         members.discard(self._membership.member)
         addresses = sorted(address_of_member(member) for member in members)
         if self._membership.is_store_unresponsive():
@@ -104,7 +104,7 @@
         Returns:
             An empty set if the members are unknown.
         """
-        members = set(self._membership.members_by_partition.values())
+        members = self._membership.listed_members()
         if not members:
             return frozenset()
         members.add(self._membership.member)
--- a/daemons/manager/src/coltsfootseam/manager/membership/isolation.py
+++ b/daemons/manager/src/coltsfootseam/manager/membership/isolation.py
@@ -55,11 +55,10 @@
             await self._context.timers.sleep(_PERIOD_S)
 
     async def _check(self) -> None:
-        asked_s = self._context.timers.now_s()
         peers = self._directory.peer_addresses()
         if peers and self._should_ask():
-            await self._contacts.ask(peers)
-            self._check_isolation(peers, asked_s)
+            replies_by_address = await self._contacts.ask(peers)
+            self._check_isolation(peers, replies_by_address)
 
     def _should_ask(self) -> bool:
         """Returns whether this host should find out if it alone is cut off."""
@@ -67,7 +66,9 @@
         is_assigned = self._membership.assignment is not None
         return is_assigned and unanswered_s >= self._context.times.isolation_s
 
-    def _check_isolation(self, peers: list[str], asked_s: float) -> None:
+    def _check_isolation(
+        self, peers: list[str], replies_by_address: dict[str, StoreContact]
+    ) -> None:
         """Drops the assignment if this host alone is cut off from the store.
 
         A host that reaches none of its peers counts as isolated. One that
@@ -77,12 +78,6 @@
         """
         if not self._should_ask():
             return
-        replies_by_address = {
-            address: contact
-            for address in peers
-            if (contact := self._contacts.by_address.get(address)) is not None
-            and contact.asked_s >= asked_s
-        }
         is_down = _is_down_for_all(
             replies_by_address, self._context.times.isolation_s
         )
--- a/daemons/manager/src/coltsfootseam/manager/membership/standby.py
+++ b/daemons/manager/src/coltsfootseam/manager/membership/standby.py
@@ -176,4 +176,4 @@
         )
 
     def _members(self) -> list[str]:
-        return sorted(set(self._membership.members_by_partition.values()))
+        return sorted(self._membership.listed_members())
--- a/daemons/manager/src/coltsfootseam/manager/pools/pool_loading.py
+++ b/daemons/manager/src/coltsfootseam/manager/pools/pool_loading.py
@@ -61,9 +61,11 @@
 
     def _decode(self, records: list[StoredRecord]) -> dict[str, Progress]:
         progress_by_id = {}
+        key_of_witnesses = witness_key(self._pool)
         for record in records:
-            if record.key == witness_key(self._pool):
+            if record.key == key_of_witnesses:
                 self.witnesses = self._decode_witnesses(record)
+                continue
             key = parse_pool_key(self._pool, record.key)
             if key is None or not record.value:
                 continue
--- a/daemons/manager/src/coltsfootseam/manager/pools/pool_owner.py
+++ b/daemons/manager/src/coltsfootseam/manager/pools/pool_owner.py
@@ -111,23 +111,14 @@
         )
         loader = PoolLoader(self._pool, self._context, self.progress)
         self._progress_by_id = await loader.load_journal()
-        leases = PoolLeases(
+        self.leases = PoolLeases(
             self._pool,
             self._context,
             journal,
             self._contacts,
             loader.witnesses,
         )
-        self.leases = leases
-        state = PoolState(
-            pool=self._pool,
-            context=self._context,
-            cluster=self._cluster,
-            journal=journal,
-            job_table=JobTable(self._cluster.max_attempts_of),
-            leases=leases,
-            health=WorkerHealth(),
-        )
+        state = self._make_state(journal, self.leases)
         inbox = Tail(
             self._context.ports.store,
             self._context.timers,
@@ -149,6 +140,17 @@
         self.progress.is_active = True
         await self._run_rounds(state, inbox)
 
+    def _make_state(self, journal: Journal, leases: PoolLeases) -> PoolState:
+        return PoolState(
+            pool=self._pool,
+            context=self._context,
+            cluster=self._cluster,
+            journal=journal,
+            job_table=JobTable(self._cluster.max_attempts_of),
+            leases=leases,
+            health=WorkerHealth(),
+        )
+
     def _add_ended_jobs(self, state: PoolState) -> None:
         """Adds jobs of which only the final state is stored.
 
--- a/libs/store/src/coltsfootseam/store/journal.py
+++ b/libs/store/src/coltsfootseam/store/journal.py
@@ -73,7 +73,6 @@
         partition: Partition,
         name: str,
         epoch: int,
-        confirmed_s: float | None = None,
     ) -> None:
         self._store = store
         self._timers = timers
@@ -84,9 +83,7 @@
         self._unacknowledged_since_s: float | None = None
         self.epoch = epoch
         self.claimed_s = timers.now_s()
-        self.confirmed_s = (
-            self.claimed_s if confirmed_s is None else confirmed_s
-        )
+        self.confirmed_s = self.claimed_s
         self.is_lost = False
 
     async def commit(self, records: list[KeyedRecord]) -> Refusal | None:
@@ -219,4 +216,6 @@
     activated = await store.append(partition, [], writer=Writer(name, epoch, 0))
     if isinstance(activated, Refusal):
         return activated
-    return Journal(store, timers, partition, name, epoch, sent_s)
+    journal = Journal(store, timers, partition, name, epoch)
+    journal.confirmed_s = sent_s
+    return journal
--- a/libs/store/src/coltsfootseam/store/membership.py
+++ b/libs/store/src/coltsfootseam/store/membership.py
@@ -102,6 +102,10 @@
         self.refusals_by_call: dict[str, Refusal] = {}
         self.leaving = False
 
+    def listed_members(self) -> set[str]:
+        """Returns the members that hold partitions, as last read."""
+        return set(self.members_by_partition.values())
+
     def is_store_unresponsive(self) -> bool:
         """Returns whether the store hasn't replied for longer than the TTL.
 
