Share the start of long jobs, the cuts of zones and the seeds of runs by hand

Cause: read again, twelve tests began alike, faults named themselves twice, a zone was cut in two places, and two commands read their seeds alike.

--- a/bench/fuzz.py
+++ b/bench/fuzz.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from bench.seeds import seeds_from_arguments
 from tests.common.scenarios import random_events, run_scenario
 
 
@@ -15,10 +16,9 @@
     The arguments are the first seed and the number of scenarios; each scenario
     uses the next seed.
     """
-    first = int(sys.argv[1]) if len(sys.argv) > 1 else random.randrange(10**9)
-    count = int(sys.argv[2]) if len(sys.argv) > 2 else 100
+    seeds = seeds_from_arguments(100)
     failed = 0
-    for seed in range(first, first + count):
+    for seed in seeds:
         events = random_events(random.Random(seed))
         try:
             run_scenario(events)
@@ -26,7 +26,7 @@
             failed += 1
             shown = json.dumps(msgspec.to_builtins(events))
             print(f"seed {seed}: {error!r}\n    {shown}", flush=True)
-    print(f"{count} scenarios from seed {first}: {failed} failed")
+    print(f"{len(seeds)} scenarios from seed {seeds.start}: {failed} failed")
     sys.exit(1 if failed else 0)
 
 
--- a/bench/soak.py
+++ b/bench/soak.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import pathlib
-import random
 import shutil
 import signal
 import sys
 import tempfile
 import time
 
+from bench.seeds import seeds_from_arguments
 from tests.common.soak import SoakResult, run_soak
 
 COUNT = 10
@@ -31,10 +31,9 @@
     The arguments are the first seed and the number of soaks; each soak uses the
     next seed. The logs of the hosts are kept if it fails.
     """
-    first = int(sys.argv[1]) if len(sys.argv) > 1 else random.randrange(10**9)
-    count = int(sys.argv[2]) if len(sys.argv) > 2 else COUNT
+    seeds = seeds_from_arguments(COUNT)
     failed = 0
-    for seed in range(first, first + count):
+    for seed in seeds:
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
         started_s = time.monotonic()
         result = asyncio.run(_run(seed, folder))
@@ -52,7 +51,7 @@
                 print(f"    {row}", flush=True)
         else:
             shutil.rmtree(folder)
-    print(f"{count} soaks from seed {first}: {failed} failed")
+    print(f"{len(seeds)} soaks from seed {seeds.start}: {failed} failed")
     sys.exit(1 if failed else 0)
 
 
--- a/tests/common/long_jobs.py
+++ b/tests/common/long_jobs.py
@@ -9,6 +9,7 @@
 from tests.common.fleets import Fleet, running_fleet
 
 JOB = "a" * 16
+TASKS = 6
 LASTING_S = 1e9
 """Duration of the tasks of a job that only a cancellation ends."""
 MARGIN_S = 60.0
@@ -39,29 +40,24 @@
 
 
 class LongJob:
-    """A job that a fleet has started.
+    """A job of ``TASKS`` tasks that a fleet runs."""
 
-    Attributes:
-        count: Number of its tasks.
-    """
-
-    def __init__(self, fleet: Fleet, duration_s: float, count: int) -> None:
+    def __init__(self, fleet: Fleet, duration_s: float) -> None:
         self._fleet = fleet
         self._duration_s = duration_s
-        self.count = count
 
     async def start(self) -> str:
         """Starts the job; returns a worker that runs some of its tasks."""
         is_lasting = self._duration_s >= LASTING_S
         step = Step(
-            count=self.count,
+            count=TASKS,
             cpu_millis=1000,
             estimate_ms=0 if is_lasting else round(self._duration_s * 1000),
             long_running=is_lasting,
         )
         fleet = self._fleet
         await fleet.accept(fleet.hosts[0], JOB, step)
-        await fleet.wait_until(lambda: fleet.started(JOB) == self.count)
+        await fleet.wait_until(lambda: fleet.started(JOB) == TASKS)
         await fleet.timers.advance(1.0)
         return self.workers()[0]
 
@@ -93,13 +89,30 @@
             await fleet.wait_for_state(JOB, JobState.COMPLETED, limit_s)
             return
         await fleet.wait_until(
-            lambda: len(self.runs_by_task()) == self.count, MARGIN_S
+            lambda: len(self.runs_by_task()) == TASKS, MARGIN_S
         )
         await fleet.timers.advance(CALM_S)
         assert set(self.runs_by_task().values()) == {1}
-        assert len(self.runs_by_task()) == self.count
+        assert len(self.runs_by_task()) == TASKS
 
     async def check_uninterrupted(self) -> None:
         """Checks that no task was stopped or started again until its end."""
         await self.check_completion()
-        assert self._fleet.started(JOB) == self.count
+        assert self._fleet.started(JOB) == TASKS
+
+
+@contextlib.asynccontextmanager
+async def fleet_with_job(
+    hosts: int, duration_s: float, **options: Any
+) -> AsyncIterator[tuple[Fleet, LongJob]]:
+    """Yields a settled fleet and a job that it has started.
+
+    Args:
+        hosts: Number of entry hosts.
+        duration_s: How long each task runs.
+        **options: Further arguments of ``running_fleet``.
+    """
+    async with settled_fleet(hosts, duration_s, **options) as fleet:
+        job = LongJob(fleet, duration_s)
+        await job.start()
+        yield fleet, job
--- a/tests/common/zone_faults.py
+++ b/tests/common/zone_faults.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import random
 import signal
 from collections.abc import AsyncIterator, Callable
@@ -30,45 +31,43 @@
     for_s: float
 
 
-FaultHandler = Callable[
-    [ZonedDeployment, int], contextlib.AbstractAsyncContextManager[None]
-]
-CutOf = Callable[[ZonedDeployment, int], Cut]
-_handlers_by_kind: dict[str, FaultHandler] = {}
+Fault = Callable[[ZonedDeployment, int], AsyncIterator[None]]
+"""Applies a fault until it is resumed."""
 
+CutOf = Callable[[ZonedDeployment, int], Cut]
 
-def fault(
-    kind: str,
-) -> Callable[[FaultHandler], FaultHandler]:
-    """Registers the decorated fault, which lasts while its context is open."""
+_handlers_by_kind: dict[
+    str,
+    Callable[
+        [ZonedDeployment, int], contextlib.AbstractAsyncContextManager[None]
+    ],
+] = {}
 
-    def register(handler: FaultHandler) -> FaultHandler:
-        _handlers_by_kind[kind] = handler
-        return handler
 
-    return register
+def fault(apply: Fault) -> Fault:
+    """Registers the decorated fault under its name."""
+    _handlers_by_kind[apply.__name__] = contextlib.asynccontextmanager(apply)
+    return apply
 
 
 def cut_fault(cut_of: CutOf) -> CutOf:
     """Registers a fault that is a cut, under the function's name."""
 
-    @fault(cut_of.__name__)
-    @contextlib.asynccontextmanager
+    @functools.wraps(cut_of)
     async def cutting(
         deployment: ZonedDeployment, number: int
     ) -> AsyncIterator[None]:
-        cut = cut_of(deployment, number)
-        with deployment.links.cutting(cut, loses_data=number % 2 == 0):
+        with _cutting(deployment, cut_of(deployment, number), number):
             yield
 
+    fault(cutting)
     return cut_of
 
 
 @cut_fault
 def part_zone(deployment: ZonedDeployment, number: int) -> Cut:
     """Parts a zone from the store and the other zones."""
-    zone = ZONES[number % len(ZONES)]
-    return both_ways(deployment.nodes(zone), deployment.other_nodes(zone))
+    return _cut_of_zone(deployment, ZONES[number % len(ZONES)])
 
 
 @cut_fault
@@ -104,8 +103,7 @@
     return both_ways(nodes, [deployment.store_node])
 
 
-@fault("part_owners_zone")
-@contextlib.asynccontextmanager
+@fault
 async def part_owners_zone(
     deployment: ZonedDeployment, number: int
 ) -> AsyncIterator[None]:
@@ -114,13 +112,11 @@
         host for host in deployment.hosts if await deployment.is_owner(host)
     ]
     zone = owners[number % len(owners)].zone if owners else ZONES[0]
-    cut = both_ways(deployment.nodes(zone), deployment.other_nodes(zone))
-    with deployment.links.cutting(cut, loses_data=number % 2 == 0):
+    with _cutting(deployment, _cut_of_zone(deployment, zone), number):
         yield
 
 
-@fault("stop_store")
-@contextlib.asynccontextmanager
+@fault
 async def stop_store(
     deployment: ZonedDeployment, number: int
 ) -> AsyncIterator[None]:
@@ -133,8 +129,7 @@
         deployment.store.is_down = False
 
 
-@fault("pause_host")
-@contextlib.asynccontextmanager
+@fault
 async def pause_host(
     deployment: ZonedDeployment, number: int
 ) -> AsyncIterator[None]:
@@ -148,8 +143,7 @@
             host.send(signal.SIGCONT)
 
 
-@fault("restart_host")
-@contextlib.asynccontextmanager
+@fault
 async def restart_host(
     deployment: ZonedDeployment, number: int
 ) -> AsyncIterator[None]:
@@ -168,6 +162,17 @@
             await host.start()
 
 
+def _cutting(
+    deployment: ZonedDeployment, cut: Cut, number: int
+) -> contextlib.AbstractContextManager[None]:
+    """Applies a cut, half of the numbers with a loss of open connections."""
+    return deployment.links.cutting(cut, loses_data=number % 2 == 0)
+
+
+def _cut_of_zone(deployment: ZonedDeployment, zone: str) -> Cut:
+    return both_ways(deployment.nodes(zone), deployment.other_nodes(zone))
+
+
 def _host(deployment: ZonedDeployment, number: int) -> ZonedHost:
     return deployment.hosts[number % len(deployment.hosts)]
 
--- a/tests/cover/test_parted_owners.py
+++ b/tests/cover/test_parted_owners.py
@@ -6,9 +6,13 @@
 
 from tests.common.cuts import STORE, Lost, cut_off, store_outage
 from tests.common.fleets import Fleet, Host
-from tests.common.long_jobs import LASTING_S, LongJob, settled_fleet
+from tests.common.long_jobs import (
+    LASTING_S,
+    LongJob,
+    fleet_with_job,
+    settled_fleet,
+)
 
-TASKS = 6
 TAKEOVER_LIMIT_S = 30.0
 CUTS = ((12.0, 20.0), (12.0, LASTING_S), (25.0, 60.0), (25.0, LASTING_S))
 """Durations of a cut and of the tasks that run meanwhile."""
@@ -38,9 +42,8 @@
 async def test_an_owner_cut_off_with_others_runs_no_task_beside_its_successor(
     hosts: int, companions: int, cut_s: float, duration_s: float
 ) -> None:
-    async with settled_fleet(hosts, duration_s) as fleet:
-        job = LongJob(fleet, duration_s, TASKS)
-        worker = await job.start()
+    async with fleet_with_job(hosts, duration_s) as (fleet, job):
+        worker = job.workers()[0]
         with cut_off(fleet, owner_side(fleet, companions), [worker]):
             await fleet.timers.advance(cut_s)
         await job.check_completion()
@@ -55,9 +58,8 @@
 async def test_an_owner_cut_off_after_an_outage_runs_no_task_beside_another(
     hosts: int, is_silent: bool, up_s: float, with_peers: bool
 ) -> None:
-    async with settled_fleet(hosts, 60.0) as fleet:
-        job = LongJob(fleet, 60.0, TASKS)
-        worker = await job.start()
+    async with fleet_with_job(hosts, 60.0) as (fleet, job):
+        worker = job.workers()[0]
         owner = fleet.owner()
         with store_outage(fleet, is_silent):
             await fleet.timers.advance(6.0)
@@ -82,9 +84,8 @@
 async def test_an_owner_cut_off_alone_runs_no_task_beside_its_successor(
     hosts: int, cut_s: float, duration_s: float
 ) -> None:
-    async with settled_fleet(hosts, duration_s) as fleet:
-        job = LongJob(fleet, duration_s, TASKS)
-        worker = await job.start()
+    async with fleet_with_job(hosts, duration_s) as (fleet, job):
+        worker = job.workers()[0]
         with cut_off(fleet, [fleet.owner()], [worker]):
             await fleet.timers.advance(cut_s)
         await job.check_completion()
@@ -100,9 +101,8 @@
 async def test_an_owner_cut_off_one_way_runs_no_task_beside_its_successor(
     hosts: int, companions: int, cut_s: float, lost: Lost
 ) -> None:
-    async with settled_fleet(hosts, 60.0) as fleet:
-        job = LongJob(fleet, 60.0, TASKS)
-        worker = await job.start()
+    async with fleet_with_job(hosts, 60.0) as (fleet, job):
+        worker = job.workers()[0]
         side = owner_side(fleet, companions)
         rest = [host.host_id for host in hosts_beside(fleet, *side)]
         with (
@@ -123,9 +123,8 @@
 async def test_an_owner_frozen_as_it_is_cut_off_runs_no_task_beside_another(
     hosts: int, companions: int, frozen_s: float
 ) -> None:
-    async with settled_fleet(hosts, 60.0) as fleet:
-        job = LongJob(fleet, 60.0, TASKS)
-        worker = await job.start()
+    async with fleet_with_job(hosts, 60.0) as (fleet, job):
+        worker = job.workers()[0]
         side = owner_side(fleet, companions)
         with cut_off(fleet, side, [worker]):
             side[0].timers.is_frozen = True
@@ -142,9 +141,7 @@
 async def test_a_chain_of_cut_off_owners_runs_no_task_twice(
     companions: int, delay_s: float
 ) -> None:
-    async with settled_fleet(6, 90.0) as fleet:
-        job = LongJob(fleet, 90.0, TASKS)
-        await job.start()
+    async with fleet_with_job(6, 90.0) as (fleet, job):
         first_worker, second_worker, *_ = job.workers()
         first = owner_side(fleet, companions)
         with contextlib.ExitStack() as cuts:
@@ -173,9 +170,8 @@
 async def test_an_owner_without_a_partition_runs_no_task_beside_another(
     cut_s: float, companions: int
 ) -> None:
-    async with settled_fleet(6, 60.0, partitions=4) as fleet:
-        job = LongJob(fleet, 60.0, TASKS)
-        worker = await job.start()
+    async with fleet_with_job(6, 60.0, partitions=4) as (fleet, job):
+        worker = job.workers()[0]
         side = owner_side(fleet, companions)
         # Just before the cut, as the host that the pool is assigned to then
         # claims it within half a second.
@@ -211,7 +207,7 @@
             host.store.faults.failing_page_topics = set()
         first.start()
         await fleet.wait_until(lambda: first.manager is not None)
-        job = LongJob(fleet, 60.0, TASKS)
+        job = LongJob(fleet, 60.0)
         worker = await job.start()
         with cut_off(fleet, owner_side(fleet, companions), [worker]):
             await fleet.timers.advance(cut_s)
@@ -224,9 +220,8 @@
 async def test_an_owner_that_knows_no_peer_runs_no_task_beside_its_successor(
     cut_s: float, joined: int
 ) -> None:
-    async with settled_fleet(1, 60.0) as fleet:
-        job = LongJob(fleet, 60.0, TASKS)
-        worker = await job.start()
+    async with fleet_with_job(1, 60.0) as (fleet, job):
+        worker = job.workers()[0]
         owner = fleet.owner()
         owner.store.faults.refuse_holder_lists = True
         for _ in range(joined):
--- a/tests/cover/test_store_outages.py
+++ b/tests/cover/test_store_outages.py
@@ -4,9 +4,12 @@
 
 from tests.common.cuts import store_outage
 from tests.common.fleets import Fleet, Host
-from tests.common.long_jobs import LASTING_S, LongJob, settled_fleet
+from tests.common.long_jobs import (
+    LASTING_S,
+    fleet_with_job,
+    settled_fleet,
+)
 
-TASKS = 6
 TASK_S = 28.0
 SETTLED_S = 5.0
 
@@ -31,9 +34,7 @@
 async def test_an_outage_of_the_store_interrupts_no_task(
     hosts: int, is_silent: bool, outage_s: float, duration_s: float
 ) -> None:
-    async with settled_fleet(hosts, duration_s) as fleet:
-        job = LongJob(fleet, duration_s, TASKS)
-        await job.start()
+    async with fleet_with_job(hosts, duration_s) as (fleet, job):
         owner = fleet.owner()
         with store_outage(fleet, is_silent):
             await fleet.timers.advance(outage_s)
@@ -53,9 +54,7 @@
 async def test_an_outage_after_the_loss_of_a_host_interrupts_no_task(
     hosts: int, is_silent: bool, outage_s: float, killed_before_s: float
 ) -> None:
-    async with settled_fleet(hosts, TASK_S) as fleet:
-        job = LongJob(fleet, TASK_S, TASKS)
-        await job.start()
+    async with fleet_with_job(hosts, TASK_S) as (fleet, job):
         owner = fleet.owner()
         await host_without_duties(fleet).kill()
         await fleet.timers.advance(killed_before_s)
@@ -73,9 +72,7 @@
 async def test_a_restart_in_an_outage_of_the_store_interrupts_no_task(
     hosts: int, is_silent: bool, killed_before_s: float
 ) -> None:
-    async with settled_fleet(hosts, TASK_S) as fleet:
-        job = LongJob(fleet, TASK_S, TASKS)
-        await job.start()
+    async with fleet_with_job(hosts, TASK_S) as (fleet, job):
         owner = fleet.owner()
         killed = host_without_duties(fleet)
         await killed.kill()
