Log how long each run was on a worker that crashed, and how often workers crash

Neither crash.observed nor crash.task_given_up could tell a task that crashes its workers from one that was on workers that crashed anyway. Both now have exposed_ms, by when the worker stopped replying, and crashes_per_hour, the rate of crashes that no task can have caused. Exposure is kept with the job, so that a new owner has it. No decision uses either yet.

--- a/daemons/manager/src/coltsfootseam/manager/pools/crash_evidence.py
+++ b/daemons/manager/src/coltsfootseam/manager/pools/crash_evidence.py
@@ -6,6 +6,9 @@
 from coltsfootseam.scheduling import assess_crash, find_unproven, is_confirmed
 
 _MAX_LOST_WORKERS = 64
+_MAX_REPORTED_RUNS = 16
+_MS_PER_S = 1000
+_S_PER_HOUR = 3600
 
 
 class CrashEvidence:
@@ -55,10 +58,14 @@
         """
         pairs = [*self._lost_pairs_by_worker.pop(worker_id, []), *pairs]
         pairs = [pair for pair in pairs if not pair[0].is_done]
+        state = self._state
+        state.crash_rate.record_crash(
+            worker_id, [task for task, _ in find_unproven(pairs)], state.now_s()
+        )
         if not pairs:
             return
         self._report("crash.observed", worker_id, pairs, reason)
-        job_table = self._state.job_table
+        job_table = state.job_table
         for task, run in pairs:
             is_known = task.id.job_id in job_table.jobs_by_id
             if is_known and is_confirmed(run):
@@ -90,12 +97,15 @@
             # It was cancelled, or another task of it was given up.
             return
         explained_ids = frozenset(task.crashed_worker_ids)
+        state.crash_rate.leave_out(explained_ids)
         state.context.counters.increment("crash.given_up")
         state.context.log.write(
             "crash.task_given_up",
             job=task.id.job_id,
             task=task.id.position(),
             workers=task.crashed_worker_ids,
+            exposed_ms=round(task.exposure_s() * _MS_PER_S),
+            crashes_per_hour=self._crashes_per_hour(),
             code=ResultCode.JOB_CRASHES_WORKERS.value,
         )
         state.job_table.give_up(task, _failure_reason(task), state.wall_ms())
@@ -121,9 +131,20 @@
                 [task.id.job_id, *task.id.position(), run.number]
                 for task, run in find_unproven(pairs)
             ],
+            exposed_ms=[
+                round(run.exposure_s() * _MS_PER_S)
+                for _, run in pairs[:_MAX_REPORTED_RUNS]
+            ],
+            crashes_per_hour=self._crashes_per_hour(),
             why=reason,
         )
 
+    def _crashes_per_hour(self) -> float:
+        """Returns how often a worker of the pool crashes by itself."""
+        state = self._state
+        rate = state.crash_rate.per_worker_s(state.now_s())
+        return round(rate * _S_PER_HOUR, 1)
+
 
 def _failure_reason(task: Task) -> str:
     code = ResultCode.JOB_CRASHES_WORKERS
--- a/daemons/manager/src/coltsfootseam/manager/pools/pool_state.py
+++ b/daemons/manager/src/coltsfootseam/manager/pools/pool_state.py
@@ -7,7 +7,7 @@
 from coltsfootseam.manager.context import Context
 from coltsfootseam.manager.leases.pool_leases import PoolLeases
 from coltsfootseam.manager.quotas.pool_quotas import PoolQuotas
-from coltsfootseam.scheduling import StepKey, WorkerHealth
+from coltsfootseam.scheduling import CrashRate, StepKey, WorkerHealth
 from coltsfootseam.scheduling.lookahead import EstimateRatios, Reservation
 from coltsfootseam.store import Journal
 from coltsfootseam.workers import WorkerLink
@@ -40,6 +40,7 @@
         estimate_ratios: Ratios of run times to their estimates, by kind of
             step.
         reservations_by_step: The steps that workers are reserved for.
+        crash_rate: How often the pool's workers crash.
     """
 
     pool: str
@@ -62,6 +63,7 @@
         default_factory=EstimateRatios
     )
     reservations_by_step: dict[StepKey, Reservation] = {}
+    crash_rate: CrashRate = msgspec.field(default_factory=CrashRate)
 
     def now_s(self) -> float:
         """Returns monotonic time in seconds."""
--- a/daemons/manager/src/coltsfootseam/manager/pools/run_reconciler.py
+++ b/daemons/manager/src/coltsfootseam/manager/pools/run_reconciler.py
@@ -47,15 +47,33 @@
         else:
             self._end_unlisted_runs(link, listed, sent_s)
 
-    def end_lost_runs(self, worker_id: str, reason: str) -> None:
-        """Ends all runs on a worker whose lease has ended."""
+    def end_lost_runs(
+        self, worker_id: str, reason: str, silent_s: float | None = None
+    ) -> None:
+        """Ends all runs on a worker whose lease has ended.
+
+        Args:
+            worker_id: The worker.
+            reason: How that is known.
+            silent_s: When it stopped replying, ``None`` if that isn't known.
+        """
         pairs = self._state.job_table.runs.runs_of(worker_id)
+        _record_silence(pairs, silent_s)
         self._crashes.record_loss(worker_id, pairs, reason)
         self._lapse(pairs, reason)
 
-    def end_crashed_runs(self, worker_id: str, reason: str) -> None:
-        """Ends all runs on a worker that has crashed."""
+    def end_crashed_runs(
+        self, worker_id: str, reason: str, silent_s: float | None = None
+    ) -> None:
+        """Ends all runs on a worker that has crashed.
+
+        Args:
+            worker_id: The worker.
+            reason: How that is known.
+            silent_s: When it stopped replying, ``None`` if that isn't known.
+        """
         pairs = self._state.job_table.runs.runs_of(worker_id)
+        _record_silence(pairs, silent_s)
         self._crashes.record_crash(worker_id, pairs, reason)
         self._lapse(pairs, reason)
 
@@ -159,3 +177,8 @@
             load=run.load,
             why=run.reason or why,
         )
+
+
+def _record_silence(pairs: list[RunPair], silent_s: float | None) -> None:
+    for _, run in pairs:
+        run.silent_s = silent_s
--- a/libs/jobs/src/coltsfootseam/jobs/documents.py
+++ b/libs/jobs/src/coltsfootseam/jobs/documents.py
@@ -12,6 +12,7 @@
 from coltsfootseam.jobs.model import JobRequest, JobState, RunPhase, TaskId
 
 _CANCEL_SUFFIX = "/cancel"
+_MS_PER_S = 1000
 
 
 class StoredRun(msgspec.Struct, array_like=True, omit_defaults=True):
@@ -37,6 +38,7 @@
     last_failed_run_number: int = 0
     crashed_worker_ids: tuple[str, ...] = ()
     is_suspect: bool = False
+    exposure_ms: int = 0
 
 
 class Progress(msgspec.Struct, array_like=True, omit_defaults=True):
@@ -159,6 +161,7 @@
     task.checkpoint = stored.checkpoint
     task.crashed_worker_ids = stored.crashed_worker_ids
     task.suspect_since_s = now_s if stored.is_suspect else None
+    task.ended_exposure_s = stored.exposure_ms / _MS_PER_S
     if stored.is_done and not task.is_done:
         task.is_done = True
         occurrence.open_count_by_step[stored.step] -= 1
@@ -201,8 +204,16 @@
         last_failed_run_number=task.last_failed_run_number,
         crashed_worker_ids=task.crashed_worker_ids,
         is_suspect=task.is_suspect,
+        exposure_ms=_stored_exposure_ms(task),
     )
 
 
+def _stored_exposure_ms(task: Task) -> int:
+    """Returns how long the task ran, 0 where no crash is weighed against it."""
+    if not task.crashed_worker_ids and not task.step.long_running:
+        return 0
+    return round(task.exposure_s() * _MS_PER_S)
+
+
 def _has_runs(job: Job) -> bool:
     return any(task.runs for task in job.tasks())
--- a/libs/jobs/src/coltsfootseam/jobs/entities.py
+++ b/libs/jobs/src/coltsfootseam/jobs/entities.py
@@ -33,6 +33,8 @@
         load: Tail latency in ms for a serving task, else processor in use.
         reason: Why it is stopped, or empty.
         is_isolated: Whether its worker gets no other tasks meanwhile.
+        silent_s: When its worker stopped replying for good, monotonic seconds,
+            or ``None``.
     """
 
     number: int
@@ -49,6 +51,14 @@
     load: int = 0
     reason: str = ""
     is_isolated: bool = False
+    silent_s: float | None = None
+
+    def exposure_s(self) -> float:
+        """Returns how long it was on its worker, as far as that is known."""
+        if self.started_s is None:
+            return 0.0
+        last_s = max(self.progress_s or 0.0, self.silent_s or 0.0)
+        return max(0.0, last_s - self.started_s)
 
 
 class Task(msgspec.Struct):
@@ -74,6 +84,8 @@
             them, unless another task is known to be the cause.
         suspect_since_s: Since when the task is likely enough to crash workers
             that it has to run in isolation, monotonic seconds, or ``None``.
+        ended_exposure_s: How long its runs that have ended were on workers; in
+            a gang, all runs of the whole gang.
     """
 
     id: TaskId
@@ -90,12 +102,19 @@
     last_inactive_s: float | None = None
     crashed_worker_ids: tuple[str, ...] = ()
     suspect_since_s: float | None = None
+    ended_exposure_s: float = 0.0
 
     @property
     def is_suspect(self) -> bool:
         """Whether the task has to run in isolation."""
         return self.suspect_since_s is not None
 
+    def exposure_s(self) -> float:
+        """Returns how long its runs were on workers in all."""
+        return self.ended_exposure_s + sum(
+            run.exposure_s() for run in self.runs
+        )
+
     def find_run(self, number: int, worker_id: str) -> Run | None:
         """Returns a run by number and worker, ``None`` if it isn't active."""
         for run in self.runs:
--- a/libs/jobs/src/coltsfootseam/jobs/job_table.py
+++ b/libs/jobs/src/coltsfootseam/jobs/job_table.py
@@ -187,6 +187,8 @@
         task.runs = [other for other in task.runs if other is not run]
         self.runs.remove(task, run)
         self.changed_ids.add(job.id)
+        for member in _members(job, task):
+            member.ended_exposure_s += run.exposure_s()
         if checkpoint:
             task.checkpoint = checkpoint
         if end is RunEnd.DONE:
--- a/libs/scheduling/src/coltsfootseam/scheduling/__init__.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/__init__.py
@@ -1,6 +1,7 @@
 """Scheduling decisions over snapshots, without network access."""
 
 from coltsfootseam.scheduling.contract_rate import BURST_S, ContractRates
+from coltsfootseam.scheduling.crash_rate import CrashRate, coincidence
 from coltsfootseam.scheduling.crashes import (
     CrashAssessment,
     assess_crash,
@@ -83,6 +84,7 @@
     "SPECULATION_RULES",
     "ContractRates",
     "CrashAssessment",
+    "CrashRate",
     "DemandHistory",
     "DueMachine",
     "IdleTimes",
@@ -113,6 +115,7 @@
     "WorkerSize",
     "assess_crash",
     "choose_maintenance",
+    "coincidence",
     "crashes_late",
     "critical_path_s",
     "find_problem",
--- a/libs/workers/src/coltsfootseam/workers/link.py
+++ b/libs/workers/src/coltsfootseam/workers/link.py
@@ -20,6 +20,8 @@
 _RETRY_DELAY_S = 0.15
 _ACKNOWLEDGEMENT_WAIT_S = 0.3
 _WATCHED_WAIT_S = 0.2
+_REPLY_TIME_S = 0.05
+"""Time that a reply takes besides the wait that was asked for."""
 
 OnHeartbeatReply = Callable[["WorkerLink", HeartbeatReply, float], None]
 """Called with the link, a reply and when the heartbeat was sent."""
@@ -40,6 +42,8 @@
         is_watched: Whether heartbeats follow each other at short intervals.
         last_reply_s: When the worker last replied to a heartbeat, monotonic
             seconds, or ``None``.
+        silent_s: Latest time at which the worker may have stopped replying,
+            monotonic seconds, ``None`` while it replies.
     """
 
     __slots__ = (
@@ -59,6 +63,7 @@
         "is_watched",
         "last_reply_s",
         "lease",
+        "silent_s",
     )
 
     def __init__(
@@ -88,6 +93,7 @@
         self.is_fenced = False
         self.is_watched = False
         self.last_reply_s: float | None = None
+        self.silent_s: float | None = None
 
     @property
     def worker_id(self) -> str:
@@ -128,6 +134,7 @@
         if isinstance(reply, HeartbeatReply):
             await self._apply_reply(reply, sent_s)
             return
+        self._record_silence(sent_s + wait_s + _REPLY_TIME_S)
         self.is_reachable = False
         self.heartbeat_outcome = reply.outcome
         if reply.outcome is OrderOutcome.OTHER_LIFE:
@@ -180,6 +187,7 @@
         self.lease.read_clock(reply.clock_ms)
         self.lease.record_fencing()
         self.last_reply_s = self._timers.now_s()
+        self.silent_s = None
         self.is_reachable = True
         for run in reply.ended:
             self._max_listed = max(self._max_listed, run.sequence)
@@ -189,6 +197,11 @@
         if self._max_listed > self.acknowledged:
             await self._wait_for_acknowledgement()
 
+    def _record_silence(self, due_s: float) -> None:
+        """Records that the reply that was due by then did not come."""
+        if self.silent_s is None:
+            self.silent_s = min(due_s, self._timers.now_s())
+
     async def _wait_for_acknowledgement(self) -> None:
         """Waits for the ends to be stored, for a limited time."""
         timeout = self._timers.call_after(
