Give a job up only for crashes that can't be coincidence

Cause: crashes under a task were counted, but not weighed against how long it ran, nor against how often workers crash anyway. Suspects that ran well are trusted again. Workers that were moved while idle no longer count as crashed. In the stand-in the end of a worker's process resets its connections, as on the real platform.

--- a/bench/quarantine.py
+++ b/bench/quarantine.py
@@ -40,20 +40,20 @@
 _PERCENTILE_95 = 18
 """Index among the 19 cuts that divide the values into twentieths."""
 
-AssessCrash = Callable[[list[RunPair]], CrashAssessment]
+AssessCrash = Callable[[list[RunPair], float], CrashAssessment]
 
 WAYS: Registry[AssessCrash] = Registry("way to assess a crash")
 
 
 @WAYS.register("nothing")
-def assess_nobody(pairs: list[RunPair]) -> CrashAssessment:
+def assess_nobody(pairs: list[RunPair], rate: float) -> CrashAssessment:
     """No crash counts."""
-    del pairs
+    del pairs, rate
     return CrashAssessment([], [])
 
 
 @WAYS.register("everyone")
-def assess_everyone(pairs: list[RunPair]) -> CrashAssessment:
+def assess_everyone(pairs: list[RunPair], rate: float) -> CrashAssessment:
     """Any task fails after two crashes, and nothing is isolated."""
     return CrashAssessment(
         [], [task for task, _ in pairs if _is_second_crash(task)]
@@ -61,7 +61,7 @@
 
 
 @WAYS.register("youngest")
-def assess_youngest(pairs: list[RunPair]) -> CrashAssessment:
+def assess_youngest(pairs: list[RunPair], rate: float) -> CrashAssessment:
     """The task that started last fails after two crashes."""
     unproven = find_unproven(pairs)[:1]
     return CrashAssessment(
@@ -70,15 +70,15 @@
 
 
 @WAYS.register("all alone")
-def assess_all_alone(pairs: list[RunPair]) -> CrashAssessment:
+def assess_all_alone(pairs: list[RunPair], rate: float) -> CrashAssessment:
     """Every task of a crashed worker is isolated."""
-    assessment = assess_crash(pairs)
+    assessment = assess_crash(pairs, rate)
     suspects = [] if assessment.culprits else [task for task, _ in pairs]
     return CrashAssessment(suspects, assessment.culprits)
 
 
 @WAYS.register("spread")
-def assess_spread(pairs: list[RunPair]) -> CrashAssessment:
+def assess_spread(pairs: list[RunPair], rate: float) -> CrashAssessment:
     """Nothing is isolated; the only unproven task with two crashes is it."""
     again = [task for task, _ in find_unproven(pairs) if _is_second_crash(task)]
     return CrashAssessment([], again if len(again) == 1 else [])
--- a/daemons/manager/src/coltsfootseam/manager/orders/worker_links.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders/worker_links.py
@@ -116,7 +116,9 @@
             self._drop_link(link, _INCARNATION_ENDED)
         elif not link.is_reachable and link.lease.has_ended():
             self._reconciler.end_lost_runs(
-                link.worker_id, "its lease has ended", link.silent_s
+                link.worker_id,
+                "its lease has ended",
+                link.silent_since_s(),
             )
             if latest is None:
                 self._drop_link(link, "it does not respond and has no entry")
@@ -148,11 +150,15 @@
         if link.is_gone:
             self._state.ended_worker_ids.add(worker_id)
         if not link.is_gone:
-            self._reconciler.end_lost_runs(worker_id, reason, link.silent_s)
+            self._reconciler.end_lost_runs(
+                worker_id, reason, link.silent_since_s()
+            )
         elif self._is_leaving(link.entry):
             self._reconciler.end_evacuated_runs(worker_id, reason)
         else:
-            self._reconciler.end_crashed_runs(worker_id, reason, link.silent_s)
+            self._reconciler.end_crashed_runs(
+                worker_id, reason, link.silent_since_s()
+            )
         self._state.links_by_id.pop(worker_id, None)
         self._state.end_sequences_by_worker.pop(worker_id, None)
         self._state.health.forget(worker_id)
--- a/daemons/manager/src/coltsfootseam/manager/orders/worker_snapshot.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders/worker_snapshot.py
@@ -24,9 +24,11 @@
         for link in state.links_by_id.values()
         if not link.is_gone
     }
+    crash_rate = state.crash_rate.per_worker_s(state.now_s())
     for worker_id, worker in workers_by_id.items():
         for task, run in state.job_table.runs.runs_of(worker_id):
-            _add_run(worker, task, run, state.now_s() - run.ordered_s)
+            age_s = state.now_s() - run.ordered_s
+            _add_run(worker, task, run, age_s, crash_rate)
     return list(workers_by_id.values())
 
 
@@ -57,7 +59,11 @@
 
 
 def _add_run(
-    worker: WorkerCapacity, task: Task, run: Run, age_s: float
+    worker: WorkerCapacity,
+    task: Task,
+    run: Run,
+    age_s: float,
+    crash_rate: float,
 ) -> None:
     """Adds an active run to the snapshot of its worker."""
     probation_slots = worker.probation_slots
@@ -70,7 +76,9 @@
     if not run.is_isolated:
         worker.has_only_isolated = False
     elif age_s < _MAX_ISOLATION_S:
-        worker.is_isolating |= not is_proven(run) or crashes_late(task)
+        worker.is_isolating |= not is_proven(run) or crashes_late(
+            task, crash_rate
+        )
     if not is_proven(run):
         worker.unproven_count += 1
         worker.has_unproven_suspect |= bool(task.crashed_worker_ids)
--- a/daemons/manager/src/coltsfootseam/manager/pools/crash_evidence.py
+++ b/daemons/manager/src/coltsfootseam/manager/pools/crash_evidence.py
@@ -3,7 +3,12 @@
 from coltsfootseam.jobs import RunPair, Task
 from coltsfootseam.manager.pools.pool_state import PoolState
 from coltsfootseam.results import ResultCode
-from coltsfootseam.scheduling import assess_crash, find_unproven, is_confirmed
+from coltsfootseam.scheduling import (
+    assess_crash,
+    find_unproven,
+    is_cleared,
+    is_confirmed,
+)
 
 _MAX_LOST_WORKERS = 64
 _MAX_REPORTED_RUNS = 16
@@ -59,9 +64,11 @@
         pairs = [*self._lost_pairs_by_worker.pop(worker_id, []), *pairs]
         pairs = [pair for pair in pairs if not pair[0].is_done]
         state = self._state
-        state.crash_rate.record_crash(
-            worker_id, [task for task, _ in find_unproven(pairs)], state.now_s()
-        )
+        if not pairs and worker_id in state.offered_worker_ids:
+            return
+        candidates = [task for task, _ in find_unproven(pairs)]
+        candidates += state.job_table.tasks_with_crash(worker_id)
+        state.crash_rate.record_crash(worker_id, candidates, state.now_s())
         if not pairs:
             return
         self._report("crash.observed", worker_id, pairs, reason)
@@ -70,12 +77,30 @@
             is_known = task.id.job_id in job_table.jobs_by_id
             if is_known and is_confirmed(run):
                 job_table.record_crash(task, worker_id)
-        assessment = assess_crash(pairs)
+        assessment = assess_crash(
+            pairs, state.crash_rate.per_worker_s(state.now_s())
+        )
         for task in assessment.suspects:
             self._suspect(task)
         for task in assessment.culprits:
             self._give_up(task)
 
+    def clear_if_trusted(self, task: Task) -> None:
+        """Clears a suspect that has run for long enough since."""
+        state = self._state
+        if not task.is_suspect:
+            return
+        rate = state.crash_rate.per_worker_s(state.now_s())
+        if not is_cleared(task, rate):
+            return
+        state.job_table.clear_suspicion(task)
+        state.context.log.write(
+            "crash.suspicion_cleared",
+            job=task.id.job_id,
+            task=task.id.position(),
+            exposed_ms=round(task.exposure_s() * _MS_PER_S),
+        )
+
     def _suspect(self, task: Task) -> None:
         state = self._state
         if task.id.job_id not in state.job_table.active_by_id:
--- a/daemons/manager/src/coltsfootseam/manager/pools/evacuation.py
+++ b/daemons/manager/src/coltsfootseam/manager/pools/evacuation.py
@@ -75,9 +75,11 @@
         ]
         state.surplus_worker_ids = self._choose_surplus(request.spare_count)
         demand = self._demand(shortages, workers)
+        empty_ids = self._empty_ids(request.worker_ids, busy_ids)
+        state.offered_worker_ids.update(empty_ids)
         return EvacuationReply(
             is_owner=True,
-            empty_ids=self._empty_ids(request.worker_ids, busy_ids),
+            empty_ids=empty_ids,
             idle_ids=self._idle_ids(busy_ids),
             waiting_cores=demand.waiting_cores,
             waiting_labels=sorted(
--- a/daemons/manager/src/coltsfootseam/manager/pools/pool_state.py
+++ b/daemons/manager/src/coltsfootseam/manager/pools/pool_state.py
@@ -28,6 +28,8 @@
         end_sequences_by_worker: Sequence number of the last reported end of
             each worker. The job table has it, the journal perhaps not yet.
         ended_worker_ids: Workers whose incarnation has certainly ended.
+        offered_worker_ids: Workers that were reported to be empty, so that
+            their machines may have been ordered elsewhere.
         evacuating_worker_ids: Workers whose machines are needed elsewhere.
         are_orders_known: Whether all orders that may be under way for the
             pool's machines are for workers that are to be evacuated.
@@ -53,6 +55,7 @@
     links_by_id: dict[str, WorkerLink] = {}
     end_sequences_by_worker: dict[str, int] = {}
     ended_worker_ids: set[str] = set()
+    offered_worker_ids: set[str] = set()
     evacuating_worker_ids: set[str] = set()
     are_orders_known: bool = False
     surplus_worker_ids: set[str] = set()
--- a/daemons/manager/src/coltsfootseam/manager/pools/run_reconciler.py
+++ b/daemons/manager/src/coltsfootseam/manager/pools/run_reconciler.py
@@ -123,6 +123,7 @@
         run.load = reported.load
         run.progress = reported.progress
         run.progress_s = self._state.now_s()
+        self._crashes.clear_if_trusted(task)
 
     def _record_partial_reply(self, link: WorkerLink) -> None:
         """Logs that further runs may have ended without being listed yet."""
--- a/libs/jobs/src/coltsfootseam/jobs/job_table.py
+++ b/libs/jobs/src/coltsfootseam/jobs/job_table.py
@@ -215,6 +215,22 @@
             member.suspect_since_s = now_s
         self.changed_ids.add(job.id)
 
+    def tasks_with_crash(self, worker_id: str) -> list[Task]:
+        """Returns the tasks of active jobs under which a worker crashed."""
+        return [
+            task
+            for job in self.active_by_id.values()
+            for task in job.tasks()
+            if worker_id in task.crashed_worker_ids
+        ]
+
+    def clear_suspicion(self, task: Task) -> None:
+        """Has a task, and its whole gang, run beside others again."""
+        job = self.jobs_by_id[task.id.job_id]
+        for member in _members(job, task):
+            member.suspect_since_s = None
+        self.changed_ids.add(job.id)
+
     def give_up(self, task: Task, reason: str, now_ms: int) -> None:
         """Fails the job of a task that must not be started again."""
         job = self.jobs_by_id[task.id.job_id]
--- a/libs/scheduling/src/coltsfootseam/scheduling/__init__.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/__init__.py
@@ -1,12 +1,13 @@
 """Scheduling decisions over snapshots, without network access."""
 
 from coltsfootseam.scheduling.contract_rate import BURST_S, ContractRates
-from coltsfootseam.scheduling.crash_rate import CrashRate, coincidence
+from coltsfootseam.scheduling.crash_rate import CrashRate
 from coltsfootseam.scheduling.crashes import (
     CrashAssessment,
     assess_crash,
     crashes_late,
     find_unproven,
+    is_cleared,
     is_confirmed,
     is_proven,
 )
@@ -115,7 +116,6 @@
     "WorkerSize",
     "assess_crash",
     "choose_maintenance",
-    "coincidence",
     "crashes_late",
     "critical_path_s",
     "find_problem",
@@ -123,6 +123,7 @@
     "find_stalled",
     "find_unproven",
     "fits_beside",
+    "is_cleared",
     "is_confirmed",
     "is_proven",
     "max_isolating_workers",
--- a/libs/standins/src/coltsfootseam/standins/memory_worker_calls.py
+++ b/libs/standins/src/coltsfootseam/standins/memory_worker_calls.py
@@ -55,6 +55,9 @@
         until_s = self._timers.now_s() + order.wait_ms / _MS_PER_S
         while not found.ended_runs and self._timers.now_s() < until_s:
             await self._timers.sleep(_POLL_S)
+            if found.is_dead and not self._is_cut_off(found):
+                # The end of its process resets its connections.
+                return OrderReply(OrderOutcome.UNKNOWN)
         if self._is_unreachable(found):
             return OrderReply(OrderOutcome.UNKNOWN)
         if self._is_unheard(found):
@@ -139,5 +142,8 @@
         return self._host_id in worker.faults.unheard_by_hosts
 
     def _is_unreachable(self, worker: MemoryWorker) -> bool:
+        return worker.is_dead or self._is_cut_off(worker)
+
+    def _is_cut_off(self, worker: MemoryWorker) -> bool:
         is_cut_off = self._host_id in worker.faults.unreachable_from_hosts
-        return worker.faults.is_unresponsive or is_cut_off or worker.is_dead
+        return worker.faults.is_unresponsive or is_cut_off
--- a/libs/testbed/src/coltsfootseam/testbed/manager_switches.py
+++ b/libs/testbed/src/coltsfootseam/testbed/manager_switches.py
@@ -263,7 +263,9 @@
 @switch("crashes-assessed")
 def _ignore_crashes() -> None:
     replace(
-        crash_evidence, "assess_crash", lambda pairs: CrashAssessment([], [])
+        crash_evidence,
+        "assess_crash",
+        lambda pairs, rate: CrashAssessment([], []),
     )
 
 
--- a/libs/workers/src/coltsfootseam/workers/link.py
+++ b/libs/workers/src/coltsfootseam/workers/link.py
@@ -100,6 +100,10 @@
         """Returns the id of this incarnation of the worker."""
         return self.entry.worker_id
 
+    def silent_since_s(self) -> float:
+        """Returns by when a worker that is gone had stopped replying."""
+        return self._timers.now_s() if self.silent_s is None else self.silent_s
+
     async def run(self) -> None:
         """Sends heartbeats until the worker is gone or has a newer owner."""
         while not self.is_gone and not self.is_fenced:
