Decide in one place whether a lasting task may be interrupted

A start that was not answered for 1 s was withdrawn also from a worker that can't be heard, where behind a cut in one direction the task is at work; nothing is gained, as the run ends with its lease anyway. And a sibling counted as available by the last report of its worker, however long ago.

Runs that a worker reports and the pool doesn't know were stopped without a line in the log; they have one.

--- a/daemons/manager/src/coltsfootseam/manager/orders/orders.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders/orders.py
@@ -1,8 +1,9 @@
 """Sends orders to workers and retries each until its outcome is known.
 
 An unanswered order may be carried out at once, later or never. A start is
-repeated unchanged until the worker answers. When the retries run out, a stop
-makes the worker reject the start before the task may run elsewhere.
+repeated unchanged until the worker answers. If a worker that answers heartbeats
+still doesn't answer it, a stop makes the worker reject the start before the
+task may run elsewhere. On a worker that can't be heard it ends with its lease.
 """
 
 import asyncio
@@ -11,6 +12,7 @@
 from coltsfootseam.jobs import Run, RunEnd, RunKey, RunPhase, Task
 from coltsfootseam.manager.background import start_once, start_restarting
 from coltsfootseam.manager.orders.start_capacity import StartCapacity
+from coltsfootseam.manager.pools.interruptions import Interruptions
 from coltsfootseam.manager.pools.pool_state import PoolState
 from coltsfootseam.workers import (
     OrderOutcome,
@@ -46,6 +48,7 @@
 
     __slots__ = (
         "_capacity",
+        "_interruptions",
         "_on_change",
         "_send_slots",
         "_state",
@@ -55,8 +58,14 @@
         "_unsent",
     )
 
-    def __init__(self, state: PoolState, on_change: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        state: PoolState,
+        interruptions: Interruptions,
+        on_change: Callable[[], None],
+    ) -> None:
         self._state = state
+        self._interruptions = interruptions
         self._capacity = StartCapacity(state)
         self._on_change = on_change
         self._send_slots = asyncio.Semaphore(_MAX_CONCURRENT_STARTS)
@@ -102,6 +111,7 @@
         key = (reported.task, reported.number, link.worker_id)
         if key not in self._stopping_unknown:
             self._stopping_unknown.add(key)
+            self._report_unknown_run(link, reported)
             self._track(
                 start_restarting(
                     self._state.context,
@@ -110,6 +120,20 @@
                 )
             )
 
+    def _report_unknown_run(
+        self, link: WorkerLink, reported: RunningRun
+    ) -> None:
+        task = self._state.job_table.find_task(reported.task)
+        self._state.context.log.write(
+            "run.unknown",
+            job=reported.task.job_id,
+            task=reported.task.position(),
+            run=reported.number,
+            worker=link.worker_id,
+            latest_run=None if task is None else task.last_run_number,
+        )
+        self._state.context.counters.increment("run.unknown")
+
     def send_pace(self, task: Task, run: Run, percent: int) -> None:
         """Sets the pace of a run, in percent of its full speed."""
         self._track(
@@ -185,7 +209,10 @@
                     outcome = await link.start(order)
             if outcome is not OrderOutcome.UNKNOWN:
                 break
-            if state.now_s() - started_s > _MAX_START_RETRY_S:
+            is_overdue = state.now_s() - started_s > _MAX_START_RETRY_S
+            if is_overdue and self._interruptions.may_withdraw_start(
+                run, started_s
+            ):
                 state.job_table.stop_run(task, run, "start without an answer")
                 break
             await state.context.timers.sleep(_RETRY_DELAY_S)
--- a/daemons/manager/src/coltsfootseam/manager/pools/evacuation.py
+++ b/daemons/manager/src/coltsfootseam/manager/pools/evacuation.py
@@ -8,6 +8,7 @@
     MAX_CONFIRMED_AGE_S,
     EvacuationRequests,
 )
+from coltsfootseam.manager.pools.interruptions import Interruptions
 from coltsfootseam.manager.pools.pool_state import PoolState
 from coltsfootseam.scheduling import (
     IsolationPlan,
@@ -19,8 +20,6 @@
 from coltsfootseam.workers import WorkerEntry
 
 _MS_PER_S = 1000
-_READY_PERCENT = 100
-_MIN_READY_S = 0.5
 _MILLIS_PER_CORE = 1000
 _EVACUATED_REASON = "its machine is needed elsewhere"
 
@@ -38,10 +37,17 @@
         isolation: The latest plan for suspects.
     """
 
-    __slots__ = ("_requests", "_state", "isolation", "shortages")
+    __slots__ = (
+        "_interruptions",
+        "_requests",
+        "_state",
+        "isolation",
+        "shortages",
+    )
 
-    def __init__(self, state: PoolState) -> None:
+    def __init__(self, state: PoolState, interruptions: Interruptions) -> None:
         self._state = state
+        self._interruptions = interruptions
         self._requests = EvacuationRequests(
             state.context.times, state.journal.claimed_s
         )
@@ -123,7 +129,7 @@
         self._update_workers()
         if not self._requests.is_current(state.now_s()):
             state.surplus_worker_ids = set()
-        self._record_unavailable()
+        self._interruptions.record_unavailable()
         for task, run in state.job_table.runs.all_runs():
             if run.phase is RunPhase.STOPPING or run.settled_s is None:
                 continue
@@ -148,9 +154,7 @@
 
     def _stop_evacuated_run(self, task: Task, run: Run) -> None:
         if task.step.long_running:
-            if self._may_interrupt(task):
-                self._state.job_table.stop_run(task, run, _EVACUATED_REASON)
-                task.last_inactive_s = self._state.now_s()
+            self._interruptions.stop_if_allowed(task, run, _EVACUATED_REASON)
             return
         is_long = self._expected_remaining_ms(task, run) > _MS_PER_S
         if task.step.checkpointing and is_long:
@@ -161,36 +165,6 @@
         lasted_ms = (self._state.now_s() - run.ordered_s) * _MS_PER_S
         return task.step.estimate_ms * ratio - lasted_ms
 
-    def _may_interrupt(self, task: Task) -> bool:
-        """Returns whether one more task of the step may be interrupted."""
-        step = task.step
-        if step.may_miss is None:
-            return True
-        job = self._state.job_table.jobs_by_id[task.id.job_id]
-        members = job.occurrence(task.id.occurrence).tasks_by_step[task.id.step]
-        unavailable = sum(
-            1 for member in members if self._is_unavailable(member)
-        )
-        return unavailable < step.may_miss
-
-    def _is_unavailable(self, task: Task) -> bool:
-        """Returns whether a task is unavailable, or was so a moment ago."""
-        now_s = self._state.now_s()
-        since_s = task.last_inactive_s
-        if since_s is not None and now_s - since_s < _MIN_READY_S:
-            return True
-        return not _is_ready(task)
-
-    def _record_unavailable(self) -> None:
-        """Records when each long-running task was last seen unavailable."""
-        now_s = self._state.now_s()
-        for job in self._state.job_table.active_by_id.values():
-            if not any(step.long_running for step in job.request.steps):
-                continue
-            for task in job.tasks():
-                if not _is_ready(task):
-                    task.last_inactive_s = now_s
-
     def _demand(
         self, shortages: list[Shortage], workers: list[WorkerEntry]
     ) -> _Demand:
@@ -289,13 +263,6 @@
     )
 
 
-def _is_ready(task: Task) -> bool:
-    return any(
-        run.phase is RunPhase.RUNNING and run.progress == _READY_PERCENT
-        for run in task.runs
-    )
-
-
 def _estimated_core_ms(pairs: list[RunPair]) -> float:
     return sum(
         task.step.cpu_millis / _MILLIS_PER_CORE * task.step.estimate_ms
--- /dev/null
+++ b/daemons/manager/src/coltsfootseam/manager/pools/interruptions.py
@@ -0,0 +1,99 @@
+"""Decides whether a task may be interrupted by an order of the pool's owner.
+
+A step with ``may_miss`` allows that so many of its tasks are unavailable at the
+same time by the system's doing. Whatever ends a run of such a step by choice
+asks here first. Runs that end with their worker are not interruptions.
+"""
+
+from coltsfootseam.jobs import Run, RunPhase, Task
+from coltsfootseam.manager.pools.pool_state import PoolState
+
+_READY_PERCENT = 100
+_MIN_READY_S = 0.5
+_MAX_REPLY_DELAY_S = 1.0
+"""How much later than asked for a reply may come from a worker in touch."""
+
+
+class Interruptions:
+    """Keeps interruptions within what each step may miss."""
+
+    __slots__ = ("_state",)
+
+    def __init__(self, state: PoolState) -> None:
+        self._state = state
+
+    def record_unavailable(self) -> None:
+        """Records when each lasting task was last seen unavailable."""
+        now_s = self._state.now_s()
+        for job in self._state.job_table.active_by_id.values():
+            if not any(step.long_running for step in job.request.steps):
+                continue
+            for task in job.tasks():
+                if not self._is_ready(task):
+                    task.last_inactive_s = now_s
+
+    def stop_if_allowed(self, task: Task, run: Run, reason: str) -> bool:
+        """Stops a run of a lasting task unless its step would miss too many.
+
+        Returns:
+            Whether the run is being stopped.
+        """
+        if not self._may_interrupt(task):
+            return False
+        self._state.job_table.stop_run(task, run, reason)
+        task.last_inactive_s = self._state.now_s()
+        return True
+
+    def may_withdraw_start(self, run: Run, sent_s: float) -> bool:
+        """Returns whether a start without an answer may be taken back.
+
+        A worker that can't be heard may have carried the order out. Its run
+        either is heard of again or ends with its lease, so that a stop gains
+        nothing and may end a task at work. A worker that answers heartbeats
+        would have reported the run.
+
+        Args:
+            run: The run.
+            sent_s: When its start was first sent, in monotonic seconds.
+        """
+        link = self._state.links_by_id.get(run.worker_id)
+        if link is None or not link.is_reachable:
+            return False
+        return link.last_request_s is not None and link.last_request_s > sent_s
+
+    def _may_interrupt(self, task: Task) -> bool:
+        """Returns whether one more task of the step may be interrupted."""
+        step = task.step
+        if step.may_miss is None:
+            return True
+        job = self._state.job_table.jobs_by_id[task.id.job_id]
+        members = job.occurrence(task.id.occurrence).tasks_by_step[task.id.step]
+        unavailable = sum(
+            1 for member in members if self._is_unavailable(member)
+        )
+        return unavailable < step.may_miss
+
+    def _is_unavailable(self, task: Task) -> bool:
+        """Returns whether a task is unavailable, or was so a moment ago."""
+        now_s = self._state.now_s()
+        since_s = task.last_inactive_s
+        if since_s is not None and now_s - since_s < _MIN_READY_S:
+            return True
+        return not self._is_ready(task)
+
+    def _is_ready(self, task: Task) -> bool:
+        return any(
+            run.phase is RunPhase.RUNNING
+            and run.progress == _READY_PERCENT
+            and self._is_in_touch(run.worker_id)
+            for run in task.runs
+        )
+
+    def _is_in_touch(self, worker_id: str) -> bool:
+        """Returns whether a worker has replied lately, as it is asked to."""
+        link = self._state.links_by_id.get(worker_id)
+        if link is None or link.last_reply_s is None:
+            return False
+        silent_s = self._state.now_s() - link.last_reply_s
+        wait_s = self._state.context.times.hold_wait_s
+        return silent_s <= wait_s + _MAX_REPLY_DELAY_S
--- a/daemons/manager/src/coltsfootseam/manager/pools/pool_owner.py
+++ b/daemons/manager/src/coltsfootseam/manager/pools/pool_owner.py
@@ -22,6 +22,7 @@
 from coltsfootseam.manager.orders.orders import Orders
 from coltsfootseam.manager.orders.worker_links import WorkerLinks
 from coltsfootseam.manager.pools.evacuation import Evacuation
+from coltsfootseam.manager.pools.interruptions import Interruptions
 from coltsfootseam.manager.pools.pacer import Pacer
 from coltsfootseam.manager.pools.planning_rounds import PlanningRounds
 from coltsfootseam.manager.pools.pool_loading import PoolLoader
@@ -203,12 +204,13 @@
         self._wake.set()
 
     async def _run_rounds(self, state: PoolState, inbox: Tail) -> None:
-        orders = Orders(state, self._wake.set)
+        interruptions = Interruptions(state)
+        orders = Orders(state, interruptions, self._wake.set)
         reconciler = RunReconciler(state, orders)
         workers = WorkerLinks(state, reconciler, self._wake.set)
         tickets = TicketCache(state, self._wake)
         exchange = self._start_exchange(state)
-        self.evacuation = Evacuation(state)
+        self.evacuation = Evacuation(state, interruptions)
         self.inbox = inbox
         self.state = state
         rounds = PlanningRounds(
--- a/libs/testbed/src/coltsfootseam/testbed/manager_switches.py
+++ b/libs/testbed/src/coltsfootseam/testbed/manager_switches.py
@@ -22,7 +22,7 @@
 from coltsfootseam.manager.orders import start_capacity
 from coltsfootseam.manager.peer_handlers import PeerHandlers
 from coltsfootseam.manager.pools import crash_evidence, pacer
-from coltsfootseam.manager.pools.evacuation import Evacuation
+from coltsfootseam.manager.pools.interruptions import Interruptions
 from coltsfootseam.manager.pools.retention import Retention
 from coltsfootseam.manager.quotas.team_limits import TeamLimits
 from coltsfootseam.results import Refusal, ResultCode
@@ -231,7 +231,7 @@
 
 @switch("may-miss")
 def _ignore_may_miss_limits() -> None:
-    replace(Evacuation, "_may_interrupt", lambda vacating, task: True)
+    replace(Interruptions, "_may_interrupt", lambda interruptions, task: True)
 
 
 @switch("orders-of-earlier-owners")
--- a/libs/testbed/src/coltsfootseam/testbed/model/pool.py
+++ b/libs/testbed/src/coltsfootseam/testbed/model/pool.py
@@ -9,6 +9,7 @@
 from coltsfootseam.manager.leases.pool_leases import PoolLeases
 from coltsfootseam.manager.leases.store_contacts import StoreContacts
 from coltsfootseam.manager.pools.evacuation import Evacuation
+from coltsfootseam.manager.pools.interruptions import Interruptions
 from coltsfootseam.manager.pools.planning import Planner
 from coltsfootseam.manager.pools.pool_state import PoolState
 from coltsfootseam.manager.pools.ticket_cache import TicketCache
@@ -56,7 +57,7 @@
         )
         tickets = TicketCache(self.state, asyncio.Event())
         self._planner = Planner(self.state, tickets)
-        self._evacuation = Evacuation(self.state)
+        self._evacuation = Evacuation(self.state, Interruptions(self.state))
         self._arrivals_by_id: dict[str, Arrival] = {}
         self.workers_by_id: dict[str, ModelWorker] = {}
         self.done_s_by_id: dict[str, float] = {}
@@ -106,6 +107,8 @@
     def advance(self, step_s: float) -> None:
         """Advances the workers, then runs a planning round."""
         self._advance_workers(step_s)
+        for link in self.state.links_by_id.values():
+            link.last_reply_s = self.state.now_s()
         self._evacuation.stop_leaving_runs()
         self._stop_stalled_runs()
         for new in self._planner.plan_runs():
--- a/libs/workers/src/coltsfootseam/workers/link.py
+++ b/libs/workers/src/coltsfootseam/workers/link.py
@@ -42,6 +42,8 @@
         is_watched: Whether heartbeats follow each other at short intervals.
         last_reply_s: When the worker last replied to a heartbeat, monotonic
             seconds, or ``None``.
+        last_request_s: When the latest heartbeat was sent that the worker
+            replied to, monotonic seconds, or ``None``.
         silent_s: Latest time at which the worker may have stopped replying,
             monotonic seconds, ``None`` while it replies.
     """
@@ -62,6 +64,7 @@
         "is_reachable",
         "is_watched",
         "last_reply_s",
+        "last_request_s",
         "lease",
         "silent_s",
     )
@@ -93,6 +96,7 @@
         self.is_fenced = False
         self.is_watched = False
         self.last_reply_s: float | None = None
+        self.last_request_s: float | None = None
         self.silent_s: float | None = None
 
     @property
@@ -191,6 +195,7 @@
         self.lease.read_clock(reply.clock_ms)
         self.lease.record_fencing()
         self.last_reply_s = self._timers.now_s()
+        self.last_request_s = sent_s
         self.silent_s = None
         self.is_reachable = True
         for run in reply.ended:
