Ask a worker that did not answer for its reply at once

Cause: the first heartbeat that was answered again waited up to a second for the end of a run, and only the one after it extended the lease; a failed attempt with such a wait cost 1.6 s of a lease of 4 s. Now a heartbeat after an unanswered one asks for no wait.

That LOST can't come back isn't shown.

--- a/libs/workers/src/coltsfootseam/workers/link.py
+++ b/libs/workers/src/coltsfootseam/workers/link.py
@@ -127,7 +127,10 @@
         has_unstored_ends = self._max_listed > self.acknowledged
         is_settled = self.last_reply_s is not None and not has_unstored_ends
         longest_s = _WATCHED_WAIT_S if self.is_watched else self._wait_s
-        wait_s = longest_s if is_settled else 0.0
+        # A worker that did not answer is asked for its reply at once, so that
+        # its lease is extended in time if it is reached again.
+        may_wait = is_settled and self.is_reachable
+        wait_s = longest_s if may_wait else 0.0
         # A heartbeat may take effect though it isn't answered, so an
         # unresponsive worker gets no new lease: otherwise its lease would
         # never be known to have ended, and its tasks could not run elsewhere.
