Keep a start that a heartbeat has confirmed meanwhile, and split two functions

A start whose answer was lost was stopped, with its task at work, if a heartbeat reported the run while the last repeat of the start was waiting for its answer: the limit was checked without looking at the run again. Seen in a test of the change before, whose cut ended in that moment; it now plays cuts of four lengths. The rate of crashes is asked for in one place; two functions that had grown are split, without a change of behaviour.

--- a/daemons/manager/src/coltsfootseam/manager/orders/orders.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders/orders.py
@@ -209,16 +209,24 @@
                     outcome = await link.start(order)
             if outcome is not OrderOutcome.UNKNOWN:
                 break
-            is_overdue = state.now_s() - started_s > _MAX_START_RETRY_S
-            if is_overdue and self._interruptions.may_withdraw_start(
-                run, started_s
-            ):
+            if self._must_withdraw(task, run, started_s):
                 state.job_table.stop_run(task, run, "start without an answer")
                 break
             await state.context.timers.sleep(_RETRY_DELAY_S)
         self._unsent.discard((task.id, run.number))
         self._apply_start_outcome(task, run, outcome, attempts)
 
+    def _must_withdraw(self, task: Task, run: Run, sent_s: float) -> bool:
+        """Returns whether to give up a start that isn't answered.
+
+        A heartbeat may have reported the run while the start was repeated.
+        """
+        if not _is_start_pending(task, run):
+            return False
+        if self._state.now_s() - sent_s <= _MAX_START_RETRY_S:
+            return False
+        return self._interruptions.may_withdraw_start(run, sent_s)
+
     def _withdraw_start(self, task: Task, run: Run) -> None:
         """Ends a run whose start was never sent."""
         self._report_start(task, run, "WITHDRAWN")
--- a/daemons/manager/src/coltsfootseam/manager/orders/worker_snapshot.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders/worker_snapshot.py
@@ -24,7 +24,7 @@
         for link in state.links_by_id.values()
         if not link.is_gone
     }
-    crash_rate = state.crash_rate.per_worker_s(state.now_s())
+    crash_rate = state.crashes_per_worker_s()
     for worker_id, worker in workers_by_id.items():
         for task, run in state.job_table.runs.runs_of(worker_id):
             age_s = state.now_s() - run.ordered_s
--- a/daemons/manager/src/coltsfootseam/manager/pools/crash_evidence.py
+++ b/daemons/manager/src/coltsfootseam/manager/pools/crash_evidence.py
@@ -77,9 +77,7 @@
             is_known = task.id.job_id in job_table.jobs_by_id
             if is_known and is_confirmed(run):
                 job_table.record_crash(task, worker_id)
-        assessment = assess_crash(
-            pairs, state.crash_rate.per_worker_s(state.now_s())
-        )
+        assessment = assess_crash(pairs, state.crashes_per_worker_s())
         for task in assessment.suspects:
             self._suspect(task)
         for task in assessment.culprits:
@@ -90,8 +88,7 @@
         state = self._state
         if not task.is_suspect:
             return
-        rate = state.crash_rate.per_worker_s(state.now_s())
-        if not is_cleared(task, rate):
+        if not is_cleared(task, state.crashes_per_worker_s()):
             return
         state.job_table.clear_suspicion(task)
         state.context.log.write(
@@ -165,10 +162,7 @@
         )
 
     def _crashes_per_hour(self) -> float:
-        """Returns how often a worker of the pool crashes by itself."""
-        state = self._state
-        rate = state.crash_rate.per_worker_s(state.now_s())
-        return round(rate * _S_PER_HOUR, 1)
+        return round(self._state.crashes_per_worker_s() * _S_PER_HOUR, 1)
 
 
 def _failure_reason(task: Task) -> str:
--- a/daemons/manager/src/coltsfootseam/manager/pools/evacuation.py
+++ b/daemons/manager/src/coltsfootseam/manager/pools/evacuation.py
@@ -68,12 +68,7 @@
             state.context.counters.increment("evacuation.ignored")
             return EvacuationReply(is_owner=True, token=self._requests.token)
         self._update_workers()
-        for worker_id in request.released_ids:
-            # Its machine was released, so nothing runs there any more.
-            state.ended_worker_ids.add(worker_id)
-            link = state.links_by_id.get(worker_id)
-            if link is not None:
-                link.is_gone = True
+        self._end_workers(request.released_ids)
         busy_ids = set(state.job_table.runs.worker_ids())
         workers = state.cluster.usable_workers()
         shortages = [
@@ -96,6 +91,15 @@
             token=self._requests.token,
         )
 
+    def _end_workers(self, released_ids: list[str]) -> None:
+        """Records that nothing runs any more on workers that were released."""
+        state = self._state
+        for worker_id in released_ids:
+            state.ended_worker_ids.add(worker_id)
+            link = state.links_by_id.get(worker_id)
+            if link is not None:
+                link.is_gone = True
+
     def _update_workers(self) -> None:
         """Updates which workers are to be evacuated."""
         state = self._state
--- a/daemons/manager/src/coltsfootseam/manager/pools/pool_state.py
+++ b/daemons/manager/src/coltsfootseam/manager/pools/pool_state.py
@@ -76,6 +76,10 @@
         """Returns the time of day, Unix milliseconds."""
         return self.context.timers.wall_ms()
 
+    def crashes_per_worker_s(self) -> float:
+        """Returns how often a worker of the pool crashes, whatever runs."""
+        return self.crash_rate.per_worker_s(self.now_s())
+
     def queue_of(self, job: Job) -> Queue:
         """Returns a job's queue, even if it was removed."""
         return self.cluster.queue_of(job.request, self.pool)
--- a/daemons/manager/src/coltsfootseam/manager/pools/run_reconciler.py
+++ b/daemons/manager/src/coltsfootseam/manager/pools/run_reconciler.py
@@ -57,23 +57,15 @@
             reason: How that is known.
             silent_s: When it stopped replying, ``None`` if that isn't known.
         """
-        pairs = self._state.job_table.runs.runs_of(worker_id)
-        _record_silence(pairs, silent_s)
+        pairs = self._silenced_pairs(worker_id, silent_s)
         self._crashes.record_loss(worker_id, pairs, reason)
         self._lapse(pairs, reason)
 
     def end_crashed_runs(
         self, worker_id: str, reason: str, silent_s: float | None = None
     ) -> None:
-        """Ends all runs on a worker that has crashed.
-
-        Args:
-            worker_id: The worker.
-            reason: How that is known.
-            silent_s: When it stopped replying, ``None`` if that isn't known.
-        """
-        pairs = self._state.job_table.runs.runs_of(worker_id)
-        _record_silence(pairs, silent_s)
+        """Ends all runs on a worker that has crashed, see ``end_lost_runs``."""
+        pairs = self._silenced_pairs(worker_id, silent_s)
         self._crashes.record_crash(worker_id, pairs, reason)
         self._lapse(pairs, reason)
 
@@ -86,6 +78,15 @@
         """Returns the workers that lost their runs and may have crashed."""
         return self._crashes.lost_worker_ids()
 
+    def _silenced_pairs(
+        self, worker_id: str, silent_s: float | None
+    ) -> list[RunPair]:
+        """Returns the runs on a worker, with when it stopped replying."""
+        pairs = self._state.job_table.runs.runs_of(worker_id)
+        for _, run in pairs:
+            run.silent_s = silent_s
+        return pairs
+
     def _lapse(self, pairs: list[RunPair], reason: str) -> None:
         for task, run in pairs:
             self._end_run(task, run, RunEnd.LAPSED, run.saved, reason)
@@ -178,8 +179,3 @@
             load=run.load,
             why=run.reason or why,
         )
-
-
-def _record_silence(pairs: list[RunPair], silent_s: float | None) -> None:
-    for _, run in pairs:
-        run.silent_s = silent_s
--- a/tests/cover/test_lasting_interruptions.py
+++ b/tests/cover/test_lasting_interruptions.py
@@ -1,5 +1,7 @@
 """Orders that may end a lasting task, each while its step may miss few."""
 
+import pytest
+
 from coltsfootseam.jobs import Step, TaskId
 from coltsfootseam.workers import StartOrder
 from tests.common.fleets import Fleet, running_fleet
@@ -14,7 +16,7 @@
     per_worker_limit=1,
     may_miss=1,
 )
-CUT_S = 2.5
+CUTS_S = (1.7, 2.0, 2.5, 3.0)
 SILENT_S = 2.5
 
 
@@ -37,8 +39,12 @@
 
 
 # Guards against a task at work that is stopped since the answer to its start
-# was lost: behind a cut in one direction it runs, though nobody hears of it.
-async def test_a_start_is_not_withdrawn_from_a_worker_that_is_unheard() -> None:
+# was lost: behind a cut in one direction it runs, though nobody hears of it,
+# and a heartbeat may report it while the start is being repeated.
+@pytest.mark.parametrize("cut_s", CUTS_S)
+async def test_a_start_is_not_withdrawn_from_a_worker_that_is_unheard(
+    cut_s: float,
+) -> None:
     async with running_fleet(
         workers=4, duration_of=lambda task: LASTING_S
     ) as fleet:
@@ -63,7 +69,7 @@
         fleet.workers.kill(lost_id)
         fleet.workers.on_crash(lost_id)
         await fleet.wait_until(lambda: bool(workers_of(fleet, task)))
-        await fleet.timers.advance(CUT_S)
+        await fleet.timers.advance(cut_s)
         workers[spare_id].faults.unheard_by_hosts.clear()
         await fleet.timers.advance(5.0)
         assert workers_of(fleet, task) == [spare_id]
