--- a/daemons/manager/src/coltsfootseam/manager/pools/interruptions.py
+++ b/daemons/manager/src/coltsfootseam/manager/pools/interruptions.py
@@ -10,8 +10,6 @@
 
 _READY_PERCENT = 100
 _MIN_READY_S = 0.5
-_MAX_REPLY_DELAY_S = 1.0
-"""How much later than asked for a reply may come from a worker in touch."""
 
 
 class Interruptions:
@@ -90,10 +88,6 @@
         )
 
     def _is_in_touch(self, worker_id: str) -> bool:
-        """Returns whether a worker has replied lately, as it is asked to."""
+        """Returns whether a worker answered its last heartbeat."""
         link = self._state.links_by_id.get(worker_id)
-        if link is None or link.last_reply_s is None:
-            return False
-        silent_s = self._state.now_s() - link.last_reply_s
-        wait_s = self._state.context.times.hold_wait_s
-        return silent_s <= wait_s + _MAX_REPLY_DELAY_S
+        return link is not None and link.is_reachable
--- a/libs/testbed/src/coltsfootseam/testbed/model/pool.py
+++ b/libs/testbed/src/coltsfootseam/testbed/model/pool.py
@@ -107,8 +107,6 @@
     def advance(self, step_s: float) -> None:
         """Advances the workers, then runs a planning round."""
         self._advance_workers(step_s)
-        for link in self.state.links_by_id.values():
-            link.last_reply_s = self.state.now_s()
         self._evacuation.stop_leaving_runs()
         self._stop_stalled_runs()
         for new in self._planner.plan_runs():
