--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES := $(sort $(wildcard libs/*) $(wildcard daemons/*) platform)
 SOURCES := libs daemons platform deploy tests bench
 
-.PHONY: setup demo test faults lint format bench-control bench-requests bench-placement bench-quarantine bench-quotas bench-teams bench-scheduling fuzz soak proofs proto
+.PHONY: setup demo test faults lint format bench-control bench-requests bench-placement bench-quarantine bench-coincidence bench-quotas bench-teams bench-scheduling fuzz soak proofs proto
 
 setup: .venv/.installed
 
@@ -53,6 +53,9 @@
 bench-quarantine: setup
 	PYTHONHASHSEED=0 $(BIN)/python -m bench.quarantine
 
+bench-coincidence: setup
+	PYTHONHASHSEED=0 $(BIN)/python -m bench.coincidence
+
 fuzz: setup
 	$(BIN)/python -m bench.fuzz $(SEED) $(COUNT)
 
