--- a/daemons/manager/src/coltsfootseam/manager/orders/orders.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders/orders.py
@@ -120,20 +120,6 @@
                 )
             )
 
-    def _report_unknown_run(
-        self, link: WorkerLink, reported: RunningRun
-    ) -> None:
-        task = self._state.job_table.find_task(reported.task)
-        self._state.context.log.write(
-            "run.unknown",
-            job=reported.task.job_id,
-            task=reported.task.position(),
-            run=reported.number,
-            worker=link.worker_id,
-            latest_run=None if task is None else task.last_run_number,
-        )
-        self._state.context.counters.increment("run.unknown")
-
     def send_pace(self, task: Task, run: Run, percent: int) -> None:
         """Sets the pace of a run, in percent of its full speed."""
         self._track(
@@ -167,6 +153,20 @@
             )
         self._on_change()
 
+    def _report_unknown_run(
+        self, link: WorkerLink, reported: RunningRun
+    ) -> None:
+        task = self._state.job_table.find_task(reported.task)
+        self._state.context.log.write(
+            "run.unknown",
+            job=reported.task.job_id,
+            task=reported.task.position(),
+            run=reported.number,
+            worker=link.worker_id,
+            latest_run=None if task is None else task.last_run_number,
+        )
+        self._state.context.counters.increment("run.unknown")
+
     def _track(self, task: asyncio.Task[None]) -> None:
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
--- a/daemons/manager/src/coltsfootseam/manager/pools/interruptions.py
+++ b/daemons/manager/src/coltsfootseam/manager/pools/interruptions.py
@@ -1,8 +1,8 @@
-"""Decides whether a task may be interrupted by an order of the pool's owner.
+"""Decides whether an evacuation or an unanswered start may end a run.
 
 A step with ``may_miss`` allows that so many of its tasks are unavailable at the
-same time by the system's doing. Whatever ends a run of such a step by choice
-asks here first. Runs that end with their worker are not interruptions.
+same time by the system's doing. Cancelled and failed jobs, and workers that
+drain, end their runs without asking here.
 """
 
 from coltsfootseam.jobs import Run, RunPhase, Task
@@ -30,17 +30,11 @@
                 if not self._is_ready(task):
                     task.last_inactive_s = now_s
 
-    def stop_if_allowed(self, task: Task, run: Run, reason: str) -> bool:
-        """Stops a run of a lasting task unless its step would miss too many.
-
-        Returns:
-            Whether the run is being stopped.
-        """
-        if not self._may_interrupt(task):
-            return False
-        self._state.job_table.stop_run(task, run, reason)
-        task.last_inactive_s = self._state.now_s()
-        return True
+    def stop_if_allowed(self, task: Task, run: Run, reason: str) -> None:
+        """Stops a run of a lasting task unless its step would miss too many."""
+        if self._may_interrupt(task):
+            self._state.job_table.stop_run(task, run, reason)
+            task.last_inactive_s = self._state.now_s()
 
     def may_withdraw_start(self, run: Run, sent_s: float) -> bool:
         """Returns whether a start without an answer may be taken back.
