--- a/review/standins-2/platform_standins.py
+++ b/review/standins-2/platform_standins.py
@@ -505,6 +505,10 @@
         if body["deadline_ms"] <= self.clock_ms():
             return self._refuse("late")
         self._extend(body["deadline_ms"])
+        if run is not None:
+            # The pages don't say what becomes of an older run of the task
+            # here; it ends before the new one begins.
+            self._end(run, "stopped")
         lasts_s = self._runs_s(task)
         interval = {"task": task, "run": number, "worker": self.id,
                     "service": self.service, "born": self.born,
