Let the stand-in of workers answer calls meant for a former life

A worker that starts again under its id can't tell whom a call was meant for: neither the id nor the header that names the expected instance tells its lives apart, and only lists of runs say which life replies. The in-memory stand-in refused such calls by the time of the worker's start, so no test could see what the next life does with them. It now answers them, takes the lease end of a start that is refused or repeated as well, and can lose power without a reset of its connections.

--- a/libs/standins/src/coltsfootseam/standins/memory_worker.py
+++ b/libs/standins/src/coltsfootseam/standins/memory_worker.py
@@ -54,6 +54,8 @@
             nor answered.
         unheard_by_hosts: Ids of hosts whose calls are applied but not
             answered.
+        resets_connections: The end of the process resets its connections; a
+            machine that loses power doesn't.
     """
 
     is_unresponsive: bool = False
@@ -64,6 +66,7 @@
     delay_s: float = 3.0
     unreachable_from_hosts: set[str] = set()
     unheard_by_hosts: set[str] = set()
+    resets_connections: bool = True
 
 
 class MemoryWorker(msgspec.Struct):
--- a/libs/standins/src/coltsfootseam/standins/memory_worker_calls.py
+++ b/libs/standins/src/coltsfootseam/standins/memory_worker_calls.py
@@ -55,8 +55,7 @@
         until_s = self._timers.now_s() + order.wait_ms / _MS_PER_S
         while not found.ended_runs and self._timers.now_s() < until_s:
             await self._timers.sleep(_POLL_S)
-            if found.is_dead and not self._is_cut_off(found):
-                # The end of its process resets its connections.
+            if self._is_reset(found):
                 return OrderReply(OrderOutcome.UNKNOWN)
         if self._is_unreachable(found):
             return OrderReply(OrderOutcome.UNKNOWN)
@@ -95,7 +94,9 @@
             self._workers.schedule_start(found.faults.delay_s, found, order)
             return await self._lose_reply()
         outcome = self._workers.apply_start(found, order)
-        if self._is_unheard(found):
+        if self._is_reset(found):
+            return OrderReply(OrderOutcome.UNKNOWN)
+        if found.is_dead or self._is_unheard(found):
             return await self._lose_reply()
         return OrderReply(outcome, self._workers.clock_ms(found))
 
@@ -129,7 +130,7 @@
         worker = self._workers.find(entry)
         if worker is None or self._is_unreachable(worker):
             return await self._lose_reply()
-        if worker.entry.started_ms != entry.started_ms:
+        if worker.entry.instance_id != entry.instance_id:
             return OrderReply(OrderOutcome.OTHER_LIFE)
         return worker
 
@@ -138,6 +139,12 @@
         await self._timers.sleep(_TIMEOUT_S)
         return OrderReply(OrderOutcome.UNKNOWN)
 
+    def _is_reset(self, worker: MemoryWorker) -> bool:
+        """Returns whether the end of a worker's process is noticed at once."""
+        if not worker.is_dead or self._is_cut_off(worker):
+            return False
+        return worker.faults.resets_connections
+
     def _is_unheard(self, worker: MemoryWorker) -> bool:
         return self._host_id in worker.faults.unheard_by_hosts
 
--- a/libs/standins/src/coltsfootseam/standins/memory_workers.py
+++ b/libs/standins/src/coltsfootseam/standins/memory_workers.py
@@ -179,9 +179,18 @@
         self._timers.schedule(delay_s, start)
 
     def find(self, entry: WorkerEntry) -> MemoryWorker | None:
-        """Returns the current incarnation of an entry's instance, if alive."""
+        """Returns whose process is at an entry's address, if it is alive.
+
+        It need not be the incarnation that the entry is of: an incarnation
+        that has kept its instance id can't tell whom a call was meant for.
+        """
         worker = self.workers_by_instance.get(entry.instance_id)
-        return None if worker is None or worker.is_dead else worker
+        if worker is not None and not worker.is_dead:
+            return worker
+        for other in self.workers_by_instance.values():
+            if other.entry.address == entry.address and not other.is_dead:
+                return other
+        return None
 
     def clock_ms(self, worker: MemoryWorker) -> int:
         """Returns the worker's monotonic clock."""
@@ -195,6 +204,8 @@
         if order.token < worker.token:
             return OrderOutcome.FENCED
         worker.token = order.token
+        if order.lease_end_ms > self.clock_ms(worker):
+            self._extend_lease(worker, order.lease_end_ms)
         run = worker.runs_by_task.get(order.task)
         if run is not None and run.number == order.number:
             return OrderOutcome.DONE
@@ -202,7 +213,6 @@
             return OrderOutcome.LATE
         if order.number <= worker.highest_ended_by_task.get(order.task, 0):
             return OrderOutcome.OLD
-        self._extend_lease(worker, order.lease_end_ms)
         self._check_start(worker, order)
         self._check_capacity(worker, order)
         self.starts.append(order)
