Test leases that a new owner finds on restarted workers

A worker that restarted lately may have taken the longest lease from a call of the former owner to its former life.

--- a/tests/common/fleets.py
+++ b/tests/common/fleets.py
@@ -299,15 +299,22 @@
         self.workers.kill(instance_id)
         self._set_machine_state(entry.machine_id, MachineState.DOWN)
 
-    def restart_worker(self, instance_id: str) -> None:
-        """Starts the next incarnation of a worker that has ended."""
-        self._restart(self.workers.workers_by_instance[instance_id].entry)
+    def restart_worker(self, instance_id: str, started_ms: int = 0) -> None:
+        """Starts the next incarnation of a worker that has ended.
+
+        Args:
+            instance_id: The worker.
+            started_ms: When it says that it has started, by default 1 ms after
+                the one before.
+        """
+        entry = self.workers.workers_by_instance[instance_id].entry
+        self._restart(entry, started_ms)
 
     def _return_crashed(self, entry: WorkerEntry) -> None:
         self._restart(entry)
         self._set_machine_state(entry.machine_id, MachineState.UP)
 
-    def _restart(self, entry: WorkerEntry) -> None:
+    def _restart(self, entry: WorkerEntry, started_ms: int = 0) -> None:
         """Starts the next worker on a machine, by default under its id."""
         latest = self.workers.workers_by_instance[entry.instance_id].entry
         if latest.started_ms != entry.started_ms:
@@ -315,7 +322,7 @@
         instance_id = entry.instance_id
         if self.renames_restarted_workers:
             instance_id += "x"
-        started_ms = entry.started_ms + 1
+        started_ms = started_ms or entry.started_ms + 1
         entry = msgspec.structs.replace(
             entry,
             worker_id=f"{instance_id}@{started_ms}",
--- a/tests/cover/test_restarted_workers.py
+++ b/tests/cover/test_restarted_workers.py
@@ -35,7 +35,7 @@
     fleet.workers.kill(instance_id)
 
     def restart() -> None:
-        fleet.restart_worker(instance_id)
+        fleet.restart_worker(instance_id, fleet.wall_ms())
         if unlisted_s:
             current = fleet.workers.workers_by_instance[instance_id].entry
             fleet.put_entry(worker.entry)
@@ -114,10 +114,10 @@
 
 # Guards against a successor that takes the runs of a former life for ended, as
 # it knows only the next one: it may have carried out the last owner's starts.
-@pytest.mark.parametrize("is_cut_off", [False, True])
+@pytest.mark.parametrize("cut_after_s", [None, 0.0, 1.0, 2.0, 3.0])
 @pytest.mark.parametrize("phase_s", [0.1, 0.5])
 async def test_a_new_owner_does_not_repeat_starts_of_restarted_workers(
-    phase_s: float, is_cut_off: bool
+    phase_s: float, cut_after_s: float | None
 ) -> None:
     async with running_fleet(
         hosts=3, workers=4, duration_of=lambda task: LONG_TASK_S
@@ -125,7 +125,8 @@
         await fleet.timers.advance(20.0)
         reached = await start_on_next_lives(fleet, phase_s, unlisted_s=0.2)
         await fleet.owner().kill()
-        if is_cut_off:
+        if cut_after_s is not None:
+            await fleet.timers.advance(cut_after_s)
             cut_off(fleet, reached, CUT_S)
         await fleet.wait_for_state(JOB, JobState.COMPLETED, 120.0)
 
