--- a/daemons/manager/src/coltsfootseam/manager/jobs/inbox_storage.py
+++ b/daemons/manager/src/coltsfootseam/manager/jobs/inbox_storage.py
@@ -7,17 +7,23 @@
 reach the store asks its peers.
 """
 
+import msgspec
+
 from coltsfootseam.calls import (
     FORWARD_APPEND,
     ForwardAppendReply,
     ForwardAppendRequest,
 )
 from coltsfootseam.manager.context import Context
-from coltsfootseam.manager.jobs.inbox_appender import InboxAppender
+from coltsfootseam.manager.jobs.admissions import Admissions
+from coltsfootseam.manager.jobs.inbox_appender import (
+    NOT_ADMITTED,
+    Condition,
+    InboxAppender,
+)
 from coltsfootseam.manager.jobs.owned_jobs import OwnedJobs
 from coltsfootseam.manager.jobs.owner_forwarding import OwnerForwarder
 from coltsfootseam.manager.membership.duties import DutyDirectory
-from coltsfootseam.manager.queue_pools import QueuePool, QueuePools
 from coltsfootseam.results import OK, Refusal, ResultCode
 from coltsfootseam.store import KeyedRecord, Membership
 
@@ -27,12 +33,16 @@
 _RETRY_DELAY_S = 0.1
 _FORWARD_TIMEOUT_S = 0.8
 _MIN_FORWARD_TIMEOUT_S = 0.5
-_MAX_FORWARD_PEERS = 2
+_MAX_UNKNOWN_PEERS = 2
+"""How many peers that may have stored a record, or may yet, are tried."""
 
 _UNCONFIRMED = Refusal(
     ResultCode.OUTCOME_UNKNOWN, "the store has not confirmed the append"
 )
 _UNSTORED = Refusal(ResultCode.NOT_RUN_OVERLOADED, "the store can't be reached")
+_QUEUE_UNKNOWN = Refusal(
+    ResultCode.NOT_RUN_NOT_READY, "the queue isn't in the configuration here"
+)
 _OF_OTHER_TEAM = Refusal(
     ResultCode.JOB_OF_OTHER_TEAM, "another team has a job of this id"
 )
@@ -42,13 +52,13 @@
     """Stores records in the inboxes of pools."""
 
     __slots__ = (
+        "_admissions",
         "_appender",
         "_context",
         "_directory",
         "_forwarder",
         "_membership",
         "_owned_jobs",
-        "_queue_pools",
     )
 
     def __init__(
@@ -59,7 +69,7 @@
         membership: Membership,
         appender: InboxAppender,
         owned_jobs: OwnedJobs,
-        queue_pools: QueuePools,
+        admissions: Admissions,
     ) -> None:
         self._context = context
         self._directory = directory
@@ -67,7 +77,7 @@
         self._membership = membership
         self._appender = appender
         self._owned_jobs = owned_jobs
-        self._queue_pools = queue_pools
+        self._admissions = admissions
 
     async def store(
         self,
@@ -77,6 +87,7 @@
         deadline_s: float,
         team: str | None = None,
         queue: str = "",
+        admission: int | None = None,
     ) -> Refusal:
         """Stores a record.
 
@@ -89,20 +100,26 @@
             deadline_s: When the caller stops waiting, monotonic.
             team: Team of a request, ``None`` if no team is checked.
             queue: Queue of a request, empty for other records.
+            admission: Offset of the record that admits the queue in the pool,
+                ``None`` if this host can't tell.
 
         Returns:
             ``OK`` once it is stored, ``NOT_RUN_OVERLOADED`` if it is not and
             never will be, ``OUTCOME_UNKNOWN`` if it may still be,
-            ``JOB_OF_OTHER_TEAM`` if another team has a job of this id.
+            ``JOB_OF_OTHER_TEAM`` if another team has a job of this id,
+            ``NOT_ADMITTED`` if the pool no longer takes jobs of the queue. What
+            was stored before then stays, and nothing is stored later.
         """
         is_unknown = False
-        request = ForwardAppendRequest(pool, key, value, team, queue)
+        request = ForwardAppendRequest(pool, key, value, team, queue, admission)
         while True:
             reply = await self._attempt(request, is_unknown, deadline_s)
             if reply.is_stored:
                 return OK
             if reply.is_of_other_team:
                 return _OF_OTHER_TEAM
+            if reply.is_not_admitted:
+                return NOT_ADMITTED
             is_unknown = reply.is_unknown
             if not self._is_retry_useful(is_unknown, deadline_s):
                 return _UNCONFIRMED if is_unknown else _UNSTORED
@@ -134,18 +151,16 @@
         """
         is_unresponsive = self._membership.is_store_unresponsive()
         if not is_unresponsive:
-            reply = await self._append(request, deadline_s)
-            if reply.is_of_other_team:
+            reply = await self._append(request, is_unknown, deadline_s)
+            if _is_final(reply):
                 return reply
             is_unknown = is_unknown or reply.is_unknown
             # Copies of an append that is in progress would only delay it.
             if reply.is_stored or is_unknown:
                 return ForwardAppendReply(reply.is_stored, is_unknown)
         reply = await self._forward_to_peers(request)
-        return ForwardAppendReply(
-            reply.is_stored,
-            is_unknown or reply.is_unknown,
-            reply.is_of_other_team,
+        return msgspec.structs.replace(
+            reply, is_unknown=is_unknown or reply.is_unknown
         )
 
     async def handle_forward(
@@ -154,13 +169,25 @@
         """Appends a record that a peer forwards to this host."""
         if self._membership.is_store_unresponsive():
             return ForwardAppendReply(is_stored=False)
-        return await self._append_here(request)
+        reply = await self._append_here(request)
+        return msgspec.structs.replace(
+            reply, is_from_owner=self._owned_jobs.owns(request.pool)
+        )
 
     async def _append(
-        self, request: ForwardAppendRequest, deadline_s: float
+        self,
+        request: ForwardAppendRequest,
+        is_unknown: bool,
+        deadline_s: float,
     ) -> ForwardAppendReply:
-        """Has the pool's owner append, else appends here."""
-        owner = self._forwarder.owner_of(request.pool)
+        """Has the pool's owner append, else appends here.
+
+        An owner that got no answer from the store isn't asked again: the reason
+        may be its own.
+        """
+        owner = None
+        if not is_unknown:
+            owner = await self._forwarder.find_owner(request.pool)
         if owner is None:
             return await self._append_here(request)
         time_left_s = deadline_s - self._context.timers.now_s()
@@ -169,12 +196,10 @@
         if reply is None:
             # The owner may have stored the record, or may yet store it.
             appended = await self._append_here(request)
-            return ForwardAppendReply(
-                appended.is_stored,
-                is_unknown=True,
-                is_of_other_team=appended.is_of_other_team,
-            )
-        if reply.is_stored or reply.is_unknown or reply.is_of_other_team:
+            return msgspec.structs.replace(appended, is_unknown=True)
+        if not reply.is_from_owner:
+            self._forwarder.record_moved(request.pool)
+        if reply.is_stored or reply.is_unknown or _is_final(reply):
             return reply
         return await self._append_here(request)
 
@@ -183,31 +208,66 @@
     ) -> ForwardAppendReply:
         if self._owned_jobs.is_of_other_team(request):
             return ForwardAppendReply(is_stored=False, is_of_other_team=True)
-        # Otherwise the job would be unknown once its queue has moved.
-        if request.queue and not await self._queue_pools.record(
-            QueuePool(request.queue, request.pool)
-        ):
-            return ForwardAppendReply(is_stored=False)
+        condition = None
+        if request.queue:
+            admission: int | Refusal | None = request.admission
+            if admission is None:
+                admission = await self._find_admission(request)
+            if isinstance(admission, Refusal):
+                return ForwardAppendReply(
+                    is_stored=False,
+                    is_not_admitted=admission is NOT_ADMITTED,
+                )
+            condition = Condition(request.queue, admission)
         result = await self._appender.append(
-            request.pool, KeyedRecord(request.key, request.value)
+            request.pool, KeyedRecord(request.key, request.value), condition
+        )
+        return ForwardAppendReply(
+            is_stored=result is OK,
+            is_unknown=result.code is ResultCode.OUTCOME_PENDING,
+            is_not_admitted=result is NOT_ADMITTED,
         )
-        if not isinstance(result, Refusal):
-            return ForwardAppendReply(is_stored=True)
-        is_unknown = result.code is ResultCode.OUTCOME_PENDING
-        return ForwardAppendReply(is_stored=False, is_unknown=is_unknown)
+
+    async def _find_admission(
+        self, request: ForwardAppendRequest
+    ) -> int | Refusal:
+        """Returns what admits a job that no other pool may have.
+
+        Returns:
+            ``NOT_ADMITTED`` if the pool doesn't admit it, or another one may
+            have it, which the caller has to look for.
+        """
+        queue = self._admissions.queue_named(request.queue)
+        if queue is None:
+            return _QUEUE_UNKNOWN
+        home = await self._admissions.find_home(queue)
+        if isinstance(home, Refusal):
+            return home
+        if home.pool != request.pool or home.others or home.admission is None:
+            return NOT_ADMITTED
+        return home.admission
 
     async def _forward_to_peers(
         self, request: ForwardAppendRequest
     ) -> ForwardAppendReply:
-        is_unknown = False
-        for address in self._directory.peer_addresses()[:_MAX_FORWARD_PEERS]:
+        unknown_count = 0
+        for address in self._directory.peer_addresses():
+            if unknown_count >= _MAX_UNKNOWN_PEERS:
+                break
             reply = await self._context.peers.call(
                 address, FORWARD_APPEND, request, _FORWARD_TIMEOUT_S
             )
             if isinstance(reply, ForwardAppendReply) and (
-                reply.is_stored or reply.is_of_other_team
+                reply.is_stored or _is_final(reply)
             ):
                 return reply
             if isinstance(reply, Refusal) or reply.is_unknown:
-                is_unknown = True
-        return ForwardAppendReply(is_stored=False, is_unknown=is_unknown)
+                unknown_count += 1
+        return ForwardAppendReply(
+            is_stored=False, is_unknown=bool(unknown_count)
+        )
+
+
+def _is_final(reply: ForwardAppendReply) -> bool:
+    """Returns whether a record was refused for good."""
+    return reply.is_of_other_team or reply.is_not_admitted
--- a/daemons/manager/src/coltsfootseam/manager/jobs/job_lookup.py
+++ b/daemons/manager/src/coltsfootseam/manager/jobs/job_lookup.py
@@ -4,7 +4,14 @@
 
 import msgspec
 
-from coltsfootseam.calls import ASK_JOB, JobStatusReply, JobStatusRequest
+from coltsfootseam.calls import (
+    ASK_JOB,
+    ASK_QUEUE_POOLS,
+    JobStatusReply,
+    JobStatusRequest,
+    QueuePoolsReply,
+    QueuePoolsRequest,
+)
 from coltsfootseam.jobs import JobState, Queue
 from coltsfootseam.manager.cluster_state import ClusterState
 from coltsfootseam.manager.context import Context
@@ -19,6 +26,7 @@
 _RETRY_DELAY_S = 0.1
 _ACCEPTED_JOB_EXPIRY_S = 10.0
 _MAX_CACHED_FINAL_STATES = 4000
+_MAX_ASKED_PEERS = 2
 
 
 class _AcceptedJob(msgspec.Struct, frozen=True):
@@ -70,13 +78,69 @@
         final = self._final_by_id.get(job_id)
         if final is not None:
             return final
-        job = await self.find_in(
-            self.pools_of(queue), job_id, deadline_s, is_absence_checked
+        job = await self._find_anywhere(
+            queue, job_id, deadline_s, is_absence_checked
         )
         if isinstance(job, KnownJob) and job.state.is_final:
             self._cache_final(job_id, job)
         return job
 
+    async def _find_anywhere(
+        self,
+        queue: Queue,
+        job_id: str,
+        deadline_s: float,
+        is_absence_checked: bool,
+    ) -> KnownJob | Refusal:
+        """Returns what is known of a job in all pools that may have it.
+
+        This host may know too few of them. So before it calls a job unknown, it
+        has the store tell which pools may have jobs of the queue.
+        """
+        asked: list[str] = []
+        pools = self.pools_of(queue)
+        while True:
+            job = await self.find_in(
+                pools, job_id, deadline_s, is_absence_checked
+            )
+            is_unknown = (
+                isinstance(job, Refusal) and job.code is ResultCode.JOB_UNKNOWN
+            )
+            if not is_unknown:
+                return job
+            asked += pools
+            recorded = await run_with_timeout(
+                self._context.timers,
+                self._read_pools(queue.name),
+                deadline_s - self._context.timers.now_s() - MIN_TIME_LEFT_S,
+            )
+            if recorded is None:
+                return Refusal(
+                    ResultCode.UNREACHABLE, "the queue's pools can't be read"
+                )
+            pools = [pool for pool in recorded if pool not in asked]
+            if not pools:
+                return job
+
+    async def _read_pools(self, queue: str) -> list[str] | None:
+        """Has the store tell which pools may have a queue's jobs.
+
+        A host that can't reach the store has a peer ask.
+        """
+        queue_pools = self._cluster.queue_pools
+        if await queue_pools.catch_up():
+            return queue_pools.all_of(queue)
+        for address in self._locator.peer_addresses()[:_MAX_ASKED_PEERS]:
+            reply = await self._context.peers.call(
+                address,
+                ASK_QUEUE_POOLS,
+                QueuePoolsRequest(queue),
+                OWNER_TIMEOUT_S,
+            )
+            if isinstance(reply, QueuePoolsReply) and reply.pools is not None:
+                return reply.pools
+        return None
+
     async def find_in(
         self,
         pools: Sequence[str],
@@ -144,7 +208,7 @@
             if reply is None:
                 return None
             if reply.state is not None:
-                return KnownJob(reply.state, reply.team)
+                return KnownJob(reply.state, reply.team, pool)
             is_current = is_current and reply.is_current
         accepted = self.find_accepted(job_id)
         if accepted is not None:
--- a/daemons/manager/src/coltsfootseam/manager/jobs/job_service.py
+++ b/daemons/manager/src/coltsfootseam/manager/jobs/job_service.py
@@ -19,13 +19,17 @@
 )
 from coltsfootseam.manager.cluster_state import ClusterState
 from coltsfootseam.manager.context import Context
+from coltsfootseam.manager.jobs.admissions import Admissions, Home
 from coltsfootseam.manager.jobs.callers import Callers
-from coltsfootseam.manager.jobs.inbox_storage import InboxStorage
+from coltsfootseam.manager.jobs.inbox_appender import NOT_ADMITTED
+from coltsfootseam.manager.jobs.inbox_storage import (
+    MIN_TIME_LEFT_S,
+    InboxStorage,
+)
 from coltsfootseam.manager.jobs.job_lookup import OWNER_TIMEOUT_S, JobLookup
 from coltsfootseam.manager.jobs.stored_states import KnownJob
 from coltsfootseam.manager.membership.duties import pool_duty
 from coltsfootseam.manager.membership.locator import Locator
-from coltsfootseam.manager.queue_pools import QueuePool
 from coltsfootseam.results import OK, Refusal, ResultCode
 from coltsfootseam.teams import find_excess
 
@@ -33,6 +37,10 @@
 _MAX_STORE_SILENCE_S = 1.0
 """Time without an answer after which the store isn't asked before a job."""
 
+_UNDETERMINED = Refusal(
+    ResultCode.OUTCOME_UNKNOWN, "another pool may have the job"
+)
+
 
 class _PendingCount(msgspec.Struct):
     count: int
@@ -47,6 +55,7 @@
     """
 
     __slots__ = (
+        "_admissions",
         "_cluster",
         "_context",
         "_locator",
@@ -62,8 +71,10 @@
         cluster: ClusterState,
         locator: Locator,
         storage: InboxStorage,
+        admissions: Admissions,
     ) -> None:
         self._context = context
+        self._admissions = admissions
         self._cluster = cluster
         self._locator = locator
         self._storage = storage
@@ -114,18 +125,48 @@
             return await self._refuse_excess(
                 queue, job_id, request.team, excess, deadline_s
             )
-        pool = await self._pool_for(queue, job_id, deadline_s)
-        if pool is None:
-            return Refusal(
-                ResultCode.OUTCOME_UNKNOWN, "another pool may have it"
+        return await self._store_once(queue, job_id, request, deadline_s, team)
+
+    async def _store_once(
+        self,
+        queue: Queue,
+        job_id: str,
+        request: JobRequest,
+        deadline_s: float,
+        team: str | None,
+    ) -> Refusal:
+        """Stores a job in the pool that takes the queue's new jobs.
+
+        An earlier request for the same job may be in another pool's inbox. The
+        job then stays there.
+        """
+        is_moved = False
+        while True:
+            home = await self._find_home(queue, is_current=is_moved)
+            if home is None:
+                return _UNDETERMINED
+            earlier = await self._find_earlier(home, job_id, deadline_s)
+            if isinstance(earlier, KnownJob):
+                return self.callers.check_access(job_id, earlier, team) or OK
+            if earlier.code is not ResultCode.JOB_UNKNOWN:
+                return _UNDETERMINED
+            outcome = await self._storage.store(
+                home.pool,
+                job_key(home.pool, job_id),
+                encode_request(request),
+                deadline_s,
+                team,
+                queue.name,
+                home.admission,
             )
-        key = job_key(pool, job_id)
-        outcome = await self._storage.store(
-            pool, key, encode_request(request), deadline_s, team, queue.name
-        )
+            is_moved = outcome is NOT_ADMITTED
+            if not is_moved:
+                break
+            if self._context.timers.now_s() > deadline_s - MIN_TIME_LEFT_S:
+                return _UNDETERMINED
         if outcome.code is ResultCode.JOB_OF_OTHER_TEAM:
             return self.callers.refuse_other_team(job_id, team)
-        self._record_submitted(queue, job_id, request.team, pool, outcome)
+        self._record_submitted(queue, job_id, request.team, home.pool, outcome)
         return outcome
 
     async def cancel(
@@ -144,18 +185,22 @@
             no such job, ``JOB_OF_OTHER_TEAM`` if it is another team's,
             otherwise why it could not be stored.
         """
-        state = await self._find_state(
-            queue, job_id, deadline_s, team, is_absence_checked=True
+        job = await self._lookup.find(
+            queue, job_id, deadline_s, is_absence_checked=True
         )
-        # The cancellation of a job whose team isn't known is not stored.
-        if isinstance(state, Refusal) and (
-            team is not None or state.code is ResultCode.JOB_UNKNOWN
-        ):
-            return state
-        if isinstance(state, JobState) and state is JobState.CANCELLED:
-            return OK
+        pools = set(self._lookup.pools_of(queue))
+        if isinstance(job, KnownJob):
+            denied = self.callers.check_access(job_id, job, team)
+            if denied is not None:
+                return denied
+            if job.state is JobState.CANCELLED:
+                return OK
+            pools.update({job.pool} - {""})
+        elif team is not None or job.code is ResultCode.JOB_UNKNOWN:
+            # The cancellation of a job whose team isn't known is not stored.
+            return job
         outcome = OK
-        for pool in self._lookup.pools_of(queue):
+        for pool in sorted(pools):
             stored = await self._storage.store(
                 pool, cancel_key(pool, job_id), b"1", deadline_s
             )
@@ -181,19 +226,7 @@
             ``JOB_OF_OTHER_TEAM`` if it is another team's, or ``UNREACHABLE`` if
             the state can't be determined now.
         """
-        return await self._find_state(queue, job_id, deadline_s, team)
-
-    async def _find_state(
-        self,
-        queue: Queue,
-        job_id: str,
-        deadline_s: float,
-        team: str | None,
-        is_absence_checked: bool = False,
-    ) -> JobState | Refusal:
-        job = await self._lookup.find(
-            queue, job_id, deadline_s, is_absence_checked
-        )
+        job = await self._lookup.find(queue, job_id, deadline_s)
         if isinstance(job, Refusal):
             return job
         return self.callers.check_access(job_id, job, team) or job.state
@@ -227,28 +260,41 @@
         )
         return reply.count if isinstance(reply, PendingCountReply) else None
 
-    async def _pool_for(
-        self, queue: Queue, job_id: str, deadline_s: float
-    ) -> str | None:
-        """Returns the pool that a job belongs to, ``None`` while undetermined.
+    async def _find_home(self, queue: Queue, is_current: bool) -> Home | None:
+        """Returns the pool that takes a queue's new jobs.
+
+        While no other pool is known to have jobs of the queue, whoever appends
+        the job to the pool's inbox checks that.
+
+        Args:
+            queue: The queue.
+            is_current: Whether the store is asked for changes first.
 
-        After a queue has moved, an earlier request for the same job may be in
-        another pool's inbox. The job then stays there.
+        Returns:
+            ``None`` if it can't be told now.
         """
-        pools = self._cluster.queue_pools
-        if self._context.ports.store.unanswered_s() < _MAX_STORE_SILENCE_S:
-            # The first job here: reads the queue's earlier pools. If that
-            # fails, whoever stores the job records the pool first.
-            await pools.record(QueuePool(queue.name, queue.pool))
-        for pool in pools.pools_of(queue)[1:]:
+        others = self._cluster.queue_pools.others_of(queue.name, queue.pool)
+        if not others and not is_current:
+            return Home(queue.pool, None, ())
+        if self._context.ports.store.unanswered_s() > _MAX_STORE_SILENCE_S:
+            return None
+        home = await self._admissions.find_home(queue, is_current)
+        return home if isinstance(home, Home) else None
+
+    async def _find_earlier(
+        self, home: Home, job_id: str, deadline_s: float
+    ) -> KnownJob | Refusal:
+        """Returns a job that another pool has of an earlier request."""
+        for pool in home.others:
             job = await self._lookup.find_in(
                 [pool], job_id, deadline_s, is_absence_checked=True
             )
-            if isinstance(job, KnownJob):
-                return pool
-            if job.code is not ResultCode.JOB_UNKNOWN:
-                return None
-        return queue.pool
+            is_unknown = (
+                isinstance(job, Refusal) and job.code is ResultCode.JOB_UNKNOWN
+            )
+            if not is_unknown:
+                return job
+        return Refusal(ResultCode.JOB_UNKNOWN, f"no job {job_id}")
 
     def _find_excess(self, request: JobRequest) -> str | None:
         """Returns why a job exceeds its team's limit, if it does."""
--- a/daemons/manager/src/coltsfootseam/manager/jobs/owned_jobs.py
+++ b/daemons/manager/src/coltsfootseam/manager/jobs/owned_jobs.py
@@ -17,6 +17,10 @@
     def __init__(self, duties: DutyManager) -> None:
         self._duties = duties
 
+    def owns(self, pool: str) -> bool:
+        """Returns whether this host owns a pool."""
+        return pool in self._duties.owners_by_pool
+
     def is_of_other_team(self, request: ForwardAppendRequest) -> bool:
         """Returns whether a request has the id of another team's job."""
         if request.team is None:
--- a/daemons/manager/src/coltsfootseam/manager/jobs/owner_forwarding.py
+++ b/daemons/manager/src/coltsfootseam/manager/jobs/owner_forwarding.py
@@ -46,13 +46,16 @@
         self._avoided_until_s_by_address: dict[str, float] = {}
         self._probes_by_address: dict[str, asyncio.Task[bool]] = {}
 
-    def owner_of(self, pool: str) -> str | None:
+    async def find_owner(self, pool: str) -> str | None:
         """Returns the address of a pool's owner on another host.
 
+        The host that the pool is assigned to need not be its owner. Appends of
+        several hosts hold each other up, so the owner is looked for.
+
         Returns:
             ``None`` if the owner is this host, unknown or avoided.
         """
-        address = self._locator.last_address_of(pool_duty(pool))
+        address = await self._locator.locate(pool_duty(pool))
         if address is None or address == self._context.address:
             return None
         now_s = self._context.timers.now_s()
@@ -88,6 +91,10 @@
         self._avoid(owner, request.pool)
         return None
 
+    def record_moved(self, pool: str) -> None:
+        """Records that a host which owned a pool no longer does."""
+        self._locator.forget(pool_duty(pool))
+
     async def _is_done_within(
         self, call: asyncio.Future[Any], wait_s: float
     ) -> bool:
--- a/daemons/manager/src/coltsfootseam/manager/jobs/stored_states.py
+++ b/daemons/manager/src/coltsfootseam/manager/jobs/stored_states.py
@@ -22,10 +22,12 @@
     Attributes:
         state: Its state.
         team: Team that submitted it, empty if none did.
+        pool: The pool that has it, empty if unknown.
     """
 
     state: JobState
     team: str
+    pool: str = ""
 
 
 class StoredStates:
@@ -54,7 +56,10 @@
                 job = await self._read_journal(pool, job_id)
             if isinstance(job, Refusal):
                 return None
-            if job is not None and job.state is not JobState.QUEUED:
+            if job is None:
+                continue
+            job = msgspec.structs.replace(job, pool=pool)
+            if job.state is not JobState.QUEUED:
                 return job
             queued = queued or job
         if queued is not None:
--- a/daemons/manager/src/coltsfootseam/manager/manager.py
+++ b/daemons/manager/src/coltsfootseam/manager/manager.py
@@ -10,6 +10,7 @@
 from coltsfootseam.manager.background import TaskCoroutine, running
 from coltsfootseam.manager.cluster_state import ClusterState
 from coltsfootseam.manager.context import Context
+from coltsfootseam.manager.jobs.admissions import Admissions
 from coltsfootseam.manager.jobs.inbox_appender import InboxAppender
 from coltsfootseam.manager.jobs.inbox_storage import InboxStorage
 from coltsfootseam.manager.jobs.job_service import JobService
@@ -115,6 +116,7 @@
         manager.storage,
         manager.standby,
         manager.contacts,
+        manager.cluster.queue_pools,
     )
     manager.status.show_group_problems(manager.membership.refusals_by_call)
     async with serving(context.address, peer_handlers.handlers()):
@@ -167,19 +169,27 @@
     directory = DutyDirectory(membership, standby, context.duty_slots)
     locator = Locator(context, directory)
     contacts = StoreContacts(context)
+    appender = InboxAppender(context)
+    admissions = Admissions(context, cluster, appender)
     duties = DutyManager(
-        context, cluster, membership, directory, locator, contacts
+        context,
+        cluster,
+        membership,
+        directory,
+        locator,
+        contacts,
+        admissions,
     )
     storage = InboxStorage(
         context,
         directory,
         OwnerForwarder(context, locator, contacts),
         membership,
-        InboxAppender(context),
+        appender,
         OwnedJobs(duties),
-        cluster.queue_pools,
+        admissions,
     )
-    jobs = JobService(context, cluster, locator, storage)
+    jobs = JobService(context, cluster, locator, storage, admissions)
     status = StatusPage(context, cluster, duties)
 
     def on_configuration() -> None:
--- a/daemons/manager/src/coltsfootseam/manager/membership/duty_manager.py
+++ b/daemons/manager/src/coltsfootseam/manager/membership/duty_manager.py
@@ -13,6 +13,7 @@
 )
 from coltsfootseam.manager.cluster_state import ClusterState
 from coltsfootseam.manager.context import Context
+from coltsfootseam.manager.jobs.admissions import Admissions
 from coltsfootseam.manager.leases.pool_leases import PoolLeases
 from coltsfootseam.manager.leases.store_contacts import StoreContacts
 from coltsfootseam.manager.machines.fleet_owner import FleetOwner
@@ -68,6 +69,7 @@
 
     __slots__ = (
         "_accepted_until_s_by_duty",
+        "_admissions",
         "_checked_s",
         "_cluster",
         "_contacts",
@@ -95,7 +97,9 @@
         directory: DutyDirectory,
         locator: Locator,
         contacts: StoreContacts,
+        admissions: Admissions,
     ) -> None:
+        self._admissions = admissions
         self._context = context
         self._contacts = contacts
         self._cluster = cluster
@@ -254,6 +258,7 @@
                 self._cluster,
                 self._locator,
                 self._contacts,
+                self._admissions,
             )
             self.owners_by_pool[pool] = owner
         self._context.log.write("duty.begun", duty=duty)
--- a/daemons/manager/src/coltsfootseam/manager/membership/locator.py
+++ b/daemons/manager/src/coltsfootseam/manager/membership/locator.py
@@ -21,12 +21,18 @@
 class Locator:
     """Calls the owners of duties."""
 
-    __slots__ = ("_address_by_duty", "_context", "_directory")
+    __slots__ = (
+        "_address_by_duty",
+        "_context",
+        "_directory",
+        "_searches_by_duty",
+    )
 
     def __init__(self, context: Context, directory: DutyDirectory) -> None:
         self._context = context
         self._directory = directory
         self._address_by_duty: dict[str, str] = {}
+        self._searches_by_duty: dict[str, asyncio.Task[str | None]] = {}
 
     async def call(
         self,
@@ -69,28 +75,59 @@
         known = self._address_by_duty.get(duty)
         return known or self._directory.address_of(duty)
 
+    def peer_addresses(self) -> list[str]:
+        """Returns the addresses of all other hosts, as last read."""
+        return self._directory.peer_addresses()
+
     def forget(self, duty: str) -> None:
         """Forgets where a duty's owner was, as that host doesn't reply."""
         self._address_by_duty.pop(duty, None)
         self._directory.request_refresh()
 
+    async def locate(self, duty: str) -> str | None:
+        """Returns the address of a duty's owner, and remembers it.
+
+        Concurrent calls share a search.
+        """
+        known = self._address_by_duty.get(duty)
+        if known is not None:
+            return known
+        search = self._searches_by_duty.get(duty)
+        if search is None:
+            search = asyncio.ensure_future(self.find(duty))
+            self._searches_by_duty[duty] = search
+            search.add_done_callback(
+                lambda _: self._searches_by_duty.pop(duty, None)
+            )
+        found = await asyncio.shield(search)
+        if found is not None:
+            self._address_by_duty[duty] = found
+        return found
+
     async def find(self, duty: str) -> str | None:
         """Asks all hosts, and returns the address of a duty's owner."""
-        addresses = [
-            self._context.address,
-            *self._directory.peer_addresses(),
-        ]
-        replies = await asyncio.gather(
-            *(
-                self.is_owned_at(address, OwnerRequest(duty))
-                for address in addresses
+        requests = [
+            asyncio.ensure_future(self._find_at(address, duty))
+            for address in (
+                self._context.address,
+                *self._directory.peer_addresses(),
             )
-        )
-        for address, is_owner in zip(addresses, replies, strict=True):
-            if is_owner:
-                return address
+        ]
+        try:
+            for reply in asyncio.as_completed(requests):
+                address = await reply
+                if address is not None:
+                    return address
+        finally:
+            for request in requests:
+                request.cancel()
         return None
 
+    async def _find_at(self, address: str, duty: str) -> str | None:
+        """Returns a host's address if it owns a duty."""
+        is_owner = await self.is_owned_at(address, OwnerRequest(duty))
+        return address if is_owner else None
+
     async def is_owned_at(self, address: str, request: OwnerRequest) -> bool:
         """Returns whether a host answers that it owns a duty."""
         reply = await self._context.peers.call(
--- a/daemons/manager/src/coltsfootseam/manager/peer_handlers.py
+++ b/daemons/manager/src/coltsfootseam/manager/peer_handlers.py
@@ -4,6 +4,7 @@
     ASK_JOB,
     ASK_OWNER,
     ASK_PENDING,
+    ASK_QUEUE_POOLS,
     ASK_REACH,
     EVACUATE,
     FORWARD_APPEND,
@@ -21,6 +22,8 @@
     OwnerRequest,
     PendingCountReply,
     PendingCountRequest,
+    QueuePoolsReply,
+    QueuePoolsRequest,
     ReachabilityReply,
     ReachabilityRequest,
 )
@@ -32,6 +35,7 @@
 from coltsfootseam.manager.membership.duty_manager import DutyManager
 from coltsfootseam.manager.membership.standby import Standby
 from coltsfootseam.manager.pools.pool_owner import PoolOwner
+from coltsfootseam.manager.queue_pools import QueuePools
 from coltsfootseam.manager.quotas.coordinator import not_coordinator
 from coltsfootseam.teams.quota import QuotaReply, QuotaReport
 
@@ -42,7 +46,14 @@
 class PeerHandlers:
     """Handles the calls of other entry hosts."""
 
-    __slots__ = ("_contacts", "_context", "_duties", "_standby", "_storage")
+    __slots__ = (
+        "_contacts",
+        "_context",
+        "_duties",
+        "_queue_pools",
+        "_standby",
+        "_storage",
+    )
 
     def __init__(
         self,
@@ -51,7 +62,9 @@
         storage: InboxStorage,
         standby: Standby,
         contacts: StoreContacts,
+        queue_pools: QueuePools,
     ) -> None:
+        self._queue_pools = queue_pools
         self._context = context
         self._contacts = contacts
         self._standby = standby
@@ -64,6 +77,7 @@
             ASK_JOB: self.handle_job_status,
             ASK_OWNER: self.handle_owner,
             ASK_PENDING: self.handle_pending,
+            ASK_QUEUE_POOLS: self.handle_queue_pools,
             ASK_REACH: self.handle_reachability,
             OFFER_DUTY: self.handle_duty_offer,
             FORWARD_APPEND: self._storage.handle_forward,
@@ -107,6 +121,14 @@
         )
         return PendingCountReply(count)
 
+    async def handle_queue_pools(
+        self, request: QueuePoolsRequest
+    ) -> QueuePoolsReply:
+        """Returns the pools that may have a queue's jobs, as of now."""
+        if not await self._queue_pools.catch_up():
+            return QueuePoolsReply()
+        return QueuePoolsReply(self._queue_pools.all_of(request.queue))
+
     async def handle_reachability(
         self, request: ReachabilityRequest
     ) -> ReachabilityReply:
--- a/daemons/manager/src/coltsfootseam/manager/pools/pool_owner.py
+++ b/daemons/manager/src/coltsfootseam/manager/pools/pool_owner.py
@@ -14,6 +14,7 @@
 from coltsfootseam.manager.background import logging_failures, start_once
 from coltsfootseam.manager.cluster_state import ClusterState
 from coltsfootseam.manager.context import Context
+from coltsfootseam.manager.jobs.admissions import Admissions
 from coltsfootseam.manager.leases.pool_leases import PoolLeases
 from coltsfootseam.manager.leases.store_contacts import StoreContacts
 from coltsfootseam.manager.membership.claiming import claim_duty
@@ -67,6 +68,7 @@
     """
 
     __slots__ = (
+        "_admissions",
         "_cluster",
         "_contacts",
         "_context",
@@ -89,8 +91,10 @@
         cluster: ClusterState,
         locator: Locator,
         contacts: StoreContacts,
+        admissions: Admissions,
     ) -> None:
         self._pool = pool
+        self._admissions = admissions
         self._contacts = contacts
         self._locator = locator
         self._context = context
@@ -272,8 +276,8 @@
         timers = self._context.timers
         return [
             timers.subscribe(_MAX_ROUND_INTERVAL_S, self._wake.set),
-            *Retention(state, inbox).subscribe(),
-            *QueueRecords(state, inbox).subscribe(),
+            *Retention(state, inbox, self._admissions.appender).subscribe(),
+            *QueueRecords(state, inbox, self._admissions).subscribe(),
             Pacer(state, orders).subscribe(),
             timers.subscribe(_CONFIRM_PERIOD_S, confirm),
         ]
--- a/daemons/manager/src/coltsfootseam/manager/pools/queue_records.py
+++ b/daemons/manager/src/coltsfootseam/manager/pools/queue_records.py
@@ -1,8 +1,10 @@
-"""Keeps the records of the queues that may have jobs in a pool."""
+"""Keeps the records of the queues that a pool takes, or has, jobs of."""
 
 from coltsfootseam.manager.background import logging_failures
+from coltsfootseam.manager.jobs.admissions import Admissions
 from coltsfootseam.manager.pools.pool_state import PoolState
 from coltsfootseam.manager.queue_pools import QueuePool
+from coltsfootseam.results import OK
 from coltsfootseam.store import Tail
 from coltsfootseam.timers import Subscription
 
@@ -15,16 +17,27 @@
 
 
 class QueueRecords:
-    """Adds the records of queues that are sent to a pool, and removes others.
+    """Admits queues that are sent to a pool, and removes records of others.
 
-    They are added before the first job, so that it doesn't have to wait.
+    They are admitted before the first job, so that it doesn't have to wait.
     """
 
-    __slots__ = ("_inbox", "_recorded_version", "_state")
+    __slots__ = (
+        "_admissions",
+        "_closed_queues",
+        "_inbox",
+        "_recorded_version",
+        "_state",
+    )
 
-    def __init__(self, state: PoolState, inbox: Tail) -> None:
+    def __init__(
+        self, state: PoolState, inbox: Tail, admissions: Admissions
+    ) -> None:
         self._state = state
         self._inbox = inbox
+        self._admissions = admissions
+        # Queues that the pool didn't admit any more when it was last checked.
+        self._closed_queues: set[str] = set()
         self._recorded_version: int | None = None
 
     def subscribe(self) -> list[Subscription]:
@@ -38,7 +51,7 @@
         ]
 
     async def add_sent(self) -> None:
-        """Records all queues that the configuration sends to the pool."""
+        """Admits all queues that the configuration sends to the pool."""
         state = self._state
         configuration = state.cluster.configuration
         queue_pools = state.cluster.queue_pools
@@ -49,18 +62,19 @@
             or state.journal.is_lost
         ):
             return
-        pairs = [
-            QueuePool(queue.name, queue.pool)
+        queues = [
+            queue.name
             for queue in configuration.queues_by_name.values()
             if queue.pool == state.pool
         ]
-        if await queue_pools.record_all(pairs):
+        if await self._admissions.admit(state.pool, queues) is OK:
             self._recorded_version = configuration.version
 
     async def remove_ended(self) -> None:
         """Removes the records of moved queues without jobs in the pool.
 
-        Ended jobs count for as long as callers may ask for them.
+        Ended jobs count for as long as callers may ask for them. The pool must
+        not admit the queue any more, or a late job of it could follow.
         """
         state = self._state
         inbox_age_s = state.now_s() - self._inbox.caught_up_s
@@ -81,6 +95,13 @@
             for queue in state.cluster.queue_pools.queues_in(state.pool)
             if queue not in used and not self._is_sent_here(queue)
         ]
+        closed = await self._admissions.withdraw(
+            state.pool, [pair.queue for pair in unused]
+        )
+        # The inbox was read since the check before, so it has no job of those.
+        unused = [pair for pair in unused if pair.queue in self._closed_queues]
+        self._closed_queues = closed
+        unused = [pair for pair in unused if pair.queue in closed]
         if unused:
             await state.cluster.queue_pools.remove_all(unused)
 
--- a/daemons/manager/src/coltsfootseam/manager/pools/retention.py
+++ b/daemons/manager/src/coltsfootseam/manager/pools/retention.py
@@ -9,8 +9,9 @@
 
 from coltsfootseam.jobs import cancel_key, job_key
 from coltsfootseam.manager.background import logging_failures
+from coltsfootseam.manager.jobs.inbox_appender import InboxAppender
 from coltsfootseam.manager.pools.pool_state import PoolState
-from coltsfootseam.results import Refusal
+from coltsfootseam.results import OK
 from coltsfootseam.store import KeyedRecord, Tail
 from coltsfootseam.timers import Subscription
 
@@ -24,9 +25,12 @@
 class Retention:
     """Deletes records of one pool that are no longer needed."""
 
-    __slots__ = ("_inbox", "_state")
+    __slots__ = ("_appender", "_inbox", "_state")
 
-    def __init__(self, state: PoolState, inbox: Tail) -> None:
+    def __init__(
+        self, state: PoolState, inbox: Tail, appender: InboxAppender
+    ) -> None:
+        self._appender = appender
         self._state = state
         self._inbox = inbox
 
@@ -84,16 +88,16 @@
                 cancel_key(state.pool, job_id),
             )
         ]
-        result = await state.context.ports.store.append(
-            state.context.inbox_of(state.pool),
-            [KeyedRecord(key) for key in keys],
+        outcomes = await self._appender.append_all(
+            state.pool, [KeyedRecord(key) for key in keys]
         )
-        if isinstance(result, Refusal):
+        failed = [outcome for outcome in outcomes if outcome is not OK]
+        if failed:
             state.context.log.write(
                 "jobs.undeleted",
                 pool=state.pool,
                 jobs=len(job_ids),
-                why=result.reason,
+                why=failed[0].reason,
             )
             return False
         for key in keys:
--- a/daemons/manager/src/coltsfootseam/manager/queue_pools.py
+++ b/daemons/manager/src/coltsfootseam/manager/queue_pools.py
@@ -70,10 +70,29 @@
         """Returns whether the records have been read once."""
         return self._tail.caught_up_s > float("-inf")
 
+    def caught_up_s(self) -> float:
+        """Returns when the records were last read to their end."""
+        return self._tail.caught_up_s
+
+    async def catch_up(self) -> bool:
+        """Returns whether all that was recorded before this call is known.
+
+        A host that was frozen, or whose connections went silent, may have
+        missed records for seconds.
+        """
+        return await self._tail.catch_up()
+
     def pools_of(self, queue: Queue) -> list[str]:
         """Returns the pools that may have a queue's jobs, its own first."""
-        others = self._pools_by_queue.get(queue.name, set())
-        return [queue.pool, *sorted(others - {queue.pool})]
+        return [queue.pool, *self.others_of(queue.name, queue.pool)]
+
+    def all_of(self, queue: str) -> list[str]:
+        """Returns the pools that may have a queue's jobs."""
+        return sorted(self._pools_by_queue.get(queue, set()))
+
+    def others_of(self, queue: str, pool: str) -> list[str]:
+        """Returns the other pools that may have a queue's jobs."""
+        return sorted(self._pools_by_queue.get(queue, set()) - {pool})
 
     def queues_in(self, pool: str) -> list[str]:
         """Returns the queues of which a pool may have jobs."""
--- a/libs/calls/src/coltsfootseam/calls/adaptive_timeout.py
+++ b/libs/calls/src/coltsfootseam/calls/adaptive_timeout.py
@@ -1,5 +1,10 @@
 """A timeout that follows the latency of recent calls."""
 
+from collections.abc import Awaitable, Callable
+
+from coltsfootseam.calls.http import NoReply, Reply
+from coltsfootseam.timers import TimerService
+
 _MIN_TIMEOUT_S = 0.25
 _TIMEOUT_PER_LATENCY = 8.0
 _LATENCY_WEIGHT = 0.2
@@ -26,6 +31,18 @@
         self._latency_s = 0.0
         self._doublings = 0
 
+    async def call(
+        self,
+        timers: TimerService,
+        function: Callable[[float], Awaitable[Reply | NoReply]],
+    ) -> Reply | NoReply:
+        """Calls a function with the timeout, and records how long it takes."""
+        sent_s = timers.now_s()
+        reply = await function(self.next_timeout_s())
+        took_s = timers.now_s() - sent_s
+        self.record_call(took_s, isinstance(reply, Reply))
+        return reply
+
     def next_timeout_s(self) -> float:
         """Returns the timeout of the next call, in seconds."""
         usual_s = max(_MIN_TIMEOUT_S, _TIMEOUT_PER_LATENCY * self._latency_s)
--- a/libs/calls/src/coltsfootseam/calls/messages.py
+++ b/libs/calls/src/coltsfootseam/calls/messages.py
@@ -32,6 +32,22 @@
     team: str = ""
 
 
+class QueuePoolsRequest(msgspec.Struct, frozen=True, array_like=True):
+    """Asks which pools may have jobs of a queue."""
+
+    queue: str
+
+
+class QueuePoolsReply(msgspec.Struct, frozen=True, array_like=True):
+    """The pools that may have jobs of a queue, as the store has them now.
+
+    Attributes:
+        pools: The pools, ``None`` if the callee could not ask the store.
+    """
+
+    pools: list[str] | None = None
+
+
 class PendingCountRequest(msgspec.Struct, frozen=True, array_like=True):
     """Asks how many jobs of a queue haven't started."""
 
@@ -54,6 +70,8 @@
         value: Its value.
         team: Team of a job's request, ``None`` if no team is checked.
         queue: Queue of a job's request, empty for other records.
+        admission: Offset of the record that admits the queue in the pool,
+            ``None`` if the caller can't tell.
     """
 
     pool: str
@@ -61,6 +79,7 @@
     value: bytes
     team: str | None = None
     queue: str = ""
+    admission: int | None = None
 
 
 class ForwardAppendReply(msgspec.Struct, frozen=True, array_like=True):
@@ -71,11 +90,16 @@
         is_unknown: Whether it may yet take effect.
         is_of_other_team: Whether it was refused, as another team has a job of
             this id.
+        is_not_admitted: Whether it was refused, as the pool no longer takes
+            jobs of the queue.
+        is_from_owner: Whether the callee owns the pool.
     """
 
     is_stored: bool
     is_unknown: bool = False
     is_of_other_team: bool = False
+    is_not_admitted: bool = False
+    is_from_owner: bool = True
 
 
 class OwnerRequest(msgspec.Struct, frozen=True, array_like=True):
--- a/libs/calls/src/coltsfootseam/calls/service.py
+++ b/libs/calls/src/coltsfootseam/calls/service.py
@@ -20,6 +20,8 @@
     OwnerRequest,
     PendingCountReply,
     PendingCountRequest,
+    QueuePoolsReply,
+    QueuePoolsRequest,
     ReachabilityReply,
     ReachabilityRequest,
 )
@@ -46,6 +48,7 @@
 
 ASK_JOB = Method("AskJob", JobStatusRequest, JobStatusReply)
 ASK_PENDING = Method("AskPending", PendingCountRequest, PendingCountReply)
+ASK_QUEUE_POOLS = Method("AskQueuePools", QueuePoolsRequest, QueuePoolsReply)
 FORWARD_APPEND = Method("Relay", ForwardAppendRequest, ForwardAppendReply)
 ASK_OWNER = Method("AskOwner", OwnerRequest, OwnerReply)
 ASK_REACH = Method("AskReach", ReachabilityRequest, ReachabilityReply)
--- a/libs/standins/src/coltsfootseam/standins/memory_store.py
+++ b/libs/standins/src/coltsfootseam/standins/memory_store.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
+from typing import TypeVar
 
 import msgspec
 
@@ -10,6 +11,7 @@
 from coltsfootseam.store import (
     Appended,
     Assignment,
+    Conflict,
     HistoryGone,
     KeyedRecord,
     LatestPage,
@@ -21,6 +23,8 @@
 )
 from coltsfootseam.timers import TimerService
 
+T = TypeVar("T")
+
 _POLL_INTERVAL_S = 0.005
 _TIMEOUT_S = 1.0
 _MAX_KEPT_REPLIES = 5
@@ -214,6 +218,15 @@
         self.appends += 1
         return reply
 
+    def apply_append_at(
+        self, partition: Partition, records: Sequence[KeyedRecord], end: int
+    ) -> Appended | Conflict | Refusal:
+        """Applies an append unless the partition ends elsewhere."""
+        log = self.partition_log(partition)
+        if log.end != end:
+            return Conflict()
+        return self.apply_append(partition, records, None)
+
     def _check_writer(
         self, progress: _WriterProgress, writer: Writer
     ) -> Appended | Refusal | None:
@@ -308,6 +321,29 @@
         writer: Writer | None = None,
     ) -> Appended | Refusal:
         """Appends all records or none of them."""
+        return await self._append(
+            partition,
+            records,
+            lambda: self._store.apply_append(partition, records, writer),
+        )
+
+    async def append_at(
+        self, partition: Partition, records: Sequence[KeyedRecord], end: int
+    ) -> Appended | Conflict | Refusal:
+        """Appends all records if the partition ends at an offset, else none."""
+        return await self._append(
+            partition,
+            records,
+            lambda: self._store.apply_append_at(partition, records, end),
+        )
+
+    async def _append(
+        self,
+        partition: Partition,
+        records: Sequence[KeyedRecord],
+        apply: Callable[[], T],
+    ) -> T | Refusal:
+        """Has an append applied, subject to this host's faults."""
         refusal = await self._simulate_call(is_effective=True)
         if refusal is not None:
             return refusal
@@ -323,26 +359,19 @@
             await self._timers.sleep(done_s - self._timers.now_s())
         is_reply_lost = self._random.random() < self.faults.lost_reply_share
         if is_reply_lost and self.faults.delay_s:
-            self._store.timers.schedule(
-                self.faults.delay_s,
-                lambda: self._append_late(partition, records, writer),
-            )
+
+            def apply_late() -> None:
+                apply()
+
+            self._store.timers.schedule(self.faults.delay_s, apply_late)
             return Refusal(ResultCode.OUTCOME_PENDING, "reply lost")
-        result = self._store.apply_append(partition, records, writer)
+        result = apply()
         if is_reply_lost:
             return Refusal(ResultCode.OUTCOME_PENDING, "reply lost")
         if self.faults.is_unheard:
             return await self._lose_reply()
         return result
 
-    def _append_late(
-        self,
-        partition: Partition,
-        records: Sequence[KeyedRecord],
-        writer: Writer | None,
-    ) -> None:
-        self._store.apply_append(partition, records, writer)
-
     async def read(
         self, partition: Partition, from_offset: int, wait_s: float
     ) -> Page | HistoryGone | Refusal:
@@ -356,7 +385,7 @@
                 raise ValueError("injected fault")
             log = self._store.partition_log(partition)
             if from_offset < log.first:
-                return HistoryGone(log.first)
+                return HistoryGone()
             records = log.records[max(0, from_offset - log.first) :]
             if records or self._timers.now_s() >= until_s:
                 return Page(log.end, log.first, log.end, list(records))
--- a/libs/store/src/coltsfootseam/store/__init__.py
+++ b/libs/store/src/coltsfootseam/store/__init__.py
@@ -12,6 +12,7 @@
 from coltsfootseam.store.messages import (
     Appended,
     Assignment,
+    Conflict,
     HistoryGone,
     KeyedRecord,
     LatestPage,
@@ -31,6 +32,7 @@
     "Appended",
     "Assignment",
     "Claim",
+    "Conflict",
     "HistoryGone",
     "Journal",
     "KeyedRecord",
--- a/libs/store/src/coltsfootseam/store/messages.py
+++ b/libs/store/src/coltsfootseam/store/messages.py
@@ -72,10 +72,12 @@
     records: list[StoredRecord]
 
 
-class HistoryGone(msgspec.Struct, frozen=True):
-    """The requested records are deleted; the oldest offset is ``first``."""
+class Conflict(msgspec.Struct, frozen=True):
+    """A conditional append was refused: the partition ends elsewhere."""
 
-    first: int
+
+class HistoryGone(msgspec.Struct, frozen=True):
+    """The requested records are deleted."""
 
 
 class LatestRecords(msgspec.Struct, frozen=True):
--- a/libs/store/src/coltsfootseam/store/monitored.py
+++ b/libs/store/src/coltsfootseam/store/monitored.py
@@ -7,6 +7,7 @@
 from coltsfootseam.store.messages import (
     Appended,
     Assignment,
+    Conflict,
     HistoryGone,
     KeyedRecord,
     LatestPage,
@@ -27,14 +28,17 @@
     Attributes:
         last_reply_s: When the store last processed a call, in monotonic
             seconds.
+        took_s: How long the last call took that changes something and was
+            answered.
     """
 
-    __slots__ = ("_store", "_timers", "last_reply_s")
+    __slots__ = ("_store", "_timers", "last_reply_s", "took_s")
 
     def __init__(self, store: Store, timers: TimerService) -> None:
         self._store = store
         self._timers = timers
         self.last_reply_s = float("-inf")
+        self.took_s = 0.0
 
     def unanswered_s(self) -> float:
         """Returns the time since the store last replied to this process."""
@@ -47,9 +51,17 @@
         writer: Writer | None = None,
     ) -> Appended | Refusal:
         """Appends all records or none and returns their offsets."""
-        return self._record_reply(
-            await self._store.append(partition, records, writer)
-        )
+        sent_s = self._timers.now_s()
+        result = await self._store.append(partition, records, writer)
+        return self._record_reply(result, sent_s)
+
+    async def append_at(
+        self, partition: Partition, records: Sequence[KeyedRecord], end: int
+    ) -> Appended | Conflict | Refusal:
+        """Appends all records if the partition ends at an offset, else none."""
+        sent_s = self._timers.now_s()
+        result = await self._store.append_at(partition, records, end)
+        return self._record_reply(result, sent_s)
 
     async def read(
         self, partition: Partition, from_offset: int, wait_s: float
@@ -71,9 +83,9 @@
         self, group: str, member: str, topic: str, ttl_s: float, generation: int
     ) -> Assignment | Refusal:
         """Joins a group or stays a member; returns the assigned partitions."""
-        return self._record_reply(
-            await self._store.join(group, member, topic, ttl_s, generation)
-        )
+        sent_s = self._timers.now_s()
+        result = await self._store.join(group, member, topic, ttl_s, generation)
+        return self._record_reply(result, sent_s)
 
     async def leave(self, group: str, member: str) -> Refusal | None:
         """Leaves a group, so that its partitions are rebalanced."""
@@ -83,11 +95,13 @@
         """Returns which member holds which partition."""
         return self._record_reply(await self._store.list_holders(group))
 
-    def _record_reply(self, result: T) -> T:
+    def _record_reply(self, result: T, sent_s: float | None = None) -> T:
         is_answer = (
             not isinstance(result, Refusal)
             or result.code is ResultCode.STALE_EPOCH
         )
         if is_answer:
             self.last_reply_s = self._timers.now_s()
+            if sent_s is not None:
+                self.took_s = self.last_reply_s - sent_s
         return result
--- a/libs/store/src/coltsfootseam/store/port.py
+++ b/libs/store/src/coltsfootseam/store/port.py
@@ -7,6 +7,7 @@
 from coltsfootseam.store.messages import (
     Appended,
     Assignment,
+    Conflict,
     HistoryGone,
     KeyedRecord,
     LatestPage,
@@ -39,6 +40,20 @@
             writer: Identifies the append, if an owner makes it.
         """
 
+    async def append_at(
+        self, partition: Partition, records: Sequence[KeyedRecord], end: int
+    ) -> Appended | Conflict | Refusal:
+        """Appends all records if the partition ends at an offset, else none.
+
+        An append that is carried out late is checked then. So it takes effect
+        only if nothing has been appended since the caller read the end.
+
+        Args:
+            partition: The partition to append to.
+            records: The records to append.
+            end: The offset that the first of them must get.
+        """
+
     async def read(
         self, partition: Partition, from_offset: int, wait_s: float
     ) -> Page | HistoryGone | Refusal:
--- a/libs/store/src/coltsfootseam/store/tail.py
+++ b/libs/store/src/coltsfootseam/store/tail.py
@@ -140,9 +140,28 @@
             return None
         if isinstance(page, Refusal):
             return page
-        self._apply_page(page, started_s)
+        self._apply_page(page, started_s, has_waited=self._wait_s > 0)
         return None
 
+    async def catch_up(self) -> bool:
+        """Reads up to the end of the partition, besides ``run``.
+
+        Returns:
+            Whether all records are known that were appended before this call.
+        """
+        started_s = self._timers.now_s()
+        while self.caught_up_s < started_s:
+            if not self.loaded:
+                return False
+            requested_s = self._timers.now_s()
+            page = await self._store.read(
+                self._partition, self._next_offset, 0.0
+            )
+            if not isinstance(page, Page):
+                return False
+            self._apply_page(page, requested_s)
+        return True
+
     def forget(self, key: str) -> None:
         """Forgets the offset of a key that was deleted."""
         self._offsets_by_key.pop(key, None)
@@ -156,14 +175,16 @@
         if self._on_reload is not None:
             self._on_reload(frozenset(item.key for item in latest.records))
 
-    def _apply_page(self, page: Page, started_s: float) -> None:
+    def _apply_page(
+        self, page: Page, started_s: float, has_waited: bool = False
+    ) -> None:
         for record in page.records:
             self._apply_record(record)
         self._next_offset = max(self._next_offset, page.next_offset)
         if self._next_offset >= page.end:
             # A read that waited and found nothing confirms the end as of now,
             # any other one as of its start.
-            is_idle = not page.records and self._wait_s > 0
+            is_idle = not page.records and has_waited
             read_s = self._timers.now_s() if is_idle else started_s
             self.caught_up_s = max(self.caught_up_s, read_s)
 
--- a/tests/common/platform_servers.py
+++ b/tests/common/platform_servers.py
@@ -17,6 +17,8 @@
 from coltsfootseam.standins.memory_store import MemoryStore
 from coltsfootseam.standins.memory_workers import MemoryWorkers
 from coltsfootseam.store import (
+    Appended,
+    Conflict,
     HistoryGone,
     KeyedRecord,
     Partition,
@@ -86,11 +88,18 @@
             writer = Writer(
                 query["producer"], int(query["epoch"]), int(query["seq"])
             )
-        result = self.store.apply_append(
-            _partition(request),
-            _split_records(await request.read()),
-            writer,
-        )
+        partition = _partition(request)
+        records = _split_records(await request.read())
+        if "at" in query:
+            at = self.store.apply_append_at(
+                partition, records, int(query["at"])
+            )
+            if isinstance(at, Conflict):
+                end = self.store.partition_log(partition).end
+                return web.json_response({"end": end}, status=412)
+            assert isinstance(at, Appended)
+            return web.json_response({"offset": at.offset, "end": at.end})
+        result = self.store.apply_append(partition, records, writer)
         if isinstance(result, Refusal):
             return web.json_response({"reason": result.reason}, status=409)
         return web.json_response({"offset": result.offset, "end": result.end})
@@ -101,7 +110,8 @@
             _partition(request), int(request.query["from"]), wait_s
         )
         if isinstance(page, HistoryGone):
-            return web.json_response({"first": page.first}, status=410)
+            part = self.store.partition_log(_partition(request))
+            return web.json_response({"first": part.first}, status=410)
         if isinstance(page, Refusal):
             return web.Response(status=503)
         body = struct.pack(">QQ", page.end, page.first)
--- a/tests/cover/test_calls_with_keys.py
+++ b/tests/cover/test_calls_with_keys.py
@@ -258,7 +258,7 @@
         assert host.manager is not None
         stored = StoredStates(host.manager.context)
         job = await fleet.run(stored.read([POOL], JOB))
-        assert job == KnownJob(JobState.QUEUED, "a")
+        assert job == KnownJob(JobState.QUEUED, "a", POOL)
 
 
 # Where the team of a job can't be read, ending it would be a guess.
