--- a/daemons/manager/src/coltsfootseam/manager/leases/pool_leases.py
+++ b/daemons/manager/src/coltsfootseam/manager/leases/pool_leases.py
@@ -12,11 +12,13 @@
 evidence for either side.
 """
 
-from collections.abc import Iterable
-
 from coltsfootseam.manager.context import Context
 from coltsfootseam.manager.leases.store_contacts import StoreContacts
 from coltsfootseam.manager.leases.witnesses import (
+    MAX_VOUCHED_S,
+    NO_WITNESSES,
+    UNKNOWN_WITNESSES,
+    FormerOwners,
     Witnesses,
     WitnessSet,
     deniers_needed,
@@ -39,11 +41,6 @@
 contact. An owner confirms its epoch less often than hosts read the store, so in
 an outage the last contact of the others is later."""
 
-_MAX_VOUCHED_S = 25.0
-"""Longest time for which witnesses can extend a confirmation; it covers an
-outage of 20 s. A successor that can't ask half of the witnesses waits for it.
-"""
-
 _MAX_CLOCK_DRIFT = 0.02
 """How much faster a successor's clock may run than that of the owner before."""
 
@@ -54,7 +51,11 @@
 """How long the members must be the same before they become the witnesses. After
 an outage some are missing until their next join."""
 
-_NO_WITNESSES = Witnesses(frozenset())
+_LIMIT_STORED_EVERY_S = 2.0
+"""How much less the earlier owners' limit must be to be stored again. The next
+owner may have to wait that much longer than this one."""
+
+_NOTHING_STORED = Witnesses(NO_WITNESSES)
 
 
 class PoolLeases:
@@ -65,9 +66,11 @@
         "_candidates_since_s",
         "_contacts",
         "_context",
-        "_denied_s",
-        "_earlier",
+        "_denied_s_by_set",
+        "_former",
         "_has_logged_end",
+        "_has_stopped",
+        "_has_stored",
         "_journal",
         "_may_grant",
         "_pool",
@@ -81,7 +84,7 @@
         context: Context,
         journal: Journal,
         contacts: StoreContacts,
-        earlier: Iterable[WitnessSet],
+        former: FormerOwners,
     ) -> None:
         """Makes the right of an owner that has just claimed its pool.
 
@@ -90,27 +93,32 @@
             context: Shared context of the manager.
             journal: The pool's journal, claimed by this owner.
             contacts: When the store last replied to each host.
-            earlier: Witnesses of the owners before, as stored.
+            former: The owners before, as stored.
         """
         self._pool = pool
         self._context = context
         self._journal = journal
         self._contacts = contacts
-        self._earlier = frozenset(earlier)
-        self._denied_s: float | None = None
+        self._former = former
+        self._denied_s_by_set: dict[WitnessSet, float] = {}
         self._has_logged_end = False
+        self._has_stopped = False
+        self._has_stored = False
         self._may_grant = True
         self._candidates: WitnessSet = frozenset()
         self._candidates_since_s = context.timers.now_s()
         # The witnesses as stored, and as in the last append, which may be in
         # flight. Either may be what a successor reads, so both must vouch.
-        self._stored = _NO_WITNESSES
-        self._storing = _NO_WITNESSES
+        self._stored = _NOTHING_STORED
+        self._storing = _NOTHING_STORED
 
     def may_grant(self) -> bool:
         """Returns whether this owner may grant leases now."""
         may_grant = (
-            not self._journal.is_lost and self._is_confirmed_or_vouched()
+            not self._has_stopped
+            and not self._must_store()
+            and not self._journal.is_lost
+            and self._is_confirmed_or_vouched()
         )
         if may_grant != self._may_grant:
             self._may_grant = may_grant
@@ -129,20 +137,30 @@
     def earlier_stopped_s(self) -> float:
         """Returns when earlier owners stop granting leases at the latest."""
         claimed_s = self._journal.claimed_s
-        stopped_s = claimed_s + _MAX_VOUCHED_S * (1 + _MAX_CLOCK_DRIFT)
-        if self._denied_s is not None:
-            stopped_s = min(stopped_s, self._denied_s + _VOUCH_VALIDITY_S)
-        if not self._earlier:
-            stopped_s = claimed_s
-        return max(stopped_s, claimed_s + self._unvouched_s())
+        # Without a vote, an owner grants leases for a while after its last
+        # confirmation, unless it has recorded that it stopped.
+        stopped_s = [claimed_s]
+        if not self._former.has_last_stopped:
+            stopped_s.append(claimed_s + self._unvouched_s())
+        for witnesses, limit_s in self._former.limits_by_witnesses.items():
+            limit_end_s = claimed_s + limit_s * (1 + _MAX_CLOCK_DRIFT)
+            denied_s = self._denied_s_by_set.get(witnesses, float("inf"))
+            stopped_s.append(min(limit_end_s, denied_s + _VOUCH_VALIDITY_S))
+        return max(stopped_s)
 
     def addresses_to_ask(self) -> set[str]:
         """Returns the hosts whose contact with the store matters now."""
         addresses: set[str] = set()
         if self._confirmed_age_s() > _ASK_AFTER_S:
             addresses.update(*self._own_sets())
-        if self._denied_s is None and self._now_s() > self._denial_from_s():
-            addresses.update(*self._earlier)
+        is_open = not self._have_earlier_stopped()
+        if is_open and self._now_s() > self._denial_from_s():
+            addresses.update(
+                *(
+                    self._former.limits_by_witnesses.keys()
+                    - self._denied_s_by_set
+                )
+            )
         return addresses - {self._context.address}
 
     def update(self, members: WitnessSet) -> None:
@@ -155,8 +173,12 @@
         if members != self._candidates:
             self._candidates = members
             self._candidates_since_s = now_s
-        if self._denied_s is None:
-            self._denied_s = self._find_denied_s()
+        for witnesses in (
+            self._former.limits_by_witnesses.keys() - self._denied_s_by_set
+        ):
+            denied_s = self._find_denied_s(witnesses)
+            if denied_s is not None:
+                self._denied_s_by_set[witnesses] = denied_s
 
     def record_to_store(self) -> KeyedRecord | None:
         """Returns the record of the witnesses if the stored one is outdated.
@@ -170,15 +192,64 @@
         # would stop the pool's work.
         if self._candidates and (not own or same_s >= _MEMBERS_SETTLE_S):
             own = self._candidates
-        earlier = frozenset() if self._have_earlier_stopped() else self._earlier
-        witnesses = Witnesses(own, earlier)
-        if not own or witnesses == self._stored:
+        witnesses = self._witnesses_for_next(own)
+        is_up_to_date = not own or self._is_stored(witnesses)
+        if is_up_to_date and not self._must_store():
             return None
         self._storing = witnesses
         return KeyedRecord(witness_key(self._pool), encode_witnesses(witnesses))
 
+    def _must_store(self) -> bool:
+        """Returns whether the record still says that the last owner stopped.
+
+        The next owner would take it for word of this one.
+        """
+        return self._former.has_last_stopped and not self._has_stored
+
+    def _witnesses_for_next(self, own: WitnessSet) -> Witnesses:
+        """Returns what the next owner has to know of this and earlier ones."""
+        if self._have_earlier_stopped():
+            return Witnesses(own)
+        limit_s = self.earlier_stopped_s() - self._now_s()
+        return Witnesses(
+            own, frozenset(self._former.limits_by_witnesses), limit_s
+        )
+
+    def _is_stored(self, witnesses: Witnesses) -> bool:
+        """Returns whether the stored record says the same, or nearly so."""
+        stored = self._stored
+        if (stored.own, stored.earlier) != (witnesses.own, witnesses.earlier):
+            return False
+        if not witnesses.earlier:
+            return True
+        gain_s = stored.earlier_limit_s - witnesses.earlier_limit_s
+        return gain_s < _LIMIT_STORED_EVERY_S
+
+    def stop(self) -> None:
+        """Grants no more leases."""
+        self._has_stopped = True
+
+    def release_record(self) -> KeyedRecord:
+        """Returns the record that tells the next owner that this one stopped.
+
+        The next owner then doesn't have to wait until the witnesses of this one
+        can't vouch for it any more.
+        """
+        limit_s = self.earlier_stopped_s() - self._now_s()
+        earlier: frozenset[WitnessSet] = frozenset()
+        if limit_s >= 0:
+            # Earlier owners may go on even without any witness.
+            earlier = frozenset(self._former.limits_by_witnesses) or frozenset(
+                [UNKNOWN_WITNESSES]
+            )
+        witnesses = Witnesses(
+            NO_WITNESSES, earlier, max(0.0, limit_s), has_stopped=True
+        )
+        return KeyedRecord(witness_key(self._pool), encode_witnesses(witnesses))
+
     def confirm_stored(self) -> None:
         """Records that the last record of the witnesses is stored."""
+        self._has_stored |= self._storing is not _NOTHING_STORED
         self._stored = self._storing
 
     def _now_s(self) -> float:
@@ -202,7 +273,7 @@
         age_s = self._confirmed_age_s()
         if age_s <= self._unvouched_s():
             return True
-        return age_s <= _MAX_VOUCHED_S and all(
+        return age_s <= MAX_VOUCHED_S and all(
             len(self._vouchers(witnesses)) >= vouchers_needed(witnesses)
             for witnesses in self._own_sets()
         )
@@ -226,20 +297,17 @@
         """
         return self._journal.claimed_s + _CONTACT_TOLERANCE_S
 
-    def _find_denied_s(self) -> float | None:
-        """Returns when no earlier owner could get a majority any more.
+    def _find_denied_s(self, witnesses: WitnessSet) -> float | None:
+        """Returns when witnesses could give no owner a majority any more.
 
         Returns:
-            ``None`` if that isn't known of all of them yet.
+            ``None`` if that isn't known yet.
         """
-        denied_s = self._journal.claimed_s
-        for witnesses in self._earlier:
-            contacts_s = self._denying_contacts_s(witnesses)
-            needed = deniers_needed(witnesses)
-            if len(contacts_s) < needed:
-                return None
-            denied_s = max([denied_s, *contacts_s[:needed]])
-        return denied_s
+        contacts_s = self._denying_contacts_s(witnesses)
+        needed = deniers_needed(witnesses)
+        if len(contacts_s) < needed:
+            return None
+        return max([self._journal.claimed_s, *contacts_s[:needed]])
 
     def _denying_contacts_s(self, witnesses: WitnessSet) -> list[float]:
         """Returns when the witnesses that deny had contact, earliest first."""
@@ -274,10 +342,16 @@
             pool=self._pool,
             epoch=self._journal.epoch,
             waited_s=round(self._now_s() - claimed_s, 2),
-            denied_after_s=(
-                None
-                if self._denied_s is None
-                else round(self._denied_s - claimed_s, 2)
+            denied_after_s=sorted(
+                round(denied_s - claimed_s, 2)
+                for denied_s in self._denied_s_by_set.values()
+            ),
+            witnesses=sorted(
+                sorted(witnesses)
+                for witnesses in self._former.limits_by_witnesses
+            ),
+            limits_s=sorted(
+                round(limit_s, 2)
+                for limit_s in self._former.limits_by_witnesses.values()
             ),
-            witnesses=sorted(sorted(witnesses) for witnesses in self._earlier),
         )
--- a/daemons/manager/src/coltsfootseam/manager/leases/witnesses.py
+++ b/daemons/manager/src/coltsfootseam/manager/leases/witnesses.py
@@ -11,6 +11,14 @@
 WitnessSet = frozenset[str]
 """Addresses of the witnesses of one owner."""
 
+MAX_VOUCHED_S = 25.0
+"""Longest time for which witnesses can extend a confirmation; it covers an
+outage of 20 s. A successor that can't ask half of the witnesses waits for it.
+"""
+
+NO_WITNESSES: WitnessSet = frozenset()
+"""The witnesses of an owner that nobody can vouch for."""
+
 UNKNOWN_WITNESSES: WitnessSet = frozenset({""})
 """Stands for the witnesses in a record that can't be read; none replies."""
 
@@ -21,12 +29,31 @@
     """The witnesses that a successor of an owner must ask, as stored.
 
     Attributes:
-        own: Those of the owner itself.
+        own: Those of the owner itself, none if it knows no members.
         earlier: Those of owners before it that may still grant leases.
+        earlier_limit_s: How long those owners may do so at most, from when the
+            record was appended.
+        has_stopped: Whether the owner itself has stopped granting leases.
     """
 
     own: WitnessSet
     earlier: frozenset[WitnessSet] = frozenset()
+    earlier_limit_s: float = MAX_VOUCHED_S
+    has_stopped: bool = False
+
+
+class FormerOwners(msgspec.Struct, frozen=True):
+    """What an owner that claims a pool knows of those before it.
+
+    Attributes:
+        limits_by_witnesses: The witnesses of each of them that may still grant
+            leases, with how long it may do so at most, in seconds from the
+            claim.
+        has_last_stopped: Whether the last one has recorded that it stopped.
+    """
+
+    limits_by_witnesses: dict[WitnessSet, float] = {}
+    has_last_stopped: bool = False
 
 
 def vouchers_needed(witnesses: WitnessSet) -> int:
@@ -49,11 +76,14 @@
     return msgspec.msgpack.encode(witnesses)
 
 
-def decode_witnesses(value: bytes) -> frozenset[WitnessSet]:
-    """Decodes the witnesses of all owners that a record names.
+def decode_witnesses(value: bytes) -> FormerOwners:
+    """Decodes what a record says to the next owner, which claims afterwards.
 
     Raises:
         msgspec.DecodeError: If the record can't be read.
     """
-    witnesses = msgspec.msgpack.decode(value, type=Witnesses)
-    return witnesses.earlier | {witnesses.own}
+    stored = msgspec.msgpack.decode(value, type=Witnesses)
+    limits = dict.fromkeys(stored.earlier, stored.earlier_limit_s)
+    if stored.own:
+        limits[stored.own] = MAX_VOUCHED_S
+    return FormerOwners(limits, stored.has_stopped)
--- a/daemons/manager/src/coltsfootseam/manager/membership/duty_manager.py
+++ b/daemons/manager/src/coltsfootseam/manager/membership/duty_manager.py
@@ -11,6 +11,7 @@
     OwnerReply,
     OwnerRequest,
 )
+from coltsfootseam.manager.background import start_once
 from coltsfootseam.manager.cluster_state import ClusterState
 from coltsfootseam.manager.context import Context
 from coltsfootseam.manager.jobs.admissions import Admissions
@@ -22,6 +23,7 @@
 from coltsfootseam.manager.membership.locator import Locator
 from coltsfootseam.manager.pools.pool_owner import PoolOwner
 from coltsfootseam.store import Membership
+from coltsfootseam.timers import run_with_timeout
 
 _CHECK_PERIOD_S = 0.2
 _PEER_CALL_TIMEOUT_S = 0.4
@@ -37,6 +39,10 @@
 """Consecutive polls without an owner before taking back a handed-over duty."""
 _MS_PER_S = 1000
 
+_RECORD_TIMEOUT_S = 0.2
+"""How long the record of a release may take. The host that asks for the duty
+waits for it."""
+
 
 class Duty(Protocol):
     """A duty that runs until it is cancelled or lost.
@@ -81,6 +87,7 @@
         "_membership",
         "_offer_rotation",
         "_offers_by_duty",
+        "_recordings",
         "_stall_timeout_s",
         "_started_s_by_duty",
         "_takeovers_by_duty",
@@ -119,6 +126,7 @@
         self._tasks_by_duty: dict[str, asyncio.Task[None]] = {}
         self._takeovers_by_duty: dict[str, asyncio.Task[None]] = {}
         self._started_s_by_duty: dict[str, float] = {}
+        self._recordings: set[asyncio.Task[None]] = set()
         self.owners_by_pool: dict[str, PoolOwner] = {}
         self.is_stopping = False
 
@@ -187,7 +195,7 @@
         """Returns the duties that this host owns."""
         return sorted(self._tasks_by_duty)
 
-    def handle_owner_request(self, request: OwnerRequest) -> OwnerReply:
+    async def handle_owner_request(self, request: OwnerRequest) -> OwnerReply:
         """Returns whether this host owns a duty and keeps it.
 
         A host that owns more than its share releases the duty if it is
@@ -200,7 +208,9 @@
         ):
             return OwnerReply(is_owner=False)
         if request.is_assigned and self._exceeds_share(duty):
-            self._release(duty)
+            recording = self._release(duty)
+            if recording is not None:
+                await asyncio.shield(recording)
             return OwnerReply(is_owner=False)
         return OwnerReply(is_owner=True)
 
@@ -280,11 +290,34 @@
             if self._tasks_by_duty.get(duty) is asyncio.current_task():
                 self._remove(duty)
 
-    def _release(self, duty: str) -> None:
+    def _release(self, duty: str) -> asyncio.Task[None] | None:
+        """Releases a duty.
+
+        Returns:
+            For a pool, the task that tells its next owner.
+        """
         task = self._tasks_by_duty[duty]
+        owner = self._duties_by_name[duty]
         self._remove(duty)
         task.cancel()
         self._context.log.write("duty.ended", duty=duty)
+        if not isinstance(owner, PoolOwner):
+            return None
+        if owner.leases is not None:
+            owner.leases.stop()
+        recording = start_once(
+            self._context,
+            f"release of {duty}",
+            lambda: self._record_release(owner),
+        )
+        self._recordings.add(recording)
+        recording.add_done_callback(self._recordings.discard)
+        return recording
+
+    async def _record_release(self, owner: PoolOwner) -> None:
+        await run_with_timeout(
+            self._context.timers, owner.record_release(), _RECORD_TIMEOUT_S
+        )
 
     def _remove(self, duty: str) -> None:
         del self._tasks_by_duty[duty]
--- a/daemons/manager/src/coltsfootseam/manager/peer_handlers.py
+++ b/daemons/manager/src/coltsfootseam/manager/peer_handlers.py
@@ -103,7 +103,7 @@
 
     async def handle_owner(self, request: OwnerRequest) -> OwnerReply:
         """Returns whether this host owns a duty."""
-        return self._duties.handle_owner_request(request)
+        return await self._duties.handle_owner_request(request)
 
     async def handle_pending(
         self, request: PendingCountRequest
--- a/daemons/manager/src/coltsfootseam/manager/pools/pool_loading.py
+++ b/daemons/manager/src/coltsfootseam/manager/pools/pool_loading.py
@@ -5,8 +5,9 @@
 from coltsfootseam.jobs import Progress, decode_progress, parse_pool_key
 from coltsfootseam.manager.context import Context
 from coltsfootseam.manager.leases.witnesses import (
+    MAX_VOUCHED_S,
     UNKNOWN_WITNESSES,
-    WitnessSet,
+    FormerOwners,
     decode_witnesses,
     witness_key,
 )
@@ -22,10 +23,16 @@
     """Reads a pool's journal and inbox, and retries until that succeeds.
 
     Attributes:
-        witnesses: The witnesses of earlier owners, once the journal is loaded.
+        former_owners: What is stored of them, once the journal is loaded.
     """
 
-    __slots__ = ("_context", "_pool", "_progress", "_started_s", "witnesses")
+    __slots__ = (
+        "_context",
+        "_pool",
+        "_progress",
+        "_started_s",
+        "former_owners",
+    )
 
     def __init__(
         self, pool: str, context: Context, progress: DutyProgress
@@ -34,7 +41,7 @@
         self._context = context
         self._progress = progress
         self._started_s = context.timers.now_s()
-        self.witnesses: frozenset[WitnessSet] = frozenset()
+        self.former_owners = FormerOwners()
 
     async def load_journal(self) -> dict[str, Progress]:
         """Returns the progress of each job, by the job's id.
@@ -64,7 +71,7 @@
         key_of_witnesses = witness_key(self._pool)
         for record in records:
             if record.key == key_of_witnesses:
-                self.witnesses = self._decode_witnesses(record)
+                self.former_owners = self._decode_witnesses(record)
                 continue
             key = parse_pool_key(self._pool, record.key)
             if key is None or not record.value:
@@ -79,14 +86,14 @@
             progress_by_id[key.job_id] = progress
         return progress_by_id
 
-    def _decode_witnesses(self, record: StoredRecord) -> frozenset[WitnessSet]:
+    def _decode_witnesses(self, record: StoredRecord) -> FormerOwners:
         try:
             return decode_witnesses(record.value)
         except msgspec.DecodeError as error:
             self._context.log.write(
                 "record.unreadable", key=record.key, why=str(error)
             )
-            return frozenset([UNKNOWN_WITNESSES])
+            return FormerOwners({UNKNOWN_WITNESSES: MAX_VOUCHED_S})
 
     async def _retry_later(self, part: str, refusal: Refusal) -> None:
         since_s = self._context.timers.now_s() - self._started_s
--- a/daemons/manager/src/coltsfootseam/manager/pools/pool_owner.py
+++ b/daemons/manager/src/coltsfootseam/manager/pools/pool_owner.py
@@ -72,6 +72,7 @@
         "_cluster",
         "_contacts",
         "_context",
+        "_journal",
         "_locator",
         "_pool",
         "_progress_by_id",
@@ -105,6 +106,7 @@
         self.progress = DutyProgress(context.timers)
         self.state: PoolState | None = None
         self.inbox: Tail | None = None
+        self._journal: Journal | None = None
         self.leases: PoolLeases | None = None
         self.evacuation: Evacuation | None = None
 
@@ -118,12 +120,13 @@
         )
         loader = PoolLoader(self._pool, self._context, self.progress)
         self._progress_by_id = await loader.load_journal()
+        self._journal = journal
         self.leases = PoolLeases(
             self._pool,
             self._context,
             journal,
             self._contacts,
-            loader.witnesses,
+            loader.former_owners,
         )
         state = self._make_state(journal, self.leases)
         inbox = Tail(
@@ -147,6 +150,16 @@
         self.progress.is_active = True
         await self._run_rounds(state, inbox)
 
+    async def record_release(self) -> None:
+        """Tells the next owner that this one, which has ended, has stopped.
+
+        If that can't be stored, the next owner waits for longer.
+        """
+        leases, journal = self.leases, self._journal
+        if leases is None or journal is None or journal.is_lost:
+            return
+        await journal.commit([leases.release_record()])
+
     def _make_state(self, journal: Journal, leases: PoolLeases) -> PoolState:
         links_by_id: dict[str, WorkerLink] = {}
         return PoolState(
--- a/libs/testbed/src/coltsfootseam/testbed/model/pool.py
+++ b/libs/testbed/src/coltsfootseam/testbed/model/pool.py
@@ -8,6 +8,7 @@
 from coltsfootseam.manager.context import Context
 from coltsfootseam.manager.leases.pool_leases import PoolLeases
 from coltsfootseam.manager.leases.store_contacts import StoreContacts
+from coltsfootseam.manager.leases.witnesses import FormerOwners
 from coltsfootseam.manager.orders.worker_lives import WorkerLives
 from coltsfootseam.manager.pools.evacuation import Evacuation
 from coltsfootseam.manager.pools.interruptions import Interruptions
@@ -44,7 +45,9 @@
         journal = Journal(
             context.ports.store, context.timers, Partition(pool), pool, 1
         )
-        leases = PoolLeases(pool, context, journal, StoreContacts(context), ())
+        leases = PoolLeases(
+            pool, context, journal, StoreContacts(context), FormerOwners()
+        )
         links_by_id: dict[str, WorkerLink] = {}
         self.state = PoolState(
             pool,
--- a/tests/common/lease_rights.py
+++ b/tests/common/lease_rights.py
@@ -9,9 +9,12 @@
     StoreContact,
     StoreContacts,
 )
-from coltsfootseam.manager.leases.witnesses import decode_witnesses
+from coltsfootseam.manager.leases.witnesses import (
+    FormerOwners,
+    decode_witnesses,
+)
 from coltsfootseam.scheduling import Policies
-from coltsfootseam.store import Journal, Partition
+from coltsfootseam.store import Journal, KeyedRecord, Partition
 from coltsfootseam.testbed.model.context import ModelTimers, make_context
 from coltsfootseam.workers import max_lease_duration_s
 
@@ -83,13 +86,14 @@
         self.journal = Journal(
             context.ports.store, context.timers, Partition("j"), POOL, 1
         )
-        earlier = (
-            decode_witnesses(network.record) if network.record else frozenset()
-        )
+        former = FormerOwners()
+        if network.record:
+            former = decode_witnesses(network.record)
         self.leases = PoolLeases(
-            POOL, context, self.journal, host.contacts, earlier
+            POOL, context, self.journal, host.contacts, former
         )
         self.leased_until_s = 0.0
+        self.appending: KeyedRecord | None = None
 
 
 class ModelNetwork:
@@ -124,6 +128,16 @@
         self.owners.append(owner)
         return owner
 
+    def hand_over(self, host: ModelHost) -> ModelOwner:
+        """Has the current owner release the pool to a host that claims it."""
+        current = self.owners[-1]
+        if not current.journal.is_lost:
+            current.leases.stop()
+            if current.host.reaches_store:
+                self.record = current.leases.release_record().value
+            current.journal.is_lost = True
+        return self.claim(host)
+
     def part(self, *groups: list[ModelHost]) -> None:
         """Cuts the groups of hosts off from each other."""
         group_by_address = {
@@ -170,11 +184,14 @@
         members = frozenset(
             host.address for host in self.hosts if host.reaches_store
         )
-        record = owner.leases.record_to_store()
+        # An append is repeated until it is answered, before any other one.
+        if owner.appending is None:
+            owner.appending = owner.leases.record_to_store()
         if owner.host.reaches_store:
-            if record is not None:
-                self.record = record.value
+            if owner.appending is not None:
+                self.record = owner.appending.value
             if not self.is_reply_lost:
+                owner.appending = None
                 owner.journal.confirmed_s = self.now_s()
                 owner.leases.confirm_stored()
         for address in sorted(owner.leases.addresses_to_ask()):
--- a/tests/cover/test_pool_leases.py
+++ b/tests/cover/test_pool_leases.py
@@ -15,6 +15,10 @@
 UNVOUCHED_S = 2.5
 SHORT_WAIT_S = 7.6
 LONG_WAIT_S = 30.0
+LEASE_S = 4.5
+"""A lease of the fleet's default length, with the drift of clocks."""
+MAX_HAND_OVER_COST_S = 6.0
+"""What three hand-overs may add to that, 2 s each."""
 
 
 def store_down(hosts: list[ModelHost]) -> None:
@@ -146,3 +150,66 @@
             network.advance(rng.choice([0.1, 1.0, 1.5]))
             able = [host for host in able if host.reaches_store]
             network.claim(rng.choice(able))
+
+
+# Guards against a wait that begins anew with each hand-over: most witnesses of
+# an earlier owner were lost for good, so that each owner waits for the limit.
+def test_a_hand_over_does_not_prolong_the_wait() -> None:
+    network = ModelNetwork(6)
+    network.claim(network.hosts[0])
+    network.advance(5.0)
+    lost, left = network.hosts[:4], network.hosts[4:]
+    for host in lost:
+        host.reaches_store = False
+        network.restart(host)
+    network.part(left, *([host] for host in lost))
+    network.claim(left[0])
+    waited_s = 0.0
+    for number in range(2, 5):
+        network.advance(7.0)
+        waited_s += 7.0
+        last = network.hand_over(left[number % 2])
+    assert not last.leases.have_earlier_ended()
+    network.advance(LONG_WAIT_S - waited_s + MAX_HAND_OVER_COST_S)
+    assert last.leases.have_earlier_ended()
+
+
+# Guards against a successor that waits for an owner that has stopped.
+def test_a_hand_over_costs_one_lease_at_most() -> None:
+    network = ModelNetwork(5)
+    network.claim(network.hosts[0])
+    network.advance(20.0)
+    successor = network.hand_over(network.hosts[1])
+    network.advance(LEASE_S)
+    assert successor.leases.have_earlier_ended()
+
+
+# As above, with hand-overs, whose record may be lost.
+@pytest.mark.parametrize("seed", range(60))
+def test_no_lease_outlives_the_wait_after_hand_overs(seed: int) -> None:
+    rng = random.Random(seed)
+    network = ModelNetwork(rng.randint(2, 7), seed)
+    hosts = network.hosts
+    network.claim(rng.choice(hosts))
+    for _ in range(40):
+        network.advance(rng.choice([0.1, 0.4, 1.0, 2.0, 5.0, 9.0]))
+        change = rng.random()
+        if change < 0.3:
+            side = [host for host in hosts if rng.random() < 0.5]
+            network.part(side, [host for host in hosts if host not in side])
+            for host in hosts:
+                host.reaches_store = host not in side
+        elif change < 0.5:
+            network.part(hosts)
+            for host in hosts:
+                host.reaches_store = True
+        elif change < 0.6:
+            network.restart(rng.choice(hosts))
+        network.is_reply_lost = rng.random() < 0.2
+        able = [host for host in hosts if host.reaches_store]
+        if not able:
+            continue
+        if network.owners[-1].host.reaches_store and rng.random() < 0.5:
+            network.hand_over(rng.choice(able))
+        elif rng.random() < 0.5:
+            network.claim(rng.choice(able))
