Store no job behind the end of its admission in the same append

Found by reading: a host may end the admission of a queue in a pool while it has jobs of the queue to append there. Both meet the condition that the admission is current, so they went out in one append, in the order in which they were handed in, and a job could follow the end of its admission. A host that had found the job absent there could then store it in another pool.

The handling of a job that is handed in is split into smaller functions.

--- a/daemons/manager/src/coltsfootseam/manager/jobs/admission.py
+++ b/daemons/manager/src/coltsfootseam/manager/jobs/admission.py
@@ -54,6 +54,12 @@
     return admission_prefix(pool) + digest.hexdigest()
 
 
+def is_admission(key: str) -> bool:
+    """Returns whether a key of an inbox is that of an admission."""
+    prefix = key.rpartition("/")[0] + "/"
+    return prefix.endswith(admission_prefix(""))
+
+
 def encode_admission(admission: Admission) -> bytes:
     """Encodes an admission for the inbox."""
     return msgspec.msgpack.encode(admission)
--- a/daemons/manager/src/coltsfootseam/manager/jobs/inbox_appender.py
+++ b/daemons/manager/src/coltsfootseam/manager/jobs/inbox_appender.py
@@ -21,6 +21,7 @@
     StoredAdmission,
     admission_key,
     encode_admission,
+    is_admission,
 )
 from coltsfootseam.manager.jobs.inbox_view import InboxView
 from coltsfootseam.results import OK, Refusal, ResultCode
@@ -281,7 +282,7 @@
                 is_behind = True
                 continue
             _settle(unmet, NOT_ADMITTED)
-            batch = [item for item in batch if item not in unmet]
+            batch = _in_order([item for item in batch if item not in unmet])
             if not batch:
                 return
             sent_s = self._context.timers.now_s()
@@ -311,6 +312,22 @@
     return batch
 
 
+def _in_order(batch: list[_PendingRecord]) -> list[_PendingRecord]:
+    """Returns the records of an append in an order that suits all conditions.
+
+    Admissions come last, as other records may depend on those that they
+    replace. Of several for a queue the first one counts.
+    """
+    jobs = [item for item in batch if not is_admission(item.record.key)]
+    admissions: dict[str, _PendingRecord] = {}
+    for item in batch:
+        if is_admission(item.record.key):
+            first = admissions.setdefault(item.record.key, item)
+            if first is not item:
+                _settle([item], NOT_ADMITTED)
+    return [*jobs, *admissions.values()]
+
+
 def _is_met(item: _PendingRecord, view: InboxView) -> bool:
     condition = item.condition
     if condition is None:
--- a/daemons/manager/src/coltsfootseam/manager/jobs/inbox_view.py
+++ b/daemons/manager/src/coltsfootseam/manager/jobs/inbox_view.py
@@ -13,6 +13,7 @@
     admission_key,
     admission_prefix,
     decode_admission,
+    is_admission,
 )
 from coltsfootseam.results import Refusal
 from coltsfootseam.store import (
@@ -131,7 +132,7 @@
         self._offsets_by_key.clear()
 
     def _apply(self, record: StoredRecord) -> None:
-        if not _is_admission(record.key):
+        if not is_admission(record.key):
             return
         if record.offset <= self._offsets_by_key.get(record.key, -1):
             return
@@ -150,8 +151,3 @@
         self._admissions_by_key[record.key] = StoredAdmission(
             record.offset, admission, self._context.timers.now_s()
         )
-
-
-def _is_admission(key: str) -> bool:
-    prefix = key.rpartition("/")[0] + "/"
-    return prefix.endswith(admission_prefix(""))
--- a/daemons/manager/src/coltsfootseam/manager/jobs/job_service.py
+++ b/daemons/manager/src/coltsfootseam/manager/jobs/job_service.py
@@ -137,33 +137,56 @@
     ) -> Refusal:
         """Stores a job in the pool that takes the queue's new jobs.
 
-        An earlier request for the same job may be in another pool's inbox. The
-        job then stays there.
+        If the queue moves meanwhile, the pool is looked for again.
         """
-        is_moved = False
-        while True:
-            home = await self._find_home(queue, is_current=is_moved)
-            if home is None:
+        outcome = NOT_ADMITTED
+        has_moved = False
+        while outcome is NOT_ADMITTED:
+            time_left_s = deadline_s - self._context.timers.now_s()
+            if has_moved and time_left_s < MIN_TIME_LEFT_S:
                 return _UNDETERMINED
-            earlier = await self._find_earlier(home, job_id, deadline_s)
-            if isinstance(earlier, KnownJob):
-                return self.callers.check_access(job_id, earlier, team) or OK
-            if earlier.code is not ResultCode.JOB_UNKNOWN:
+            home = await self._find_home(queue, is_current=has_moved)
+            if home is None:
                 return _UNDETERMINED
-            outcome = await self._storage.store(
-                home.pool,
-                job_key(home.pool, job_id),
-                encode_request(request),
-                deadline_s,
-                team,
-                queue.name,
-                home.admission,
+            outcome = await self._store_in(
+                home, queue, job_id, request, deadline_s, team
             )
-            is_moved = outcome is NOT_ADMITTED
-            if not is_moved:
-                break
-            if self._context.timers.now_s() > deadline_s - MIN_TIME_LEFT_S:
-                return _UNDETERMINED
+            has_moved = True
+        return outcome
+
+    async def _store_in(
+        self,
+        home: Home,
+        queue: Queue,
+        job_id: str,
+        request: JobRequest,
+        deadline_s: float,
+        team: str | None,
+    ) -> Refusal:
+        """Stores a job in a pool unless another one has it.
+
+        An earlier request for the same job may be in another pool's inbox. The
+        job then stays there.
+
+        Returns:
+            The outcome, ``NOT_ADMITTED`` if the pool doesn't take it.
+        """
+        earlier = await self._find_earlier(home, job_id, deadline_s)
+        if isinstance(earlier, KnownJob):
+            return self.callers.check_access(job_id, earlier, team) or OK
+        if earlier.code is not ResultCode.JOB_UNKNOWN:
+            return _UNDETERMINED
+        outcome = await self._storage.store(
+            home.pool,
+            job_key(home.pool, job_id),
+            encode_request(request),
+            deadline_s,
+            team,
+            queue.name,
+            home.admission,
+        )
+        if outcome is NOT_ADMITTED:
+            return outcome
         if outcome.code is ResultCode.JOB_OF_OTHER_TEAM:
             return self.callers.refuse_other_team(job_id, team)
         self._record_submitted(queue, job_id, request.team, home.pool, outcome)
--- a/daemons/manager/src/coltsfootseam/manager/membership/duty_manager.py
+++ b/daemons/manager/src/coltsfootseam/manager/membership/duty_manager.py
@@ -308,17 +308,16 @@
         recording = start_once(
             self._context,
             f"release of {duty}",
-            lambda: self._record_release(owner),
+            lambda: run_with_timeout(
+                self._context.timers,
+                owner.record_release(),
+                _RECORD_TIMEOUT_S,
+            ),
         )
         self._recordings.add(recording)
         recording.add_done_callback(self._recordings.discard)
         return recording
 
-    async def _record_release(self, owner: PoolOwner) -> None:
-        await run_with_timeout(
-            self._context.timers, owner.record_release(), _RECORD_TIMEOUT_S
-        )
-
     def _remove(self, duty: str) -> None:
         del self._tasks_by_duty[duty]
         self._started_s_by_duty.pop(duty, None)
