Record a release only where the process goes on, and replace it at once

Found with a new proof (machines-remembered), which passed without its mechanism: the end of a process recorded that its owners stop, so a host that was killed in a test told its successor. The end of the process no longer records anything; a release to another host and a planned stop do.

An owner that found such a record granted no lease until its first planning round had replaced it, and its heartbeats came back to that a second later. The record is replaced before the links to the workers are opened.

--- a/bench/prove.py
+++ b/bench/prove.py
@@ -245,6 +245,21 @@
         "coordinators-fenced",
         "tests/cover/test_quota_faults.py::test_the_coordinator_is_lost",
     ),
+    Proof(
+        "lives-told-apart",
+        "tests/cover/test_restarted_workers.py::"
+        "test_a_start_that_reaches_the_next_life_is_not_repeated_elsewhere",
+    ),
+    Proof(
+        "queues-admitted",
+        "tests/cover/test_inbox_appender.py::"
+        "test_a_host_with_an_old_view_stores_no_job",
+    ),
+    Proof(
+        "machines-remembered",
+        "tests/cover/test_power_failures.py::"
+        "test_lasting_tasks_of_a_lost_machine_run_again_in_time",
+    ),
 ]
 
 
--- a/daemons/manager/src/coltsfootseam/manager/leases/pool_leases.py
+++ b/daemons/manager/src/coltsfootseam/manager/leases/pool_leases.py
@@ -116,7 +116,7 @@
         """Returns whether this owner may grant leases now."""
         may_grant = (
             not self._has_stopped
-            and not self._must_store()
+            and not self.must_store()
             and not self._journal.is_lost
             and self._is_confirmed_or_vouched()
         )
@@ -180,6 +180,13 @@
             if denied_s is not None:
                 self._denied_s_by_set[witnesses] = denied_s
 
+    def must_store(self) -> bool:
+        """Returns whether the record still says that the last owner stopped.
+
+        The next owner would take it for word of this one.
+        """
+        return self._former.has_last_stopped and not self._has_stored
+
     def record_to_store(self) -> KeyedRecord | None:
         """Returns the record of the witnesses if the stored one is outdated.
 
@@ -194,18 +201,11 @@
             own = self._candidates
         witnesses = self._witnesses_for_next(own)
         is_up_to_date = not own or self._is_stored(witnesses)
-        if is_up_to_date and not self._must_store():
+        if is_up_to_date and not self.must_store():
             return None
         self._storing = witnesses
         return KeyedRecord(witness_key(self._pool), encode_witnesses(witnesses))
 
-    def _must_store(self) -> bool:
-        """Returns whether the record still says that the last owner stopped.
-
-        The next owner would take it for word of this one.
-        """
-        return self._former.has_last_stopped and not self._has_stored
-
     def _witnesses_for_next(self, own: WitnessSet) -> Witnesses:
         """Returns what the next owner has to know of this and earlier ones."""
         if self._have_earlier_stopped():
--- a/daemons/manager/src/coltsfootseam/manager/manager.py
+++ b/daemons/manager/src/coltsfootseam/manager/manager.py
@@ -124,7 +124,7 @@
             try:
                 yield manager
             finally:
-                manager.duties.stop()
+                manager.duties.close()
 
 
 def _background_functions(
--- a/daemons/manager/src/coltsfootseam/manager/membership/duty_manager.py
+++ b/daemons/manager/src/coltsfootseam/manager/membership/duty_manager.py
@@ -179,6 +179,12 @@
         self.is_stopping = True
         self._release_all()
 
+    def close(self) -> None:
+        """Ends every duty as a process does that is killed."""
+        self.stop()
+        for recording in self._recordings:
+            recording.cancel()
+
     def duty(self, name: str) -> Duty | None:
         """Returns a duty of this host, ``None`` if it doesn't own it."""
         return self._duties_by_name.get(name)
--- a/daemons/manager/src/coltsfootseam/manager/pools/pool_owner.py
+++ b/daemons/manager/src/coltsfootseam/manager/pools/pool_owner.py
@@ -147,9 +147,20 @@
             jobs=len(state.job_table.jobs_by_id),
             active=len(state.job_table.active_by_id),
         )
+        await self._replace_release(journal, self.leases)
         self.progress.is_active = True
         await self._run_rounds(state, inbox)
 
+    async def _replace_release(
+        self, journal: Journal, leases: PoolLeases
+    ) -> None:
+        """Replaces the record that the last owner has stopped."""
+        if not leases.must_store():
+            return
+        record = leases.record_to_store()
+        if record is not None and await journal.commit([record]) is None:
+            leases.confirm_stored()
+
     async def record_release(self) -> None:
         """Tells the next owner that this one, which has ended, has stopped.
 
--- a/libs/testbed/src/coltsfootseam/testbed/manager_switches.py
+++ b/libs/testbed/src/coltsfootseam/testbed/manager_switches.py
@@ -14,12 +14,16 @@
     Task,
 )
 from coltsfootseam.manager.cluster_state import ClusterState
-from coltsfootseam.manager.jobs import job_service
+from coltsfootseam.manager.jobs import inbox_appender, job_service
 from coltsfootseam.manager.machines.machine_orders import MachineOrders
 from coltsfootseam.manager.machines.waves import Waves
+from coltsfootseam.manager.machines.worker_incarnations import (
+    WorkerIncarnations,
+)
 from coltsfootseam.manager.membership.duty_manager import DutyManager
 from coltsfootseam.manager.membership.standby import Standby
 from coltsfootseam.manager.orders import start_capacity
+from coltsfootseam.manager.orders.worker_lives import WorkerLives
 from coltsfootseam.manager.peer_handlers import PeerHandlers
 from coltsfootseam.manager.pools import crash_evidence, pacer
 from coltsfootseam.manager.pools.interruptions import Interruptions
@@ -63,6 +67,21 @@
     replace(WorkerLease, "has_ended", lambda lease: True)
 
 
+@switch("lives-told-apart")
+def _end_all_runs_with_their_incarnation() -> None:
+    replace(WorkerLives, "may_be_redirected", lambda lives, task, run: False)
+
+
+@switch("queues-admitted")
+def _store_jobs_wherever_asked() -> None:
+    replace(inbox_appender, "_is_met", lambda item, view: True)
+
+
+@switch("machines-remembered")
+def _forget_which_worker_was_on_which_machine() -> None:
+    replace(WorkerIncarnations, "restore", lambda known, latest, now_s: None)
+
+
 @switch("starts-shut-out")
 def _drop_unanswered_starts() -> None:
     stop_run = JobTable.stop_run
