Store at once that a worker has a run

Cause: confirmations were stored after 2 s, so a new owner took most runs on a worker out of reach for ones that a later life may have, and waited for the longest lease. Change: they are stored with the next append.

--- a/daemons/manager/src/coltsfootseam/manager/pools/pool_state.py
+++ b/daemons/manager/src/coltsfootseam/manager/pools/pool_state.py
@@ -93,7 +93,7 @@
         returns, and nobody has to know of this one before then.
         """
         if self.context.ports.store.unanswered_s() < _MAX_STORE_SILENCE_S:
-            self.job_table.store_confirmation(task, run, self.now_s())
+            self.job_table.store_confirmation(task, run)
 
     def queue_of(self, job: Job) -> Queue:
         """Returns a job's queue, even if it was removed."""
--- a/libs/jobs/src/coltsfootseam/jobs/job_table.py
+++ b/libs/jobs/src/coltsfootseam/jobs/job_table.py
@@ -21,9 +21,6 @@
 """Returns the number of failed runs of a task that fail its job, by queue."""
 
 
-_CONFIRMATION_STORED_AFTER_S = 2.0
-
-
 class JobTable:
     """Jobs of one pool by id, and which of them changed.
 
@@ -167,16 +164,12 @@
         if run.phase is RunPhase.ORDERED:
             run.phase = RunPhase.RUNNING
 
-    def store_confirmation(self, task: Task, run: Run, now_s: float) -> None:
+    def store_confirmation(self, task: Task, run: Run) -> None:
         """Has it stored that a run is on the worker that it was ordered from.
 
-        The next owner then needn't wait for a worker that it can't reach. Most
-        runs of tasks that don't last end before that is worth an append.
+        The next owner then needn't wait for a worker that it can't reach.
         """
-        if not run.is_confirmed or run.is_confirmation_stored:
-            return
-        age_s = now_s - run.ordered_s
-        if task.step.long_running or age_s >= _CONFIRMATION_STORED_AFTER_S:
+        if run.is_confirmed and not run.is_confirmation_stored:
             run.is_confirmation_stored = True
             self.changed_ids.add(task.id.job_id)
 
