Share the record of a queue's pool between concurrent first jobs again

Found by reading the change: admitting a queue recorded its pool by itself for each job, so concurrent first jobs sent an append each, and the shared one (QueuePools.record) was left to a test only. It is called again where one queue is admitted. Nothing else changes: tests/cover/test_moved_queues.py, test_inbox_appender.py, test_slow_store.py, test_stale_configurations.py and test_walks_of_moved_queues.py were run.

--- a/daemons/manager/src/coltsfootseam/manager/jobs/admissions.py
+++ b/daemons/manager/src/coltsfootseam/manager/jobs/admissions.py
@@ -140,7 +140,12 @@
             return OK
         pools = self._cluster.queue_pools
         pairs = [QueuePool(queue, pool) for queue in offsets]
-        if not await pools.record_all(pairs) or not await pools.catch_up():
+        # Concurrent first jobs of a queue share the append of its record.
+        is_single = len(pairs) == 1
+        is_recorded = await (
+            pools.record(pairs[0]) if is_single else pools.record_all(pairs)
+        )
+        if not is_recorded or not await pools.catch_up():
             return _UNRECORDED
         for queue in offsets:
             for other in pools.others_of(queue, pool):
