--- a/tests/common/manager_processes.py
+++ b/tests/common/manager_processes.py
@@ -35,6 +35,7 @@
         zone: str = "a",
         arguments: tuple[str, ...] = START,
         variables: dict[str, str] | None = None,
+        limits: dict[str, int] | None = None,
     ) -> None:
         front, readiness = listen_ports
         self.name = f"edge-{number}"
@@ -62,6 +63,7 @@
                     "port_range": [first_port, first_port + 1],
                     "platform": {"addr": store, "parts": 12},
                     "cloud_api": {"addr": store},
+                    "limits": limits or {},
                 }
             )
         )
