Hand the HTTP library one request at a time

Cause: whatever arrives was handed to the HTTP library at once, 256 KB at a time. It keeps what it can't use yet: bytes behind an upgrade that nobody accepts, parsed requests ahead of the one in progress, fields of heads and trailers. And the kernel's receive buffers grow to several MB a connection.

Change: a new library, connections, receives at most 16 KB at once, into small kernel buffers. It hands on the head of a request when it is complete and at most max_head_bytes long, then its body, and nothing behind it until the answer is written. Empty lines count as part of a head. Fields that ask for an upgrade are left out, as some clients send them with ordinary requests; a CONNECT is answered 405. Only public interfaces of asyncio (BufferedProtocol, Transport, sock_accept) and aiohttp (web.Server as a protocol factory) are used. All three ports of a manager are served so. The library's errors about clients' input are no longer logged with tracebacks, which a client could repeat without end.

--- a/daemons/manager/src/coltsfootseam/manager/__init__.py
+++ b/daemons/manager/src/coltsfootseam/manager/__init__.py
@@ -7,6 +7,7 @@
 from coltsfootseam.manager.policy_settings import load_policies
 from coltsfootseam.manager.quotas.status import TeamsStatus, TeamStatus
 from coltsfootseam.manager.quotas.usage import describe_amounts
+from coltsfootseam.manager.serving import ServingSettings, serving_manager
 from coltsfootseam.manager.status import (
     JobStatus,
     ManagerStatus,
@@ -24,6 +25,7 @@
     "MonitoringPages",
     "PoolStatus",
     "Ports",
+    "ServingSettings",
     "TeamStatus",
     "TeamsStatus",
     "Times",
@@ -31,4 +33,5 @@
     "describe_amounts",
     "load_policies",
     "running_manager",
+    "serving_manager",
 ]
--- /dev/null
+++ b/libs/connections/src/coltsfootseam/connections/__init__.py
@@ -0,0 +1,31 @@
+"""HTTP servers whose connections stay within a budget."""
+
+from coltsfootseam.connections.internal.table import Report
+from coltsfootseam.connections.limits import (
+    PortLimits,
+    ProcessLimits,
+    RequestLimits,
+)
+from coltsfootseam.connections.loop_share import LoopShare
+from coltsfootseam.connections.server import (
+    HttpHandler,
+    Listener,
+    Port,
+    make_server,
+    serving_application,
+    serving_connections,
+)
+
+__all__ = [
+    "HttpHandler",
+    "Listener",
+    "LoopShare",
+    "Port",
+    "PortLimits",
+    "ProcessLimits",
+    "Report",
+    "RequestLimits",
+    "make_server",
+    "serving_application",
+    "serving_connections",
+]
--- /dev/null
+++ b/libs/connections/src/coltsfootseam/connections/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Machinery of the connections."""
