Hold connections and requests within the host's memory and descriptors

Cause: limits.memory_mb and limits.max_fds of the settings were not read, and nothing bounded what all connections together hold.

If all clients keep their connections busy, the next one that is answered is closed behind its answer.

--- a/tests/cover/test_connections.py
+++ b/tests/cover/test_connections.py
@@ -13,6 +13,7 @@
 from coltsfootseam.testbed.waiting import wait_until
 from tests.common.http_port import (
     LIMIT_S,
+    MAX_BODY_BYTES,
     TestPort,
     serving_port,
 )
@@ -215,3 +216,67 @@
     async with serving_port(handle) as port:
         answer = await port.exchange(request(method="GET"))
     assert answer.startswith(b"HTTP/1.1 500 ")
+
+
+# Guards against newcomers that are locked out by connections that send nothing.
+async def test_the_longest_unfinished_connection_goes_first() -> None:
+    async with serving_port(max_connections=3) as port:
+        kept = await port.open()
+        kept[1].write(request(body=b"a"))
+        await kept[0].readuntil(b"\r\n\r\na")
+        first = await port.open()
+        await wait_until_open(port, 2)
+        second = await port.open()
+        await wait_until_open(port, 3)
+        await asyncio.sleep(0.1)
+        answers = await port.exchange(request(CLOSE, body=b"b"))
+        assert bodies_of(answers) == [b"b"]
+        with contextlib.suppress(ConnectionError):
+            async with asyncio.timeout(LIMIT_S):
+                assert await first[0].read() == b""
+        for reader, writer in (kept, second):
+            writer.write(request(CLOSE, body=b"c"))
+            assert bodies_of(await reader.read()) == [b"c"]
+        for _, writer in (kept, first, second):
+            writer.transport.abort()
+
+
+# Guards against newcomers that are locked out by clients that always have a
+# request in progress.
+async def test_a_newcomer_gets_in_beside_busy_connections() -> None:
+    async with serving_port(max_connections=3) as port:
+        writers = []
+        for _ in range(3):
+            _, writer = await port.open()
+            writer.write(request(method="GET") * 20_000)
+            writers.append(writer)
+        answers = await port.exchange(request(CLOSE, body=b"b"))
+        assert bodies_of(answers) == [b"b"]
+        for writer in writers:
+            writer.transport.abort()
+
+
+# Guards against large bodies that stop short and hold all the memory.
+async def test_the_slowest_large_body_goes_first() -> None:
+    size = MAX_BODY_BYTES
+    held = 3 * size
+    async with serving_port(max_bytes=held * 2) as port:
+        _, stuck = await port.open()
+        stuck.write(request(f"Content-Length: {size}") + b"a" * 1000)
+        await asyncio.sleep(0.6)
+        body = b"b" * size
+        answers = await port.exchange(request(CLOSE, body=body))
+        assert bodies_of(answers) == [body]
+        await wait_until_open(port, 0)
+        stuck.transport.abort()
+
+
+async def test_memory_is_free_again_when_all_are_answered() -> None:
+    async with serving_port() as port:
+        body = b"b" * MAX_BODY_BYTES
+        await asyncio.gather(
+            *(port.exchange(request(CLOSE, body=body)) for _ in range(20))
+        )
+        await wait_until_open(port, 0)
+        assert port.listener is not None
+        assert port.listener.table.bytes_held == 0
