Refuse compressed bodies, and bodies over the operator's limit, unread

And max_header_bytes and max_body_bytes, which the operator's configuration sets, had no effect.

Cause: the HTTP library unpacks bodies by default, and nobody read these limits.

Change: bodies are not unpacked; a compressed one is answered 415 (code 48), one that is too long 413 (code 47), by its announced length before it is read. Heads are limited by max_header_bytes. Without these settings the limits are 16,384 bytes and, as before, 1 MB.

The test of which codes promise that nothing ran names the two new ones.

--- a/daemons/manager/src/coltsfootseam/manager/jobs/job_service.py
+++ b/daemons/manager/src/coltsfootseam/manager/jobs/job_service.py
@@ -9,6 +9,7 @@
     PendingCountReply,
     PendingCountRequest,
 )
+from coltsfootseam.connections import RequestLimits
 from coltsfootseam.jobs import (
     JobRequest,
     JobState,
@@ -99,6 +100,17 @@
             )
         return queue
 
+    def request_limits(self) -> RequestLimits:
+        """Returns what a request may be, as the operator has set it."""
+        configuration = self._cluster.configuration
+        default = RequestLimits()
+        if configuration is None:
+            return default
+        return RequestLimits(
+            configuration.max_head_bytes or default.max_head_bytes,
+            configuration.max_body_bytes or default.max_body_bytes,
+        )
+
     async def submit(
         self, queue: Queue, job_id: str, request: JobRequest, deadline_s: float
     ) -> Refusal:
--- a/daemons/manager/src/coltsfootseam/manager/serving.py
+++ b/daemons/manager/src/coltsfootseam/manager/serving.py
@@ -62,6 +62,7 @@
         settings.limits.for_callers(),
         share,
         _report_to(context, "callers"),
+        manager.jobs.request_limits,
     )
     readiness_port = Port(
         settings.readiness,
--- a/libs/connections/src/coltsfootseam/connections/__init__.py
+++ b/libs/connections/src/coltsfootseam/connections/__init__.py
@@ -1,5 +1,6 @@
 """HTTP servers whose connections stay within a budget."""
 
+from coltsfootseam.connections.bodies import read_body
 from coltsfootseam.connections.internal.table import Report
 from coltsfootseam.connections.limits import (
     PortLimits,
@@ -26,6 +27,7 @@
     "Report",
     "RequestLimits",
     "make_server",
+    "read_body",
     "serving_application",
     "serving_connections",
 ]
--- a/libs/connections/src/coltsfootseam/connections/server.py
+++ b/libs/connections/src/coltsfootseam/connections/server.py
@@ -122,7 +122,10 @@
 
 
 def _server_options() -> dict[str, Any]:
-    """Returns the options of the HTTP library's servers."""
+    """Returns the options of the HTTP library's servers.
+
+    Bodies are not unpacked: what is received is what is held.
+    """
     return {
         "access_log": None,
         "logger": _logger(),
@@ -130,6 +133,7 @@
         "max_line_size": MAX_HEAD_BYTES,
         "max_field_size": MAX_HEAD_BYTES,
         "read_bufsize": RECEIVE_BYTES,
+        "auto_decompress": False,
     }
 
 
--- a/libs/jobs/src/coltsfootseam/jobs/configuration.py
+++ b/libs/jobs/src/coltsfootseam/jobs/configuration.py
@@ -120,12 +120,16 @@
         queues_by_name: All queues.
         pools_by_name: All pools.
         teams_by_name: All teams, empty if the deployment has none.
+        max_head_bytes: The longest head of a caller's request.
+        max_body_bytes: The longest body, ``None`` if the operator sets none.
     """
 
     version: int
     queues_by_name: dict[str, Queue]
     pools_by_name: dict[str, Pool]
     teams_by_name: dict[str, Team] = {}
+    max_head_bytes: int = 16_384
+    max_body_bytes: int | None = None
 
 
 class Wave(msgspec.Struct, frozen=True):
--- a/libs/results/src/coltsfootseam/results/codes.py
+++ b/libs/results/src/coltsfootseam/results/codes.py
@@ -41,6 +41,8 @@
     JOB_OF_OTHER_TEAM = 45
     # The numbers 50 to 59 of the other codes of this kind are all in use.
     NOT_RUN_NEVER_FITS = 46
+    NOT_RUN_TOO_LARGE = 47
+    NOT_RUN_ENCODED = 48
 
     NOT_RUN_OVERLOADED = 50
     NOT_RUN_NO_ENDPOINT = 51
@@ -75,6 +77,8 @@
     ResultCode.JOB_UNKNOWN: 410,
     ResultCode.JOB_OF_OTHER_TEAM: 403,
     ResultCode.NOT_RUN_NEVER_FITS: 422,
+    ResultCode.NOT_RUN_TOO_LARGE: 413,
+    ResultCode.NOT_RUN_ENCODED: 415,
     ResultCode.NOT_RUN_UNKNOWN_KEY: 401,
     ResultCode.OUTCOME_PENDING: 504,
     ResultCode.NOT_IN_FORCE: 202,
--- a/tests/common/http_port.py
+++ b/tests/common/http_port.py
@@ -14,8 +14,10 @@
     PortLimits,
     RequestLimits,
     make_server,
+    read_body,
     serving_connections,
 )
+from coltsfootseam.results import Refusal, http_status_for_code
 from tests.common.ports import reserved_ports
 
 MAX_BODY_BYTES = 100_000
@@ -23,8 +25,11 @@
 
 
 async def echo(request: web.BaseRequest) -> web.Response:
-    """Returns the body."""
-    return web.Response(body=await request.read())
+    """Returns the body, or the status of its refusal."""
+    body = await read_body(request, MAX_BODY_BYTES)
+    if isinstance(body, Refusal):
+        return web.Response(status=http_status_for_code(body.code))
+    return web.Response(body=body)
 
 
 class TestPort:
--- a/tests/cover/test_adapter.py
+++ b/tests/cover/test_adapter.py
@@ -388,3 +388,18 @@
     machines._client = client  # type: ignore[assignment]
     assert isinstance(await machines.list_machines(), Refusal)
     assert client.calls == 2
+
+
+def test_the_operators_limits_of_requests_are_read() -> None:
+    limits = {"max_header_bytes": 5000, "max_body_bytes": 6000}
+    for fields, expected in (
+        ({}, (16_384, None)),
+        ({"limits": {}}, (16_384, None)),
+        ({"limits": limits}, (5000, 6000)),
+    ):
+        value = msgspec.json.encode({"version": 1, **fields})
+        record = StoredRecord(0, "config", value)
+        configuration = PlatformFeeds().decode_operator(record)
+        assert isinstance(configuration, Configuration)
+        found = (configuration.max_head_bytes, configuration.max_body_bytes)
+        assert found == expected
--- a/tests/cover/test_connections.py
+++ b/tests/cover/test_connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import gzip
 import itertools
 from collections.abc import Callable
 
@@ -280,3 +281,29 @@
         await wait_until_open(port, 0)
         assert port.listener is not None
         assert port.listener.table.bytes_held == 0
+
+
+async def test_a_compressed_body_is_not_unpacked() -> None:
+    body = gzip.compress(b"a" * 1000)
+    async with serving_port() as port:
+        answer = await port.exchange(
+            request(CLOSE, "Content-Encoding: gzip", body=body)
+        )
+    assert answer.startswith(b"HTTP/1.1 415 ")
+
+
+async def test_a_body_that_is_too_long_is_refused_before_it_is_sent() -> None:
+    async with serving_port() as port:
+        reader, writer = await port.open()
+        size = MAX_BODY_BYTES + 1
+        writer.write(request(f"Content-Length: {size}"))
+        async with asyncio.timeout(LIMIT_S):
+            assert b" 413 " in await reader.readline()
+        writer.transport.abort()
+
+
+async def test_a_body_in_chunks_that_is_too_long_is_refused() -> None:
+    chunks = [b"a" * 1000] * (MAX_BODY_BYTES // 1000 + 1)
+    async with serving_port() as port:
+        answer = await port.exchange(chunked(*chunks, line=CLOSE))
+    assert answer.startswith(b"HTTP/1.1 413 ")
--- a/tests/cover/test_documents.py
+++ b/tests/cover/test_documents.py
@@ -24,7 +24,11 @@
 def test_not_run_codes_are_those_that_promise_it() -> None:
     promised = {code for code in ResultCode if is_not_run(code)}
     numbered = {code for code in ResultCode if 50 <= code < 60}
-    assert promised == numbered | {ResultCode.NOT_RUN_NEVER_FITS}
+    assert promised == numbered | {
+        ResultCode.NOT_RUN_NEVER_FITS,
+        ResultCode.NOT_RUN_TOO_LARGE,
+        ResultCode.NOT_RUN_ENCODED,
+    }
 
 
 def test_every_proof_names_a_test_that_exists() -> None:
