Refuse jobs that the store can't hold, and bound how long requests are held

A request with the deadline inf was held for as long as the store was away.

Cause: bodies of up to 1 MB were decoded at once, whatever they held, and record_bytes and call_bytes of the settings were not read. A deadline header was taken as it was.

Change: a job may have as many steps and tasks as fit into a progress record if all run at once, 80 bytes each: 3,276 with records of 262,144 bytes. One that has more, or whose own record is too long, is answered 413 or 400 and is not stored. The steps are counted before they are decoded, and a body of more than 16 KB waits for its turn of the loop. The body of a job has at most four times record_bytes, so that the default is still 1 MB. A request is held for 60 s at most.

--- a/daemons/manager/src/coltsfootseam/manager/context.py
+++ b/daemons/manager/src/coltsfootseam/manager/context.py
@@ -127,6 +127,7 @@
         policies: The scheduling policies in use.
         millicores: Processor capacity of this host, 0 if unknown.
         counted_teams: Teams that have counters of their own.
+        max_record_bytes: The longest record that the store takes.
     """
 
     host_id: str
@@ -142,6 +143,7 @@
     policies: Policies = Policies()
     millicores: int = 0
     counted_teams: set[str] = set()
+    max_record_bytes: int = 262_144
 
     def inbox_of(self, pool: str) -> Partition:
         """Returns the partition of a pool's job requests and cancellations."""
--- a/daemons/manager/src/coltsfootseam/manager/jobs/job_service.py
+++ b/daemons/manager/src/coltsfootseam/manager/jobs/job_service.py
@@ -1,6 +1,7 @@
 """Serves job requests of callers, whichever host owns the job's pool."""
 
 import asyncio
+import math
 
 import msgspec
 
@@ -16,7 +17,10 @@
     Queue,
     cancel_key,
     encode_request,
+    find_unstorable,
     job_key,
+    max_submitted_bytes,
+    max_tasks,
 )
 from coltsfootseam.manager.cluster_state import ClusterState
 from coltsfootseam.manager.context import Context
@@ -34,6 +38,10 @@
 from coltsfootseam.results import OK, Refusal, ResultCode
 from coltsfootseam.teams import find_excess
 
+_DEFAULT_TIME_LEFT_S = 3.0
+_MAX_TIME_LEFT_S = 60.0
+"""A request is not held for longer, however long its caller waits."""
+
 _MAX_PENDING_AGE_S = 1.0
 _MAX_STORE_SILENCE_S = 1.0
 """Time without an answer after which the store isn't asked before a job."""
@@ -101,16 +109,34 @@
         return queue
 
     def request_limits(self) -> RequestLimits:
-        """Returns what a request may be, as the operator has set it."""
+        """Returns what a request may be.
+
+        The store can't hold a job that is longer, whatever is in it.
+        """
         configuration = self._cluster.configuration
-        default = RequestLimits()
+        most = max_submitted_bytes(self._context.max_record_bytes)
         if configuration is None:
-            return default
+            return RequestLimits(max_body_bytes=most)
         return RequestLimits(
-            configuration.max_head_bytes or default.max_head_bytes,
-            configuration.max_body_bytes or default.max_body_bytes,
+            configuration.max_head_bytes or RequestLimits().max_head_bytes,
+            min(most, configuration.max_body_bytes or most),
         )
 
+    def deadline_s(self, time_left_s: float | None) -> float:
+        """Returns until when a caller's request is worked on, monotonic.
+
+        Args:
+            time_left_s: How long the caller says that it waits, if it does.
+        """
+        if time_left_s is None or math.isnan(time_left_s):
+            time_left_s = _DEFAULT_TIME_LEFT_S
+        time_left_s = min(max(time_left_s, 0.0), _MAX_TIME_LEFT_S)
+        return self._context.timers.now_s() + time_left_s
+
+    def max_steps(self) -> int:
+        """Returns how many steps a job may have."""
+        return max_tasks(self._context.max_record_bytes)
+
     async def submit(
         self, queue: Queue, job_id: str, request: JobRequest, deadline_s: float
     ) -> Refusal:
@@ -126,12 +152,26 @@
             ``OK`` once it is stored, ``NOT_RUN_OVERLOADED`` if it is not and
             never will be, ``OUTCOME_UNKNOWN`` if it may still be,
             ``NOT_RUN_NEVER_FITS`` if its team's limit never allows it,
+            ``NOT_RUN_TOO_LARGE`` if the store can't hold it,
             ``JOB_OF_OTHER_TEAM`` if another team has a job of this id.
         """
         team = request.team if self.callers.are_teams_configured else None
         accepted = self._lookup.find_accepted(job_id)
         if accepted is not None:
             return self.callers.check_access(job_id, accepted, team) or OK
+        value = encode_request(request)
+        unstorable = find_unstorable(
+            request,
+            job_key(queue.pool, job_id),
+            value,
+            self._context.max_record_bytes,
+        )
+        if unstorable is not None:
+            refusal = Refusal(ResultCode.NOT_RUN_TOO_LARGE, unstorable)
+            self._record_submitted(
+                queue, job_id, request.team, queue.pool, refusal
+            )
+            return refusal
         excess = self._find_excess(request)
         if excess is not None:
             return await self._refuse_excess(
--- a/libs/connections/src/coltsfootseam/connections/__init__.py
+++ b/libs/connections/src/coltsfootseam/connections/__init__.py
@@ -15,6 +15,7 @@
     make_server,
     serving_application,
     serving_connections,
+    working_on,
 )
 
 __all__ = [
@@ -30,4 +31,5 @@
     "read_body",
     "serving_application",
     "serving_connections",
+    "working_on",
 ]
--- a/libs/connections/src/coltsfootseam/connections/server.py
+++ b/libs/connections/src/coltsfootseam/connections/server.py
@@ -5,6 +5,7 @@
 import errno
 import logging
 import socket
+import time
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
 
@@ -30,6 +31,8 @@
 _MAX_LOGGED_PER_S = 5
 _ACCEPT_RETRY_S = 0.1
 _KEEPALIVE_TIMEOUT_S = 75.0
+_SMALL_WORK_BYTES = 16 * 1024
+_WORK_S_PER_BYTE = 1e-7
 
 HttpHandler = Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]
 
@@ -152,6 +155,31 @@
     app.middlewares.append(middleware)
 
 
+@contextlib.asynccontextmanager
+async def working_on(
+    request: web.BaseRequest, size: int
+) -> AsyncIterator[None]:
+    """Waits for the request's share of the loop; the work is done inside.
+
+    Args:
+        request: The request.
+        size: Bytes to work on. Little work goes first, and very little is done
+            at once.
+    """
+    channel = request.transport
+    if size <= _SMALL_WORK_BYTES or not isinstance(channel, Channel):
+        yield
+        return
+    assert isinstance(channel.owner, Connection)
+    share = channel.owner.share
+    await share.wait_turn(size * _WORK_S_PER_BYTE)
+    started_s = time.perf_counter()
+    try:
+        yield
+    finally:
+        share.charge(time.perf_counter() - started_s)
+
+
 @contextlib.asynccontextmanager
 async def serving_connections(
     server: web.Server, port: Port, shutdown_timeout_s: float
--- a/libs/jobs/src/coltsfootseam/jobs/__init__.py
+++ b/libs/jobs/src/coltsfootseam/jobs/__init__.py
@@ -36,6 +36,11 @@
 )
 from coltsfootseam.jobs.resources import Resources
 from coltsfootseam.jobs.run_index import RunIndex, RunKey, RunPair
+from coltsfootseam.jobs.storable import (
+    find_unstorable,
+    max_submitted_bytes,
+    max_tasks,
+)
 
 __all__ = [
     "Advice",
@@ -70,7 +75,10 @@
     "decode_request",
     "encode_progress",
     "encode_request",
+    "find_unstorable",
     "job_key",
     "key_prefix",
+    "max_submitted_bytes",
+    "max_tasks",
     "parse_pool_key",
 ]
