Serve callers and operators of an entry host within limits too

The entry daemon also unpacked bodies that it passes on, but left their Content-Encoding as it was.

Change: both ports are served by the connections library.

--- a/daemons/entry/src/coltsfootseam/entry/daemon.py
+++ b/daemons/entry/src/coltsfootseam/entry/daemon.py
@@ -6,8 +6,18 @@
 from collections.abc import AsyncIterator, Iterator
 
 import msgspec
-from aiohttp import web
 
+from coltsfootseam.connections import (
+    Listener,
+    LoopShare,
+    Port,
+    ProcessLimits,
+    Report,
+    RequestLimits,
+    make_server,
+    serving_application,
+    serving_connections,
+)
 from coltsfootseam.entry.admin import AdminInterface
 from coltsfootseam.entry.context import MS_PER_S
 from coltsfootseam.entry.entry_host import EntryHost, building_entry_host
@@ -28,7 +38,6 @@
 _EXPIRY_PERIOD_S = 0.5
 _SNAPSHOT_PERIOD_S = 1.0
 _STOP_POLL_S = 0.05
-_CALLER_KEEPALIVE_TIMEOUT_S = 75.0
 _SHUTDOWN_TIMEOUT_S = 1.0
 
 
@@ -44,6 +53,7 @@
     """
     configure_logs(settings.entry_id, settings.log_level)
     stop = _stop_on_signal()
+    share = LoopShare()
     async with (
         building_entry_host(settings) as entry_host,
         serving_peers(
@@ -51,15 +61,15 @@
             EntryPeerService(entry_host),
             entry_host.context.observer.clock,
         ),
-        _serving_admin(entry_host),
-        _serving_callers(entry_host) as callers_site,
+        _serving_admin(entry_host, share),
+        _serving_callers(entry_host, share) as listener,
     ):
         with _running_background_tasks(entry_host):
             entry_host.context.observer.record_change(
                 "entry.started", settings.entry_id
             )
             await stop.wait()
-            await _stop_gracefully(entry_host, callers_site)
+            await _stop_gracefully(entry_host, listener)
             entry_host.context.observer.record_change(
                 "entry.stopped", settings.entry_id
             )
@@ -74,40 +84,61 @@
 
 
 @contextlib.asynccontextmanager
-async def _serving_admin(entry_host: EntryHost) -> AsyncIterator[None]:
+async def _serving_admin(
+    entry_host: EntryHost, share: LoopShare
+) -> AsyncIterator[None]:
+    settings = entry_host.context.settings
+    port = Port(
+        settings.listen.admin,
+        _process_limits(settings).for_operators(),
+        share,
+        _report_to(entry_host, "admin"),
+    )
     app = AdminInterface(entry_host).make_application()
-    runner = web.AppRunner(app, access_log=None)
-    await runner.setup()
-    try:
-        site = _make_site(runner, entry_host.context.settings.listen.admin)
-        await site.start()
+    async with serving_application(app, port, _SHUTDOWN_TIMEOUT_S):
         yield
-    finally:
-        await runner.cleanup()
 
 
 @contextlib.asynccontextmanager
-async def _serving_callers(entry_host: EntryHost) -> AsyncIterator[web.TCPSite]:
-    server = web.Server(
-        entry_host.routing.frontend.handle,
-        access_log=None,
-        keepalive_timeout=_CALLER_KEEPALIVE_TIMEOUT_S,
+async def _serving_callers(
+    entry_host: EntryHost, share: LoopShare
+) -> AsyncIterator[Listener]:
+    settings = entry_host.context.settings
+    limits = RequestLimits.for_streams(
+        settings.requests.longest_head_bytes,
+        settings.requests.buffered_body_bytes,
     )
-    runner = web.ServerRunner(server, shutdown_timeout=_SHUTDOWN_TIMEOUT_S)
-    await runner.setup()
-    try:
-        site = _make_site(runner, entry_host.context.settings.listen.callers)
-        await site.start()
-        yield site
-    finally:
-        await runner.cleanup()
+    port = Port(
+        settings.listen.callers,
+        _process_limits(settings).for_callers(),
+        share,
+        _report_to(entry_host, "callers"),
+        lambda: limits,
+    )
+    server = make_server(entry_host.routing.frontend.handle)
+    async with serving_connections(
+        server, port, _SHUTDOWN_TIMEOUT_S
+    ) as listener:
+        yield listener
+
+
+def _process_limits(settings: EntrySettings) -> ProcessLimits:
+    return ProcessLimits(settings.limits.memory_mb, settings.limits.descriptors)
+
+
+def _report_to(entry_host: EntryHost, port: str) -> Report:
+    """Returns what records the connections of a port that were closed."""
 
+    def report(cause: str, count: int, open_count: int, held: int) -> None:
+        observer = entry_host.context.observer
+        observer.count(f"connections.closed.{cause}", count)
+        observer.record_event(
+            "connections.closed",
+            port,
+            f"{cause}: {count}, {open_count} open, {held} bytes held",
+        )
 
-def _make_site(
-    runner: web.AppRunner | web.ServerRunner, address: str
-) -> web.TCPSite:
-    host, _, port = address.partition(":")
-    return web.TCPSite(runner, host, int(port))
+    return report
 
 
 @contextlib.contextmanager
@@ -177,9 +208,7 @@
     replica.add_restore_listener(on_restored)
 
 
-async def _stop_gracefully(
-    entry_host: EntryHost, callers_site: web.TCPSite
-) -> None:
+async def _stop_gracefully(entry_host: EntryHost, listener: Listener) -> None:
     times = entry_host.context.settings.timers
     entry_host.context.observer.record_change(
         "entry.stopping", entry_host.context.settings.entry_id
@@ -187,7 +216,7 @@
     entry_host.readiness.stopping = True
     entry_host.routing.frontend.closing = True
     await entry_host.context.timers.sleep(times.balancer_lag_ms / MS_PER_S)
-    await callers_site.stop()
+    listener.stop()
     # Requests on open connections are still served until the host is idle. Each
     # connection is closed after its answer, so requests soon cease.
     await _wait_until_idle(entry_host, times.stop_ms / MS_PER_S)
--- a/libs/settings/src/coltsfootseam/settings/model.py
+++ b/libs/settings/src/coltsfootseam/settings/model.py
@@ -81,6 +81,18 @@
     stop_ms: Milliseconds = 60_000
 
 
+class LimitSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Limits of the process.
+
+    Attributes:
+        memory_mb: Memory that the process may use, in MB.
+        descriptors: Descriptors that the process may open.
+    """
+
+    memory_mb: Annotated[int, msgspec.Meta(ge=64, le=1_000_000)] = 300
+    descriptors: Annotated[int, msgspec.Meta(ge=256, le=1_000_000)] = 4100
+
+
 class RequestSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Limits of the request path.
 
@@ -97,6 +109,7 @@
         keys_kept_ms: How long an idempotency key is kept.
         keys_limit: Maximum number of idempotency keys that are kept.
         set_aside_ms: Period of probes to a quarantined endpoint.
+        longest_head_bytes: Longest head of a request.
     """
 
     dispatch: str = "granted"
@@ -114,6 +127,9 @@
     keys_kept_ms: Milliseconds = 600_000
     keys_limit: Count = 100_000
     set_aside_ms: Milliseconds = 2_000
+    longest_head_bytes: Annotated[int, msgspec.Meta(ge=1024, le=65_536)] = (
+        65_536
+    )
 
 
 class EntrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -132,6 +148,7 @@
         statsd: Collector of counters, if there is one.
         timers: Periods and timeouts.
         requests: Limits of the request path.
+        limits: Limits of the process.
         log_level: Lowest level of log lines that are written.
     """
 
@@ -146,6 +163,7 @@
     statsd: StatsdSettings | None = None
     timers: TimerSettings = TimerSettings()
     requests: RequestSettings = RequestSettings()
+    limits: LimitSettings = LimitSettings()
     log_level: str = "INFO"
 
     def advertised_addresses(self) -> Addresses:
--- a/tests/nocover/test_misbehaving_clients.py
+++ b/tests/nocover/test_misbehaving_clients.py
@@ -13,6 +13,12 @@
 import msgspec
 import pytest
 
+from coltsfootseam.testbed import launching
+from tests.common.clusters import (
+    SHORT_TIMERS,
+    make_plan,
+    publish_small_contract,
+)
 from tests.common.crowds import HOST, crowding
 from tests.common.manager_deployment import JOB, running
 from tests.common.manager_processes import ManagerProcess
@@ -207,3 +213,46 @@
         address, path = PORTS[port](manager)
         await check_crowd(target_of(manager, address, path), kind, size)
         await deployment.submit(manager, "a" * 16)
+
+
+ENTRY_PORTS = {"callers": "/alpha/item", "admin": "/readyz"}
+
+
+# Guards against the same in the entry daemon, which passes bodies on.
+@pytest.mark.parametrize("port", ENTRY_PORTS)
+@pytest.mark.parametrize(
+    "kind",
+    [
+        "bodies that stop short",
+        "many chunks",
+        "tiny chunks",
+        "heads too long",
+        "endless heads",
+        "bytes behind an upgrade",
+        "bytes behind a CONNECT",
+        "compressed bodies",
+        "idle connections",
+    ],
+)
+async def test_a_crowd_at_an_entry_host_stops_nobody(
+    port: str, kind: str
+) -> None:
+    size = FULL_CROWD if kind == "idle connections" else CROWD
+    settings = {
+        **SHORT_TIMERS,
+        "limits": {"memory_mb": MEMORY_MB, "descriptors": MAX_DESCRIPTORS},
+    }
+    plan = make_plan("crowd", entry_hosts=1, endpoints=4, settings=settings)
+    async with launching(plan) as cluster:
+        await publish_small_contract(cluster)
+        process = cluster.entries_by_id["entry-0"]
+        callers = cluster.callers_address("entry-0")
+        admin = cluster.admin_address("entry-0")
+        target = Target(
+            process.pid,
+            process.is_running,
+            [callers, admin],
+            callers if port == "callers" else admin,
+            ENTRY_PORTS[port],
+        )
+        await check_crowd(target, kind, size)
