Make room only for bodies that may be sent, and follow changed limits

What callers saw: a client that announced a body of 1 GB had the large requests of others closed, one after the other, for room that it could never use.

Cause: room was made before the body was refused. Besides, a connection kept the limits that were in force when it was opened.

Change: a body that is announced as too long is refused before its handler runs, and nothing of it is held. What is left of a body behind its answer is dropped and needs no room either. The limits are read again for each request.

Result: test_a_body_that_never_fits_takes_no_room_from_others fails without this change and passes with it.

--- a/libs/connections/src/coltsfootseam/connections/internal/connection.py
+++ b/libs/connections/src/coltsfootseam/connections/internal/connection.py
@@ -1,6 +1,7 @@
 """One connection of a client, between its transport and the HTTP library."""
 
 import asyncio
+from collections.abc import Callable
 from typing import cast
 
 from aiohttp import StreamReader, hdrs, web
@@ -58,12 +59,13 @@
     def __init__(
         self,
         server: web.Server,
-        limits: RequestLimits,
+        find_limits: Callable[[], RequestLimits],
         table: ConnectionTable,
         share: LoopShare,
     ) -> None:
         self._server = server
-        self._limits = limits
+        self._find_limits = find_limits
+        self._limits = find_limits()
         self._table = table
         self.share = share
         self._framing = Framing()
@@ -164,11 +166,18 @@
             self.share.submit(self)
             self._update_reading()
 
+    def is_body_too_long(self) -> bool:
+        """Returns whether the body is announced as longer than allowed."""
+        most = self._limits.max_body_bytes
+        return most is not None and self._size > most
+
     def end_request(self) -> None:
         """Goes on to the next request once the body of this one is over."""
         self._is_answered = True
         if self._framing.phase is Phase.COMPLETE:
             self._next_request()
+        else:
+            self.retry()
 
     # Called by the table and the share of the loop.
 
@@ -207,6 +216,8 @@
 
     def _step_head(self) -> None:
         framing = self._framing
+        # They change with the operator's configuration.
+        self._limits = self._find_limits()
         head_bytes = framing.find_head()
         size = len(framing.pending) if head_bytes is None else head_bytes
         if framing.received + size > self._limits.max_head_bytes:
@@ -257,6 +268,11 @@
 
     def _reserve_body(self) -> bool:
         """Reserves memory for the body, of known size all at once."""
+        if self._is_answered:
+            # The rest is dropped.
+            return True
+        if self.is_body_too_long():
+            return False
         if self._framing.phase is Phase.SIZED_BODY:
             size = self._size * _BODY_MEMORY_FACTOR
         else:
--- a/libs/connections/src/coltsfootseam/connections/server.py
+++ b/libs/connections/src/coltsfootseam/connections/server.py
@@ -109,7 +109,7 @@
     def _make(self) -> Connection:
         return Connection(
             self._server,
-            self._port.request_limits(),
+            self._port.request_limits,
             self.table,
             self._port.share,
         )
@@ -262,7 +262,10 @@
     assert isinstance(connection, Connection)
     connection.begin_request(request)
     try:
-        response = await _handle(request, handler)
+        if connection.is_body_too_long():
+            response: web.StreamResponse = web.Response(status=413)
+        else:
+            response = await _handle(request, handler)
         with contextlib.suppress(ConnectionError):
             await response.prepare(request)
             await response.write_eof()
--- a/tests/cover/test_connections.py
+++ b/tests/cover/test_connections.py
@@ -302,6 +302,23 @@
         writer.transport.abort()
 
 
+# Guards against a client that has others closed for room that it can't use.
+async def test_a_body_that_never_fits_takes_no_room_from_others() -> None:
+    async with serving_port() as port:
+        reader, writer = await port.open()
+        size = MAX_BODY_BYTES
+        writer.write(request(f"Content-Length: {size}") + b"a" * (size - 1))
+        await asyncio.sleep(0.6)
+        _, greedy = await port.open()
+        greedy.write(request(f"Content-Length: {10**9}") + b"a" * 10_000)
+        await asyncio.sleep(0.3)
+        writer.write(b"a")
+        async with asyncio.timeout(LIMIT_S):
+            assert b" 200 " in await reader.readline()
+        greedy.transport.abort()
+        writer.transport.abort()
+
+
 async def test_a_body_in_chunks_that_is_too_long_is_refused() -> None:
     chunks = [b"a" * 1000] * (MAX_BODY_BYTES // 1000 + 1)
     async with serving_port() as port:
