Don't set an endpoint aside for a caller that breaks off

What callers saw: after a few callers that left in the middle of a large body, endpoints of the service were set aside, and others waited for them.

Cause: an attempt whose body ended early failed with an error of the HTTP client, which counted as the endpoint's.

Change: a body that is passed on records whether its caller's connection ended before it did, or it was broken off; such an attempt says nothing about the endpoint. A body can be broken off while its caller sends nothing.

--- a/libs/routing/src/coltsfootseam/routing/frontend.py
+++ b/libs/routing/src/coltsfootseam/routing/frontend.py
@@ -155,7 +155,7 @@
             if transport is not None:
                 transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         return await read_request_body(
-            caller.content, self._settings.buffered_body_bytes
+            caller.content, self._settings.buffered_body_bytes, self._timers
         )
 
     async def _respond_keyed(
--- a/libs/routing/src/coltsfootseam/routing/relay.py
+++ b/libs/routing/src/coltsfootseam/routing/relay.py
@@ -132,7 +132,10 @@
             )
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             outcome = AttemptOutcome.CUT if started else AttemptOutcome.UNKNOWN
-            return AttemptResult(outcome, repr(error), endpoint_failing=True)
+            # What the caller did says nothing about the endpoint.
+            is_failing = not body.is_broken_off
+            reason = repr(error) if is_failing else "the caller stopped sending"
+            return AttemptResult(outcome, reason, endpoint_failing=is_failing)
 
     async def probe(self, address: str) -> Readiness:
         """Probes whether an endpoint is ready.
--- a/tests/nocover/test_misbehaving_clients.py
+++ b/tests/nocover/test_misbehaving_clients.py
@@ -13,7 +13,7 @@
 import msgspec
 import pytest
 
-from coltsfootseam.testbed import launching
+from coltsfootseam.testbed import Cluster, launching, wait_until
 from tests.common.clusters import (
     SHORT_TIMERS,
     make_plan,
@@ -256,3 +256,46 @@
             ENTRY_PORTS[port],
         )
         await check_crowd(target, kind, size)
+
+
+async def upload_part(
+    address: str, size: int, sent: int
+) -> asyncio.StreamWriter:
+    """Sends the first bytes of a body to an endpoint's service."""
+    host, _, port = address.partition(":")
+    _, writer = await asyncio.open_connection(host, int(port))
+    head = f"POST /alpha/item HTTP/1.1\r\nHost: h\r\nContent-Length: {size}"
+    writer.write(f"{head}\r\n\r\n".encode() + b" " * sent)
+    await writer.drain()
+    return writer
+
+
+async def in_progress(cluster: Cluster) -> int:
+    """Returns how many requests an entry host has in progress."""
+    return (await cluster.status("entry-0")).in_progress
+
+
+# Guards against endpoints that are set aside for what a caller did.
+async def test_callers_that_break_off_cost_no_endpoint() -> None:
+    plan = make_plan("broken-off", entry_hosts=1, endpoints=4)
+    async with launching(plan) as cluster:
+        await publish_small_contract(cluster)
+        address = cluster.callers_address("entry-0")
+        for _ in range(3 * plan.endpoints):
+            writer = await upload_part(address, 1_000_000, 200_000)
+
+            async def has_begun() -> bool:
+                return await in_progress(cluster) == 1
+
+            async def has_ended() -> bool:
+                return await in_progress(cluster) == 0
+
+            await wait_until(has_begun, "the upload is in progress")
+            writer.transport.abort()
+            await wait_until(has_ended, "the upload has ended")
+        status = await cluster.status("entry-0")
+        assert "events.endpoint.set_aside" not in status.totals_by_counter
+        async with ordinary_callers(f"http://{address}/alpha/item", 1) as (
+            caller,
+        ):
+            assert await caller.call() == 200
