Take the slot of an upload that stalls while others wait

What callers saw: no answer for 10 s, and then refusals, while as many callers as a service has slots sent a body of 1 MB, stopped at 200 KB and stayed. They held the slots until their deadlines and 30 s longer.

Cause: a body of over 64 KB is passed on while it arrives, and its slot is held however slowly that is.

Change: while a request waits for a slot of the service at the same entry host, the upload that has kept its endpoint waiting for longest is broken off each half second, if that is over a second. A caller that sends at 16 KB/s without long pauses is not broken off, and nobody is while no request waits. The code is OUTCOME_UNKNOWN, as a part was sent.

Result: test_uploads_that_stop_short_leave_slots_to_others failed before and passes now. Open: requests that wait at another entry host don't count.

--- a/libs/routing/src/coltsfootseam/routing/attempts.py
+++ b/libs/routing/src/coltsfootseam/routing/attempts.py
@@ -27,6 +27,9 @@
 _MAX_RUN_PAST_DEADLINE_S = 30.0
 _MIN_BACKOFF_S = 0.05
 _MAX_BACKOFF_S = 1.0
+_UPLOADS_CHECK_PERIOD_S = 0.5
+_MAX_UPLOAD_LAG_S = 1.0
+"""How long an upload may keep its slot from others beyond what it may take."""
 
 NOT_SENT_IN_TIME = Refusal(
     ResultCode.NOT_RUN_DEADLINE, "no endpoint was ready before the deadline"
@@ -51,6 +54,7 @@
         "_retry_ratio",
         "_tasks",
         "_timers",
+        "_uploads_by_service",
     )
 
     def __init__(
@@ -84,6 +88,7 @@
         self._check_sending = check_sending
         self._budgets_by_service: dict[str, RetryBudget] = {}
         self._tasks: BackgroundTasks[Refusal] = BackgroundTasks()
+        self._uploads_by_service: dict[str, set[RequestBody]] = {}
 
     def running(self) -> int:
         """Returns how many requests run, with or without a waiting caller."""
@@ -115,7 +120,7 @@
         may_have_run = False
         not_ready_count = 0
         while True:
-            grant = await self._dispatcher.acquire(head)
+            grant = await self._acquire(head)
             if isinstance(grant, Refusal):
                 return _final_refusal(grant, may_have_run)
             if not await self._is_ready(grant):
@@ -137,6 +142,25 @@
                 return _final_result(attempt, may_have_run)
             self._observer.count("requests.retried")
 
+    async def _acquire(self, head: RequestHead) -> Grant | Refusal:
+        """Waits for a slot; slow uploads give theirs up meanwhile."""
+        check = self._timers.subscribe(
+            _UPLOADS_CHECK_PERIOD_S, lambda: self._break_off_slowest(head)
+        )
+        try:
+            return await self._dispatcher.acquire(head)
+        finally:
+            check.cancel()
+
+    def _break_off_slowest(self, head: RequestHead) -> None:
+        """Breaks off the upload that holds a slot of a service for longest."""
+        uploads = self._uploads_by_service.get(head.service, ())
+        slowest = max(uploads, key=RequestBody.lag_s, default=None)
+        if slowest is None or slowest.lag_s() < _MAX_UPLOAD_LAG_S:
+            return
+        slowest.break_off()
+        self._observer.count("requests.uploads_broken_off")
+
     def _find_reason_not_to_send(self, sink: ResponseSink) -> Refusal | None:
         if sink.state is SinkState.DETACHED:
             return NOT_SENT_IN_TIME
@@ -155,6 +179,10 @@
         )
         # The result if this task is cancelled during the attempt.
         attempt = AttemptResult(AttemptOutcome.UNKNOWN, "cancelled")
+        uploads = self._uploads_by_service.setdefault(
+            grant.request.service, set()
+        )
+        uploads.add(body)
         try:
             async with asyncio.timeout(remaining_s):
                 attempt = await self._relay.attempt(grant, caller, body, sink)
@@ -165,6 +193,7 @@
                 endpoint_failing=True,
             )
         finally:
+            uploads.discard(body)
             use = _slot_use(attempt, self._timers.now_s() - started_s)
             self._dispatcher.release(grant, use)
         self._observer.count(f"attempts.{attempt.outcome.name}")
--- a/tests/nocover/test_misbehaving_clients.py
+++ b/tests/nocover/test_misbehaving_clients.py
@@ -299,3 +299,27 @@
             caller,
         ):
             assert await caller.call() == 200
+
+
+# Guards against uploads that stop short and hold all slots of a service until
+# their deadlines, while ordinary callers are refused.
+async def test_uploads_that_stop_short_leave_slots_to_others() -> None:
+    plan = make_plan("stalled", entry_hosts=1, endpoints=4)
+    async with launching(plan) as cluster:
+        await publish_small_contract(cluster)
+        address = cluster.callers_address("entry-0")
+        slots = plan.slots * plan.endpoints
+        writers = [
+            await upload_part(address, 1_000_000, 200_000) for _ in range(slots)
+        ]
+
+        async def are_in_progress() -> bool:
+            return await in_progress(cluster) == slots
+
+        await wait_until(are_in_progress, "the uploads are in progress")
+        async with ordinary_callers(f"http://{address}/alpha/item", 1) as (
+            caller,
+        ):
+            assert await caller.call() == 200
+        for writer in writers:
+            writer.transport.abort()
