Keep the limits of callers' requests in a module of their own

Cause: the service of jobs had grown by what callers may send and for how long they are waited for, which has nothing to do with jobs.

Change: CallerLimits holds both. No change of behaviour.

--- a/daemons/manager/src/coltsfootseam/manager/jobs/job_service.py
+++ b/daemons/manager/src/coltsfootseam/manager/jobs/job_service.py
@@ -1,7 +1,6 @@
 """Serves job requests of callers, whichever host owns the job's pool."""
 
 import asyncio
-import math
 
 import msgspec
 
@@ -10,21 +9,18 @@
     PendingCountReply,
     PendingCountRequest,
 )
-from coltsfootseam.connections import RequestLimits
 from coltsfootseam.jobs import (
     JobRequest,
     JobState,
     Queue,
     cancel_key,
     encode_request,
-    find_unstorable,
     job_key,
-    max_submitted_bytes,
-    max_tasks,
 )
 from coltsfootseam.manager.cluster_state import ClusterState
 from coltsfootseam.manager.context import Context
 from coltsfootseam.manager.jobs.admissions import Admissions, Home
+from coltsfootseam.manager.jobs.caller_limits import CallerLimits
 from coltsfootseam.manager.jobs.callers import Callers
 from coltsfootseam.manager.jobs.inbox_appender import NOT_ADMITTED
 from coltsfootseam.manager.jobs.inbox_storage import (
@@ -38,10 +34,6 @@
 from coltsfootseam.results import OK, Refusal, ResultCode
 from coltsfootseam.teams import find_excess
 
-_DEFAULT_TIME_LEFT_S = 3.0
-_MAX_TIME_LEFT_S = 60.0
-"""A request is not held for longer, however long its caller waits."""
-
 _MAX_PENDING_AGE_S = 1.0
 _MAX_STORE_SILENCE_S = 1.0
 """Time without an answer after which the store isn't asked before a job."""
@@ -61,6 +53,7 @@
 
     Attributes:
         callers: Finds the teams of calls.
+        limits: Limits of callers' requests.
     """
 
     __slots__ = (
@@ -72,6 +65,7 @@
         "_pending_by_queue",
         "_storage",
         "callers",
+        "limits",
     )
 
     def __init__(
@@ -90,6 +84,7 @@
         self._lookup = JobLookup(context, cluster, locator)
         self._pending_by_queue: dict[str, _PendingCount] = {}
         self.callers = Callers(context, cluster)
+        self.limits = CallerLimits(context, cluster)
 
     def find_queue(self, host: str, path: str) -> Queue | Refusal:
         """Returns the queue of a request.
@@ -108,35 +103,6 @@
             )
         return queue
 
-    def request_limits(self) -> RequestLimits:
-        """Returns what a request may be.
-
-        The store can't hold a job that is longer, whatever is in it.
-        """
-        configuration = self._cluster.configuration
-        most = max_submitted_bytes(self._context.max_record_bytes)
-        if configuration is None:
-            return RequestLimits(max_body_bytes=most)
-        return RequestLimits(
-            configuration.max_head_bytes or RequestLimits().max_head_bytes,
-            min(most, configuration.max_body_bytes or most),
-        )
-
-    def deadline_s(self, time_left_s: float | None) -> float:
-        """Returns until when a caller's request is worked on, monotonic.
-
-        Args:
-            time_left_s: How long the caller says that it waits, if it does.
-        """
-        if time_left_s is None or math.isnan(time_left_s):
-            time_left_s = _DEFAULT_TIME_LEFT_S
-        time_left_s = min(max(time_left_s, 0.0), _MAX_TIME_LEFT_S)
-        return self._context.timers.now_s() + time_left_s
-
-    def max_steps(self) -> int:
-        """Returns how many steps a job may have."""
-        return max_tasks(self._context.max_record_bytes)
-
     async def submit(
         self, queue: Queue, job_id: str, request: JobRequest, deadline_s: float
     ) -> Refusal:
@@ -159,15 +125,8 @@
         accepted = self._lookup.find_accepted(job_id)
         if accepted is not None:
             return self.callers.check_access(job_id, accepted, team) or OK
-        value = encode_request(request)
-        unstorable = find_unstorable(
-            request,
-            job_key(queue.pool, job_id),
-            value,
-            self._context.max_record_bytes,
-        )
-        if unstorable is not None:
-            refusal = Refusal(ResultCode.NOT_RUN_TOO_LARGE, unstorable)
+        refusal = self.limits.refuse_unstorable(queue.pool, job_id, request)
+        if refusal is not None:
             self._record_submitted(
                 queue, job_id, request.team, queue.pool, refusal
             )
--- a/daemons/manager/src/coltsfootseam/manager/serving.py
+++ b/daemons/manager/src/coltsfootseam/manager/serving.py
@@ -62,7 +62,7 @@
         settings.limits.for_callers(),
         share,
         _report_to(context, "callers"),
-        manager.jobs.request_limits,
+        manager.jobs.limits.of_requests,
     )
     readiness_port = Port(
         settings.readiness,
--- a/tests/cover/test_unstorable_jobs.py
+++ b/tests/cover/test_unstorable_jobs.py
@@ -81,5 +81,7 @@
     async with running_fleet() as fleet:
         manager = fleet.hosts[0].manager
         assert manager is not None
-        left_s = manager.jobs.deadline_s(time_left_s) - fleet.timers.now_s()
+        left_s = (
+            manager.jobs.limits.deadline_s(time_left_s) - fleet.timers.now_s()
+        )
         assert 0.0 <= left_s <= 60.0
