Keep a step that fails from holding up others, and split the servers' module

Cause: an error of the HTTP library while it parses input would have stopped the steps that wait until somebody sends more, and left its connection open. Found by reading the code again; no such error was seen.

Change: the others' steps go on, and the connection is closed and counted.

Result: test_a_step_that_fails_holds_up_no_other.

--- a/libs/connections/src/coltsfootseam/connections/__init__.py
+++ b/libs/connections/src/coltsfootseam/connections/__init__.py
@@ -1,6 +1,7 @@
 """HTTP servers whose connections stay within a budget."""
 
 from coltsfootseam.connections.bodies import read_body
+from coltsfootseam.connections.internal.listener import Listener
 from coltsfootseam.connections.internal.table import Report
 from coltsfootseam.connections.limits import (
     PortLimits,
@@ -8,10 +9,9 @@
     RequestLimits,
 )
 from coltsfootseam.connections.loop_share import LoopShare
+from coltsfootseam.connections.port import Port
 from coltsfootseam.connections.server import (
     HttpHandler,
-    Listener,
-    Port,
     make_server,
     serving_application,
     serving_connections,
--- a/libs/connections/src/coltsfootseam/connections/internal/connection.py
+++ b/libs/connections/src/coltsfootseam/connections/internal/connection.py
@@ -40,6 +40,8 @@
     b"Content-Length: 0\r\nConnection: close\r\n\r\n"
 )
 
+_BODY_PHASES = (Phase.SIZED_BODY, Phase.CHUNKED_BODY)
+
 _receive_buffer = memoryview(bytearray(RECEIVE_BYTES))
 """Shared, as it is read before the loop does anything else."""
 
@@ -203,14 +205,15 @@
         if self._transport is None or self._transport.is_closing():
             self._framing.pending.clear()
             return False
-        phase = self._framing.phase
-        if phase is Phase.HEAD:
-            self._step_head()
-            has_more = False
-        elif phase in (Phase.SIZED_BODY, Phase.CHUNKED_BODY):
-            has_more = self._step_body()
-        else:
-            has_more = False
+        has_more = False
+        try:
+            if self._framing.phase is Phase.HEAD:
+                self._step_head()
+            elif self._framing.phase in _BODY_PHASES:
+                has_more = self._step_body()
+        except Exception:
+            self._table.close(self, "failed")
+            raise
         self._update_reading()
         return has_more
 
--- a/libs/connections/src/coltsfootseam/connections/loop_share.py
+++ b/libs/connections/src/coltsfootseam/connections/loop_share.py
@@ -113,13 +113,16 @@
 
     def _run(self) -> None:
         self._timer = None
-        while self._queue and self._update_credit() > 0:
-            _, _, work = heapq.heappop(self._queue)
-            work.is_queued = False
-            if self._do_step(work):
-                self._enqueue(work)
-        if self._queue:
-            self._arm()
+        try:
+            while self._queue and self._update_credit() > 0:
+                _, _, work = heapq.heappop(self._queue)
+                work.is_queued = False
+                if self._do_step(work):
+                    self._enqueue(work)
+        finally:
+            # A step that fails must not hold up the others.
+            if self._queue:
+                self._arm()
 
     def _do_step(self, work: Work) -> bool:
         started_s = time.perf_counter()
--- a/tests/cover/test_loop_share.py
+++ b/tests/cover/test_loop_share.py
@@ -77,6 +77,28 @@
     assert turns > 2 * 200
 
 
+# Guards against a step that fails and holds up the steps of all others.
+async def test_a_step_that_fails_holds_up_no_other() -> None:
+    class FailingWork(BusyWork):
+        def step(self) -> bool:
+            raise ValueError("a fault")
+
+    failures: list[dict[str, object]] = []
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda _, context: failures.append(context))
+    share = LoopShare()
+    share.submit(BusyWork(50))
+    failing = FailingWork(1)
+    share.submit(failing)
+    last = BusyWork(1)
+    last.used_s = 10.0
+    share.submit(last)
+    async with asyncio.timeout(LIMIT_S):
+        await last.done.wait()
+    assert len(failures) == 1
+    assert not failing.is_queued
+
+
 async def test_work_done_elsewhere_waits_for_its_turn() -> None:
     share = LoopShare()
     crowd = [BusyWork(100) for _ in range(5)]
