Wait until a listener has stopped to accept

Cause: a planned stop of an entry host waits until it accepts no more.

Change: it is one again, and returns when the task that accepts has ended.

Result: tests/cover/test_planned_stop.py, test_connections.py and the planned stops of real processes pass.

--- a/daemons/entry/src/coltsfootseam/entry/daemon.py
+++ b/daemons/entry/src/coltsfootseam/entry/daemon.py
@@ -216,7 +216,7 @@
     entry_host.readiness.stopping = True
     entry_host.routing.frontend.closing = True
     await entry_host.context.timers.sleep(times.balancer_lag_ms / MS_PER_S)
-    listener.stop()
+    await listener.stop()
     # Requests on open connections are still served until the host is idle. Each
     # connection is closed after its answer, so requests soon cease.
     await _wait_until_idle(entry_host, times.stop_ms / MS_PER_S)
--- a/libs/connections/src/coltsfootseam/connections/internal/listener.py
+++ b/libs/connections/src/coltsfootseam/connections/internal/listener.py
@@ -34,9 +34,10 @@
         self._connecting: set[asyncio.Task[None]] = set()
         self._task = asyncio.ensure_future(self._accept_all())
 
-    def stop(self) -> None:
+    async def stop(self) -> None:
         """Accepts no more connections; those that are open stay."""
         self._task.cancel()
+        await asyncio.wait((self._task,))
         self._socket.close()
 
     async def _accept_all(self) -> None:
--- a/libs/connections/src/coltsfootseam/connections/server.py
+++ b/libs/connections/src/coltsfootseam/connections/server.py
@@ -1,6 +1,5 @@
 """Servers whose connections stay within the limits of their port."""
 
-import asyncio
 import contextlib
 import time
 from collections.abc import AsyncIterator, Awaitable, Callable
@@ -108,8 +107,7 @@
     try:
         yield listener
     finally:
-        listener.stop()
-        await asyncio.sleep(0)
+        await listener.stop()
         server.pre_shutdown()
         await server.shutdown(shutdown_timeout_s)
         listener.table.close_all()
