Wait for the odd entries at the start before they are replaced

Traced: the second manager was still reading the first entries when the test replaced them under the same keys. The managers were right.

Change: the test waits until each manager has read the first entries, which it didn't check by itself before. The count that it requires is the same.

--- a/tests/nocover/test_managers.py
+++ b/tests/nocover/test_managers.py
@@ -116,6 +116,11 @@
         first, second = deployment.managers
         await deployment.submit(first, JOB)
         await deployment.wait_for(second, JOB)
+        # The next ones replace these, and a manager that is still reading would
+        # not see all of these.
+        if odd:
+            for manager in deployment.managers:
+                await wait_for_unreadable(deployment, manager, len(odd))
         put_odd_entries(deployment, ODD_WORKERS)
         for manager in deployment.managers:
             await wait_for_unreadable(
