Drop what stood twice around the serving of connections

No change of behaviour on any port.

* Whether a request is a CONNECT was kept beside the request that says so.
* The announced length of a body was checked before the handler and again in read_body, where nothing too long could arrive any more.

Checked: make lint; 96 tests of connections, adapter, keys and unstorable jobs, 11 crowds and managers as real processes. The whole script was not run on it before the commit.

--- a/daemons/manager/src/coltsfootseam/manager/serving.py
+++ b/daemons/manager/src/coltsfootseam/manager/serving.py
@@ -53,41 +53,41 @@
         settings: Where to listen, and the limits.
     """
     callers = CallerRequests(manager, handle)
+    async with contextlib.AsyncExitStack() as stack:
+        for port, handler in _ports(manager, callers, settings):
+            server = make_server(handler)
+            await stack.enter_async_context(
+                serving_connections(server, port, _SHUTDOWN_TIMEOUT_S)
+            )
+        yield callers
+
+
+def _ports(
+    manager: Manager, callers: "CallerRequests", settings: ServingSettings
+) -> list[tuple[Port, HttpHandler]]:
+    """Returns the ports, and what serves them, in the order of opening."""
     pages = MonitoringPages(manager)
-    share = LoopShare()
     context = manager.context
+    share = LoopShare()
     operators = settings.limits.for_operators()
-    callers_port = Port(
+    readiness = Port(
+        settings.readiness, operators, share, _report_to(context, "readiness")
+    )
+    monitoring = Port(
+        settings.monitoring, operators, share, _report_to(context, "monitoring")
+    )
+    front = Port(
         settings.callers,
         settings.limits.for_callers(),
         share,
         _report_to(context, "callers"),
         manager.jobs.limits.of_requests,
     )
-    readiness_port = Port(
-        settings.readiness,
-        operators,
-        share,
-        _report_to(context, "readiness"),
-    )
-    monitoring_port = Port(
-        settings.monitoring,
-        operators,
-        share,
-        _report_to(context, "monitoring"),
-    )
-    async with contextlib.AsyncExitStack() as stack:
-        for port, handler in (
-            (readiness_port, pages.check_readiness),
-            (monitoring_port, pages.serve_monitoring),
-            (callers_port, callers.handle),
-        ):
-            await stack.enter_async_context(
-                serving_connections(
-                    make_server(handler), port, _SHUTDOWN_TIMEOUT_S
-                )
-            )
-        yield callers
+    return [
+        (readiness, pages.check_readiness),
+        (monitoring, pages.serve_monitoring),
+        (front, callers.handle),
+    ]
 
 
 class CallerRequests:
@@ -121,28 +121,18 @@
         return response
 
 
-class _Reporter:
-    """Records which connections of a port were closed."""
-
-    __slots__ = ("_context", "_port")
-
-    def __init__(self, context: Context, port: str) -> None:
-        self._context = context
-        self._port = port
+def _report_to(context: Context, port: str) -> Report:
+    """Returns what records the connections of a port that were closed."""
 
-    def report(
-        self, cause: str, count: int, open_count: int, bytes_held: int
-    ) -> None:
-        self._context.counters.increment(f"connections_closed.{cause}", count)
-        self._context.log.write(
+    def report(cause: str, count: int, open_count: int, held: int) -> None:
+        context.counters.increment(f"connections_closed.{cause}", count)
+        context.log.write(
             "connections.closed",
-            port=self._port,
+            port=port,
             why=cause,
             count=count,
             open=open_count,
-            bytes_held=bytes_held,
+            bytes_held=held,
         )
 
-
-def _report_to(context: Context, port: str) -> Report:
-    return _Reporter(context, port).report
+    return report
--- a/libs/connections/src/coltsfootseam/connections/bodies.py
+++ b/libs/connections/src/coltsfootseam/connections/bodies.py
@@ -12,7 +12,7 @@
 ) -> bytes | Refusal:
     """Reads a whole body.
 
-    A body that is announced as too long is refused before it is read.
+    One that is announced as too long is refused before the handler runs.
 
     Args:
         request: The request.
@@ -27,25 +27,16 @@
         return Refusal(
             ResultCode.NOT_RUN_ENCODED, "a compressed body is not unpacked"
         )
-    if _is_over(request.content_length or 0, max_bytes):
-        return _too_long(max_bytes)
     body = bytearray()
     try:
         while chunk := await request.content.readany():
             body += chunk
-            if _is_over(len(body), max_bytes):
-                return _too_long(max_bytes)
+            if max_bytes is not None and len(body) > max_bytes:
+                return Refusal(
+                    ResultCode.NOT_RUN_TOO_LARGE,
+                    f"a body has {max_bytes} bytes at most",
+                )
         return bytes(body)
     finally:
         # The error of a lost connection keeps this frame for a while.
         body.clear()
-
-
-def _is_over(size: int, max_bytes: int | None) -> bool:
-    return max_bytes is not None and size > max_bytes
-
-
-def _too_long(max_bytes: int | None) -> Refusal:
-    return Refusal(
-        ResultCode.NOT_RUN_TOO_LARGE, f"a body has {max_bytes} bytes at most"
-    )
--- a/libs/connections/src/coltsfootseam/connections/internal/connection.py
+++ b/libs/connections/src/coltsfootseam/connections/internal/connection.py
@@ -156,7 +156,7 @@
         self._is_answered = False
         self._chunk_memory = 0
         self._size = request.content_length or 0
-        if framing.is_connect or not request.body_exists:
+        if request.method == hdrs.METH_CONNECT or not request.body_exists:
             framing.end_body()
         elif hdrs.TRANSFER_ENCODING in request.headers:
             framing.expect_chunked_body()
--- a/libs/connections/src/coltsfootseam/connections/internal/framing.py
+++ b/libs/connections/src/coltsfootseam/connections/internal/framing.py
@@ -37,16 +37,14 @@
         phase: What is to come.
         pending: Received bytes that are not handed on.
         received: Bytes of the current request, with empty lines before it.
-        is_connect: Whether the current request is a CONNECT.
     """
 
-    __slots__ = ("_left", "_tail", "is_connect", "pending", "phase", "received")
+    __slots__ = ("_left", "_tail", "pending", "phase", "received")
 
     def __init__(self) -> None:
         self.phase = Phase.HEAD
         self.pending = bytearray()
         self.received = 0
-        self.is_connect = False
         self._left = 0
         self._tail = b""
 
@@ -75,7 +73,6 @@
         head = self._take(size)
         self.received += size
         self.phase = Phase.PARSED
-        self.is_connect = head.startswith(b"CONNECT ")
         return _UPGRADE_LINE.sub(b"", head)
 
     def expect_sized_body(self, size: int) -> None:
@@ -113,7 +110,6 @@
         """Expects the next request."""
         self.phase = Phase.HEAD
         self.received = 0
-        self.is_connect = False
 
     def _possible_end(self, max_bytes: int) -> int:
         """Returns after how many pending bytes a body in chunks may end."""
--- a/libs/connections/src/coltsfootseam/connections/server.py
+++ b/libs/connections/src/coltsfootseam/connections/server.py
@@ -5,7 +5,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
 
-from aiohttp import web
+from aiohttp import hdrs, web
 
 from coltsfootseam.connections.internal.channel import Channel
 from coltsfootseam.connections.internal.connection import (
@@ -159,7 +159,7 @@
 async def _handle(
     request: web.BaseRequest, handler: HttpHandler
 ) -> web.StreamResponse:
-    if request.method == "CONNECT":
+    if request.method == hdrs.METH_CONNECT:
         refusal = web.Response(status=405)
         refusal.force_close()
         return refusal
