Encode a submitted job once

Since a job was encoded to see whether the store can hold it, and again for each attempt to store it. It is encoded once now. No change of behaviour.

Checked: make lint; the tests of unstorable jobs, keys and the path of a job.

--- a/daemons/manager/src/coltsfootseam/manager/jobs/caller_limits.py
+++ b/daemons/manager/src/coltsfootseam/manager/jobs/caller_limits.py
@@ -5,7 +5,6 @@
 from coltsfootseam.connections import RequestLimits
 from coltsfootseam.jobs import (
     JobRequest,
-    encode_request,
     find_unstorable,
     job_key,
     max_submitted_bytes,
@@ -49,13 +48,13 @@
         return max_tasks(self._context.max_record_bytes)
 
     def refuse_unstorable(
-        self, pool: str, job_id: str, request: JobRequest
+        self, pool: str, job_id: str, request: JobRequest, record: bytes
     ) -> Refusal | None:
         """Returns the refusal of a job that the store can't hold, if so."""
         reason = find_unstorable(
             request,
             job_key(pool, job_id),
-            encode_request(request),
+            record,
             self._context.max_record_bytes,
         )
         if reason is None:
--- a/daemons/manager/src/coltsfootseam/manager/jobs/job_service.py
+++ b/daemons/manager/src/coltsfootseam/manager/jobs/job_service.py
@@ -125,7 +125,10 @@
         accepted = self._lookup.find_accepted(job_id)
         if accepted is not None:
             return self.callers.check_access(job_id, accepted, team) or OK
-        refusal = self.limits.refuse_unstorable(queue.pool, job_id, request)
+        record = encode_request(request)
+        refusal = self.limits.refuse_unstorable(
+            queue.pool, job_id, request, record
+        )
         if refusal is not None:
             self._record_submitted(
                 queue, job_id, request.team, queue.pool, refusal
@@ -136,13 +139,16 @@
             return await self._refuse_excess(
                 queue, job_id, request.team, excess, deadline_s
             )
-        return await self._store_once(queue, job_id, request, deadline_s, team)
+        return await self._store_once(
+            queue, job_id, request, record, deadline_s, team
+        )
 
     async def _store_once(
         self,
         queue: Queue,
         job_id: str,
         request: JobRequest,
+        record: bytes,
         deadline_s: float,
         team: str | None,
     ) -> Refusal:
@@ -160,7 +166,7 @@
             if home is None:
                 return _UNDETERMINED
             outcome = await self._store_in(
-                home, queue, job_id, request, deadline_s, team
+                home, queue, job_id, request, record, deadline_s, team
             )
             has_moved = True
         return outcome
@@ -171,6 +177,7 @@
         queue: Queue,
         job_id: str,
         request: JobRequest,
+        record: bytes,
         deadline_s: float,
         team: str | None,
     ) -> Refusal:
@@ -190,7 +197,7 @@
         outcome = await self._storage.store(
             home.pool,
             job_key(home.pool, job_id),
-            encode_request(request),
+            record,
             deadline_s,
             team,
             queue.name,
