Show that accepted jobs outgrow the memory of every owner in turn

Cause: an owner keeps an object for each task of each accepted job, and nothing bounds what a pool accepts.

--- a/review/standins-3/deployment.py
+++ b/review/standins-3/deployment.py
@@ -8,6 +8,7 @@
 import json
 import os
 import pathlib
+import shutil
 import socket
 import sys
 import tempfile
@@ -23,6 +24,7 @@
 PARTS = 12
 START_LIMIT_S = 20.0
 CLIENT_TIMEOUT_S = 3.0
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 TOLD_TO_WORKERS = ("ms", "first_ms", "cpu", "mem_mb")
 
 
@@ -136,12 +138,17 @@
         path.write_text(yaml.safe_dump(self.settings(
             name, front, readiness, first_port
         )))
+        self.fronts.append(front)
+        self.readiness.append(readiness)
+        await self.run_manager(name)
+
+    async def run_manager(self, name):
+        """Starts a manager, for the first time or again, as it is deployed."""
+        path = self.folder / f"{name}.yaml"
         with open(ROOT / "deploy/system.toml", "rb") as file:
             role = tomllib.load(file)["roles"]["manager"]
         variables = {"COLTSFOOTSEAM_NODE_FILE": str(path), **role["env"]}
         await self.start(name, *role["run"].split(), variables=variables)
-        self.fronts.append(front)
-        self.readiness.append(readiness)
 
     def settings(self, name, front, readiness, first_port):
         return {
@@ -223,6 +230,8 @@
             await self.kill(name)
         if self.session is not None:
             await self.session.close()
+        if "KEEP" not in os.environ:
+            shutil.rmtree(self.folder, ignore_errors=True)
 
     async def call(self, method, front, path, body=None):
         """Sends a client's request; status 0 means that there was no answer."""
@@ -278,6 +287,19 @@
                     events.append(json.loads(line))
         return sorted(events, key=lambda event: event["wall_ms"])
 
+    def memory_mb(self):
+        """Returns the memory of each manager that runs, by its name."""
+        found = {}
+        for name, process in self.processes.items():
+            if not name.startswith("edge-") or process.returncode is not None:
+                continue
+            try:
+                text = pathlib.Path(f"/proc/{process.pid}/statm").read_text()
+            except OSError:
+                continue
+            found[name] = int(text.split()[1]) * PAGE_BYTES // 1_000_000
+        return found
+
     def owner_of(self, pool):
         """Returns the manager that claimed a pool last, by the managers' logs."""
         claims = []
