--- a/review/standins-3/deployment.py
+++ b/review/standins-3/deployment.py
@@ -77,6 +77,7 @@
         self.readiness = []
         self.session = None
         self.worker_files = []
+        self.stop_ms = 200
 
     def note(self, text):
         """Writes a line to the record."""
@@ -174,7 +175,7 @@
             "bounds": {
                 "grace_s": 6,
                 "hold_max_ms": 10_000,
-                "stop_ms": 200,
+                "stop_ms": self.stop_ms,
                 "status_s": 120,
                 "migrate_s": 1.5,
                 "maintenance_s": 2,
