Take the ports of the cases from below those of connections

Cause: a port that was free as it was looked for could be taken by an outgoing connection before its server opened it. Change: the stand-ins of the review draw ports from 15000 to 30000.

--- a/review/standins-3/deployment.py
+++ b/review/standins-3/deployment.py
@@ -8,6 +8,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import socket
 import sys
@@ -24,6 +25,9 @@
 PARTS = 12
 START_LIMIT_S = 20.0
 CLIENT_TIMEOUT_S = 3.0
+FIRST_PORT = 15_000
+LAST_PORT = 30_000
+USED_PORTS = set()
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 TOLD_TO_WORKERS = ("ms", "first_ms", "cpu", "mem_mb")
 
@@ -34,29 +38,30 @@
 
 def free_address():
     """Returns a loopback address whose port is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    return f"127.0.0.1:{free_port_range(1)}"
 
 
 def free_port_range(count):
-    """Returns the first of some free ports in a row."""
+    """Returns the first of some free ports in a row.
+
+    They are below the range from which connections get theirs, and no port is
+    returned twice.
+    """
     while True:
-        first = int(free_address().partition(":")[2])
-        if first + count > 65_000:
-            continue
-        probes = []
-        try:
-            for port in range(first, first + count):
-                probe = socket.socket()
-                probes.append(probe)
-                probe.bind(("127.0.0.1", port))
+        first = random.randint(FIRST_PORT, LAST_PORT - count)
+        ports = range(first, first + count)
+        if USED_PORTS.isdisjoint(ports) and all(map(is_free, ports)):
+            USED_PORTS.update(ports)
             return first
+
+
+def is_free(port):
+    with socket.socket() as probe:
+        try:
+            probe.bind(("127.0.0.1", port))
         except OSError:
-            continue
-        finally:
-            for probe in probes:
-                probe.close()
+            return False
+    return True
 
 
 class Deployment:
