Keep a run active while a copy of its start is under way

The first copy of a start was held up, a later copy was answered, the worker crashed and came back under its id, and the first copy began the run there, while the owner had taken the run for ended with the former life.

Cause: is_confirmed said that a life has the run, and was read as "no copy of its start can reach a later life". A reply to a later copy, a list of the worker, and the stored confirmation of an earlier owner set it while an earlier copy was unanswered. Besides, a call counted as under way for 3 s, and the platform carries out unanswered calls up to 12 s late.

Change: a run remembers when the latest copy was sent that its worker hasn't answered. It is confirmed once each copy is answered or refused, or once the worker lists it 12.5 s after the last such copy. A successor takes the end of the former owner's right to grant as the time of its last copy. The stand-in's late starts reach whoever is at the address by then.

--- a/daemons/manager/src/coltsfootseam/manager/orders/orders.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders/orders.py
@@ -40,6 +40,9 @@
     OrderOutcome.MALFORMED,
 )
 
+_CARRIED_OUT_OUTCOMES = (OrderOutcome.DONE, OrderOutcome.UNKNOWN)
+"""Outcomes of a start that was carried out, or may be."""
+
 _STOPPED_OUTCOMES = (OrderOutcome.DONE, OrderOutcome.OLD)
 
 
@@ -206,13 +209,10 @@
                     )
                 if order is not None and self._may_send(link, attempts):
                     attempts += 1
-                    run.sent_s = state.now_s()
-                    reply = await link.start(order)
+                    outcome = await self._send_copy(link, run, order)
                     if link.is_gone:
                         # Its next incarnation may have replied.
                         return
-                    outcome = reply.outcome
-                    run.is_confirmed |= reply.is_confirmed
             if outcome is not OrderOutcome.UNKNOWN:
                 break
             if self._must_withdraw(task, run, started_s):
@@ -222,6 +222,21 @@
         self._unsent.discard((task.id, run.number))
         self._apply_start_outcome(task, run, outcome, attempts)
 
+    async def _send_copy(
+        self, link: WorkerLink, run: Run, order: StartOrder
+    ) -> OrderOutcome:
+        """Sends a start once and records whether that copy was answered."""
+        earlier_s = run.unanswered_s
+        run.sent_s = self._state.now_s()
+        run.unanswered_s = run.sent_s
+        reply = await link.start(order)
+        # A run that began may be on the next incarnation, if that has replied.
+        # Whoever refuses a copy doesn't carry it out later.
+        is_refused = reply.outcome not in _CARRIED_OUT_OUTCOMES
+        if reply.is_confirmed or is_refused:
+            run.unanswered_s = earlier_s
+        return reply.outcome
+
     def _may_send(self, link: WorkerLink, attempts: int) -> bool:
         """Returns whether a start may be sent, for the first time or again.
 
@@ -281,6 +296,7 @@
             return
         if outcome is OrderOutcome.DONE:
             run.settled_s = now_s
+            run.is_confirmed |= run.unanswered_s is None
             state.job_table.confirm_run(run, now_s)
             state.store_confirmation(task, run)
         elif outcome in _REFUSED_OUTCOMES:
--- a/daemons/manager/src/coltsfootseam/manager/orders/worker_lives.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders/worker_lives.py
@@ -26,8 +26,9 @@
     max_lease_duration_s,
 )
 
-_MAX_CALL_DELAY_S = 3.0
-"""How long after it was sent a call may still be carried out."""
+_MAX_CALL_DELAY_S = 12.5
+"""How long after it was sent a call may still be carried out. The platform's
+workers carry out unanswered calls up to 12 s after these have arrived."""
 
 _MS_PER_S = 1000
 
@@ -160,6 +161,18 @@
             for instance_id in self._pending_by_instance
         }
 
+    def have_copies_arrived(self, run: Run, listed_s: float) -> bool:
+        """Returns whether no copy of a run's start was under way any more.
+
+        Args:
+            run: The run, which its worker has listed.
+            listed_s: When that list was requested, in monotonic seconds.
+        """
+        last_s = run.unanswered_s
+        if run.sent_s is None:
+            last_s = self._leases.earlier_stopped_s()
+        return last_s is None or last_s + _MAX_CALL_DELAY_S < listed_s
+
     def may_be_redirected(self, task: Task, run: Run) -> bool:
         """Returns whether a later incarnation may have a run.
 
--- a/daemons/manager/src/coltsfootseam/manager/pools/run_reconciler.py
+++ b/daemons/manager/src/coltsfootseam/manager/pools/run_reconciler.py
@@ -142,7 +142,7 @@
             self._orders.stop_unknown_run(link, reported)
             return
         self._state.job_table.confirm_run(run, self._state.now_s())
-        if run.sent_s is None or run.sent_s < sent_s:
+        if self._state.lives.have_copies_arrived(run, sent_s):
             run.is_confirmed = True
         self._state.store_confirmation(task, run)
         run.saved = reported.saved or run.saved
--- a/libs/jobs/src/coltsfootseam/jobs/documents.py
+++ b/libs/jobs/src/coltsfootseam/jobs/documents.py
@@ -16,12 +16,23 @@
 
 
 class StoredRun(msgspec.Struct, array_like=True, omit_defaults=True):
-    """A run that may be active."""
+    """A run that may be active.
+
+    Attributes:
+        number: Number of the run within the task.
+        worker_id: Incarnation of the worker that it was ordered from.
+        is_stopping: Whether it is to be stopped.
+        is_isolated: Whether its worker gets no other tasks meanwhile.
+        is_reported: Whether its worker is known to have it. Hosts of 0.7.5 and
+            earlier take such a run for confirmed, and store no more than that.
+        is_confirmed: Whether, besides, no copy of its start is under way.
+    """
 
     number: int
     worker_id: str
     is_stopping: bool = False
     is_isolated: bool = False
+    is_reported: bool = False
     is_confirmed: bool = False
 
 
@@ -201,7 +212,8 @@
                 run.worker_id,
                 run.phase is RunPhase.STOPPING,
                 run.is_isolated,
-                run.is_confirmed,
+                is_reported=run.is_confirmed,
+                is_confirmed=run.is_confirmed,
             )
             for run in task.runs
         ],
--- a/libs/jobs/src/coltsfootseam/jobs/entities.py
+++ b/libs/jobs/src/coltsfootseam/jobs/entities.py
@@ -35,9 +35,11 @@
         is_isolated: Whether its worker gets no other tasks meanwhile.
         sent_s: When its start was last sent, monotonic seconds, or ``None`` if
             only an earlier owner may have sent it.
-        is_confirmed: Whether its worker itself has replied to its start, or has
-            listed it after its start was last sent. The order can't have
-            reached a later incarnation then.
+        unanswered_s: When the latest copy of its start was sent that its worker
+            itself hasn't answered, monotonic seconds, ``None`` if there is
+            none. An earlier owner may have sent others.
+        is_confirmed: Whether its worker has it, and no copy of its start is
+            under way any more. Such a copy could reach a later incarnation.
         is_confirmation_stored: Whether that is stored or about to be.
         silent_s: When its worker stopped replying for good, monotonic seconds,
             or ``None``.
@@ -58,6 +60,7 @@
     reason: str = ""
     is_isolated: bool = False
     sent_s: float | None = None
+    unanswered_s: float | None = None
     is_confirmed: bool = False
     is_confirmation_stored: bool = False
     silent_s: float | None = None
--- a/libs/standins/src/coltsfootseam/standins/memory_worker.py
+++ b/libs/standins/src/coltsfootseam/standins/memory_worker.py
@@ -54,6 +54,7 @@
             nor answered.
         unheard_by_hosts: Ids of hosts whose calls are applied but not
             answered.
+        loses_start_replies: Starts are applied at once but not answered.
         resets_connections: The end of the process resets its connections; a
             machine that loses power doesn't.
     """
@@ -66,6 +67,7 @@
     delay_s: float = 3.0
     unreachable_from_hosts: set[str] = set()
     unheard_by_hosts: set[str] = set()
+    loses_start_replies: bool = False
     resets_connections: bool = True
 
 
--- a/libs/standins/src/coltsfootseam/standins/memory_worker_calls.py
+++ b/libs/standins/src/coltsfootseam/standins/memory_worker_calls.py
@@ -91,12 +91,13 @@
         if isinstance(found, OrderReply):
             return found
         if self._random.random() < found.faults.late_start_share:
-            self._workers.schedule_start(found.faults.delay_s, found, order)
+            self._workers.schedule_start(found.faults.delay_s, worker, order)
             return await self._lose_reply()
         outcome = self._workers.apply_start(found, order)
         if self._is_reset(found):
             return OrderReply(OrderOutcome.UNKNOWN)
-        if found.is_dead or self._is_unheard(found):
+        is_lost = self._is_unheard(found) or found.faults.loses_start_replies
+        if found.is_dead or is_lost:
             return await self._lose_reply()
         return OrderReply(outcome, self._workers.clock_ms(found))
 
--- a/libs/standins/src/coltsfootseam/standins/memory_workers.py
+++ b/libs/standins/src/coltsfootseam/standins/memory_workers.py
@@ -168,12 +168,20 @@
         )
 
     def schedule_start(
-        self, delay_s: float, worker: MemoryWorker, order: StartOrder
+        self, delay_s: float, entry: WorkerEntry, order: StartOrder
     ) -> None:
-        """Applies a start after a delay, even if its sender is gone."""
+        """Applies a start after a delay, even if its sender is gone.
+
+        It reaches whose process is at the entry's address by then.
+        """
 
         def start() -> None:
-            if not worker.is_dead:
+            worker = self.find(entry)
+            is_meant = (
+                worker is not None
+                and worker.entry.instance_id == entry.instance_id
+            )
+            if worker is not None and is_meant:
                 self.apply_start(worker, order)
 
         self._timers.schedule(delay_s, start)
--- /dev/null
+++ b/tests/cover/test_late_starts.py
@@ -0,0 +1,128 @@
+"""Starts of which an unanswered copy reaches a later life of their worker.
+
+A call that isn't answered may be carried out up to twelve seconds later, by
+whatever process is at the worker's address by then.
+"""
+
+import asyncio
+
+import pytest
+
+from coltsfootseam.jobs import JobState, Step, TaskId
+from coltsfootseam.standins.memory_worker import MemoryWorker
+from tests.common.fleets import Fleet, running_fleet
+
+JOB = "c" * 16
+TASK = TaskId(JOB, 0, 0, 0)
+LONG_TASK_S = 30.0
+LIMIT_S = 150.0
+UNLISTED_S = 1.0
+"""Time from the return of a worker until its entry shows that."""
+
+
+async def start_with_late_copy(
+    fleet: Fleet, delay_s: float, lost_replies_s: float = 0.0
+) -> MemoryWorker:
+    """Has a task run whose first copy of the start is still under way.
+
+    Args:
+        fleet: The deployment.
+        delay_s: How long after it was sent the first copy is carried out.
+        lost_replies_s: How long replies to later copies are lost, so that only
+            a heartbeat shows the run.
+
+    Returns:
+        The worker that runs the task.
+    """
+    workers = fleet.workers.workers_by_instance.values()
+    for worker in workers:
+        worker.faults.late_start_share = 1.0
+        worker.faults.delay_s = delay_s
+    await fleet.accept(fleet.hosts[0], JOB, Step(cpu_millis=1000))
+    await fleet.wait_until(lambda: fleet.workers.starts_in_flight > 0)
+    await fleet.timers.advance(0.1)
+    for worker in workers:
+        worker.faults.late_start_share = 0.0
+        worker.faults.loses_start_replies = lost_replies_s > 0
+    await fleet.wait_until(lambda: fleet.started(JOB) == 1)
+    await fleet.timers.advance(lost_replies_s)
+    for worker in workers:
+        worker.faults.loses_start_replies = False
+    return next(worker for worker in workers if TASK in worker.runs_by_task)
+
+
+async def restart(fleet: Fleet, worker: MemoryWorker, down_s: float) -> None:
+    """Ends a worker's life; its next one is listed a while after it began."""
+    instance_id = worker.entry.instance_id
+    fleet.workers.kill(instance_id)
+    await fleet.timers.advance(down_s)
+    fleet.restart_worker(instance_id, fleet.wall_ms())
+    current = fleet.workers.workers_by_instance[instance_id].entry
+    fleet.put_entry(worker.entry)
+    fleet.timers.schedule(UNLISTED_S, lambda: fleet.put_entry(current))
+
+
+# Guards against a run taken for ended with its worker's life, as the reply to a
+# later copy of its start confirmed it, while the first copy reached the next.
+@pytest.mark.parametrize("delay_s", [3.0, 6.0, 11.5])
+@pytest.mark.parametrize("lost_replies_s", [0.0, 1.5])
+async def test_a_copy_that_arrives_in_the_next_life_runs_beside_no_other(
+    delay_s: float, lost_replies_s: float
+) -> None:
+    async with running_fleet(
+        workers=4, duration_of=lambda task: LONG_TASK_S
+    ) as fleet:
+        sent_s = fleet.timers.now_s()
+        worker = await start_with_late_copy(fleet, delay_s, lost_replies_s)
+        crash_s = sent_s + delay_s - 0.7
+        await fleet.timers.advance(crash_s - fleet.timers.now_s())
+        await restart(fleet, worker, down_s=0.4)
+        await fleet.wait_for_state(JOB, JobState.COMPLETED, LIMIT_S)
+
+
+# Guards against a start elsewhere while the copy is under way to a worker that
+# is down: the wait counted 3 s for it, and it may take twelve.
+async def test_a_copy_may_arrive_twelve_seconds_after_it_was_sent() -> None:
+    async with running_fleet(
+        workers=4, duration_of=lambda task: LONG_TASK_S
+    ) as fleet:
+        worker = await start_with_late_copy(fleet, delay_s=12.0)
+        await restart(fleet, worker, down_s=11.0)
+        await fleet.wait_for_state(JOB, JobState.COMPLETED, LIMIT_S)
+
+
+# Guards against a successor that doesn't know of unanswered copies: the stored
+# run counted as confirmed, or a list of the worker confirmed it.
+@pytest.mark.parametrize("is_planned", [False, True])
+@pytest.mark.parametrize("taken_over_s", [0.2, 3.0])
+@pytest.mark.parametrize("lost_replies_s", [0.0, 1.5])
+async def test_a_new_owner_knows_of_copies_under_way(
+    is_planned: bool, taken_over_s: float, lost_replies_s: float
+) -> None:
+    async with running_fleet(
+        hosts=3, workers=4, duration_of=lambda task: LONG_TASK_S
+    ) as fleet:
+        sent_s = fleet.timers.now_s()
+        worker = await start_with_late_copy(fleet, 11.5, lost_replies_s)
+        await fleet.timers.advance(taken_over_s)
+        former = fleet.owner()
+        if is_planned:
+            assert former.manager is not None
+            leaving = asyncio.ensure_future(former.manager.leave())
+            await fleet.wait_until(leaving.done)
+        await former.kill()
+        await fleet.timers.advance(sent_s + 10.8 - fleet.timers.now_s())
+        await restart(fleet, worker, down_s=0.4)
+        await fleet.wait_for_state(JOB, JobState.COMPLETED, LIMIT_S)
+
+
+# Guards against tasks that wait without need: once the copy must have arrived,
+# the run ends with its worker's life.
+async def test_a_run_whose_copies_have_arrived_ends_with_its_worker() -> None:
+    async with running_fleet(
+        hosts=1, workers=4, duration_of=lambda task: LONG_TASK_S
+    ) as fleet:
+        worker = await start_with_late_copy(fleet, delay_s=2.0)
+        await fleet.timers.advance(14.0)
+        fleet.lose_worker(worker.entry.instance_id)
+        await fleet.wait_until(lambda: fleet.started(JOB) == 2, 8.0)
