Have a successor wait for leases that a next life inherited

Cause: a next life that carries out a call for the former one has the longest lease that workers accept, 10 s. Its owner knows that. A successor that never hears from the worker took all leases as ended one lease of 4.3 s after the former owner had stopped.

Change: the stored run says whether its worker might have had such a lease when it was ordered. The owner before had heard from the worker by then, so it ends within the longest lease from the claim, which the successor now waits for.

Measured: test_a_new_owner_waits_for_a_lease_of_the_life_before: 2 of 2 failed before, both pass now.

--- a/daemons/manager/src/coltsfootseam/manager/orders/worker_links.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders/worker_links.py
@@ -137,7 +137,7 @@
             link.is_replaced |= successor.instance_id != link.entry.instance_id
         if link.is_gone:
             self._drop_link(link, _INCARNATION_ENDED)
-        elif not link.is_reachable and link.lease.has_ended():
+        elif not link.is_reachable and self._have_leases_ended(link):
             self._reconciler.end_lost_runs(
                 link.worker_id,
                 "its lease has ended",
@@ -149,6 +149,13 @@
             if latest is None and not has_runs:
                 self._drop_link(link, "it does not respond and has no entry")
 
+    def _have_leases_ended(self, link: WorkerLink) -> bool:
+        """Returns whether no lease of a worker runs any more."""
+        if not link.lease.has_ended():
+            return False
+        pairs = self._state.job_table.runs.runs_of(link.worker_id)
+        return not self._state.lives.may_hold_inherited(pairs)
+
     def _successor(
         self, entry: WorkerEntry, latest: WorkerEntry | None
     ) -> WorkerEntry | None:
@@ -203,9 +210,10 @@
     def _end_unlinked_runs(self) -> None:
         """Ends the runs on workers to which there is no link."""
         state = self._state
+        runs = state.job_table.runs
         have_leases_ended = state.leases.have_earlier_ended()
         worker_ids = {
-            *state.job_table.runs.worker_ids(),
+            *runs.worker_ids(),
             *self._reconciler.lost_worker_ids(),
         }
         for worker_id in sorted(worker_ids - state.links_by_id.keys()):
@@ -219,9 +227,10 @@
                 )
             elif has_ended:
                 self._reconciler.end_crashed_runs(worker_id, _INCARNATION_ENDED)
-            elif have_leases_ended:
+            elif have_leases_ended and not state.lives.may_hold_inherited(
+                runs.runs_of(worker_id)
+            ):
                 self._reconciler.end_lost_runs(worker_id, "its lease has ended")
-        runs = state.job_table.runs
         state.lives.record_pending(
             pair
             for worker_id in worker_ids - state.links_by_id.keys()
--- a/daemons/manager/src/coltsfootseam/manager/orders/worker_lives.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders/worker_lives.py
@@ -173,6 +173,23 @@
             last_s = self._leases.earlier_stopped_s()
         return last_s is None or last_s + _MAX_CALL_DELAY_S < listed_s
 
+    def may_hold_inherited(self, pairs: Iterable[RunPair]) -> bool:
+        """Returns whether a worker may hold a lease of an earlier incarnation.
+
+        The owner before has heard from the worker before it ordered the runs,
+        and so before this owner's claim. From then on the worker has refused
+        the calls to its earlier incarnations.
+
+        Args:
+            pairs: The runs on the worker.
+        """
+        longest_s = max_lease_duration_s(self._context.times.longest_lease_s)
+        if self._now_s() > self._journal.claimed_s + longest_s:
+            return False
+        return any(
+            run.sent_s is None and run.has_inherited_lease for _, run in pairs
+        )
+
     def may_be_redirected(self, task: Task, run: Run) -> bool:
         """Returns whether a later incarnation may have a run.
 
--- a/daemons/manager/src/coltsfootseam/manager/pools/planning.py
+++ b/daemons/manager/src/coltsfootseam/manager/pools/planning.py
@@ -225,6 +225,10 @@
             run = self._state.job_table.add_run(
                 task, placement.worker_id, now_s, number, is_isolated
             )
+            link = self._state.links_by_id.get(placement.worker_id)
+            run.has_inherited_lease = (
+                link is not None and link.lease.may_be_inherited()
+            )
             new_runs.append(NewRun(task, run, placement.ticket))
         return new_runs
 
--- a/libs/jobs/src/coltsfootseam/jobs/entities.py
+++ b/libs/jobs/src/coltsfootseam/jobs/entities.py
@@ -41,6 +41,9 @@
         is_confirmed: Whether its worker has it, and no copy of its start is
             under way any more. Such a copy could reach a later incarnation.
         is_confirmation_stored: Whether that is stored or about to be.
+        has_inherited_lease: Whether its worker may have had the longest lease
+            that workers accept when the run was ordered, from a call to an
+            earlier incarnation.
         silent_s: When its worker stopped replying for good, monotonic seconds,
             or ``None``.
     """
@@ -63,6 +66,7 @@
     unanswered_s: float | None = None
     is_confirmed: bool = False
     is_confirmation_stored: bool = False
+    has_inherited_lease: bool = False
     silent_s: float | None = None
 
     def exposure_s(self) -> float:
--- a/libs/workers/src/coltsfootseam/workers/lease.py
+++ b/libs/workers/src/coltsfootseam/workers/lease.py
@@ -39,8 +39,8 @@
 
     __slots__ = (
         "_authority",
+        "_fenced_s",
         "_inherited_lease_s",
-        "_is_earlier_fenced",
         "_lease_s",
         "_offset_ms",
         "_read_s",
@@ -72,7 +72,8 @@
         self._inherited_lease_s = inherited_lease_s or lease_s
         self._authority = authority
         self._offset_ms: float | None = None
-        self._is_earlier_fenced = False
+        # When the worker first replied to this owner.
+        self._fenced_s: float | None = None
         self._read_s = timers.now_s()
         self.granted_s = float("-inf")
         self.safe_after_s = timers.now_s()
@@ -115,12 +116,26 @@
         It has replied to this owner, so what it was granted before then ends
         within the longest lease that it may have taken from such a call.
         """
-        if not self._is_earlier_fenced:
-            self._is_earlier_fenced = True
+        if self._fenced_s is None:
+            self._fenced_s = self._timers.now_s()
             inherited_s = max_lease_duration_s(self._inherited_lease_s)
-            end_s = self._timers.now_s() + inherited_s
+            end_s = self._fenced_s + inherited_s
             self.safe_after_s = max(self.safe_after_s, end_s)
 
+    def may_be_inherited(self) -> bool:
+        """Returns whether the worker may have a longer lease than granted.
+
+        It may have taken that from a call to another incarnation, before it
+        replied to this owner for the first time.
+        """
+        if self._inherited_lease_s <= self._lease_s:
+            return False
+        fenced_s = self._fenced_s
+        if fenced_s is None:
+            return True
+        longest_s = max_lease_duration_s(self._inherited_lease_s)
+        return self._timers.now_s() < fenced_s + longest_s
+
     def grant(self) -> int | None:
         """Grants a lease and returns its end on the worker's clock.
 
@@ -145,7 +160,9 @@
         """Returns whether all runs on the worker are certain to have ended."""
         if self._timers.now_s() < self.safe_after_s:
             return False
-        return self._is_earlier_fenced or self._authority.have_earlier_ended()
+        return (
+            self._fenced_s is not None or self._authority.have_earlier_ended()
+        )
 
 
 def max_lease_duration_s(lease_s: float) -> float:
--- a/tests/cover/test_restarted_workers.py
+++ b/tests/cover/test_restarted_workers.py
@@ -4,6 +4,8 @@
 was meant for, so the next life may carry out what the former one was told.
 """
 
+import asyncio
+
 import pytest
 
 from coltsfootseam.jobs import JobState, Step
@@ -12,12 +14,15 @@
 from tests.common.fleets import Fleet, running_fleet
 
 JOB = "a" * 16
+LATER_JOB = "b" * 16
 TASK_S = 3.0
 LONG_TASK_S = 20.0
 DOWN_S = 0.02
 CUT_S = 9.0
+LONG_CUT_S = 20.0
 VICTIMS = ("i-1", "i-2", "i-3")
 WIDE = Step(count=8, cpu_millis=1000, estimate_ms=3000)
+SPREAD = Step(count=4, cpu_millis=1000, estimate_ms=20_000, per_worker_limit=1)
 
 
 def restart_in_the_dark(
@@ -45,7 +50,7 @@
 
 
 async def start_on_next_lives(
-    fleet: Fleet, phase_s: float, unlisted_s: float
+    fleet: Fleet, phase_s: float, unlisted_s: float, step: Step = WIDE
 ) -> list[MemoryWorker]:
     """Has starts reach workers whose owner doesn't know that they restarted.
 
@@ -53,6 +58,7 @@
         fleet: The deployment, with four workers.
         phase_s: When the workers restart, after the fleet has come up.
         unlisted_s: See ``restart_in_the_dark``.
+        step: The only step of the job that is started.
 
     Returns:
         The workers that carried out a start.
@@ -61,8 +67,8 @@
     for instance_id in VICTIMS:
         restart_in_the_dark(fleet, instance_id, unlisted_s)
     await fleet.timers.advance(2 * DOWN_S)
-    await fleet.accept(fleet.hosts[0], JOB, WIDE)
-    await fleet.wait_until(lambda: fleet.started(JOB) == WIDE.count, 1.0)
+    await fleet.accept(fleet.hosts[0], JOB, step)
+    await fleet.wait_until(lambda: fleet.started(JOB) == step.count, 1.0)
     workers = fleet.workers.workers_by_instance
     reached = [workers[key] for key in VICTIMS if workers[key].runs_by_task]
     assert reached
@@ -171,3 +177,38 @@
             fleet.restart_worker("i-1")
             await fleet.accept(fleet.hosts[0], job, Step(cpu_millis=1000))
             await fleet.wait_for_state(job, JobState.COMPLETED)
+
+
+# Guards against a successor that counts too short a lease (incident 023): a run
+# that the next life was ordered is under the lease of a call to the former one,
+# and that life is cut off before the successor hears from it.
+@pytest.mark.parametrize("is_planned", [False, True])
+async def test_a_new_owner_waits_for_a_lease_of_the_life_before(
+    is_planned: bool,
+) -> None:
+    async with running_fleet(
+        hosts=3, workers=4, duration_of=lambda task: LONG_TASK_S
+    ) as fleet:
+        await fleet.timers.advance(20.0)
+        reached = await start_on_next_lives(fleet, 0.1, 0.1, SPREAD)
+        await fleet.accept(fleet.hosts[0], LATER_JOB, SPREAD)
+        await fleet.wait_until(
+            lambda: fleet.started(LATER_JOB) == SPREAD.count, 3.0
+        )
+        assert any(
+            task.job_id == LATER_JOB
+            for worker in reached
+            for task in worker.runs_by_task
+        )
+        for number in range(5, 8):
+            fleet.add_worker(number)
+        await fleet.timers.advance(0.6)
+        owner = fleet.owner()
+        if is_planned:
+            assert owner.manager is not None
+            leaving = asyncio.ensure_future(owner.manager.leave())
+            await fleet.wait_until(leaving.done)
+        else:
+            await owner.kill()
+        cut_off(fleet, reached, LONG_CUT_S)
+        await fleet.wait_for_state(LATER_JOB, JobState.COMPLETED, 120.0)
