Store the progress of large jobs in parts

A job whose occurrences overlap outgrew a record of the store; its pool's owner repeated that append without end, and so did each owner after it. The same cause fills the store (400 MB in a minute with 36 jobs of 3,000 tasks), as each change of a task wrote the whole progress of its job.

Cause: one record held all tasks of all occurrences that had begun, the finished ones too, and all numbers of finished occurrences.

Change: the progress of a job of more than 64 tasks is stored in parts of 64 tasks, and only parts that changed are written. Finished occurrences are ranges; their tasks and parts are dropped. The document goes before its parts, and a successor deletes parts that were left over. An append that the store answers with 400 or 413 is not repeated: its records are tried by halves, and the job whose record is left out is failed and nothing of it is started. Documents of earlier versions are read and moved into parts.

--- a/daemons/manager/src/coltsfootseam/manager/pools/crash_evidence.py
+++ b/daemons/manager/src/coltsfootseam/manager/pools/crash_evidence.py
@@ -130,7 +130,8 @@
             crashes_per_hour=self._crashes_per_hour(),
             code=ResultCode.JOB_CRASHES_WORKERS.value,
         )
-        state.job_table.give_up(task, _failure_reason(task), state.wall_ms())
+        job = state.job_table.jobs_by_id[task.id.job_id]
+        state.job_table.give_up(job, _failure_reason(task), state.wall_ms())
         cleared = state.job_table.clear_crashes(explained_ids)
         state.context.counters.increment("crash.cleared", len(cleared))
         state.context.log.write(
--- a/daemons/manager/src/coltsfootseam/manager/pools/planning_rounds.py
+++ b/daemons/manager/src/coltsfootseam/manager/pools/planning_rounds.py
@@ -1,6 +1,6 @@
 """Planning rounds of a pool's owner: plan, store the plan, then send it."""
 
-from coltsfootseam.jobs import JobState, job_key
+from coltsfootseam.jobs import JobState, ProgressRecord, job_key
 from coltsfootseam.manager.orders.orders import Orders
 from coltsfootseam.manager.orders.worker_links import WorkerLinks
 from coltsfootseam.manager.pools.evacuation import Evacuation
@@ -11,10 +11,15 @@
 from coltsfootseam.store import KeyedRecord
 
 _SLOW_LINK_AFTER_S = 0.5
+_UNSTORABLE = "the store does not take its progress"
 
 
 class PlanningRounds:
-    """Runs the planning rounds of one pool."""
+    """Runs the planning rounds of one pool.
+
+    Attributes:
+        busy_s: How long the last round held the loop before its append.
+    """
 
     __slots__ = (
         "_evacuation",
@@ -24,6 +29,7 @@
         "_state",
         "_undecided_since_s",
         "_workers",
+        "busy_s",
     )
 
     def __init__(
@@ -41,10 +47,12 @@
         self._planner = Planner(state, tickets)
         self._undecided_since_s: float | None = None
         self._is_sending_slowly = False
+        self.busy_s = 0.0
 
     async def run_once(self) -> None:
         """Runs one planning round."""
         state = self._state
+        started_s = state.now_s()
         self._workers.sync_links()
         self._evacuation.stop_leaving_runs()
         self._stop_stalled()
@@ -56,31 +64,70 @@
         self._watch_isolating_workers()
         self._orders.send_stops()
         end_sequences_by_worker = dict(state.end_sequences_by_worker)
-        documents_by_id = state.job_table.drain_changes()
+        changes_by_id = state.job_table.drain_changes()
         stored = {
             job_id: state.job_table.jobs_by_id[job_id].state
-            for job_id in documents_by_id
+            for job_id in changes_by_id
         }
         outdated_state_keys = set(state.outdated_state_keys)
         # Deletions go first, as a job may have been added again since its
         # state became outdated.
         records = [KeyedRecord(key) for key in sorted(outdated_state_keys)]
         records.extend(
-            KeyedRecord(job_key(state.pool, job_id), document)
-            for job_id, document in documents_by_id.items()
+            KeyedRecord(
+                job_key(state.pool, job_id) + change.suffix, change.value
+            )
+            for job_id, changes in changes_by_id.items()
+            for change in changes
         )
         witness_record = state.leases.record_to_store()
         if witness_record is not None:
             records.append(witness_record)
+        self.busy_s = state.now_s() - started_s
         if records:
-            refusal = await state.journal.commit(records)
-            if refusal is not None:
+            await state.journal.commit(records)
+            if state.journal.is_lost:
                 return
+            untaken_keys = state.journal.untaken_keys
             state.outdated_state_keys -= outdated_state_keys
-            state.leases.confirm_stored()
+            if witness_record and witness_record.key not in untaken_keys:
+                state.leases.confirm_stored()
+            self._give_up_unstorable(changes_by_id, new_runs)
         self._apply_stored(stored, end_sequences_by_worker)
         self._send_starts(new_runs)
 
+    def _give_up_unstorable(
+        self,
+        changes_by_id: dict[str, list[ProgressRecord]],
+        new_runs: list[NewRun],
+    ) -> None:
+        """Fails the jobs whose progress the store will never take.
+
+        Nothing of them is started: the next owner couldn't know of it.
+        """
+        state = self._state
+        if not state.journal.untaken_keys:
+            return
+        for job_id, changes in changes_by_id.items():
+            key = job_key(state.pool, job_id)
+            keys = {key + change.suffix for change in changes}
+            job = state.job_table.jobs_by_id.get(job_id)
+            if job is None or keys.isdisjoint(state.journal.untaken_keys):
+                continue
+            state.context.log.write(
+                "job.unstorable",
+                job=job_id,
+                records=len(keys & state.journal.untaken_keys),
+                longest=max(len(change.value) for change in changes),
+            )
+            state.context.counters.increment("job.unstorable")
+            for new in new_runs:
+                if new.task.id.job_id == job_id:
+                    state.job_table.withdraw_run(
+                        new.task, new.run, state.wall_ms()
+                    )
+            state.job_table.give_up(job, _UNSTORABLE, state.wall_ms())
+
     def _watch_isolating_workers(self) -> None:
         """Has workers report suspects often, so that they are soon proven."""
         isolating_ids = self._state.job_table.runs.isolating_worker_ids()
--- a/daemons/manager/src/coltsfootseam/manager/pools/pool_loading.py
+++ b/daemons/manager/src/coltsfootseam/manager/pools/pool_loading.py
@@ -2,7 +2,15 @@
 
 import msgspec
 
-from coltsfootseam.jobs import Progress, decode_progress, parse_pool_key
+from coltsfootseam.jobs import (
+    PartId,
+    Progress,
+    StoredTask,
+    decode_part,
+    decode_progress,
+    parse_part_key,
+    parse_pool_key,
+)
 from coltsfootseam.manager.context import Context
 from coltsfootseam.manager.leases.witnesses import (
     MAX_VOUCHED_S,
@@ -19,6 +27,9 @@
 _MS_PER_S = 1000
 
 
+_PartsByJob = dict[str, dict[PartId, list[StoredTask]]]
+
+
 class PoolLoader:
     """Reads a pool's journal and inbox, and retries until that succeeds.
 
@@ -67,12 +78,17 @@
             await self._retry_later("inbox", refusal)
 
     def _decode(self, records: list[StoredRecord]) -> dict[str, Progress]:
-        progress_by_id = {}
+        progress_by_id: dict[str, Progress] = {}
+        parts_by_job: _PartsByJob = {}
         key_of_witnesses = witness_key(self._pool)
         for record in records:
             if record.key == key_of_witnesses:
                 self.former_owners = self._decode_witnesses(record)
                 continue
+            part_key = parse_part_key(self._pool, record.key)
+            if part_key is not None and record.value:
+                self._add_part(parts_by_job, *part_key, record)
+                continue
             key = parse_pool_key(self._pool, record.key)
             if key is None or not record.value:
                 continue
@@ -84,8 +100,27 @@
                 )
                 continue
             progress_by_id[key.job_id] = progress
+        for job_id, parts in parts_by_job.items():
+            if job_id in progress_by_id:
+                _add_parts(progress_by_id[job_id], parts)
         return progress_by_id
 
+    def _add_part(
+        self,
+        parts_by_job: _PartsByJob,
+        job_id: str,
+        part: PartId,
+        record: StoredRecord,
+    ) -> None:
+        try:
+            tasks = decode_part(record.value)
+        except msgspec.DecodeError as error:
+            self._context.log.write(
+                "record.unreadable", key=record.key, why=str(error)
+            )
+            return
+        parts_by_job.setdefault(job_id, {})[part] = tasks
+
     def _decode_witnesses(self, record: StoredRecord) -> FormerOwners:
         try:
             return decode_witnesses(record.value)
@@ -108,3 +143,11 @@
         self._context.counters.increment("pool.load_failed")
         self._progress.record_failure()
         await self._context.timers.sleep(_RETRY_DELAY_S)
+
+
+def _add_parts(
+    progress: Progress, parts: dict[PartId, list[StoredTask]]
+) -> None:
+    """Adds the parts of a job's progress to its document."""
+    progress.parts = sorted(parts)
+    progress.tasks = [task for part in progress.parts for task in parts[part]]
--- a/libs/jobs/src/coltsfootseam/jobs/__init__.py
+++ b/libs/jobs/src/coltsfootseam/jobs/__init__.py
@@ -13,18 +13,29 @@
 from coltsfootseam.jobs.documents import (
     PoolKey,
     Progress,
+    ProgressRecord,
     StoredRun,
     StoredTask,
     cancel_key,
+    decode_part,
     decode_progress,
     decode_request,
+    encode_changes,
     encode_progress,
     encode_request,
     job_key,
     key_prefix,
+    parse_part_key,
     parse_pool_key,
 )
-from coltsfootseam.jobs.entities import Job, Occurrence, Run, Task
+from coltsfootseam.jobs.entities import (
+    TASKS_PER_PART,
+    Job,
+    Occurrence,
+    PartId,
+    Run,
+    Task,
+)
 from coltsfootseam.jobs.job_table import JobTable
 from coltsfootseam.jobs.model import (
     JobRequest,
@@ -35,7 +46,12 @@
     TaskId,
 )
 from coltsfootseam.jobs.resources import Resources
-from coltsfootseam.jobs.run_index import RunIndex, RunKey, RunPair
+from coltsfootseam.jobs.run_index import (
+    RunIndex,
+    RunKey,
+    RunPair,
+    occupied_by,
+)
 from coltsfootseam.jobs.storable import (
     find_unstorable,
     max_submitted_bytes,
@@ -43,6 +59,7 @@
 )
 
 __all__ = [
+    "TASKS_PER_PART",
     "Advice",
     "Configuration",
     "Job",
@@ -50,9 +67,11 @@
     "JobState",
     "JobTable",
     "Occurrence",
+    "PartId",
     "Pool",
     "PoolKey",
     "Progress",
+    "ProgressRecord",
     "Queue",
     "QueueIndex",
     "QueueTerms",
@@ -71,8 +90,10 @@
     "Team",
     "Wave",
     "cancel_key",
+    "decode_part",
     "decode_progress",
     "decode_request",
+    "encode_changes",
     "encode_progress",
     "encode_request",
     "find_unstorable",
@@ -80,5 +101,7 @@
     "key_prefix",
     "max_submitted_bytes",
     "max_tasks",
+    "occupied_by",
+    "parse_part_key",
     "parse_pool_key",
 ]
--- a/libs/jobs/src/coltsfootseam/jobs/documents.py
+++ b/libs/jobs/src/coltsfootseam/jobs/documents.py
@@ -8,9 +8,11 @@
 
 import msgspec
 
-from coltsfootseam.jobs.entities import Job, Run, Task
+from coltsfootseam.jobs.entities import Job, PartId, Run, Task
 from coltsfootseam.jobs.model import JobRequest, JobState, RunPhase, TaskId
+from coltsfootseam.jobs.number_ranges import NumberRange, NumberRanges
 
+_PART_INFIX = "/part/"
 _CANCEL_SUFFIX = "/cancel"
 _MS_PER_S = 1000
 
@@ -57,7 +59,20 @@
 
 
 class Progress(msgspec.Struct, array_like=True, omit_defaults=True):
-    """The progress document of a job."""
+    """The progress document of a job.
+
+    Attributes:
+        state: Its state.
+        ended_ms: When it reached a final state, Unix milliseconds.
+        finished_occurrences: Occurrences whose tasks are all done, as hosts of
+            0.7.5 and earlier have stored them.
+        tasks: Its tasks; of a job in parts, those of the parts once these are
+            loaded.
+        failure_reason: Why it failed, if not by its limit on attempts.
+        team: Team that submitted it.
+        finished_ranges: Occurrences whose tasks are all done.
+        parts: The parts that have a record, known once they are loaded.
+    """
 
     state: JobState
     ended_ms: int = 0
@@ -65,6 +80,20 @@
     tasks: list[StoredTask] = []
     failure_reason: str = ""
     team: str = ""
+    finished_ranges: list[NumberRange] = []
+    parts: list[PartId] = []
+
+
+class ProgressRecord(msgspec.Struct, frozen=True):
+    """A record of a job's progress.
+
+    Attributes:
+        suffix: What follows the job's key in that of the record.
+        value: The content, empty if the record is to be deleted.
+    """
+
+    suffix: str
+    value: bytes
 
 
 class PoolKey(msgspec.Struct, frozen=True):
@@ -101,6 +130,22 @@
     return PoolKey(job_id, is_cancel=job_id != rest)
 
 
+def parse_part_key(pool: str, key: str) -> tuple[str, PartId] | None:
+    """Parses the key of a part of a job's progress.
+
+    Returns:
+        The job's id and the part, ``None`` if the key is that of no part or
+        belongs to another pool.
+    """
+    prefix = key_prefix(pool)
+    job_id, infix, rest = key.removeprefix(prefix).partition(_PART_INFIX)
+    occurrence, _, number = rest.partition("/")
+    is_part = occurrence.isdecimal() and number.isdecimal()
+    if not key.startswith(prefix) or not infix or not is_part:
+        return None
+    return job_id, (int(occurrence), int(number))
+
+
 def encode_request(request: JobRequest) -> bytes:
     """Encodes a request for the inbox."""
     return msgspec.msgpack.encode(request)
@@ -116,31 +161,97 @@
 
 
 def encode_progress(job: Job) -> bytes:
-    """Encodes the progress of a job.
+    """Encodes the progress of a job in one document.
 
     Of a final job without runs only the state and the team are kept.
     """
     if job.state.is_final and not _has_runs(job):
-        return msgspec.msgpack.encode(
-            Progress(
-                job.state,
-                job.ended_ms,
-                failure_reason=job.failure_reason,
-                team=job.request.team,
-            )
+        return _encode_document(job, [])
+    return _encode_document(job, _to_stored_tasks(job.tasks()))
+
+
+def encode_changes(job: Job) -> list[ProgressRecord]:
+    """Encodes what has changed of a job's progress since the last call.
+
+    The progress of a large job is in parts, each with a record of its own, so
+    that a record has a limited size and a change of one task rewrites few. The
+    document goes first: it says which occurrences are finished, whose parts are
+    deleted.
+    """
+    if not job.is_in_parts():
+        return [ProgressRecord("", encode_progress(job))]
+    records = []
+    document = _encode_document(job, [])
+    if document != job.stored_document:
+        records.append(ProgressRecord("", document))
+        job.stored_document = document
+    if job.state.is_final and not _has_runs(job):
+        records += _delete_parts(job)
+    else:
+        records += _encode_parts(job)
+    job.changed_parts.clear()
+    return records
+
+
+def decode_part(value: bytes) -> list[StoredTask]:
+    """Decodes a part of a job's progress.
+
+    Raises:
+        msgspec.DecodeError: If the value is no such part.
+    """
+    return msgspec.msgpack.decode(value, type=list[StoredTask])
+
+
+def _encode_document(job: Job, tasks: list[StoredTask]) -> bytes:
+    is_ended = job.state.is_final and not _has_runs(job)
+    ranges = [] if is_ended else job.finished_occurrences.ranges()
+    # Hosts of earlier versions know numbers only. Large jobs have too many.
+    numbers: list[int] = []
+    if not job.is_in_parts():
+        numbers = [n for first, last in ranges for n in range(first, last + 1)]
+        ranges = []
+    return msgspec.msgpack.encode(
+        Progress(
+            job.state,
+            job.ended_ms,
+            numbers,
+            tasks,
+            job.failure_reason,
+            job.request.team,
+            ranges,
         )
-    stored_tasks = [
-        _to_stored_task(task) for task in job.tasks() if task.last_run_number
-    ]
-    progress = Progress(
-        job.state,
-        job.ended_ms,
-        sorted(job.finished_occurrences),
-        stored_tasks,
-        job.failure_reason,
-        job.request.team,
     )
-    return msgspec.msgpack.encode(progress)
+
+
+def _encode_parts(job: Job) -> list[ProgressRecord]:
+    records = []
+    for part in sorted(job.changed_parts):
+        tasks = _to_stored_tasks(job.tasks_of(part))
+        if tasks:
+            job.stored_parts.add(part)
+            value = msgspec.msgpack.encode(tasks)
+            records.append(ProgressRecord(_part_suffix(part), value))
+        elif part in job.stored_parts:
+            job.stored_parts.discard(part)
+            records.append(ProgressRecord(_part_suffix(part), b""))
+    return records
+
+
+def _delete_parts(job: Job) -> list[ProgressRecord]:
+    records = [
+        ProgressRecord(_part_suffix(part), b"")
+        for part in sorted(job.stored_parts)
+    ]
+    job.stored_parts.clear()
+    return records
+
+
+def _part_suffix(part: PartId) -> str:
+    return f"{_PART_INFIX}{part[0]}/{part[1]}"
+
+
+def _to_stored_tasks(tasks: list[Task]) -> list[StoredTask]:
+    return [_to_stored_task(task) for task in tasks if task.last_run_number]
 
 
 def decode_progress(value: bytes) -> Progress:
@@ -158,18 +269,46 @@
     job.stored_state = progress.state
     job.ended_ms = progress.ended_ms
     job.failure_reason = progress.failure_reason
-    job.finished_occurrences = set(progress.finished_occurrences)
+    job.finished_occurrences = NumberRanges(progress.finished_ranges)
+    for number in progress.finished_occurrences:
+        job.finished_occurrences.add(number)
+    job.stored_parts = set(progress.parts)
     for stored in progress.tasks:
-        _restore_task(job, stored, now_s)
+        task = _restore_task(job, stored, now_s)
+        if task is not None and not progress.parts and job.is_in_parts():
+            # The document is one of an earlier version.
+            job.changed_parts.add(job.part_of(task))
+    _drop_finished(job)
+    job.changed_parts.update(
+        part for part in progress.parts if not _is_needed(job, part)
+    )
+
+
+def _drop_finished(job: Job) -> None:
+    """Drops the tasks of finished occurrences that have no runs."""
+    for number in list(job.occurrences_by_number):
+        occurrence = job.occurrences_by_number[number]
+        if number in job.finished_occurrences and not occurrence.has_runs():
+            del job.occurrences_by_number[number]
+
 
+def _is_needed(job: Job, part: PartId) -> bool:
+    """Returns whether a part that has a record must keep it."""
+    is_ended = job.state.is_final and not _has_runs(job)
+    return not is_ended and part[0] in job.occurrences_by_number
 
-def _restore_task(job: Job, stored: StoredTask, now_s: float) -> None:
+
+def _restore_task(job: Job, stored: StoredTask, now_s: float) -> Task | None:
+    """Restores a task; returns ``None`` if the job has no such task."""
+    if not 0 <= stored.occurrence < job.request.occurrence_count():
+        return None
+    # The occurrence may be finished and have runs that are being stopped.
+    occurrence = job.occurrence(stored.occurrence)
     task = job.task(
         TaskId(job.id, stored.occurrence, stored.step, stored.index)
     )
     if task is None:
-        return
-    occurrence = job.occurrence(stored.occurrence)
+        return None
     task.last_run_number = stored.last_run_number
     task.failures = stored.failures
     task.last_failed_run_number = stored.last_failed_run_number
@@ -178,9 +317,9 @@
     task.suspect_since_s = now_s if stored.is_suspect else None
     task.ended_exposure_s = stored.exposure_ms / _MS_PER_S
     if stored.is_done and not task.is_done:
-        task.is_done = True
-        occurrence.open_count_by_step[stored.step] -= 1
-    task.runs = [_restore_run(run, now_s) for run in stored.runs]
+        occurrence.set_done(task)
+    occurrence.set_runs(task, [_restore_run(run, now_s) for run in stored.runs])
+    return task
 
 
 def _restore_run(stored: StoredRun, now_s: float) -> Run:
--- a/libs/jobs/src/coltsfootseam/jobs/entities.py
+++ b/libs/jobs/src/coltsfootseam/jobs/entities.py
@@ -1,5 +1,7 @@
 """A job, its tasks and their runs, as the pool's owner keeps them in memory."""
 
+import bisect
+
 import msgspec
 
 from coltsfootseam.jobs.model import (
@@ -9,6 +11,14 @@
     Step,
     TaskId,
 )
+from coltsfootseam.jobs.number_ranges import NumberRanges
+from coltsfootseam.jobs.step_layout import StepLayout
+
+TASKS_PER_PART = 64
+"""How many tasks a part of a job's progress has."""
+
+PartId = tuple[int, int]
+"""The occurrence of a part, and its number within the occurrence."""
 
 
 class Run(msgspec.Struct):
@@ -151,12 +161,47 @@
         due_ms: When it is due, Unix milliseconds; 0 for immediately.
         tasks_by_step: The tasks of each step.
         open_count_by_step: How many tasks of each step aren't done yet.
+        waiting_count_by_step: How many tasks of each step wait for a run.
+        layout: Layout of the job's steps.
+        done_chains: How many of the steps with the longest chains are done.
     """
 
     number: int
     due_ms: int
     tasks_by_step: list[list[Task]]
     open_count_by_step: list[int]
+    waiting_count_by_step: list[int]
+    layout: StepLayout
+    done_chains: int = 0
+
+    def set_runs(self, task: Task, runs: list[Run]) -> None:
+        """Sets the runs of a task that may be active."""
+        was_pending = task.is_pending()
+        task.runs = runs
+        self.waiting_count_by_step[task.id.step] += (
+            task.is_pending() - was_pending
+        )
+
+    def set_done(self, task: Task) -> None:
+        """Marks a task as done that wasn't."""
+        was_pending = task.is_pending()
+        task.is_done = True
+        self.waiting_count_by_step[task.id.step] -= was_pending
+        self.open_count_by_step[task.id.step] -= 1
+
+    def remaining_path_s(self) -> float:
+        """Returns the length of the longest chain of steps that aren't done.
+
+        A step is done only after those before it, so that chain begins with
+        the open step that has the longest one.
+        """
+        longest_first = self.layout.longest_first
+        while self.done_chains < len(longest_first):
+            number = longest_first[self.done_chains]
+            if self.open_count_by_step[number]:
+                return self.layout.chains_s[number]
+            self.done_chains += 1
+        return 0.0
 
     def is_step_ready(self, step: Step) -> bool:
         """Returns whether all steps that a step depends on are done."""
@@ -164,6 +209,21 @@
             self.open_count_by_step[number] == 0 for number in step.after
         )
 
+    def tasks_between(self, first: int, end: int) -> list[Task]:
+        """Returns the tasks at some positions, in the order of the steps."""
+        positions = self.layout.first_positions
+        number = bisect.bisect_right(positions, first) - 1
+        tasks: list[Task] = []
+        while number < len(positions) and positions[number] < end:
+            start = max(0, first - positions[number])
+            tasks += self.tasks_by_step[number][start : end - positions[number]]
+            number += 1
+        return tasks
+
+    def has_runs(self) -> bool:
+        """Returns whether a run of a task may be active."""
+        return any(task.runs for tasks in self.tasks_by_step for task in tasks)
+
     def is_done(self) -> bool:
         """Returns whether every task is done."""
         return not any(self.open_count_by_step)
@@ -179,9 +239,13 @@
         stored_state: Its state according to the journal; callers never see a
             later one.
         occurrences_by_number: Occurrences that have tasks.
-        finished_occurrences: Occurrences whose tasks are all done.
+        finished_occurrences: Occurrences whose tasks are all done. They have
+            tasks only as long as some have runs.
         ended_ms: When it reached a final state, Unix milliseconds.
         failure_reason: Why it failed, if not by its limit on attempts.
+        changed_parts: Parts of its progress that aren't stored as they are.
+        stored_parts: Parts of its progress that have a record.
+        stored_document: Its progress document as last stored, without parts.
     """
 
     id: str
@@ -189,9 +253,44 @@
     state: JobState = JobState.QUEUED
     stored_state: JobState = JobState.QUEUED
     occurrences_by_number: dict[int, Occurrence] = {}
-    finished_occurrences: set[int] = set()
+    finished_occurrences: NumberRanges = msgspec.field(
+        default_factory=NumberRanges
+    )
     ended_ms: int = 0
     failure_reason: str = ""
+    changed_parts: set[PartId] = set()
+    stored_parts: set[PartId] = set()
+    stored_document: bytes = b""
+    _layout: StepLayout | None = None
+
+    def layout(self) -> StepLayout:
+        """Returns the layout of the job's steps."""
+        if self._layout is None:
+            self._layout = StepLayout(self.request.steps)
+        return self._layout
+
+    def is_in_parts(self) -> bool:
+        """Returns whether its progress is stored in several records."""
+        count = self.layout().task_count * self.request.occurrence_count()
+        return count > TASKS_PER_PART or len(self.stored_parts) > 0
+
+    def part_of(self, task: Task) -> PartId:
+        """Returns the part of its progress that has a task."""
+        position = self.layout().first_positions[task.id.step] + task.id.index
+        return task.id.occurrence, position // TASKS_PER_PART
+
+    def parts_of(self, occurrence: int) -> set[PartId]:
+        """Returns the parts that the tasks of an occurrence are in."""
+        count = -(-self.layout().task_count // TASKS_PER_PART)
+        return {(occurrence, number) for number in range(count)}
+
+    def tasks_of(self, part: PartId) -> list[Task]:
+        """Returns the tasks of a part that have a record, or had one."""
+        occurrence = self.occurrences_by_number.get(part[0])
+        if occurrence is None:
+            return []
+        first = part[1] * TASKS_PER_PART
+        return occurrence.tasks_between(first, first + TASKS_PER_PART)
 
     def tasks(self) -> list[Task]:
         """Returns the tasks of all occurrences that have any yet."""
@@ -207,7 +306,7 @@
 
         An order that is recorded may not have been sent yet.
         """
-        return bool(self.finished_occurrences) or any(
+        return len(self.finished_occurrences) > 0 or any(
             task.is_done
             or task.failures
             or any(run.started_s is not None for run in task.runs)
@@ -248,4 +347,6 @@
             for position, step in enumerate(steps)
         ],
         open_count_by_step=[step.count for step in steps],
+        waiting_count_by_step=[step.count for step in steps],
+        layout=job.layout(),
     )
--- a/libs/jobs/src/coltsfootseam/jobs/job_table.py
+++ b/libs/jobs/src/coltsfootseam/jobs/job_table.py
@@ -4,7 +4,8 @@
 
 from coltsfootseam.jobs.documents import (
     Progress,
-    encode_progress,
+    ProgressRecord,
+    encode_changes,
     restore_progress,
 )
 from coltsfootseam.jobs.entities import Job, Occurrence, Run, Task
@@ -75,6 +76,8 @@
             for task in job.tasks():
                 for run in task.runs:
                     self.runs.add(task, run)
+            if job.changed_parts:
+                self.changed_ids.add(job_id)
         self.jobs_by_id[job_id] = job
         self._update_active(job)
         if job_id in self._cancelled_before_request:
@@ -93,6 +96,8 @@
         )
         job = Job(job_id, request)
         restore_progress(job, progress, 0.0)
+        if job.changed_parts:
+            self.changed_ids.add(job_id)
         self.jobs_by_id[job_id] = job
 
     def is_open(self, job_id: str) -> bool:
@@ -149,12 +154,12 @@
             checkpoint=task.checkpoint,
             is_isolated=is_isolated,
         )
-        task.runs = [*task.runs, run]
-        self.runs.add(task, run)
         job = self.jobs_by_id[task.id.job_id]
+        job.occurrence(task.id.occurrence).set_runs(task, [*task.runs, run])
+        self.runs.add(task, run)
         if job.state is JobState.QUEUED:
             job.state = JobState.RUNNING
-        self.changed_ids.add(job.id)
+        self._record_change(job, task)
         return run
 
     def confirm_run(self, run: Run, now_s: float) -> None:
@@ -171,14 +176,14 @@
         """
         if run.is_confirmed and not run.is_confirmation_stored:
             run.is_confirmation_stored = True
-            self.changed_ids.add(task.id.job_id)
+            self._record_change(self.jobs_by_id[task.id.job_id], task)
 
     def stop_run(self, task: Task, run: Run, reason: str) -> None:
         """Marks a run to be stopped; the stop order is sent separately."""
         if run.phase is not RunPhase.STOPPING:
             run.phase = RunPhase.STOPPING
             run.reason = reason
-            self.changed_ids.add(task.id.job_id)
+            self._record_change(self.jobs_by_id[task.id.job_id], task)
 
     def end_run(
         self, task: Task, run: Run, end: RunEnd, checkpoint: str, now_ms: int
@@ -193,17 +198,21 @@
             now_ms: Unix milliseconds.
         """
         job = self.jobs_by_id[task.id.job_id]
-        task.runs = [other for other in task.runs if other is not run]
+        job.occurrence(task.id.occurrence).set_runs(
+            task, [other for other in task.runs if other is not run]
+        )
         self.runs.remove(task, run)
-        self.changed_ids.add(job.id)
         for member in _members(job, task):
             member.ended_exposure_s += run.exposure_s()
+            self._record_change(job, member)
         if checkpoint:
             task.checkpoint = checkpoint
         if end is RunEnd.DONE:
             self._apply_done(job, task, now_ms)
         elif end is RunEnd.FAILED:
             self._apply_failure(job, task, run, now_ms)
+        if not task.runs:
+            self._drop_if_finished(job, task.id.occurrence)
         self._update_active(job)
 
     def record_crash(self, task: Task, worker_id: str) -> None:
@@ -215,14 +224,14 @@
         for member in _members(job, task):
             if worker_id not in member.crashed_worker_ids:
                 member.crashed_worker_ids += (worker_id,)
-        self.changed_ids.add(job.id)
+            self._record_change(job, member)
 
     def suspect(self, task: Task, now_s: float) -> None:
         """Has a task, and its whole gang, run in isolation from now on."""
         job = self.jobs_by_id[task.id.job_id]
         for member in _members(job, task):
             member.suspect_since_s = now_s
-        self.changed_ids.add(job.id)
+            self._record_change(job, member)
 
     def tasks_with_crash(self, worker_id: str) -> list[Task]:
         """Returns the tasks of active jobs under which a worker crashed."""
@@ -238,11 +247,15 @@
         job = self.jobs_by_id[task.id.job_id]
         for member in _members(job, task):
             member.suspect_since_s = None
-        self.changed_ids.add(job.id)
+            self._record_change(job, member)
 
-    def give_up(self, task: Task, reason: str, now_ms: int) -> None:
-        """Fails the job of a task that must not be started again."""
-        job = self.jobs_by_id[task.id.job_id]
+    def withdraw_run(self, task: Task, run: Run, now_ms: int) -> None:
+        """Removes a run whose start was never sent."""
+        if run in task.runs:
+            self.end_run(task, run, RunEnd.NEVER_STARTED, "", now_ms)
+
+    def give_up(self, job: Job, reason: str, now_ms: int) -> None:
+        """Fails a job that can't be done."""
         if not job.state.is_final:
             job.failure_reason = reason
             self._finish(job, JobState.FAILED, now_ms)
@@ -268,24 +281,30 @@
                     for worker_id in task.crashed_worker_ids
                     if worker_id not in explained_ids
                 )
-                self.changed_ids.add(job.id)
+                self._record_change(job, task)
                 if not task.crashed_worker_ids:
                     task.suspect_since_s = None
                     cleared.append(task)
         return cleared
 
-    def drain_changes(self) -> dict[str, bytes]:
-        """Returns the encoded progress of each changed job, by id.
+    def drain_changes(self) -> dict[str, list[ProgressRecord]]:
+        """Returns the records of each job that has changed, by the job's id.
 
         Afterwards no job counts as changed.
         """
-        documents_by_id = {
-            job_id: encode_progress(self.jobs_by_id[job_id])
+        records_by_id = {
+            job_id: encode_changes(self.jobs_by_id[job_id])
             for job_id in sorted(self.changed_ids)
             if job_id in self.jobs_by_id
         }
         self.changed_ids.clear()
-        return documents_by_id
+        return records_by_id
+
+    def _record_change(self, job: Job, task: Task) -> None:
+        """Records that the progress of a task isn't stored as it is."""
+        self.changed_ids.add(job.id)
+        if job.is_in_parts():
+            job.changed_parts.add(job.part_of(task))
 
     def _apply_done(self, job: Job, task: Task, now_ms: int) -> None:
         occurrence = job.occurrence(task.id.occurrence)
@@ -300,9 +319,8 @@
     def _mark_done(self, occurrence: Occurrence, task: Task) -> None:
         if task.is_done or task.step.long_running:
             return
-        task.is_done = True
+        occurrence.set_done(task)
         task.checkpoint = ""
-        occurrence.open_count_by_step[task.id.step] -= 1
         if task.step.gang:
             # The other tasks of the gang end on their own at the same time, so
             # their runs are not stopped.
@@ -318,6 +336,16 @@
         if len(job.finished_occurrences) == count:
             self._finish(job, JobState.COMPLETED, now_ms)
 
+    def _drop_if_finished(self, job: Job, number: int) -> None:
+        """Drops the tasks of a finished occurrence that has no runs left."""
+        is_scheduled = job.request.occurrences > 0
+        if not is_scheduled or number not in job.finished_occurrences:
+            return
+        if job.occurrences_by_number[number].has_runs():
+            return
+        del job.occurrences_by_number[number]
+        job.changed_parts.update(job.parts_of(number) & job.stored_parts)
+
     def _apply_failure(
         self, job: Job, task: Task, run: Run, now_ms: int
     ) -> None:
--- a/libs/jobs/src/coltsfootseam/jobs/run_index.py
+++ b/libs/jobs/src/coltsfootseam/jobs/run_index.py
@@ -1,7 +1,8 @@
 """Index of the runs that may be active, by worker."""
 
 from coltsfootseam.jobs.entities import Run, Task
-from coltsfootseam.jobs.model import TaskId
+from coltsfootseam.jobs.model import Step, TaskId
+from coltsfootseam.jobs.resources import Resources
 
 RunPair = tuple[Task, Run]
 """A task and one of its runs."""
@@ -13,14 +14,23 @@
 class RunIndex:
     """Finds the runs of a worker without a scan of all jobs."""
 
-    __slots__ = ("_pairs_by_worker",)
+    __slots__ = ("_occupied_by_worker", "_pairs_by_worker")
 
     def __init__(self) -> None:
         self._pairs_by_worker: dict[str, dict[RunKey, RunPair]] = {}
+        self._occupied_by_worker: dict[str, Resources] = {}
+
+    def __len__(self) -> int:
+        return sum(len(pairs) for pairs in self._pairs_by_worker.values())
 
     def add(self, task: Task, run: Run) -> None:
         """Adds a run."""
         pairs = self._pairs_by_worker.setdefault(run.worker_id, {})
+        if (task.id, run.number) not in pairs:
+            occupied = self.occupied_on(run.worker_id)
+            self._occupied_by_worker[run.worker_id] = occupied.plus(
+                occupied_by(task.step)
+            )
         pairs[task.id, run.number] = (task, run)
 
     def remove(self, task: Task, run: Run) -> None:
@@ -28,9 +38,18 @@
         pairs = self._pairs_by_worker.get(run.worker_id)
         if pairs is None:
             return
-        pairs.pop((task.id, run.number), None)
+        if pairs.pop((task.id, run.number), None) is not None:
+            occupied = self._occupied_by_worker[run.worker_id]
+            self._occupied_by_worker[run.worker_id] = occupied.minus(
+                occupied_by(task.step)
+            )
         if not pairs:
             del self._pairs_by_worker[run.worker_id]
+            del self._occupied_by_worker[run.worker_id]
+
+    def occupied_on(self, worker_id: str) -> Resources:
+        """Returns what the runs that may be active on a worker occupy."""
+        return self._occupied_by_worker.get(worker_id, Resources())
 
     def worker_ids(self) -> list[str]:
         """Returns the ids of the workers that may have active runs."""
@@ -51,3 +70,9 @@
             for pairs in self._pairs_by_worker.values()
             for pair in pairs.values()
         ]
+
+
+def occupied_by(step: Step) -> Resources:
+    """Returns what a run occupies; best-effort tasks use what others leave."""
+    cpu_millis = 0 if step.best_effort else step.cpu_millis
+    return Resources(cpu_millis, step.memory_mb, step.accelerators)
--- a/libs/standins/src/coltsfootseam/standins/memory_store.py
+++ b/libs/standins/src/coltsfootseam/standins/memory_store.py
@@ -29,6 +29,7 @@
 _TIMEOUT_S = 1.0
 _MAX_KEPT_REPLIES = 5
 _MAX_PAGE_RECORDS = 500
+_MAX_RECORD_BYTES = 262_144
 _MAX_APPEND_WAIT_S = 2.0
 """Wait for the earlier appends of a partition beyond which one is refused."""
 
@@ -115,6 +116,7 @@
             partition wait.
         max_page_records: Maximum number of records on a page of latest
             records.
+        max_record_bytes: Appends with a longer record are refused for good.
         poll_interval_s: Pause after which a waiting read looks for records
             again. Simulating a long time takes less work with a longer one.
         timers: Clock and timers of the store.
@@ -128,6 +130,7 @@
         "append_s",
         "appends",
         "max_page_records",
+        "max_record_bytes",
         "partition_count",
         "poll_interval_s",
         "timers",
@@ -143,6 +146,7 @@
         self.poll_interval_s = _POLL_INTERVAL_S
         self._busy_until_s_by_partition: dict[Partition, float] = {}
         self.max_page_records = _MAX_PAGE_RECORDS
+        self.max_record_bytes = _MAX_RECORD_BYTES
         self._logs_by_partition: dict[Partition, _PartitionLog] = {}
         self._groups_by_name: dict[str, _Group] = {}
         self._random = random.Random(seed)
@@ -349,6 +353,11 @@
             return refusal
         if partition.topic in self.faults.unwritable_topics:
             return Refusal(ResultCode.LOG_UNAVAILABLE, "topic is not writable")
+        if any(
+            _size_of([record]) > self._store.max_record_bytes
+            for record in records
+        ):
+            return Refusal(ResultCode.NOT_RUN_TOO_LARGE, "too long a record")
         limit = self.faults.max_append_bytes
         if limit and _size_of(records) > limit:
             return Refusal(ResultCode.OUTCOME_PENDING, "append timed out")
--- a/libs/store/src/coltsfootseam/store/journal.py
+++ b/libs/store/src/coltsfootseam/store/journal.py
@@ -55,6 +55,8 @@
         claimed_s: When the journal was claimed, in monotonic seconds.
         confirmed_s: Send time of the last call that the store accepted under
             this epoch, in monotonic seconds.
+        untaken_keys: Keys of the records that the last commit left out, as the
+            store will never take them.
         is_lost: Whether this owner must stop appending, as another owner has
             claimed the journal or this one has released it.
     """
@@ -71,6 +73,7 @@
         "epoch",
         "is_lost",
         "partition",
+        "untaken_keys",
     )
 
     def __init__(
@@ -92,6 +95,7 @@
         self.claimed_s = timers.now_s()
         self.confirmed_s = self.claimed_s
         self.is_lost = False
+        self.untaken_keys: set[str] = set()
 
     async def commit(self, records: list[KeyedRecord]) -> Refusal | None:
         """Appends records and returns once the store acknowledged them.
@@ -99,17 +103,39 @@
         An append whose outcome is unknown is repeated under its sequence
         number until the store accepts or refuses it, without a time limit.
         Many records are split into several appends, so that each of them is
-        sent over a slow link within the timeout.
+        sent over a slow link within the timeout. A record that the store will
+        never take is left out, so that it doesn't hold up the others.
 
         Returns:
-            ``None``, or a refusal with ``STALE_EPOCH`` if the journal is lost.
+            ``None``, or a refusal: with ``STALE_EPOCH`` if the journal is lost,
+            with ``NOT_RUN_TOO_LARGE`` if some records are left out, which
+            ``untaken_keys`` names.
         """
+        self.untaken_keys.clear()
         for batch in in_batches(records):
-            refusal = await self._append(batch)
+            refusal = await self._append_takeable(batch)
             if refusal is not None:
                 return refusal
+        if self.untaken_keys:
+            reason = f"{self._name}: {len(self.untaken_keys)} records refused"
+            return Refusal(ResultCode.NOT_RUN_TOO_LARGE, reason)
         return None
 
+    async def _append_takeable(
+        self, records: list[KeyedRecord]
+    ) -> Refusal | None:
+        """Appends records, without those that the store will never take."""
+        refusal = await self._append(records)
+        if refusal is None or refusal.code is ResultCode.STALE_EPOCH:
+            return refusal
+        if len(records) == 1:
+            self.untaken_keys.add(records[0].key)
+            return None
+        middle = len(records) // 2
+        return await self._append_takeable(
+            records[:middle]
+        ) or await self._append_takeable(records[middle:])
+
     def unacknowledged_s(self) -> float:
         """Returns the age of the unacknowledged append, 0 if there is none."""
         if self._unacknowledged_since_s is None:
@@ -133,6 +159,11 @@
             if _is_refused_with(ResultCode.STALE_EPOCH, result):
                 self.is_lost = True
                 break
+            if _is_refused_with(ResultCode.NOT_RUN_TOO_LARGE, result):
+                # The store has not used the sequence number.
+                self._sequence -= 1
+                self._unacknowledged_since_s = None
+                return result
             # Waits for the rest of the retry interval. A failure that took
             # longer may be a lost reply, so the append is repeated at once.
             took_s = self._timers.now_s() - sent_s
