Limit what a planning round looks at

Leases lapsed, lasting tasks didn't come back, callers got no answer, whoever owned the pool.

Cause: each round computed the longest chain of a job twice for each of its ready steps, the square of its steps. Besides, a round walked through all occurrences that were ever due, began all that were overdue, and looked at all tasks of all steps, and at all jobs once more for speculation.

Change: chains are worked out once per job, and what remains of them follows from the longest open one. Between rounds the loop is free for as long as the round took.

--- a/daemons/manager/src/coltsfootseam/manager/pools/planning.py
+++ b/daemons/manager/src/coltsfootseam/manager/pools/planning.py
@@ -2,11 +2,12 @@
 
 import msgspec
 
-from coltsfootseam.jobs import Job, Occurrence, Run, Task
+from coltsfootseam.jobs import Run, Task
 from coltsfootseam.manager.orders.worker_snapshot import worker_capacities
 from coltsfootseam.manager.pools.look_ahead import LookAheadPlanner
 from coltsfootseam.manager.pools.pool_state import PoolState
 from coltsfootseam.manager.pools.preemption import preempt
+from coltsfootseam.manager.pools.ready_steps import ReadySteps
 from coltsfootseam.manager.pools.speculation import SpeculationPlanner
 from coltsfootseam.manager.pools.team_shares import TeamShares
 from coltsfootseam.manager.pools.ticket_cache import TicketCache
@@ -20,15 +21,12 @@
     ReadyStep,
     StartLimits,
     WorkerCapacity,
-    critical_path_s,
     max_isolating_workers,
     plan_isolated_starts,
     plan_starts,
     step_key,
 )
 
-_MS_PER_S = 1000
-
 
 class NewRun(msgspec.Struct, frozen=True):
     """A run to be started once the journal has recorded it."""
@@ -50,6 +48,7 @@
         "_fit",
         "_look_ahead",
         "_order",
+        "_ready_steps",
         "_shares",
         "_speculation",
         "_state",
@@ -61,6 +60,7 @@
     def __init__(self, state: PoolState, tickets: TicketCache) -> None:
         self._state = state
         self._tickets = tickets
+        self._ready_steps = ReadySteps(state)
         self._speculation = SpeculationPlanner(state, tickets)
         self._look_ahead = LookAheadPlanner(state, tickets)
         policies = state.context.policies
@@ -76,7 +76,7 @@
         Args:
             max_starts: Limit on new starts, ``None`` for no limit.
         """
-        ready = sorted(self._ready_steps(), key=self._order)
+        ready = sorted(self._ready_steps.collect(), key=self._order)
         slow = self._speculation.find_slow_steps()
         if not ready and not slow:
             self._look_ahead.clear()
@@ -151,63 +151,6 @@
         share = self._state.context.policies.isolation_share
         return max_isolating_workers(worker_count, share)
 
-    def _ready_steps(self) -> list[ReadyStep]:
-        ready = []
-        for job in self._state.job_table.active_by_id.values():
-            if job.state.is_final:
-                continue
-            for occurrence in self._due_occurrences(job):
-                ready.extend(self._ready_steps_of(job, occurrence))
-        return ready
-
-    def _due_occurrences(self, job: Job) -> list[Occurrence]:
-        now_ms = self._state.wall_ms()
-        due = []
-        for number in range(job.request.occurrence_count()):
-            if job.request.due_ms(number) > now_ms:
-                break
-            if number not in job.finished_occurrences:
-                due.append(job.occurrence(number))
-        return due
-
-    def _ready_steps_of(
-        self, job: Job, occurrence: Occurrence
-    ) -> list[ReadyStep]:
-        ready = []
-        for number, step in enumerate(job.request.steps):
-            # Its tasks may not be ended by an order that isn't known here.
-            if step.may_miss is not None and not self._state.are_orders_known:
-                continue
-            tasks = occurrence.tasks_by_step[number]
-            if not any(task.is_pending() for task in tasks):
-                continue
-            if occurrence.is_step_ready(step):
-                ready.append(self._ready_step(job, occurrence, number))
-        return ready
-
-    def _ready_step(
-        self, job: Job, occurrence: Occurrence, number: int
-    ) -> ReadyStep:
-        queue = self._state.queue_of(job)
-        ratio = self._state.health.estimate_ratio()
-        since_ms = occurrence.due_ms or job.request.accepted_ms
-        waited_s = (self._state.wall_ms() - since_ms) / _MS_PER_S
-        objective_s = (
-            queue.stretch * critical_path_s(job) * ratio
-            + queue.target_ms / _MS_PER_S
-        )
-        step = job.request.steps[number]
-        return ReadyStep(
-            job=job,
-            occurrence=occurrence,
-            number=number,
-            step=step,
-            queue=queue,
-            waited_s=waited_s,
-            remaining_s=critical_path_s(job, occurrence) * ratio,
-            objective_s=max(objective_s, 0.1),
-        )
-
     def _record_runs(
         self, placements: list[Placement], is_isolated: bool = False
     ) -> list[NewRun]:
--- a/daemons/manager/src/coltsfootseam/manager/pools/pool_owner.py
+++ b/daemons/manager/src/coltsfootseam/manager/pools/pool_owner.py
@@ -46,6 +46,9 @@
 
 _MAX_ROUND_INTERVAL_S = 0.1
 _MIN_ROUND_INTERVAL_S = 0.02
+_MAX_ROUND_PAUSE_S = 0.5
+"""A round that took longer may have been frozen."""
+
 _CONFIRM_PERIOD_S = 0.7
 _MAX_UNCONFIRMED_S = 2.0
 _MIN_UNCONFIRMED_ATTEMPTS = 2
@@ -261,7 +264,11 @@
                 await self._wake.wait()
                 self._wake.clear()
                 await rounds.run_once()
-                await self._context.timers.sleep(_MIN_ROUND_INTERVAL_S)
+                # Leases, orders and callers get half of the loop at least.
+                pause_s = min(rounds.busy_s, _MAX_ROUND_PAUSE_S)
+                await self._context.timers.sleep(
+                    max(_MIN_ROUND_INTERVAL_S, pause_s)
+                )
         finally:
             self.state = None
             inbox_task.cancel()
--- a/daemons/manager/src/coltsfootseam/manager/pools/speculation.py
+++ b/daemons/manager/src/coltsfootseam/manager/pools/speculation.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from coltsfootseam.jobs import Job, Task
+from coltsfootseam.jobs import Job
 from coltsfootseam.manager.pools.pool_state import PoolState
 from coltsfootseam.manager.pools.ticket_cache import TicketCache
 from coltsfootseam.scheduling import (
@@ -49,15 +49,31 @@
         estimate_ratio = state.health.estimate_ratio()
         now_s = state.now_s()
         found = []
-        for job in state.job_table.active_by_id.values():
-            if job.state.is_final:
-                continue
-            for tasks in _duplicable_steps(job):
-                runs = find_slow_runs(tasks, estimate_ratio, now_s, self._rule)
-                if runs:
-                    found.append(SlowStep(job, step_key(tasks[0].id), runs))
+        for key in self._duplicable_keys():
+            job = state.job_table.jobs_by_id[key[0]]
+            tasks = job.occurrence(key[1]).tasks_by_step[key[2]]
+            runs = find_slow_runs(tasks, estimate_ratio, now_s, self._rule)
+            if runs:
+                found.append(SlowStep(job, key, runs))
         return found
 
+    def _duplicable_keys(self) -> list[StepKey]:
+        """Returns the steps with active runs that allow second copies."""
+        job_table = self._state.job_table
+        keys = {
+            step_key(task.id): None
+            for task, _ in job_table.runs.all_runs()
+            if task.step.duplicable
+            and not task.step.gang
+            and not task.step.long_running
+        }
+        return [
+            key
+            for key in sorted(keys)
+            if not job_table.jobs_by_id[key[0]].state.is_final
+            and key[1] not in job_table.jobs_by_id[key[0]].finished_occurrences
+        ]
+
     def place(
         self,
         steps: list[SlowStep],
@@ -112,18 +128,3 @@
             worker.worker_id: self._tickets.find(step.key, worker.worker_id)
             for worker in workers
         }
-
-
-def _duplicable_steps(job: Job) -> list[list[Task]]:
-    """Returns the tasks of each unfinished step that allows second copies."""
-    numbers = [
-        number
-        for number, step in enumerate(job.request.steps)
-        if step.duplicable and not step.gang and not step.long_running
-    ]
-    return [
-        occurrence.tasks_by_step[number]
-        for occurrence in job.occurrences_by_number.values()
-        for number in numbers
-        if occurrence.open_count_by_step[number]
-    ]
--- a/libs/scheduling/src/coltsfootseam/scheduling/ordering.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/ordering.py
@@ -11,7 +11,6 @@
 from coltsfootseam.jobs import Job, Occurrence, Queue, Step
 from coltsfootseam.scheduling.registry import Registry
 
-_MS_PER_S = 1000
 _EXPIRY_FACTOR = 3.0
 _MARGIN_PER_OBJECTIVE = 0.2
 """Slack to keep when a step starts, as run times and estimates vary."""
@@ -116,13 +115,6 @@
         job: The job.
         occurrence: If given, its steps that are done take no time.
     """
-    ends_s: list[float] = []
-    for number, step in enumerate(job.request.steps):
-        start_s = max((ends_s[before] for before in step.after), default=0.0)
-        is_done = (
-            occurrence is not None
-            and occurrence.open_count_by_step[number] == 0
-        )
-        own_s = 0.0 if is_done else step.estimate_ms / _MS_PER_S
-        ends_s.append(start_s + own_s)
-    return max(ends_s, default=0.0)
+    if occurrence is None:
+        return job.layout().critical_path_s()
+    return occurrence.remaining_path_s()
