Keep sums of what the runs on a worker occupy

Cause: each start was checked against all runs of its worker one by one, and stalled runs were searched for in lists of them.

Change: the index of runs keeps what they occupy on each worker; unsent starts are an index too. Stalled runs are found by key.

--- a/daemons/manager/src/coltsfootseam/manager/orders/orders.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders/orders.py
@@ -9,7 +9,7 @@
 import asyncio
 from collections.abc import Callable
 
-from coltsfootseam.jobs import Run, RunEnd, RunKey, RunPhase, Task
+from coltsfootseam.jobs import Run, RunEnd, RunIndex, RunPhase, Task
 from coltsfootseam.manager.background import start_once, start_restarting
 from coltsfootseam.manager.orders.start_capacity import StartCapacity
 from coltsfootseam.manager.pools.interruptions import Interruptions
@@ -75,7 +75,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._stopping: set[tuple[object, int, str]] = set()
         self._stopping_unknown: set[tuple[object, int, str]] = set()
-        self._unsent: set[RunKey] = set()
+        self._unsent = RunIndex()
 
     def remaining_start_capacity(self) -> int:
         """Returns how many more starts may be planned.
@@ -89,7 +89,7 @@
 
     def send_start(self, task: Task, run: Run, ticket: str) -> None:
         """Sends the start of a run whose record is stored."""
-        self._unsent.add((task.id, run.number))
+        self._unsent.add(task, run)
         self._track(
             start_once(
                 self._state.context,
@@ -149,7 +149,7 @@
 
     def _abandon_start(self, task: Task, run: Run) -> None:
         """Stops a run whose start failed, as it may have been carried out."""
-        self._unsent.discard((task.id, run.number))
+        self._unsent.remove(task, run)
         if _is_start_pending(task, run):
             self._state.job_table.stop_run(
                 task, run, "sending its start failed"
@@ -189,7 +189,7 @@
                 await state.context.timers.sleep(_RETRY_DELAY_S)
                 continue
             async with self._send_slots:
-                self._unsent.discard((task.id, run.number))
+                self._unsent.remove(task, run)
                 link = self._active_link(run)
                 if link is None or state.journal.is_lost:
                     return
@@ -219,7 +219,7 @@
                 state.job_table.stop_run(task, run, "start without an answer")
                 break
             await state.context.timers.sleep(_RETRY_DELAY_S)
-        self._unsent.discard((task.id, run.number))
+        self._unsent.remove(task, run)
         self._apply_start_outcome(task, run, outcome, attempts)
 
     async def _send_copy(
--- a/daemons/manager/src/coltsfootseam/manager/orders/start_capacity.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders/start_capacity.py
@@ -4,9 +4,7 @@
 it may wait for a slow link. The worker may report less capacity meanwhile.
 """
 
-from collections.abc import Set
-
-from coltsfootseam.jobs import Run, RunKey, Task
+from coltsfootseam.jobs import Run, RunIndex, Task, occupied_by
 from coltsfootseam.manager.pools.pool_state import PoolState
 from coltsfootseam.scheduling import fits_beside
 from coltsfootseam.workers import WorkerEntry, WorkerLink
@@ -34,7 +32,7 @@
         return cluster.worker_entries_age_s() < _MAX_ENTRIES_AGE_S
 
     def has_room(
-        self, link: WorkerLink, task: Task, run: Run, unsent: Set[RunKey]
+        self, link: WorkerLink, task: Task, run: Run, unsent: RunIndex
     ) -> bool:
         """Returns whether a start fits beside what was sent to its worker.
 
@@ -45,17 +43,16 @@
             unsent: Starts that are not sent yet. They don't count, as each of
                 them is checked too.
         """
-        pairs = [
-            *self._state.job_table.runs.runs_of(run.worker_id),
-            *self._state.lives.pending_runs(link.entry.instance_id),
-        ]
-        others = [
-            other
-            for other, other_run in pairs
-            if other_run is not run
-            and (other.id, other_run.number) not in unsent
-        ]
-        return fits_beside(task, others, self._latest_entry(link))
+        occupied = self._state.job_table.runs.occupied_on(run.worker_id)
+        for other, other_run in unsent.runs_of(run.worker_id):
+            # A run that has ended meanwhile occupies nothing.
+            if other_run in other.runs and other_run is not run:
+                occupied = occupied.minus(occupied_by(other.step))
+        if run in task.runs:
+            occupied = occupied.minus(occupied_by(task.step))
+        for other, _ in self._state.lives.pending_runs(link.entry.instance_id):
+            occupied = occupied.plus(occupied_by(other.step))
+        return fits_beside(task, occupied, self._latest_entry(link))
 
     def _latest_entry(self, link: WorkerLink) -> WorkerEntry:
         """Returns what a worker reported last.
--- a/libs/scheduling/src/coltsfootseam/scheduling/stalls.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/stalls.py
@@ -31,7 +31,10 @@
     unmoved = [pair for pair in comparable if not pair[0].stall_count]
     slow = _slow_runs(unmoved, estimate_ratio)
     stuck = [pair for pair in comparable if _has_no_progress(pair[1])]
-    return [pair for pair in comparable if pair in slow or pair in stuck]
+    keys = {(task.id, run.number) for task, run in slow + stuck}
+    return [
+        (task, run) for task, run in comparable if (task.id, run.number) in keys
+    ]
 
 
 def _slow_runs(pairs: list[RunPair], estimate_ratio: float) -> list[RunPair]:
--- a/libs/scheduling/src/coltsfootseam/scheduling/worker_capacity.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/worker_capacity.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from coltsfootseam.jobs import Step, Task, TaskId
+from coltsfootseam.jobs import Resources, Step, Task, TaskId
 from coltsfootseam.scheduling.occupancy import WorkerSize
 from coltsfootseam.workers import WorkerEntry
 
@@ -120,20 +120,14 @@
             self.probation_slots += 1
 
 
-def fits_beside(task: Task, others: list[Task], entry: WorkerEntry) -> bool:
-    """Returns whether a task fits on a worker that runs other tasks."""
-    worker = WorkerCapacity(
-        worker_id=entry.worker_id,
-        zone=entry.zone,
-        rack="",
-        labels=entry.labels,
-        free_cpu_millis=entry.cpu_millis,
-        free_memory_mb=entry.memory_mb,
-        free_accelerators=entry.accelerators,
-    )
-    for other in others:
-        worker.reserve(other.step, step_key(other.id))
-    return worker.fits(task.step)
+def fits_beside(task: Task, occupied: Resources, entry: WorkerEntry) -> bool:
+    """Returns whether a task fits on a worker, part of which is occupied."""
+    capacity = Resources(entry.cpu_millis, entry.memory_mb, entry.accelerators)
+    step = task.step
+    free = capacity.minus(occupied)
+    if step.memory_mb > free.memory_mb or step.accelerators > free.accelerators:
+        return False
+    return step.best_effort or step.cpu_millis <= free.cpu_millis
 
 
 class FreeCapacityBound:
--- a/libs/testbed/src/coltsfootseam/testbed/manager_switches.py
+++ b/libs/testbed/src/coltsfootseam/testbed/manager_switches.py
@@ -296,7 +296,7 @@
 
 @switch("starts-fit-when-sent")
 def _send_starts_that_no_longer_fit() -> None:
-    replace(start_capacity, "fits_beside", lambda task, others, entry: True)
+    replace(start_capacity, "fits_beside", lambda task, occupied, entry: True)
 
 
 @switch("starts-within-quota")
