--- a/daemons/manager/src/coltsfootseam/manager/orders/orders.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders/orders.py
@@ -40,9 +40,6 @@
     OrderOutcome.MALFORMED,
 )
 
-_CARRIED_OUT_OUTCOMES = (OrderOutcome.DONE, OrderOutcome.UNKNOWN)
-"""Outcomes of a start that was carried out, or may be."""
-
 _STOPPED_OUTCOMES = (OrderOutcome.DONE, OrderOutcome.OLD)
 
 
@@ -230,11 +227,13 @@
         run.sent_s = self._state.now_s()
         run.unanswered_s = run.sent_s
         reply = await link.start(order)
-        # A run that began may be on the next incarnation, if that has replied.
-        # Whoever refuses a copy doesn't carry it out later.
-        is_refused = reply.outcome not in _CARRIED_OUT_OUTCOMES
-        if reply.is_confirmed or is_refused:
-            run.unanswered_s = earlier_s
+        if reply.outcome is OrderOutcome.UNKNOWN:
+            return reply.outcome
+        # Whoever has replied doesn't carry that copy out later.
+        run.unanswered_s = earlier_s
+        if reply.outcome is OrderOutcome.DONE and not reply.is_confirmed:
+            # The next incarnation may have replied.
+            run.unproven_s = self._state.now_s()
         return reply.outcome
 
     def _may_send(self, link: WorkerLink, attempts: int) -> bool:
@@ -291,28 +290,34 @@
     ) -> None:
         state = self._state
         now_s = state.now_s()
-        self._report_start(task, run, outcome.name)
+        self._report_start(task, run, outcome.name, attempts)
         if run not in task.runs:
             return
         if outcome is OrderOutcome.DONE:
             run.settled_s = now_s
-            run.is_confirmed |= run.unanswered_s is None
+            if run.unanswered_s is None and run.unproven_s is None:
+                run.is_confirmed = True
             state.job_table.confirm_run(run, now_s)
             state.store_confirmation(task, run)
         elif outcome in _REFUSED_OUTCOMES:
             self._apply_refusal(task, run, outcome, attempts)
         self._on_change()
 
-    def _report_start(self, task: Task, run: Run, outcome: str) -> None:
+    def _report_start(
+        self, task: Task, run: Run, outcome: str, copies: int = 0
+    ) -> None:
         state = self._state
+        link = state.links_by_id.get(run.worker_id)
         state.context.log.write(
             "run.ordered",
             job=task.id.job_id,
             task=task.id.position(),
             run=run.number,
             worker=run.worker_id,
-            token=state.journal.epoch,
+            token=state.journal.epoch if link is None else link.token,
             outcome=outcome,
+            copies=copies,
+            unanswered=run.unanswered_s is not None,
         )
         state.context.counters.increment(f"start.{outcome.lower()}")
 
--- a/daemons/manager/src/coltsfootseam/manager/orders/worker_lives.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders/worker_lives.py
@@ -30,6 +30,11 @@
 """How long after it was sent a call may still be carried out. The platform's
 workers carry out unanswered calls up to 12 s after these have arrived."""
 
+_MIN_DOWN_AFTER_S = 3.0
+"""How long after the last call a machine must be listed as down for its runs to
+count as ended. A copy that arrives after its return is refused once this owner
+has called the next incarnation."""
+
 _MS_PER_S = 1000
 
 
@@ -122,6 +127,15 @@
             is_possible = age_ms < longest_s * _MS_PER_S
         return times.longest_lease_s if is_possible else times.lease_s
 
+    def has_inherited_lease(self, link: WorkerLink) -> bool:
+        """Returns whether a worker may have a lease of an earlier incarnation.
+
+        Of the incarnations before the claim this owner knows nothing: a worker
+        that started before it counts as the first one here.
+        """
+        instance = self._instance(link.entry.instance_id)
+        return instance.granted_s is not None and link.lease.may_be_inherited()
+
     def record_closed(self, link: WorkerLink) -> None:
         """Records that no more calls are sent to an incarnation."""
         instance = self._instance(link.entry.instance_id)
@@ -168,6 +182,8 @@
             run: The run, which its worker has listed.
             listed_s: When that list was requested, in monotonic seconds.
         """
+        if run.unproven_s is not None and run.unproven_s >= listed_s:
+            return False
         last_s = run.unanswered_s
         if run.sent_s is None:
             last_s = self._leases.earlier_stopped_s()
@@ -214,7 +230,7 @@
         """Returns whether calls to an instance may still have an effect."""
         granted_s = self._last_granted_s(instance)
         down_s = instance.down_s
-        if down_s is not None and down_s > granted_s + _MAX_CALL_DELAY_S:
+        if down_s is not None and down_s > granted_s + _MIN_DOWN_AFTER_S:
             return False
         return self._now_s() < granted_s + self._longest_effect_s()
 
--- a/daemons/manager/src/coltsfootseam/manager/pools/planning.py
+++ b/daemons/manager/src/coltsfootseam/manager/pools/planning.py
@@ -170,7 +170,7 @@
             )
             link = self._state.links_by_id.get(placement.worker_id)
             run.has_inherited_lease = (
-                link is not None and link.lease.may_be_inherited()
+                link is not None and self._state.lives.has_inherited_lease(link)
             )
             new_runs.append(NewRun(task, run, placement.ticket))
         return new_runs
--- a/libs/jobs/src/coltsfootseam/jobs/entities.py
+++ b/libs/jobs/src/coltsfootseam/jobs/entities.py
@@ -45,9 +45,11 @@
         is_isolated: Whether its worker gets no other tasks meanwhile.
         sent_s: When its start was last sent, monotonic seconds, or ``None`` if
             only an earlier owner may have sent it.
-        unanswered_s: When the latest copy of its start was sent that its worker
-            itself hasn't answered, monotonic seconds, ``None`` if there is
-            none. An earlier owner may have sent others.
+        unanswered_s: When the latest copy of its start was sent that wasn't
+            answered, monotonic seconds, ``None`` if there is none. An earlier
+            owner may have sent others.
+        unproven_s: When the latest answer to a copy came that a later
+            incarnation may have given, monotonic seconds, or ``None``.
         is_confirmed: Whether its worker has it, and no copy of its start is
             under way any more. Such a copy could reach a later incarnation.
         is_confirmation_stored: Whether that is stored or about to be.
@@ -74,6 +76,7 @@
     is_isolated: bool = False
     sent_s: float | None = None
     unanswered_s: float | None = None
+    unproven_s: float | None = None
     is_confirmed: bool = False
     is_confirmation_stored: bool = False
     has_inherited_lease: bool = False
--- a/tests/cover/test_adapter.py
+++ b/tests/cover/test_adapter.py
@@ -168,6 +168,7 @@
         (Reply(503, b""), ResultCode.LOG_UNAVAILABLE),
         (Reply(429, b""), ResultCode.LOG_UNAVAILABLE),
         (Reply(500, b""), ResultCode.OUTCOME_PENDING),
+        (Reply(413, b""), ResultCode.NOT_RUN_TOO_LARGE),
         (NoReply("refused", is_unsent=True), ResultCode.LOG_UNAVAILABLE),
         (NoReply("silent", is_unsent=False), ResultCode.OUTCOME_PENDING),
     ],
