--- a/daemons/manager/src/coltsfootseam/manager/pools/ready_steps.py
+++ b/daemons/manager/src/coltsfootseam/manager/pools/ready_steps.py
@@ -22,7 +22,7 @@
 
 _LOOKS_PER_NEW_TASK = 3
 
-_MAX_READY_PER_ROUND = 1_000
+_MAX_READY_PER_ROUND = 2_000
 """How many steps a round may place."""
 
 _MAX_READY_PER_JOB = 250
@@ -165,6 +165,9 @@
         self, job: Job, first: int, looks: _Looks
     ) -> Iterator[Occurrence]:
         """Yields occurrences that have begun, then begins those due next."""
+        if not job.request.occurrences:
+            yield job.occurrence(0)
+            return
         open_numbers = _open_numbers(job, first)
         looks.take(len(open_numbers))
         for number in open_numbers:
--- a/libs/jobs/src/coltsfootseam/jobs/entities.py
+++ b/libs/jobs/src/coltsfootseam/jobs/entities.py
@@ -21,9 +21,12 @@
 """The occurrence of a part, and its number within the occurrence."""
 
 
-class Run(msgspec.Struct):
+class Run(msgspec.Struct, gc=False):
     """A run of a task on one worker.
 
+    Runs and tasks are in no reference cycles. There may be so many that the
+    collector would hold the loop for long if it tracked them.
+
     Attributes:
         number: Number of the run within the task, from 1.
         worker_id: Incarnation of the worker that it was ordered from.
@@ -90,7 +93,7 @@
         return max(0.0, last_s - self.started_s)
 
 
-class Task(msgspec.Struct):
+class Task(msgspec.Struct, gc=False):
     """A task and the state of its runs.
 
     Attributes:
@@ -125,7 +128,7 @@
     failures: int = 0
     last_failed_run_number: int = 0
     checkpoint: str = ""
-    failed_worker_ids: set[str] = set()
+    failed_worker_ids: frozenset[str] = frozenset()
     stall_count: int = 0
     wait_until_s: float = 0.0
     last_inactive_s: float | None = None
--- a/libs/jobs/src/coltsfootseam/jobs/model.py
+++ b/libs/jobs/src/coltsfootseam/jobs/model.py
@@ -96,7 +96,9 @@
         return max(1, self.occurrences)
 
 
-class TaskId(msgspec.Struct, frozen=True, order=True, array_like=True):
+class TaskId(
+    msgspec.Struct, frozen=True, order=True, array_like=True, gc=False
+):
     """Identifies a task of one occurrence of a job's step."""
 
     job_id: str
