Let late jobs start where others fill what can be sent

Cause: a round places no further steps once as many starts wait to be sent as the host can send soon. Jobs that can still meet their objective go first, so a job that has missed its own is left to a later round for as long as such jobs fill that limit.

Change: while few starts wait, steps that have waited for longer than their objective are placed beyond the limit, the latest first, up to 20 starts, on what is free.

--- a/daemons/manager/src/coltsfootseam/manager/orders/orders.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders/orders.py
@@ -28,6 +28,10 @@
 _UNANSWERED_STOP_LOG_S = 1.0
 _MAX_CONCURRENT_STARTS = 64
 _MAX_UNSENT_STARTS = 100
+_MAX_UNSENT_LATE_STARTS = 120
+"""More than for others, so that late jobs start where others always go before
+them."""
+
 _REFUSED_RETRY_DELAY_S = 0.1
 _MALFORMED_RETRY_DELAY_S = 2.0
 
@@ -84,6 +88,10 @@
         """
         return max(0, _MAX_UNSENT_STARTS - len(self._unsent))
 
+    def remaining_late_capacity(self) -> int:
+        """Returns how many starts of late jobs may be planned besides."""
+        return max(0, _MAX_UNSENT_LATE_STARTS - len(self._unsent))
+
     def send_start(self, task: Task, run: Run, ticket: str) -> None:
         """Sends the start of a run whose record is stored."""
         self._unsent.add(task, run)
--- a/daemons/manager/src/coltsfootseam/manager/pools/planning.py
+++ b/daemons/manager/src/coltsfootseam/manager/pools/planning.py
@@ -70,11 +70,14 @@
         self.plan = Plan()
         self.isolation = IsolationPlan()
 
-    def plan_runs(self, max_starts: int | None = None) -> list[NewRun]:
+    def plan_runs(
+        self, max_starts: int | None = None, max_late_starts: int = 0
+    ) -> list[NewRun]:
         """Returns the runs to start now, after adding them to the job table.
 
         Args:
             max_starts: Limit on new starts, ``None`` for no limit.
+            max_late_starts: Limit up to which late jobs are started besides.
         """
         ready = sorted(self._ready_steps.collect(), key=self._order)
         slow = self._speculation.find_slow_steps()
@@ -87,7 +90,7 @@
         workers = worker_capacities(self._state)
         ready = self._shares.order(ready, workers)
         limits = self._start_limits()
-        self._plan(ready, workers, max_starts, limits)
+        self._plan(ready, workers, max_starts, max_late_starts, limits)
         self._shares.record_shortages(self.plan.shortages)
         self._look_ahead.report()
         self._tickets.request_tickets(
@@ -109,6 +112,7 @@
         ready: list[ReadyStep],
         workers: list[WorkerCapacity],
         max_starts: int | None,
+        max_late_starts: int,
         limits: StartLimits,
     ) -> None:
         """Plans the suspects, then all other tasks."""
@@ -132,6 +136,7 @@
             max_starts,
             limits,
             self._look_ahead.begin_round(workers),
+            max_late_starts,
         )
 
     def _start_limits(self) -> StartLimits:
--- a/daemons/manager/src/coltsfootseam/manager/pools/planning_rounds.py
+++ b/daemons/manager/src/coltsfootseam/manager/pools/planning_rounds.py
@@ -57,7 +57,8 @@
         self._evacuation.stop_leaving_runs()
         self._stop_stalled()
         new_runs = self._planner.plan_runs(
-            self._orders.remaining_start_capacity()
+            self._orders.remaining_start_capacity(),
+            self._orders.remaining_late_capacity(),
         )
         self._evacuation.shortages = self._machine_shortages()
         self._evacuation.isolation = self._planner.isolation
--- a/libs/scheduling/src/coltsfootseam/scheduling/placement.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/placement.py
@@ -50,8 +50,7 @@
 
     def key(self) -> StepKey:
         """Returns the key of the step."""
-        ready = self.ready
-        return ready.job.id, ready.occurrence.number, ready.number
+        return _key_of(self.ready)
 
 
 class Plan(msgspec.Struct):
@@ -93,6 +92,56 @@
         """Ends the planning round."""
 
 
+class _Round(msgspec.Struct):
+    """What a planning round places tasks with.
+
+    Attributes:
+        plan: The result so far.
+        open_workers: Workers that take new tasks.
+        bound: Upper bound of their free capacity.
+        ticket_of: Finds tickets for queues that have a policy service.
+        fit: Chooses among workers of otherwise equal cost.
+        limits: Limits what may start besides the workers' capacity.
+        look_ahead: Holds capacity back for steps that don't fit, or ``None``.
+    """
+
+    plan: Plan
+    open_workers: list[WorkerCapacity]
+    bound: FreeCapacityBound
+    ticket_of: TicketOf
+    fit: Fit
+    limits: StartLimits
+    look_ahead: LookAhead | None
+
+    def place(self, ready: ReadyStep, tasks: list[Task]) -> None:
+        """Places tasks of a step, as far as they fit and the limits allow."""
+        tasks = _hold_back(self.plan, ready, tasks, self.limits)
+        if not tasks:
+            return
+        key = step_key(tasks[0].id)
+        may_fit = self.bound.may_fit(ready.step)
+        eligible = self.open_workers if may_fit else []
+        if self.look_ahead is not None:
+            eligible = self.look_ahead.open_workers_for(
+                ready, key, bool(eligible)
+            )
+        placed: list[Placement] = []
+        if eligible:
+            placed = place_step(
+                ready, tasks, eligible, self.ticket_of, self.fit
+            )
+            self.bound.record_reservations(len(placed))
+            self.limits.take(ready, len(placed))
+        self.plan.placements.extend(placed)
+        missing = len(tasks) - len(placed)
+        if missing:
+            self.plan.shortages.append(make_shortage(ready, missing))
+        if self.look_ahead is not None and self.look_ahead.settle(
+            ready, key, placed, missing
+        ):
+            self.bound.refresh()
+
+
 def plan_starts(
     ready_steps: list[ReadyStep],
     workers: list[WorkerCapacity],
@@ -102,6 +151,7 @@
     max_placements: int | None = None,
     limits: StartLimits = NO_LIMITS,
     look_ahead: LookAhead | None = None,
+    max_late_placements: int = 0,
 ) -> Plan:
     """Returns a plan that places the waiting tasks of ready steps.
 
@@ -118,41 +168,40 @@
         limits: Limits what may start besides the workers' capacity.
         look_ahead: Holds capacity back for steps that don't fit, ``None`` if
             every step may use all that is free.
+        max_late_placements: Up to this many placements in all, steps that are
+            left to a later round are placed nevertheless if they have waited
+            for longer than their objective, the latest ones first. Otherwise
+            they would never start while others always go before them.
     """
     plan = Plan()
-    fit = fit or fit_tightest
     open_workers = [worker for worker in workers if worker.is_open]
-    bound = FreeCapacityBound(open_workers)
+    planning = _Round(
+        plan,
+        open_workers,
+        FreeCapacityBound(open_workers),
+        ticket_of,
+        fit or fit_tightest,
+        limits,
+        look_ahead,
+    )
+    left: list[ReadyStep] = []
     for ready in ready_steps:
         tasks = _waiting_tasks(ready, now_s)
         if not tasks:
             continue
-        if (
+        is_over = (
             max_placements is not None
             and len(plan.placements) >= max_placements
-        ):
-            plan.undecided.append(make_shortage(ready, len(tasks)))
-            continue
-        tasks = _hold_back(plan, ready, tasks, limits)
-        if not tasks:
-            continue
-        key = step_key(tasks[0].id)
-        eligible = open_workers if bound.may_fit(ready.step) else []
-        if look_ahead is not None:
-            eligible = look_ahead.open_workers_for(ready, key, bool(eligible))
-        placed: list[Placement] = []
-        if eligible:
-            placed = place_step(ready, tasks, eligible, ticket_of, fit)
-            bound.record_reservations(len(placed))
-            limits.take(ready, len(placed))
-        plan.placements.extend(placed)
-        missing = len(tasks) - len(placed)
-        if missing:
-            plan.shortages.append(make_shortage(ready, missing))
-        if look_ahead is not None and look_ahead.settle(
-            ready, key, placed, missing
-        ):
-            bound.refresh()
+        )
+        if is_over:
+            left.append(ready)
+        else:
+            planning.place(ready, tasks)
+    placed_keys = _place_late(planning, left, now_s, max_late_placements)
+    for ready in left:
+        waiting = len(_waiting_tasks(ready, now_s))
+        if _key_of(ready) not in placed_keys:
+            plan.undecided.append(make_shortage(ready, waiting))
     if look_ahead is not None:
         look_ahead.finish(item.key() for item in plan.undecided)
     if limits is not NO_LIMITS:
@@ -161,6 +210,39 @@
     return plan
 
 
+def _place_late(
+    planning: _Round, left: list[ReadyStep], now_s: float, max_placements: int
+) -> set[StepKey]:
+    """Places late steps that would be left to a later round.
+
+    Returns:
+        The steps for which that was tried.
+    """
+    keys: set[StepKey] = set()
+    if max_placements <= len(planning.plan.placements):
+        return keys
+    late = [ready for ready in left if ready.waited_s > ready.objective_s]
+    for ready in heapq.nlargest(max_placements, late, key=_lateness):
+        room = max_placements - len(planning.plan.placements)
+        tasks = _waiting_tasks(ready, now_s)
+        if room <= 0 or (ready.step.gang and len(tasks) > room):
+            continue
+        planning.place(ready, tasks[:room])
+        keys.add(_key_of(ready))
+        if len(tasks) > room:
+            rest = make_shortage(ready, len(tasks) - room)
+            planning.plan.undecided.append(rest)
+    return keys
+
+
+def _lateness(ready: ReadyStep) -> float:
+    return ready.waited_s / ready.objective_s
+
+
+def _key_of(ready: ReadyStep) -> StepKey:
+    return ready.job.id, ready.occurrence.number, ready.number
+
+
 def _hold_back(
     plan: Plan, ready: ReadyStep, tasks: list[Task], limits: StartLimits
 ) -> list[Task]:
--- a/tests/cover/test_placement.py
+++ b/tests/cover/test_placement.py
@@ -147,3 +147,32 @@
 # Guards against tasks that wait although a worker is about to be released.
 def test_a_surplus_worker_gets_what_fits_nowhere_else() -> None:
     assert sorted(_plan_beside_surplus(6)) == ["w0"] * 4 + ["w1"] * 2
+
+
+# Guards against late jobs that never start: with more to send than the host
+# can, jobs that can still be in time always went before them.
+@pytest.mark.parametrize(
+    ("most", "most_late", "placed"),
+    [(1, 2, ["0", "late"]), (2, 2, ["0", "1"]), (1, 0, ["0"])],
+)
+def test_a_late_step_starts_though_others_fill_the_limit(
+    most: int, most_late: int, placed: list[str]
+) -> None:
+    queue = Queue("queue", "host", "/q/", "pool")
+    step = Step(cpu_millis=100, estimate_ms=1000)
+    waited_s_by_job = {"0": 0.0, "1": 0.0, "2": 0.0, "late": 100.0}
+    ready = [
+        ReadyStep(job, job.occurrence(0), 0, step, queue, waited_s, 1.0, 9.0)
+        for job_id, waited_s in waited_s_by_job.items()
+        for job in [a_job(job_id, step)]
+    ]
+    plan = plan_starts(
+        ready,
+        _workers([(16_000, 16_000, 0, False)]),
+        0.0,
+        lambda key, worker_id: "",
+        max_placements=most,
+        max_late_placements=most_late,
+    )
+    assert [item.task.id.job_id for item in plan.placements] == placed
+    assert len(plan.undecided) == 4 - len(placed)
