Start no occurrence before it is due by the clock of its owner

Cause: since a round reads the occurrences that have begun from a list, it no longer looked at their times. One that was begun by an owner whose clock was ahead would have started before its time. Found by reading.

--- a/daemons/manager/src/coltsfootseam/manager/pools/ready_steps.py
+++ b/daemons/manager/src/coltsfootseam/manager/pools/ready_steps.py
@@ -168,11 +168,13 @@
         if not job.request.occurrences:
             yield job.occurrence(0)
             return
+        now_ms = self._state.wall_ms()
         open_numbers = _open_numbers(job, first)
         looks.take(len(open_numbers))
         for number in open_numbers:
-            yield job.occurrence(number)
-        now_ms = self._state.wall_ms()
+            # An earlier owner's clock may have been ahead of this one.
+            if job.request.due_ms(number) <= now_ms:
+                yield job.occurrence(number)
         for number in _unbegun_numbers(job):
             if (
                 job.request.due_ms(number) > now_ms
--- a/tests/cover/test_round_limits.py
+++ b/tests/cover/test_round_limits.py
@@ -90,6 +90,17 @@
     assert ranges[0][0] == 0
 
 
+# Guards against starts before their time: an earlier owner, whose clock was
+# ahead, has begun an occurrence that isn't due by the clock of this one.
+def test_an_occurrence_that_was_begun_early_waits_until_it_is_due() -> None:
+    state = make_state(2)
+    due_ms = state.wall_ms() + 5_000
+    request = JobRequest(QUEUE, "", (SMALL,), 1, due_ms, 1_000, 3)
+    job = state.job_table.add(JOB, request, 0.0)
+    job.occurrence(0)
+    assert ReadySteps(state).collect() == []
+
+
 def test_rounds_reach_every_step_of_a_large_job(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
