Count the tasks that a round creates, and forget ended jobs

Cause: the shorter way of jobs without a schedule did not count the tasks that it creates, so a round could create those of all jobs that had just arrived. Where rounds had ended in a large job was kept for good.

--- a/daemons/manager/src/coltsfootseam/manager/pools/ready_steps.py
+++ b/daemons/manager/src/coltsfootseam/manager/pools/ready_steps.py
@@ -123,6 +123,8 @@
         ready: list[ReadyStep] = []
         jobs = self._jobs_in_turn()
         self._next_job_id = ""
+        if len(self._positions_by_job) > len(jobs):
+            self._forget_ended()
         for job in jobs:
             if looks.is_round_over():
                 self._next_job_id = job.id
@@ -133,6 +135,12 @@
             ready.extend(self._ready_steps_of(job, looks))
         return ready
 
+    def _forget_ended(self) -> None:
+        """Forgets where rounds have ended in jobs that aren't active."""
+        active_by_id = self._state.job_table.active_by_id
+        for job_id in self._positions_by_job.keys() - active_by_id.keys():
+            del self._positions_by_job[job_id]
+
     def _jobs_in_turn(self) -> list[Job]:
         """Returns the active jobs, the one to go on with first."""
         jobs_by_id = self._state.job_table.active_by_id
@@ -166,7 +174,7 @@
     ) -> Iterator[Occurrence]:
         """Yields occurrences that have begun, then begins those due next."""
         if not job.request.occurrences:
-            yield job.occurrence(0)
+            yield _begin(job, 0, looks)
             return
         now_ms = self._state.wall_ms()
         open_numbers = _open_numbers(job, first)
@@ -182,9 +190,7 @@
                 or len(job.occurrences_by_number) >= _MAX_OPEN_OCCURRENCES
             ):
                 return
-            # All its tasks are created now.
-            looks.take(_LOOKS_PER_NEW_TASK * job.layout().task_count)
-            yield job.occurrence(number)
+            yield _begin(job, number, looks)
 
     def _is_ready(
         self, job: Job, occurrence: Occurrence, number: int, looks: _Looks
@@ -223,6 +229,13 @@
         )
 
 
+def _begin(job: Job, number: int, looks: _Looks) -> Occurrence:
+    """Returns an occurrence, all of whose tasks are created on first use."""
+    if number not in job.occurrences_by_number:
+        looks.take(_LOOKS_PER_NEW_TASK * job.layout().task_count)
+    return job.occurrence(number)
+
+
 def _open_numbers(job: Job, first: int) -> list[int]:
     """Returns the occurrences that have begun and aren't finished."""
     return sorted(
