Take a worker without an entry as gone once copies have arrived

That this is the cause is suspected, not shown.

Cause: since a call counts as under way for 12.5 s in place of 3 s, a successor waits for 23 s for a run that may be on a next life, though there is none.

Change: a worker that has no entry in the store, and no later life that its owner knew, is gone; only a copy that is under way is waited for, 12.5 s.

Measured: test_a_worker_without_an_entry_is_gone_once_copies_have_arrived failed before, passes now.

--- a/daemons/manager/src/coltsfootseam/manager/orders/worker_links.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders/worker_links.py
@@ -216,7 +216,11 @@
             *runs.worker_ids(),
             *self._reconciler.lost_worker_ids(),
         }
+        read_s = state.now_s() - state.cluster.worker_entries_age_s()
         for worker_id in sorted(worker_ids - state.links_by_id.keys()):
+            instances = state.cluster.workers_by_instance
+            if instance_of(worker_id) not in instances:
+                state.lives.record_missing(worker_id, read_s)
             has_ended = (
                 worker_id in state.ended_worker_ids
                 or self._has_newer_incarnation(worker_id)
--- a/daemons/manager/src/coltsfootseam/manager/orders/worker_lives.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders/worker_lives.py
@@ -48,6 +48,8 @@
             whose link is closed, monotonic seconds, or ``None``.
         down_s: When the machine was last listed as down, monotonic seconds, or
             ``None``.
+        missing_s: When it was last known to have no entry in the store,
+            monotonic seconds, or ``None``.
         is_replaced: Whether another instance has taken its place, which refuses
             calls that were meant for this one.
     """
@@ -56,6 +58,7 @@
     count: int = 0
     granted_s: float | None = None
     down_s: float | None = None
+    missing_s: float | None = None
     is_replaced: bool = False
 
 
@@ -157,6 +160,17 @@
         """
         self._instance(instance_of(worker_id)).down_s = listed_s
 
+    def record_missing(self, worker_id: str, listed_s: float) -> None:
+        """Records that a worker has no entry in the store.
+
+        An incarnation that is up and in contact with the store has one.
+
+        Args:
+            worker_id: An incarnation of the worker.
+            listed_s: When the entries were read last, in monotonic seconds.
+        """
+        self._instance(instance_of(worker_id)).missing_s = listed_s
+
     def record_pending(self, pairs: Iterable[RunPair]) -> None:
         """Records which runs of ended workers are not known to have ended."""
         self._pending_by_instance.clear()
@@ -218,20 +232,30 @@
             return False
         successor = self._links.get(instance.worker_id)
         if successor is None or successor.worker_id == run.worker_id:
-            return self._may_take_effect(instance)
+            has_later = instance.worker_id not in ("", run.worker_id)
+            return self._may_take_effect(instance, has_later)
         if successor.last_reply_s is None:
-            return self._may_take_effect(instance)
+            return self._may_take_effect(instance, has_later=True)
         if not successor.is_reachable and successor.lease.has_ended():
             return False
         listed = successor.listed
         return listed is None or (task.id, run.number) in listed
 
-    def _may_take_effect(self, instance: _Instance) -> bool:
-        """Returns whether calls to an instance may still have an effect."""
+    def _may_take_effect(self, instance: _Instance, has_later: bool) -> bool:
+        """Returns whether calls to an instance may still have an effect.
+
+        Args:
+            instance: The instance.
+            has_later: Whether it has had a later incarnation, which may be at
+                work though its entry has lapsed.
+        """
         granted_s = self._last_granted_s(instance)
         down_s = instance.down_s
         if down_s is not None and down_s > granted_s + _MIN_DOWN_AFTER_S:
             return False
+        missing_s = None if has_later else instance.missing_s
+        if missing_s is not None and missing_s > granted_s + _MAX_CALL_DELAY_S:
+            return False
         return self._now_s() < granted_s + self._longest_effect_s()
 
     def _instance(self, instance_id: str) -> _Instance:
--- a/tests/cover/test_late_starts.py
+++ b/tests/cover/test_late_starts.py
@@ -10,7 +10,7 @@
 
 from coltsfootseam.jobs import JobState, Step, TaskId
 from coltsfootseam.standins.memory_worker import MemoryWorker
-from tests.common.fleets import Fleet, running_fleet
+from tests.common.fleets import WORKERS, Fleet, running_fleet
 
 JOB = "c" * 16
 TASK = TaskId(JOB, 0, 0, 0)
@@ -126,3 +126,22 @@
         await fleet.timers.advance(14.0)
         fleet.lose_worker(worker.entry.instance_id)
         await fleet.wait_until(lambda: fleet.started(JOB) == 2, 8.0)
+
+
+# Guards against a task that waits for the lease of a next life where there is
+# none: a worker that is gone has no entry, and its owner was lost with it.
+async def test_a_worker_without_an_entry_is_gone_once_copies_have_arrived() -> (
+    None
+):
+    async with running_fleet(
+        hosts=3, workers=4, duration_of=lambda task: LONG_TASK_S
+    ) as fleet:
+        await fleet.accept(fleet.hosts[0], JOB, Step(cpu_millis=1000))
+        await fleet.wait_until(lambda: fleet.started(JOB) == 1)
+        workers = fleet.workers.workers_by_instance
+        instance_id = next(key for key in workers if workers[key].runs_by_task)
+        fleet.workers.kill(instance_id)
+        fleet.store.put(WORKERS, instance_id, b"")
+        await fleet.owner().kill()
+        # The wait for the owner's end, for copies, and for the takeover.
+        await fleet.wait_until(lambda: fleet.started(JOB) == 2, 18.0)
