--- a/libs/jobs/src/coltsfootseam/jobs/entities.py
+++ b/libs/jobs/src/coltsfootseam/jobs/entities.py
@@ -291,7 +291,7 @@
         return {(occurrence, number) for number in range(count)}
 
     def tasks_of(self, part: PartId) -> list[Task]:
-        """Returns the tasks of a part that have a record, or had one."""
+        """Returns the tasks of a part, none if its occurrence was dropped."""
         occurrence = self.occurrences_by_number.get(part[0])
         if occurrence is None:
             return []
