Use the pieces that were there for fits, ended jobs and unreadable records

Found in reading the change once more; no change of behaviour.

Whether a start fits was written out beside WorkerCapacity.fits, whether a job has ended stood four times in documents.py, and the line for an unreadable record three times in pool_loading.py. Each has one place now.

--- a/daemons/manager/src/coltsfootseam/manager/orders/worker_links.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders/worker_links.py
@@ -218,8 +218,7 @@
         }
         read_s = state.now_s() - state.cluster.worker_entries_age_s()
         for worker_id in sorted(worker_ids - state.links_by_id.keys()):
-            instances = state.cluster.workers_by_instance
-            if instance_of(worker_id) not in instances:
+            if instance_of(worker_id) not in state.cluster.workers_by_instance:
                 state.lives.record_missing(worker_id, read_s)
             has_ended = (
                 worker_id in state.ended_worker_ids
--- a/daemons/manager/src/coltsfootseam/manager/pools/pool_loading.py
+++ b/daemons/manager/src/coltsfootseam/manager/pools/pool_loading.py
@@ -95,9 +95,7 @@
             try:
                 progress = decode_progress(record.value)
             except msgspec.DecodeError as error:
-                self._context.log.write(
-                    "record.unreadable", key=record.key, why=str(error)
-                )
+                self._log_unreadable(record, error)
                 continue
             progress_by_id[key.job_id] = progress
         for job_id, parts in parts_by_job.items():
@@ -115,9 +113,7 @@
         try:
             tasks = decode_part(record.value)
         except msgspec.DecodeError as error:
-            self._context.log.write(
-                "record.unreadable", key=record.key, why=str(error)
-            )
+            self._log_unreadable(record, error)
             return
         parts_by_job.setdefault(job_id, {})[part] = tasks
 
@@ -125,11 +121,16 @@
         try:
             return decode_witnesses(record.value)
         except msgspec.DecodeError as error:
-            self._context.log.write(
-                "record.unreadable", key=record.key, why=str(error)
-            )
+            self._log_unreadable(record, error)
             return FormerOwners({UNKNOWN_WITNESSES: MAX_VOUCHED_S})
 
+    def _log_unreadable(
+        self, record: StoredRecord, error: msgspec.DecodeError
+    ) -> None:
+        self._context.log.write(
+            "record.unreadable", key=record.key, why=str(error)
+        )
+
     async def _retry_later(self, part: str, refusal: Refusal) -> None:
         since_s = self._context.timers.now_s() - self._started_s
         self._context.log.write(
--- a/libs/jobs/src/coltsfootseam/jobs/documents.py
+++ b/libs/jobs/src/coltsfootseam/jobs/documents.py
@@ -165,7 +165,7 @@
 
     Of a final job without runs only the state and the team are kept.
     """
-    if job.state.is_final and not _has_runs(job):
+    if _is_ended(job):
         return _encode_document(job, [])
     return _encode_document(job, _to_stored_tasks(job.tasks()))
 
@@ -185,7 +185,7 @@
     if document != job.stored_document:
         records.append(ProgressRecord("", document))
         job.stored_document = document
-    if job.state.is_final and not _has_runs(job):
+    if _is_ended(job):
         records += _delete_parts(job)
     else:
         records += _encode_parts(job)
@@ -203,8 +203,7 @@
 
 
 def _encode_document(job: Job, tasks: list[StoredTask]) -> bytes:
-    is_ended = job.state.is_final and not _has_runs(job)
-    ranges = [] if is_ended else job.finished_occurrences.ranges()
+    ranges = [] if _is_ended(job) else job.finished_occurrences.ranges()
     # Hosts of earlier versions know numbers only. Large jobs have too many.
     numbers: list[int] = []
     if not job.is_in_parts():
@@ -294,8 +293,7 @@
 
 def _is_needed(job: Job, part: PartId) -> bool:
     """Returns whether a part that has a record must keep it."""
-    is_ended = job.state.is_final and not _has_runs(job)
-    return not is_ended and part[0] in job.occurrences_by_number
+    return not _is_ended(job) and part[0] in job.occurrences_by_number
 
 
 def _restore_task(job: Job, stored: StoredTask, now_s: float) -> Task | None:
@@ -375,5 +373,6 @@
     return round(task.exposure_s() * _MS_PER_S)
 
 
-def _has_runs(job: Job) -> bool:
-    return any(task.runs for task in job.tasks())
+def _is_ended(job: Job) -> bool:
+    """Returns whether a job is in a final state and nothing of it runs."""
+    return job.state.is_final and not any(task.runs for task in job.tasks())
--- a/libs/scheduling/src/coltsfootseam/scheduling/worker_capacity.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/worker_capacity.py
@@ -122,12 +122,16 @@
 
 def fits_beside(task: Task, occupied: Resources, entry: WorkerEntry) -> bool:
     """Returns whether a task fits on a worker, part of which is occupied."""
-    capacity = Resources(entry.cpu_millis, entry.memory_mb, entry.accelerators)
-    step = task.step
-    free = capacity.minus(occupied)
-    if step.memory_mb > free.memory_mb or step.accelerators > free.accelerators:
-        return False
-    return step.best_effort or step.cpu_millis <= free.cpu_millis
+    worker = WorkerCapacity(
+        worker_id=entry.worker_id,
+        zone=entry.zone,
+        rack="",
+        labels=entry.labels,
+        free_cpu_millis=entry.cpu_millis - occupied.cpu_millis,
+        free_memory_mb=entry.memory_mb - occupied.memory_mb,
+        free_accelerators=entry.accelerators - occupied.accelerators,
+    )
+    return worker.fits(task.step)
 
 
 class FreeCapacityBound:
