--- a/daemons/manager/src/coltsfootseam/manager/cluster_state.py
+++ b/daemons/manager/src/coltsfootseam/manager/cluster_state.py
@@ -11,6 +11,7 @@
 )
 from coltsfootseam.manager.context import Context
 from coltsfootseam.manager.queue_pools import QueuePools
+from coltsfootseam.manager.worker_sightings import WorkerSightings
 from coltsfootseam.results import Refusal
 from coltsfootseam.store import StoredRecord, Tail
 from coltsfootseam.teams import KeyRing, shorten_digest
@@ -31,6 +32,7 @@
         waves_by_number: Waves that the operator requested.
         workers_by_instance: Latest entry of each worker.
         queue_pools: Which pools may have jobs of which queue.
+        sightings: For how long this host has known each worker.
     """
 
     __slots__ = (
@@ -43,6 +45,7 @@
         "index",
         "key_ring",
         "queue_pools",
+        "sightings",
         "waves_by_number",
         "workers_by_instance",
     )
@@ -74,6 +77,7 @@
         self.waves_by_number: dict[int, Wave] = {}
         self.workers_by_instance: dict[str, WorkerEntry] = {}
         self.queue_pools = QueuePools(context)
+        self.sightings = WorkerSightings(context.timers)
 
     def is_ready(self) -> bool:
         """Returns whether jobs can be assigned to pools."""
@@ -211,6 +215,7 @@
             self._context.counters.increment("worker.unreadable")
             return
         self.workers_by_instance[record.key] = entry
+        self.sightings.record(entry)
 
     def _retain_workers(self, keys: frozenset[str]) -> None:
         for key in set(self.workers_by_instance) - keys:
--- a/daemons/manager/src/coltsfootseam/manager/orders/worker_links.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders/worker_links.py
@@ -16,6 +16,7 @@
 )
 
 _INCARNATION_ENDED = "its incarnation has ended"
+_LEASE_ENDED = "its lease has ended"
 
 
 class WorkerLinks:
@@ -26,6 +27,7 @@
         "_on_change",
         "_reachability",
         "_reconciler",
+        "_reported_leases_by_id",
         "_state",
         "_tasks_by_id",
     )
@@ -41,6 +43,8 @@
         self._on_change = on_change
         self._reachability = ReachabilityLog(state.context)
         self._latest_by_machine: dict[str, WorkerEntry] = {}
+        # The latest event about the leases of each worker with lost runs.
+        self._reported_leases_by_id: dict[str, str] = {}
         self._tasks_by_id: dict[str, asyncio.Task[None]] = {}
 
     def sync_links(self) -> None:
@@ -95,6 +99,10 @@
             machine=entry.machine_id,
             pool=entry.pool,
             token=token,
+            longest_lease_s=round(link.lease.longest_s(), 2),
+            known_s=round(
+                self._state.cluster.sightings.known_s(entry.worker_id), 2
+            ),
         )
 
     def _make_link(self, entry: WorkerEntry, token: int) -> WorkerLink:
@@ -137,24 +145,59 @@
             link.is_replaced |= successor.instance_id != link.entry.instance_id
         if link.is_gone:
             self._drop_link(link, _INCARNATION_ENDED)
-        elif not link.is_reachable and self._have_leases_ended(link):
-            self._reconciler.end_lost_runs(
-                link.worker_id,
-                "its lease has ended",
-                link.silent_since_s(),
-            )
+        elif not link.is_reachable and link.lease.has_ended():
+            if not self._end_lapsed_runs(link.worker_id, link.silent_since_s()):
+                return
             # Only its next incarnation can tell what became of runs that it
             # may have, so the worker is asked until they have ended.
             has_runs = self._state.job_table.runs.runs_of(link.worker_id)
             if latest is None and not has_runs:
                 self._drop_link(link, "it does not respond and has no entry")
 
-    def _have_leases_ended(self, link: WorkerLink) -> bool:
-        """Returns whether no lease of a worker runs any more."""
-        if not link.lease.has_ended():
+    def _end_lapsed_runs(
+        self, worker_id: str, silent_s: float | None = None
+    ) -> bool:
+        """Ends the runs on a worker on which no granted lease runs any more.
+
+        Args:
+            worker_id: The worker, which can't be reached.
+            silent_s: When it stopped replying, ``None`` if that isn't known.
+
+        Returns:
+            Whether it can have no longer lease of an earlier incarnation.
+        """
+        pairs = self._state.job_table.runs.runs_of(worker_id)
+        if self._state.lives.may_hold_inherited(pairs):
+            self._report_leases("worker.lease_awaited", worker_id)
             return False
-        pairs = self._state.job_table.runs.runs_of(link.worker_id)
-        return not self._state.lives.may_hold_inherited(pairs)
+        self._report_leases("worker.leases_ended", worker_id)
+        self._reconciler.end_lost_runs(worker_id, _LEASE_ENDED, silent_s)
+        return True
+
+    def _report_leases(self, event: str, worker_id: str) -> None:
+        """Logs, once, what becomes of the runs on an unreachable worker."""
+        state = self._state
+        pairs = state.job_table.runs.runs_of(worker_id)
+        if not pairs:
+            self._reported_leases_by_id.pop(worker_id, None)
+            return
+        if self._reported_leases_by_id.get(worker_id) == event:
+            return
+        self._reported_leases_by_id[worker_id] = event
+        link = state.links_by_id.get(worker_id)
+        is_heard = link is not None and link.last_reply_s is not None
+        state.context.log.write(
+            event,
+            worker=worker_id,
+            pool=state.pool,
+            epoch=state.journal.epoch,
+            runs=len(pairs),
+            taken_over=sum(run.sent_s is None for _, run in pairs),
+            is_heard=is_heard,
+            known_s=round(state.cluster.sightings.known_s(worker_id), 2),
+            claimed_age_s=round(state.now_s() - state.journal.claimed_s, 2),
+        )
+        state.context.counters.increment(event)
 
     def _successor(
         self, entry: WorkerEntry, latest: WorkerEntry | None
@@ -199,6 +242,7 @@
         self._state.end_sequences_by_worker.pop(worker_id, None)
         self._state.health.forget(worker_id)
         self._reachability.forget(worker_id)
+        self._reported_leases_by_id.pop(worker_id, None)
         task = self._tasks_by_id.pop(worker_id, None)
         if task is not None:
             task.cancel()
@@ -230,10 +274,8 @@
                 )
             elif has_ended:
                 self._reconciler.end_crashed_runs(worker_id, _INCARNATION_ENDED)
-            elif have_leases_ended and not state.lives.may_hold_inherited(
-                runs.runs_of(worker_id)
-            ):
-                self._reconciler.end_lost_runs(worker_id, "its lease has ended")
+            elif have_leases_ended:
+                self._end_lapsed_runs(worker_id)
         state.lives.record_pending(
             pair
             for worker_id in worker_ids - state.links_by_id.keys()
--- a/libs/workers/src/coltsfootseam/workers/lease.py
+++ b/libs/workers/src/coltsfootseam/workers/lease.py
@@ -122,6 +122,10 @@
             end_s = self._fenced_s + inherited_s
             self.safe_after_s = max(self.safe_after_s, end_s)
 
+    def longest_s(self) -> float:
+        """Returns the longest lease that the worker may have from the start."""
+        return self._inherited_lease_s
+
     def may_be_inherited(self) -> bool:
         """Returns whether the worker may have a longer lease than granted.
 
