Assume the longest lease of every life that may be young, whoever owned the pool

Cause: what an owner must know of earlier calls and lives was kept as a mark on single runs, set only by an owner that had seen the former life. Runs that a later owner took over or ordered had no mark, so the next one took their leases as ended after 4.3 s in place of 10.4 s. A worker whose former life never replied to the new owner counted as never called, though the owner before had.

Change: no mark. A successor assumes the longest lease of each worker that it never heard, counted from its claim, unless its host has known that life for longer than any call to a former one can matter. That needs no word of earlier owners, so it holds over any number of them. The host counts on its own clock; the time of day counts only where a minute's error changes nothing. The stand-ins' workers say when they really started.

--- a/daemons/manager/src/coltsfootseam/manager/orders/worker_links.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders/worker_links.py
@@ -167,7 +167,7 @@
             Whether it can have no longer lease of an earlier incarnation.
         """
         pairs = self._state.job_table.runs.runs_of(worker_id)
-        if self._state.lives.may_hold_inherited(pairs):
+        if self._state.lives.may_hold_inherited(worker_id, pairs):
             self._report_leases("worker.lease_awaited", worker_id)
             return False
         self._report_leases("worker.leases_ended", worker_id)
--- a/daemons/manager/src/coltsfootseam/manager/orders/worker_lives.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders/worker_lives.py
@@ -18,12 +18,14 @@
 from coltsfootseam.jobs import Run, RunPair, Task
 from coltsfootseam.manager.context import Context
 from coltsfootseam.manager.leases.pool_leases import PoolLeases
+from coltsfootseam.manager.worker_sightings import WorkerSightings
 from coltsfootseam.store import TOKENS_PER_EPOCH, Journal
 from coltsfootseam.workers import (
     WorkerEntry,
     WorkerLink,
     instance_of,
     max_lease_duration_s,
+    started_ms_of,
 )
 
 _MAX_CALL_DELAY_S = 12.5
@@ -37,6 +39,13 @@
 
 _MS_PER_S = 1000
 
+_MAX_CLOCK_ERROR_S = 60.0
+"""How much the times of day of a worker and of this host may differ."""
+
+_MAX_UNAWARE_S = 3.0
+"""How long after this host has read of an incarnation another one may still
+call the former one. Its heartbeats to that one fail within this time."""
+
 
 class _Instance(msgspec.Struct):
     """What an owner knows of the incarnations of one instance.
@@ -72,6 +81,7 @@
         "_leases",
         "_links",
         "_pending_by_instance",
+        "_sightings",
     )
 
     def __init__(
@@ -80,6 +90,7 @@
         journal: Journal,
         leases: PoolLeases,
         links_by_id: dict[str, WorkerLink],
+        sightings: WorkerSightings,
     ) -> None:
         """Makes an owner's view of its workers.
 
@@ -88,11 +99,13 @@
             journal: The pool's journal.
             leases: The owner's right to grant leases.
             links_by_id: Links to the workers of the pool, kept up to date.
+            sightings: For how long this host has known each worker.
         """
         self._context = context
         self._journal = journal
         self._leases = leases
         self._links = links_by_id
+        self._sightings = sightings
         self._instances_by_id: dict[str, _Instance] = {}
         self._pending_by_instance: dict[str, list[RunPair]] = {}
 
@@ -118,27 +131,16 @@
         """Returns the longest lease that an incarnation may have already.
 
         It may have taken the longest one that workers accept from a call to a
-        former incarnation. Of those before the claim this owner knows nothing.
+        former incarnation, by this owner or by one before it.
         """
         times = self._context.times
-        longest_s = self._longest_effect_s()
         instance = self._instance(entry.instance_id)
+        is_possible = not self._is_old(entry.worker_id)
         if instance.granted_s is not None:
-            is_possible = self._now_s() < instance.granted_s + longest_s
-        else:
-            age_ms = self._context.timers.wall_ms() - entry.started_ms
-            is_possible = age_ms < longest_s * _MS_PER_S
+            last_s = self._last_granted_s(instance)
+            is_possible &= self._now_s() < last_s + self._longest_effect_s()
         return times.longest_lease_s if is_possible else times.lease_s
 
-    def has_inherited_lease(self, link: WorkerLink) -> bool:
-        """Returns whether a worker may have a lease of an earlier incarnation.
-
-        Of the incarnations before the claim this owner knows nothing: a worker
-        that started before it counts as the first one here.
-        """
-        instance = self._instance(link.entry.instance_id)
-        return instance.granted_s is not None and link.lease.may_be_inherited()
-
     def record_closed(self, link: WorkerLink) -> None:
         """Records that no more calls are sent to an incarnation."""
         instance = self._instance(link.entry.instance_id)
@@ -203,22 +205,24 @@
             last_s = self._leases.earlier_stopped_s()
         return last_s is None or last_s + _MAX_CALL_DELAY_S < listed_s
 
-    def may_hold_inherited(self, pairs: Iterable[RunPair]) -> bool:
+    def may_hold_inherited(
+        self, worker_id: str, pairs: Iterable[RunPair]
+    ) -> bool:
         """Returns whether a worker may hold a lease of an earlier incarnation.
 
-        The owner before has heard from the worker before it ordered the runs,
-        and so before this owner's claim. From then on the worker has refused
-        the calls to its earlier incarnations.
+        An owner hears from an incarnation before it orders runs there, and so
+        before this owner's claim if it was an earlier one. From then on the
+        incarnation has refused the calls to those before it.
 
         Args:
-            pairs: The runs on the worker.
+            worker_id: The incarnation, which this owner may never have heard.
+            pairs: The runs that were ordered from it.
         """
         longest_s = max_lease_duration_s(self._context.times.longest_lease_s)
         if self._now_s() > self._journal.claimed_s + longest_s:
             return False
-        return any(
-            run.sent_s is None and run.has_inherited_lease for _, run in pairs
-        )
+        is_taken_over = any(run.sent_s is None for _, run in pairs)
+        return is_taken_over and not self._is_old(worker_id)
 
     def may_be_redirected(self, task: Task, run: Run) -> bool:
         """Returns whether a later incarnation may have a run.
@@ -261,6 +265,18 @@
     def _instance(self, instance_id: str) -> _Instance:
         return self._instances_by_id.setdefault(instance_id, _Instance())
 
+    def _is_old(self, worker_id: str) -> bool:
+        """Returns whether calls to former incarnations have no effect left.
+
+        A host that has started only lately goes by the time of day, if that
+        leaves no doubt.
+        """
+        known_s = self._sightings.known_s(worker_id)
+        wall_s = self._context.timers.wall_ms() / _MS_PER_S
+        age_s = wall_s - started_ms_of(worker_id) / _MS_PER_S
+        least_age_s = max(known_s, age_s - _MAX_CLOCK_ERROR_S)
+        return least_age_s > _MAX_UNAWARE_S + self._longest_effect_s()
+
     def _now_s(self) -> float:
         return self._context.timers.now_s()
 
--- a/daemons/manager/src/coltsfootseam/manager/pools/planning.py
+++ b/daemons/manager/src/coltsfootseam/manager/pools/planning.py
@@ -173,10 +173,6 @@
             run = self._state.job_table.add_run(
                 task, placement.worker_id, now_s, number, is_isolated
             )
-            link = self._state.links_by_id.get(placement.worker_id)
-            run.has_inherited_lease = (
-                link is not None and self._state.lives.has_inherited_lease(link)
-            )
             new_runs.append(NewRun(task, run, placement.ticket))
         return new_runs
 
--- a/daemons/manager/src/coltsfootseam/manager/pools/pool_owner.py
+++ b/daemons/manager/src/coltsfootseam/manager/pools/pool_owner.py
@@ -183,7 +183,13 @@
             journal=journal,
             job_table=JobTable(self._cluster.max_attempts_of),
             leases=leases,
-            lives=WorkerLives(self._context, journal, leases, links_by_id),
+            lives=WorkerLives(
+                self._context,
+                journal,
+                leases,
+                links_by_id,
+                self._cluster.sightings,
+            ),
             health=WorkerHealth(),
             links_by_id=links_by_id,
         )
--- a/libs/jobs/src/coltsfootseam/jobs/documents.py
+++ b/libs/jobs/src/coltsfootseam/jobs/documents.py
@@ -28,8 +28,6 @@
         is_reported: Whether its worker is known to have it. Hosts of 0.7.5 and
             earlier take such a run for confirmed, and store no more than that.
         is_confirmed: Whether, besides, no copy of its start is under way.
-        has_inherited_lease: Whether its worker may have had the longest lease
-            that workers accept, from a call to an earlier incarnation.
     """
 
     number: int
@@ -38,7 +36,6 @@
     is_isolated: bool = False
     is_reported: bool = False
     is_confirmed: bool = False
-    has_inherited_lease: bool = False
 
 
 class StoredTask(msgspec.Struct, array_like=True, omit_defaults=True):
@@ -334,7 +331,6 @@
         is_isolated=stored.is_isolated,
         is_confirmed=stored.is_confirmed,
         is_confirmation_stored=stored.is_confirmed,
-        has_inherited_lease=stored.has_inherited_lease,
     )
 
 
@@ -355,7 +351,6 @@
                 run.is_isolated,
                 is_reported=run.is_confirmed,
                 is_confirmed=run.is_confirmed,
-                has_inherited_lease=run.has_inherited_lease,
             )
             for run in task.runs
         ],
--- a/libs/jobs/src/coltsfootseam/jobs/entities.py
+++ b/libs/jobs/src/coltsfootseam/jobs/entities.py
@@ -56,9 +56,6 @@
         is_confirmed: Whether its worker has it, and no copy of its start is
             under way any more. Such a copy could reach a later incarnation.
         is_confirmation_stored: Whether that is stored or about to be.
-        has_inherited_lease: Whether its worker may have had the longest lease
-            that workers accept when the run was ordered, from a call to an
-            earlier incarnation.
         silent_s: When its worker stopped replying for good, monotonic seconds,
             or ``None``.
     """
@@ -82,7 +79,6 @@
     unproven_s: float | None = None
     is_confirmed: bool = False
     is_confirmation_stored: bool = False
-    has_inherited_lease: bool = False
     silent_s: float | None = None
 
     def exposure_s(self) -> float:
--- a/libs/testbed/src/coltsfootseam/testbed/model/pool.py
+++ b/libs/testbed/src/coltsfootseam/testbed/model/pool.py
@@ -56,7 +56,9 @@
             journal,
             JobTable(cluster.max_attempts_of),
             leases,
-            WorkerLives(context, journal, leases, links_by_id),
+            WorkerLives(
+                context, journal, leases, links_by_id, cluster.sightings
+            ),
             WorkerHealth(),
             links_by_id,
             end_sequences_by_worker={},
--- a/libs/workers/src/coltsfootseam/workers/__init__.py
+++ b/libs/workers/src/coltsfootseam/workers/__init__.py
@@ -26,6 +26,7 @@
     StopOrder,
     WorkerEntry,
     instance_of,
+    started_ms_of,
     worker_incarnation_id,
 )
 from coltsfootseam.workers.port import WorkerCalls
@@ -55,5 +56,6 @@
     "WorkerLink",
     "instance_of",
     "max_lease_duration_s",
+    "started_ms_of",
     "worker_incarnation_id",
 ]
--- a/libs/workers/src/coltsfootseam/workers/lease.py
+++ b/libs/workers/src/coltsfootseam/workers/lease.py
@@ -126,20 +126,6 @@
         """Returns the longest lease that the worker may have from the start."""
         return self._inherited_lease_s
 
-    def may_be_inherited(self) -> bool:
-        """Returns whether the worker may have a longer lease than granted.
-
-        It may have taken that from a call to another incarnation, before it
-        replied to this owner for the first time.
-        """
-        if self._inherited_lease_s <= self._lease_s:
-            return False
-        fenced_s = self._fenced_s
-        if fenced_s is None:
-            return True
-        longest_s = max_lease_duration_s(self._inherited_lease_s)
-        return self._timers.now_s() < fenced_s + longest_s
-
     def grant(self) -> int | None:
         """Grants a lease and returns its end on the worker's clock.
 
--- a/libs/workers/src/coltsfootseam/workers/messages.py
+++ b/libs/workers/src/coltsfootseam/workers/messages.py
@@ -20,6 +20,11 @@
     return worker_id.rpartition("@")[0]
 
 
+def started_ms_of(worker_id: str) -> int:
+    """Returns when an incarnation started, Unix milliseconds, from its id."""
+    return int(worker_id.rpartition("@")[2])
+
+
 class WorkerEntry(msgspec.Struct, frozen=True):
     """What a worker reports about itself.
 
--- a/tests/common/fleets.py
+++ b/tests/common/fleets.py
@@ -304,8 +304,7 @@
 
         Args:
             instance_id: The worker.
-            started_ms: When it says that it has started, by default 1 ms after
-                the one before.
+            started_ms: When it says that it has started, by default now.
         """
         entry = self.workers.workers_by_instance[instance_id].entry
         self._restart(entry, started_ms)
@@ -322,7 +321,7 @@
         instance_id = entry.instance_id
         if self.renames_restarted_workers:
             instance_id += "x"
-        started_ms = started_ms or entry.started_ms + 1
+        started_ms = started_ms or self.wall_ms()
         entry = msgspec.structs.replace(
             entry,
             worker_id=f"{instance_id}@{started_ms}",
--- a/tests/common/scenarios.py
+++ b/tests/common/scenarios.py
@@ -159,7 +159,7 @@
         workers = self.fleet.workers
         entry = workers.workers_by_instance[f"i-{worker}"].entry
         workers.kill(entry.instance_id)
-        self.fleet.add_worker(worker, started_ms=entry.started_ms + 1)
+        self.fleet.restart_worker(entry.instance_id)
 
     async def resize_worker(self, number: int) -> None:
         """A worker's capacity shrinks, or grows again."""
--- a/tests/cover/test_leases_over_owners.py
+++ b/tests/cover/test_leases_over_owners.py
@@ -35,9 +35,9 @@
     await fleet.wait_until(lambda: any(host.owns() for host in fleet.hosts))
 
 
-# Guards against tasks that run twice as their pool changes its owner more than
-# once within a lease (issue 65): only an owner that saw a worker start anew knew
-# how long its lease may last, and the next one but one started them elsewhere.
+# Guards against tasks that run twice as their pool changes its owner repeatedly
+# within a lease (issue 65): only an owner that saw a worker start anew knew how
+# long its lease may last, and the next one but one started them elsewhere.
 @pytest.mark.parametrize("orders_again", [False, True])
 @pytest.mark.parametrize("cut_after_s", [0.1, 0.4, 1.0])
 @pytest.mark.parametrize("ended_after_s", [0.05, 0.4])
