--- a/libs/scheduling/src/coltsfootseam/scheduling/__init__.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/__init__.py
@@ -48,12 +48,7 @@
     critical_path_s,
 )
 from coltsfootseam.scheduling.pacing import PaceChange, plan_pace
-from coltsfootseam.scheduling.placement import (
-    Placement,
-    Plan,
-    Shortage,
-    plan_starts,
-)
+from coltsfootseam.scheduling.placement import Plan, Shortage, plan_starts
 from coltsfootseam.scheduling.policies import Policies, find_problem
 from coltsfootseam.scheduling.preemption import ResourceClaim, plan_preemption
 from coltsfootseam.scheduling.shares import (
@@ -68,6 +63,7 @@
     plan_speculative_copies,
 )
 from coltsfootseam.scheduling.stalls import find_stalled
+from coltsfootseam.scheduling.step_placement import Placement
 from coltsfootseam.scheduling.worker_capacity import (
     StepKey,
     WorkerCapacity,
--- a/libs/scheduling/src/coltsfootseam/scheduling/isolation.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/isolation.py
@@ -17,11 +17,10 @@
     tasks_within,
 )
 from coltsfootseam.scheduling.ordering import ReadyStep
-from coltsfootseam.scheduling.placement import (
+from coltsfootseam.scheduling.placement import Shortage, make_shortage
+from coltsfootseam.scheduling.step_placement import (
     Placement,
-    Shortage,
     TicketOf,
-    make_shortage,
     place_step,
 )
 from coltsfootseam.scheduling.worker_capacity import WorkerCapacity, step_key
--- a/libs/scheduling/src/coltsfootseam/scheduling/lookahead/candidates.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/lookahead/candidates.py
@@ -12,7 +12,7 @@
     expect_due,
 )
 from coltsfootseam.scheduling.ordering import ReadyStep
-from coltsfootseam.scheduling.placement import TicketOf
+from coltsfootseam.scheduling.step_placement import TicketOf
 from coltsfootseam.scheduling.worker_capacity import (
     StepKey,
     WorkerCapacity,
--- a/libs/scheduling/src/coltsfootseam/scheduling/lookahead/planning_round.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/lookahead/planning_round.py
@@ -13,7 +13,7 @@
     RoundView,
 )
 from coltsfootseam.scheduling.ordering import ReadyStep
-from coltsfootseam.scheduling.placement import Placement
+from coltsfootseam.scheduling.step_placement import Placement
 from coltsfootseam.scheduling.worker_capacity import StepKey, WorkerCapacity
 
 _MS_PER_S = 1000
--- a/libs/scheduling/src/coltsfootseam/scheduling/lookahead/updates.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/lookahead/updates.py
@@ -30,7 +30,7 @@
 )
 from coltsfootseam.scheduling.lookahead.rules import LookAheadRule
 from coltsfootseam.scheduling.ordering import ReadyStep
-from coltsfootseam.scheduling.placement import TicketOf
+from coltsfootseam.scheduling.step_placement import TicketOf
 from coltsfootseam.scheduling.worker_capacity import StepKey, WorkerCapacity
 
 _MIN_PROMISE_S = 0.2
--- a/libs/scheduling/src/coltsfootseam/scheduling/speculation.py
+++ b/libs/scheduling/src/coltsfootseam/scheduling/speculation.py
@@ -10,8 +10,8 @@
 import msgspec
 
 from coltsfootseam.jobs import Run, RunPhase, Task
-from coltsfootseam.scheduling.placement import Placement
 from coltsfootseam.scheduling.registry import Registry
+from coltsfootseam.scheduling.step_placement import Placement
 from coltsfootseam.scheduling.worker_capacity import WorkerCapacity, step_key
 
 _MS_PER_S = 1000
--- a/libs/testbed/src/coltsfootseam/testbed/manager_switches.py
+++ b/libs/testbed/src/coltsfootseam/testbed/manager_switches.py
@@ -34,7 +34,7 @@
     CrashAssessment,
     WorkerCapacity,
     crashes,
-    placement,
+    step_placement,
 )
 from coltsfootseam.store import (
     Journal,
@@ -117,7 +117,9 @@
 
 @switch("whole-gangs")
 def _start_partial_gangs() -> None:
-    replace(placement, "is_partial_gang", lambda step, placed, requested: False)
+    replace(
+        step_placement, "is_partial_gang", lambda step, placed, requested: False
+    )
 
 
 @switch("attempts")
--- a/tests/cover/lookahead/test_unchanged_plans.py
+++ b/tests/cover/lookahead/test_unchanged_plans.py
@@ -10,7 +10,7 @@
     LOOK_AHEAD_RULES,
     LookAheadRule,
 )
-from coltsfootseam.scheduling.placement import place_step
+from coltsfootseam.scheduling.step_placement import place_step
 from tests.common.plans import a_job
 from tests.common.reservations import Pool
 
--- a/tests/cover/test_placement.py
+++ b/tests/cover/test_placement.py
@@ -9,8 +9,8 @@
     Plan,
     ReadyStep,
     WorkerCapacity,
-    placement,
     plan_starts,
+    step_placement,
 )
 from tests.common.plans import a_job
 
@@ -103,7 +103,9 @@
 ) -> None:
     together = _plan(steps, sizes)
     with pytest.MonkeyPatch.context() as patch:
-        patch.setattr(placement, "_are_interchangeable", lambda tasks: False)
+        patch.setattr(
+            step_placement, "_are_interchangeable", lambda tasks: False
+        )
         alone = _plan(steps, sizes)
     assert [(one.task.id, one.worker_id) for one in together.placements] == [
         (one.task.id, one.worker_id) for one in alone.placements
