--- a/daemons/manager/src/coltsfootseam/manager/pools/planning_rounds.py
+++ b/daemons/manager/src/coltsfootseam/manager/pools/planning_rounds.py
@@ -53,17 +53,7 @@
         """Runs one planning round."""
         state = self._state
         started_s = state.now_s()
-        self._workers.sync_links()
-        self._evacuation.stop_leaving_runs()
-        self._stop_stalled()
-        new_runs = self._planner.plan_runs(
-            self._orders.remaining_start_capacity(),
-            self._orders.remaining_late_capacity(),
-        )
-        self._evacuation.shortages = self._machine_shortages()
-        self._evacuation.isolation = self._planner.isolation
-        self._watch_isolating_workers()
-        self._orders.send_stops()
+        new_runs = self._decide()
         end_sequences_by_worker = dict(state.end_sequences_by_worker)
         changes_by_id = state.job_table.drain_changes()
         stored = {
@@ -71,17 +61,8 @@
             for job_id in changes_by_id
         }
         outdated_state_keys = set(state.outdated_state_keys)
-        # Deletions go first, as a job may have been added again since its
-        # state became outdated.
-        records = [KeyedRecord(key) for key in sorted(outdated_state_keys)]
-        records.extend(
-            KeyedRecord(
-                job_key(state.pool, job_id) + change.suffix, change.value
-            )
-            for job_id, changes in changes_by_id.items()
-            for change in changes
-        )
         witness_record = state.leases.record_to_store()
+        records = self._records_of(outdated_state_keys, changes_by_id)
         if witness_record is not None:
             records.append(witness_record)
         self.busy_s = state.now_s() - started_s
@@ -97,6 +78,40 @@
         self._apply_stored(stored, end_sequences_by_worker)
         self._send_starts(new_runs)
 
+    def _decide(self) -> list[NewRun]:
+        """Decides what starts and what stops, and sends the stops."""
+        self._workers.sync_links()
+        self._evacuation.stop_leaving_runs()
+        self._stop_stalled()
+        new_runs = self._planner.plan_runs(
+            self._orders.remaining_start_capacity(),
+            self._orders.remaining_late_capacity(),
+        )
+        self._evacuation.shortages = self._machine_shortages()
+        self._evacuation.isolation = self._planner.isolation
+        self._watch_isolating_workers()
+        self._orders.send_stops()
+        return new_runs
+
+    def _records_of(
+        self,
+        outdated_state_keys: set[str],
+        changes_by_id: dict[str, list[ProgressRecord]],
+    ) -> list[KeyedRecord]:
+        """Returns the records of a round's changes.
+
+        Deletions go first, as a job may have been added again since its state
+        became outdated.
+        """
+        pool = self._state.pool
+        records = [KeyedRecord(key) for key in sorted(outdated_state_keys)]
+        records.extend(
+            KeyedRecord(job_key(pool, job_id) + change.suffix, change.value)
+            for job_id, changes in changes_by_id.items()
+            for change in changes
+        )
+        return records
+
     def _give_up_unstorable(
         self,
         changes_by_id: dict[str, list[ProgressRecord]],
