Name stored ends only to a life that has answered the last heartbeat

What callers saw: work done twice. A heartbeat that names the ends of a life as stored isn't answered, as that life has lost power; the next heartbeat named them again to the next life, which then forgot an end of its own that nobody had read, and its task ran again.

Change: ends are named only after an answered heartbeat.

--- a/libs/workers/src/coltsfootseam/workers/link.py
+++ b/libs/workers/src/coltsfootseam/workers/link.py
@@ -147,8 +147,9 @@
         # never be known to have ended, and its tasks could not run elsewhere.
         lease_end_ms = self.lease.grant() if self.is_reachable else None
         # The worker's next incarnation counts its ends from 1 again, so it
-        # must not be told to forget ends of this one without need.
-        is_news = self.acknowledged > self._forgotten
+        # must not be told to forget ends of this one. If the last heartbeat
+        # wasn't answered, it may be at the address.
+        is_news = self.acknowledged > self._forgotten and self.is_reachable
         request = HeartbeatRequest(
             token=self.token,
             acknowledged=self.acknowledged if is_news else 0,
--- a/tests/common/fleets.py
+++ b/tests/common/fleets.py
@@ -229,6 +229,7 @@
         self.machines.on_taken_down = self._end_worker_on
         self.machines.on_returned = self._start_worker_on
         self.renames_restarted_workers = False
+        self.do_workers_guard = False
 
     def configure(
         self, version: int = 1, *queues: Queue, teams: Sequence[Team] = ()
@@ -239,7 +240,9 @@
             version,
             {queue.name: queue for queue in queues or (default,)},
             {
-                queue.pool: Pool(queue.pool, workers_guard=False)
+                queue.pool: Pool(
+                    queue.pool, workers_guard=self.do_workers_guard
+                )
                 for queue in queues or (default,)
             },
             {team.name: team for team in teams},
