Take only a later life in the entries for the successor of a life with runs

What callers saw: a task ran twice, as a pool changed its owner while the next owner's entries were outdated (the store had forgotten its history and its pages failed). That owner's entry was of the life before the one with the runs; any other life counted as a newer one, so the runs were ended as the pool was loaded, without a look at leases.

Change: the order of the lives decides.

--- a/daemons/manager/src/coltsfootseam/manager/orders/worker_links.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders/worker_links.py
@@ -13,6 +13,7 @@
     WorkerLease,
     WorkerLink,
     instance_of,
+    started_ms_of,
 )
 
 _INCARNATION_ENDED = "its incarnation has ended"
@@ -286,7 +287,10 @@
         latest = self._state.cluster.workers_by_instance.get(
             instance_of(worker_id)
         )
-        return latest is not None and latest.worker_id != worker_id
+        # The entries that a new owner has read may be of an earlier one.
+        return latest is not None and latest.started_ms > started_ms_of(
+            worker_id
+        )
 
 
 def _latest_by_machine(
