Go by the time of day only where a host follows workers too briefly

A host that has followed the entries for longer than a call can matter now goes by its own clock alone. The others allow for 10 s, as clocks jump by 5 s at most, in place of 60 s: after a restart of all hosts lives of 36 s and more aren't waited for without need (86 s before). A new life of an instance whose place another one had taken counts again.

--- a/daemons/manager/src/coltsfootseam/manager/orders/worker_lives.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders/worker_lives.py
@@ -39,8 +39,9 @@
 
 _MS_PER_S = 1000
 
-_MAX_CLOCK_ERROR_S = 60.0
-"""How much the times of day of a worker and of this host may differ."""
+_MAX_CLOCK_ERROR_S = 10.0
+"""How much the times of day of a worker and of this host may differ. Each may
+jump by 5 s."""
 
 _MAX_UNAWARE_S = 3.0
 """How long after this host has read of an incarnation another one may still
@@ -124,6 +125,7 @@
             if former is not None:
                 self.record_closed(former)
             instance.worker_id = entry.worker_id
+            instance.is_replaced = False
             instance.count += 1
         return self._journal.epoch + instance.count - 1
 
@@ -271,11 +273,12 @@
         A host that has started only lately goes by the time of day, if that
         leaves no doubt.
         """
-        known_s = self._sightings.known_s(worker_id)
+        needed_s = _MAX_UNAWARE_S + self._longest_effect_s()
+        if self._sightings.followed_s() > needed_s:
+            return self._sightings.known_s(worker_id) > needed_s
         wall_s = self._context.timers.wall_ms() / _MS_PER_S
         age_s = wall_s - started_ms_of(worker_id) / _MS_PER_S
-        least_age_s = max(known_s, age_s - _MAX_CLOCK_ERROR_S)
-        return least_age_s > _MAX_UNAWARE_S + self._longest_effect_s()
+        return age_s - _MAX_CLOCK_ERROR_S > needed_s
 
     def _now_s(self) -> float:
         return self._context.timers.now_s()
--- a/daemons/manager/src/coltsfootseam/manager/worker_sightings.py
+++ b/daemons/manager/src/coltsfootseam/manager/worker_sightings.py
@@ -23,10 +23,11 @@
 class WorkerSightings:
     """When this host first read an entry of the latest incarnations."""
 
-    __slots__ = ("_sightings_by_instance", "_timers")
+    __slots__ = ("_sightings_by_instance", "_started_s", "_timers")
 
     def __init__(self, timers: TimerService) -> None:
         self._timers = timers
+        self._started_s = timers.now_s()
         self._sightings_by_instance: dict[str, _Sighting] = {}
 
     def record(self, entry: WorkerEntry) -> None:
@@ -41,6 +42,10 @@
             entry.worker_id, now_s, now_s
         )
 
+    def followed_s(self) -> float:
+        """Returns for how long this host has followed the entries."""
+        return self._timers.now_s() - self._started_s
+
     def known_s(self, worker_id: str) -> float:
         """Returns for how long this host has known an incarnation.
 
