--- a/tests/cover/test_leases_over_owners.py
+++ b/tests/cover/test_leases_over_owners.py
@@ -6,6 +6,7 @@
 
 from coltsfootseam.jobs import JobState
 from tests.common.fleets import Fleet, Host, running_fleet
+from tests.common.host_timers import HostTimers
 from tests.cover.test_restarted_workers import (
     JOB,
     LATER_JOB,
@@ -70,3 +71,28 @@
         cut_off(fleet, reached, CUT_S)
         await end_owner(fleet, is_planned)
         await fleet.wait_for_state(JOB, JobState.COMPLETED, LIMIT_S)
+
+
+# Guards against a life that counts as old since its successor's time of day has
+# jumped: a host that has long followed the workers goes by its own clock.
+@pytest.mark.parametrize("jump_s", [-100, 100])
+async def test_a_jump_of_the_time_of_day_makes_no_life_older(
+    jump_s: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    wall_ms = HostTimers.wall_ms
+    monkeypatch.setattr(
+        HostTimers, "wall_ms", lambda self: wall_ms(self) + jump_s * 1000
+    )
+    async with running_fleet(
+        hosts=4, workers=4, duration_of=lambda task: LONG_TASK_S
+    ) as fleet:
+        await fleet.timers.advance(40.0)
+        reached = await start_on_next_lives(fleet, 0.1, 0.1, SPREAD)
+        await end_owner(fleet, is_planned=False)
+        await wait_for_owner(fleet)
+        for number in range(5, 8):
+            fleet.add_worker(number)
+        await fleet.timers.advance(0.4)
+        cut_off(fleet, reached, CUT_S)
+        await end_owner(fleet, is_planned=False)
+        await fleet.wait_for_state(JOB, JobState.COMPLETED, LIMIT_S)
