Call a restarted worker's next life before it is listed

Cause: a copy of a start that was given up reaches the next life of its worker, which refuses it only once it was called under its own token. That waited until the life's entry was read, up to seconds after a reply had shown the life.

Change: the reply to a heartbeat tells the start of the life that has replied. That life is called at once, without a lease, under the token that it has once it is listed, until it answers or 12.5 s are over. Nothing is ordered from it.

--- /dev/null
+++ b/daemons/manager/src/coltsfootseam/manager/orders/unlisted_lives.py
@@ -0,0 +1,121 @@
+"""Calls to incarnations of workers whose entries haven't been read yet.
+
+A reply may show that a worker has started anew up to seconds before the store
+does. The new incarnation carries out late copies of starts that were meant for
+the former ones until it has been called under its own fencing token, so it is
+called at once. Nothing is ordered from it before its entry is read.
+"""
+
+import asyncio
+
+import msgspec
+
+from coltsfootseam.manager.background import start_once
+from coltsfootseam.manager.context import Context
+from coltsfootseam.manager.orders.worker_lives import (
+    MAX_CALL_DELAY_S,
+    WorkerLives,
+)
+from coltsfootseam.workers import (
+    HeartbeatReply,
+    HeartbeatRequest,
+    OrderOutcome,
+    OrderReply,
+    WorkerEntry,
+    worker_incarnation_id,
+)
+
+_RETRY_DELAY_S = 0.15
+
+_FINAL_OUTCOMES = (OrderOutcome.FENCED, OrderOutcome.OTHER_LIFE)
+"""Outcomes after which the incarnation refuses what this owner has sent."""
+
+
+class UnlistedLives:
+    """Gives incarnations their fencing tokens before they are listed."""
+
+    __slots__ = ("_context", "_lives", "_tasks_by_instance")
+
+    def __init__(self, context: Context, lives: WorkerLives) -> None:
+        self._context = context
+        self._lives = lives
+        self._tasks_by_instance: dict[str, asyncio.Task[None]] = {}
+
+    def call(self, former: WorkerEntry, started_ms: int) -> None:
+        """Calls an incarnation until it answers.
+
+        Args:
+            former: Entry of the incarnation that was expected to reply.
+            started_ms: Start of the one that has replied, Unix milliseconds.
+        """
+        self.forget(former.instance_id)
+        self._tasks_by_instance[former.instance_id] = start_once(
+            self._context,
+            f"first call to the successor of {former.worker_id}",
+            lambda: self._call(former, started_ms),
+        )
+
+    def forget(self, instance_id: str) -> None:
+        """Ends the calls to an instance, which has a link or has gone."""
+        task = self._tasks_by_instance.pop(instance_id, None)
+        if task is not None:
+            task.cancel()
+
+    def close(self) -> None:
+        """Ends all calls."""
+        for task in self._tasks_by_instance.values():
+            task.cancel()
+
+    async def _call(self, former: WorkerEntry, started_ms: int) -> None:
+        timers = self._context.timers
+        entry = _entry_of_successor(former, started_ms)
+        token = self._lives.take_token(entry)
+        # Starts to the former incarnation can't arrive later than that.
+        until_s = timers.now_s() + MAX_CALL_DELAY_S
+        reply: HeartbeatReply | OrderReply | None = None
+        while token is not None and timers.now_s() < until_s:
+            request = HeartbeatRequest(token, 0, lease_end_ms=None, wait_ms=0)
+            reply = await self._context.ports.workers.heartbeat(entry, request)
+            if isinstance(reply, HeartbeatReply):
+                if reply.started_ms in (0, entry.started_ms):
+                    break
+                # It has started anew once more.
+                entry = _entry_of_successor(entry, reply.started_ms)
+                token = self._lives.take_token(entry)
+                continue
+            if reply.outcome in _FINAL_OUTCOMES:
+                break
+            await timers.sleep(_RETRY_DELAY_S)
+        self._report(entry, token, reply)
+
+    def _report(
+        self,
+        entry: WorkerEntry,
+        token: int | None,
+        reply: HeartbeatReply | OrderReply | None,
+    ) -> None:
+        outcome = OrderOutcome.DONE
+        if not isinstance(reply, HeartbeatReply):
+            outcome = OrderOutcome.UNKNOWN if reply is None else reply.outcome
+        self._context.log.write(
+            "worker.called_unlisted",
+            worker=entry.worker_id,
+            token=token,
+            outcome=outcome.name,
+        )
+        self._context.counters.increment(
+            f"worker.called_unlisted.{outcome.name.lower()}"
+        )
+
+
+def _entry_of_successor(former: WorkerEntry, started_ms: int) -> WorkerEntry:
+    """Returns an entry to call a later incarnation with.
+
+    Its capacity and labels are those of the former one, so it serves for
+    nothing else.
+    """
+    return msgspec.structs.replace(
+        former,
+        worker_id=worker_incarnation_id(former.instance_id, started_ms),
+        started_ms=started_ms,
+    )
--- a/daemons/manager/src/coltsfootseam/manager/orders/worker_links.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders/worker_links.py
@@ -5,6 +5,7 @@
 
 from coltsfootseam.manager.background import start_restarting
 from coltsfootseam.manager.membership.reachability_log import ReachabilityLog
+from coltsfootseam.manager.orders.unlisted_lives import UnlistedLives
 from coltsfootseam.manager.pools.pool_state import PoolState
 from coltsfootseam.manager.pools.run_reconciler import RunReconciler
 from coltsfootseam.workers import (
@@ -30,6 +31,7 @@
         "_reported_leases_by_id",
         "_state",
         "_tasks_by_id",
+        "_unlisted",
     )
 
     def __init__(
@@ -42,6 +44,7 @@
         self._reconciler = reconciler
         self._on_change = on_change
         self._reachability = ReachabilityLog(state.context)
+        self._unlisted = UnlistedLives(state.context, state.lives)
         self._latest_by_machine: dict[str, WorkerEntry] = {}
         # The latest event about the leases of each worker with lost runs.
         self._reported_leases_by_id: dict[str, str] = {}
@@ -66,6 +69,7 @@
         """Closes all links; the workers' leases run on."""
         for task in self._tasks_by_id.values():
             task.cancel()
+        self._unlisted.close()
         for link in self._state.links_by_id.values():
             link.close()
 
@@ -85,12 +89,13 @@
             )
             self._state.journal.is_lost = True
             return
+        self._unlisted.forget(entry.instance_id)
         link = self._make_link(entry, token)
         self._state.links_by_id[entry.worker_id] = link
         self._tasks_by_id[entry.worker_id] = start_restarting(
             self._state.context,
             f"link to {entry.worker_id}",
-            link.run,
+            lambda: self._follow(link),
             link.record_failure,
         )
         self._state.context.log.write(
@@ -105,6 +110,12 @@
             ),
         )
 
+    async def _follow(self, link: WorkerLink) -> None:
+        """Sends heartbeats to an incarnation until it has ended."""
+        await link.run()
+        if link.restarted_ms is not None:
+            self._unlisted.call(link.entry, link.restarted_ms)
+
     def _make_link(self, entry: WorkerEntry, token: int) -> WorkerLink:
         context = self._state.context
         lease = WorkerLease(
--- a/daemons/manager/src/coltsfootseam/manager/orders/worker_lives.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders/worker_lives.py
@@ -28,7 +28,7 @@
     started_ms_of,
 )
 
-_MAX_CALL_DELAY_S = 12.5
+MAX_CALL_DELAY_S = 12.5
 """How long after it was sent a call may still be carried out. The platform's
 workers carry out unanswered calls up to 12 s after these have arrived."""
 
@@ -203,7 +203,7 @@
         last_s = run.unanswered_s
         if run.sent_s is None:
             last_s = self._leases.earlier_stopped_s()
-        return last_s is None or last_s + _MAX_CALL_DELAY_S < listed_s
+        return last_s is None or last_s + MAX_CALL_DELAY_S < listed_s
 
     def may_hold_inherited(
         self, worker_id: str, pairs: Iterable[RunPair]
@@ -258,7 +258,7 @@
         if down_s is not None and down_s > granted_s + _MIN_DOWN_AFTER_S:
             return False
         missing_s = None if has_later else instance.missing_s
-        if missing_s is not None and missing_s > granted_s + _MAX_CALL_DELAY_S:
+        if missing_s is not None and missing_s > granted_s + MAX_CALL_DELAY_S:
             return False
         return self._now_s() < granted_s + self._longest_effect_s()
 
@@ -283,7 +283,7 @@
     def _longest_effect_s(self) -> float:
         """Returns how long after a call its lease may last."""
         longest_s = self._context.times.longest_lease_s
-        return _MAX_CALL_DELAY_S + max_lease_duration_s(longest_s)
+        return MAX_CALL_DELAY_S + max_lease_duration_s(longest_s)
 
     def _last_granted_s(self, instance: _Instance) -> float:
         """Returns when a lease may have been granted to an instance last."""
--- a/libs/workers/src/coltsfootseam/workers/link.py
+++ b/libs/workers/src/coltsfootseam/workers/link.py
@@ -50,6 +50,8 @@
             seconds, or ``None``.
         last_request_s: When the latest heartbeat was sent that the worker
             replied to, monotonic seconds, or ``None``.
+        restarted_ms: Start of a later incarnation that has replied in place of
+            this one, Unix milliseconds, ``None`` if none has.
         silent_s: Latest time at which the worker may have stopped replying,
             monotonic seconds, ``None`` while it replies.
     """
@@ -74,6 +76,7 @@
         "last_request_s",
         "lease",
         "listed",
+        "restarted_ms",
         "silent_s",
         "token",
     )
@@ -108,6 +111,7 @@
         self.is_watched = False
         self.last_reply_s: float | None = None
         self.last_request_s: float | None = None
+        self.restarted_ms: int | None = None
         self.silent_s: float | None = None
 
     @property
@@ -221,6 +225,7 @@
     ) -> None:
         if reply.started_ms and reply.started_ms != self.entry.started_ms:
             self.is_gone = True
+            self.restarted_ms = reply.started_ms
             return
         self.lease.read_clock(reply.clock_ms)
         self.lease.record_fencing()
--- a/tests/cover/test_late_starts.py
+++ b/tests/cover/test_late_starts.py
@@ -145,3 +145,44 @@
         await fleet.owner().kill()
         # The wait for the owner's end, for copies, and for the takeover.
         await fleet.wait_until(lambda: fleet.started(JOB) == 2, 18.0)
+
+
+async def withdraw_with_late_copy(fleet: Fleet, delay_s: float) -> MemoryWorker:
+    """Has a start be given up whose copy is still under way.
+
+    Args:
+        fleet: The deployment.
+        delay_s: How long after it was sent the copy is carried out.
+
+    Returns:
+        The worker that the copy was sent to; the task runs on another one.
+    """
+    workers = fleet.workers.workers_by_instance
+    silent = workers["i-2"]
+    silent.faults.late_start_share = 1.0
+    silent.faults.delay_s = delay_s
+    step = Step(count=4, cpu_millis=1000, per_worker_limit=1)
+    await fleet.accept(fleet.hosts[0], JOB, step)
+    await fleet.wait_until(lambda: fleet.started(JOB) == step.count, 4.0)
+    return silent
+
+
+# Guards against a start that was given up and arrives in its worker's next life,
+# beside the run that replaced it: that life refuses it once it was called, which
+# must not wait until the life is listed.
+@pytest.mark.parametrize("before_s", [0.3, 0.6, 0.9])
+@pytest.mark.parametrize("delay_s", [3.0, 7.0, 11.0])
+async def test_a_copy_of_a_withdrawn_start_is_refused_by_the_next_life(
+    delay_s: float, before_s: float
+) -> None:
+    async with running_fleet(
+        workers=5, duration_of=lambda task: LONG_TASK_S
+    ) as fleet:
+        sent_s = fleet.timers.now_s()
+        worker = await withdraw_with_late_copy(fleet, delay_s)
+        down_s = 0.2
+        await fleet.timers.advance(
+            sent_s + delay_s - before_s - down_s - fleet.timers.now_s()
+        )
+        await restart(fleet, worker, down_s)
+        await fleet.wait_for_state(JOB, JobState.COMPLETED, LIMIT_S)
