--- a/tests/cover/test_late_starts.py
+++ b/tests/cover/test_late_starts.py
@@ -14,6 +14,7 @@
 
 JOB = "c" * 16
 TASK = TaskId(JOB, 0, 0, 0)
+TASKS = 4
 LONG_TASK_S = 30.0
 LIMIT_S = 150.0
 UNLISTED_S = 1.0
@@ -148,28 +149,45 @@
 
 
 async def withdraw_with_late_copy(fleet: Fleet, delay_s: float) -> MemoryWorker:
-    """Has a start be given up whose copy is still under way.
+    """Has a start be given up whose copies are still under way.
 
     Args:
         fleet: The deployment.
-        delay_s: How long after it was sent the copy is carried out.
+        delay_s: How long after it was sent a copy is carried out.
 
     Returns:
-        The worker that the copy was sent to; the task runs on another one.
+        The worker that the copies were sent to; the task runs on another one.
     """
-    workers = fleet.workers.workers_by_instance
-    silent = workers["i-2"]
+    silent = await send_late_copies(fleet, delay_s)
+    await fleet.wait_until(lambda: fleet.started(JOB) == TASKS, 4.0)
+    return silent
+
+
+async def send_late_copies(fleet: Fleet, delay_s: float) -> MemoryWorker:
+    """Has a job start, on one worker by late copies; returns that worker."""
+    silent = fleet.workers.workers_by_instance["i-2"]
     silent.faults.late_start_share = 1.0
     silent.faults.delay_s = delay_s
-    step = Step(count=4, cpu_millis=1000, per_worker_limit=1)
+    step = Step(count=TASKS, cpu_millis=1000, per_worker_limit=1)
     await fleet.accept(fleet.hosts[0], JOB, step)
-    await fleet.wait_until(lambda: fleet.started(JOB) == step.count, 4.0)
+    await fleet.wait_until(lambda: fleet.started(JOB) == TASKS - 1, 4.0)
     return silent
 
 
-# Guards against a start that was given up and arrives in its worker's next life,
-# beside the run that replaced it: that life refuses it once it was called, which
-# must not wait until the life is listed.
+async def restart_before_copy(
+    fleet: Fleet, worker: MemoryWorker, arrival_s: float, before_s: float
+) -> None:
+    """Has the next life of a worker begin shortly before a copy arrives."""
+    down_s = 0.2
+    await fleet.timers.advance(
+        arrival_s - before_s - down_s - fleet.timers.now_s()
+    )
+    await restart(fleet, worker, down_s)
+
+
+# Guards against a start that was given up and is carried out by the next life
+# of its worker, beside the run that replaced it. That life refuses it once it
+# was called, which must not wait until the life is listed.
 @pytest.mark.parametrize("before_s", [0.3, 0.6, 0.9])
 @pytest.mark.parametrize("delay_s", [3.0, 7.0, 11.0])
 async def test_a_copy_of_a_withdrawn_start_is_refused_by_the_next_life(
@@ -180,9 +198,92 @@
     ) as fleet:
         sent_s = fleet.timers.now_s()
         worker = await withdraw_with_late_copy(fleet, delay_s)
-        down_s = 0.2
-        await fleet.timers.advance(
-            sent_s + delay_s - before_s - down_s - fleet.timers.now_s()
+        await restart_before_copy(fleet, worker, sent_s + delay_s, before_s)
+        await fleet.wait_for_state(JOB, JobState.COMPLETED, LIMIT_S)
+
+
+# Guards against the same in a life after the next one, which has seen no token
+# either, whether the life in between was called or not.
+@pytest.mark.parametrize("before_s", [0.3, 0.9])
+@pytest.mark.parametrize("between_s", [0.2, 0.9, 3.0])
+async def test_a_copy_of_a_withdrawn_start_is_refused_by_a_third_life(
+    between_s: float, before_s: float
+) -> None:
+    async with running_fleet(
+        workers=5, duration_of=lambda task: LONG_TASK_S
+    ) as fleet:
+        sent_s = fleet.timers.now_s()
+        delay_s = 11.0
+        worker = await withdraw_with_late_copy(fleet, delay_s)
+        await restart_before_copy(
+            fleet, worker, sent_s + delay_s, before_s + between_s
+        )
+        second = fleet.workers.workers_by_instance["i-2"]
+        await restart_before_copy(fleet, second, sent_s + delay_s, before_s)
+        await fleet.wait_for_state(JOB, JobState.COMPLETED, LIMIT_S)
+
+
+# Guards against the same under an owner that has taken the pool over since, and
+# doesn't know the copies.
+@pytest.mark.parametrize("before_s", [0.3, 0.9])
+@pytest.mark.parametrize("taken_over_s", [0.5, 4.0])
+async def test_a_copy_of_a_withdrawn_start_is_refused_under_a_new_owner(
+    taken_over_s: float, before_s: float
+) -> None:
+    async with running_fleet(
+        hosts=3, workers=5, duration_of=lambda task: LONG_TASK_S
+    ) as fleet:
+        sent_s = fleet.timers.now_s()
+        delay_s = 11.0
+        worker = await withdraw_with_late_copy(fleet, delay_s)
+        await fleet.timers.advance(taken_over_s)
+        await fleet.owner().kill()
+        await restart_before_copy(fleet, worker, sent_s + delay_s, before_s)
+        await fleet.wait_for_state(JOB, JobState.COMPLETED, LIMIT_S)
+
+
+# Guards against a copy of a start whose run has failed, in the next life of its
+# worker.
+@pytest.mark.parametrize("before_s", [0.3, 0.9])
+async def test_a_copy_of_a_failed_run_is_refused_by_the_next_life(
+    before_s: float,
+) -> None:
+    async with running_fleet(
+        workers=4, duration_of=lambda task: LONG_TASK_S
+    ) as fleet:
+        sent_s = fleet.timers.now_s()
+        delay_s = 11.5
+        worker = await start_with_late_copy(fleet, delay_s)
+        worker.faults.fails_all = True
+        await fleet.wait_until(
+            lambda: any(
+                TASK in other.runs_by_task
+                for other in fleet.workers.workers_by_instance.values()
+                if other is not worker
+            ),
+            9.0,
         )
-        await restart(fleet, worker, down_s)
+        await restart_before_copy(fleet, worker, sent_s + delay_s, before_s)
+        await fleet.wait_for_state(JOB, JobState.COMPLETED, LIMIT_S)
+
+
+# Guards against a copy of a start to a machine that was listed as down, whose
+# tasks run elsewhere by then, in the machine's next life.
+@pytest.mark.parametrize("before_s", [0.3, 0.9])
+@pytest.mark.parametrize("has_entry", [False, True])
+async def test_a_copy_of_a_start_to_a_lost_machine_is_refused_by_its_next_life(
+    has_entry: bool, before_s: float
+) -> None:
+    async with running_fleet(
+        workers=5, duration_of=lambda task: LONG_TASK_S
+    ) as fleet:
+        sent_s = fleet.timers.now_s()
+        delay_s = 11.5
+        worker = await send_late_copies(fleet, delay_s)
+        fleet.lose_worker("i-2")
+        await fleet.timers.advance(3.0)
+        if not has_entry:
+            fleet.store.put(WORKERS, "i-2", b"")
+        await fleet.wait_until(lambda: fleet.started(JOB) == TASKS, 8.0)
+        await restart_before_copy(fleet, worker, sent_s + delay_s, before_s)
         await fleet.wait_for_state(JOB, JobState.COMPLETED, LIMIT_S)
