Ask a worker that has ended for its next life while starts are under way

Cause: once a machine is listed as down, or a worker without runs has no entry, its link is dropped, so nobody calls its address until its next life is listed. A start that was still under way is carried out there beside its successor.

--- a/daemons/manager/src/coltsfootseam/manager/orders/unlisted_lives.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders/unlisted_lives.py
@@ -7,10 +7,11 @@
 """
 
 import asyncio
+from collections.abc import Callable
 
 import msgspec
 
-from coltsfootseam.manager.background import start_once
+from coltsfootseam.manager.background import TaskCoroutine, start_once
 from coltsfootseam.manager.context import Context
 from coltsfootseam.manager.orders.worker_lives import (
     MAX_CALL_DELAY_S,
@@ -22,6 +23,7 @@
     OrderOutcome,
     OrderReply,
     WorkerEntry,
+    WorkerLink,
     worker_incarnation_id,
 )
 
@@ -41,18 +43,39 @@
         self._lives = lives
         self._tasks_by_instance: dict[str, asyncio.Task[None]] = {}
 
-    def call(self, former: WorkerEntry, started_ms: int) -> None:
-        """Calls an incarnation until it answers.
+    def call(self, former: WorkerLink) -> None:
+        """Calls the incarnation that has replied in place of another one.
 
         Args:
-            former: Entry of the incarnation that was expected to reply.
-            started_ms: Start of the one that has replied, Unix milliseconds.
+            former: The link to the other one.
         """
-        self.forget(former.instance_id)
-        self._tasks_by_instance[former.instance_id] = start_once(
-            self._context,
-            f"first call to the successor of {former.worker_id}",
-            lambda: self._call(former, started_ms),
+        assert former.restarted_ms is not None
+        entry = _entry_of_successor(former.entry, former.restarted_ms)
+        # Its first reply is needed even if no start is known to be under way.
+        until_s = self._context.timers.now_s() + MAX_CALL_DELAY_S
+        self._start(entry, lambda: self._call(entry, until_s))
+
+    def await_successor(self, former: WorkerLink) -> None:
+        """Calls a worker that has ended until starts to it have arrived.
+
+        Its machine may have been listed as down, and come back.
+
+        Args:
+            former: The link to the worker, by which no more is sent.
+        """
+        until_s = self._lives.last_start_due_s(former)
+        if until_s > self._context.timers.now_s():
+            self._start(
+                former.entry,
+                lambda: self._call(former.entry, until_s, former.token),
+            )
+
+    def _start(
+        self, entry: WorkerEntry, function: Callable[[], TaskCoroutine]
+    ) -> None:
+        self.forget(entry.instance_id)
+        self._tasks_by_instance[entry.instance_id] = start_once(
+            self._context, f"first call to {entry.worker_id}", function
         )
 
     def forget(self, instance_id: str) -> None:
@@ -66,12 +89,19 @@
         for task in self._tasks_by_instance.values():
             task.cancel()
 
-    async def _call(self, former: WorkerEntry, started_ms: int) -> None:
+    async def _call(
+        self, entry: WorkerEntry, until_s: float, token: int | None = None
+    ) -> None:
+        """Calls an incarnation, and those after it, until one answers.
+
+        Args:
+            entry: The first one that may be at the address.
+            until_s: When to give up, monotonic seconds.
+            token: Its fencing token, ``None`` if it has none yet.
+        """
         timers = self._context.timers
-        entry = _entry_of_successor(former, started_ms)
-        token = self._lives.take_token(entry)
-        # Starts to the former incarnation can't arrive later than that.
-        until_s = timers.now_s() + MAX_CALL_DELAY_S
+        if token is None:
+            token = self._lives.take_token(entry)
         reply: HeartbeatReply | OrderReply | None = None
         while token is not None and timers.now_s() < until_s:
             request = HeartbeatRequest(token, 0, lease_end_ms=None, wait_ms=0)
@@ -79,7 +109,7 @@
             if isinstance(reply, HeartbeatReply):
                 if reply.started_ms in (0, entry.started_ms):
                     break
-                # It has started anew once more.
+                # A later incarnation has replied.
                 entry = _entry_of_successor(entry, reply.started_ms)
                 token = self._lives.take_token(entry)
                 continue
--- a/daemons/manager/src/coltsfootseam/manager/orders/worker_links.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders/worker_links.py
@@ -114,7 +114,7 @@
         """Sends heartbeats to an incarnation until it has ended."""
         await link.run()
         if link.restarted_ms is not None:
-            self._unlisted.call(link.entry, link.restarted_ms)
+            self._unlisted.call(link)
 
     def _make_link(self, entry: WorkerEntry, token: int) -> WorkerLink:
         context = self._state.context
@@ -223,6 +223,11 @@
                 return candidate
         return None
 
+    def _has_successor(self, entry: WorkerEntry) -> bool:
+        """Returns whether a later incarnation of a worker is listed."""
+        latest = self._state.cluster.workers_by_instance.get(entry.instance_id)
+        return self._successor(entry, latest) is not None
+
     def _is_leaving(self, entry: WorkerEntry) -> bool:
         """Returns whether a worker's end was planned."""
         if entry.is_draining:
@@ -261,6 +266,8 @@
         self._state.context.log.write(
             "worker.dropped", worker=worker_id, why=reason
         )
+        if link.restarted_ms is None and not self._has_successor(link.entry):
+            self._unlisted.await_successor(link)
 
     def _end_unlinked_runs(self) -> None:
         """Ends the runs on workers to which there is no link."""
--- a/daemons/manager/src/coltsfootseam/manager/orders/worker_lives.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders/worker_lives.py
@@ -149,6 +149,22 @@
             granted_s = max(instance.granted_s, granted_s)
         instance.granted_s = granted_s
 
+    def last_start_due_s(self, link: WorkerLink) -> float:
+        """Returns until when a start may reach the successor of a worker.
+
+        An owner before this one may have sent starts that aren't answered.
+
+        Args:
+            link: The link, by which no more starts are sent.
+
+        Returns:
+            Monotonic seconds, which may be in the past.
+        """
+        last_s = self._leases.earlier_stopped_s()
+        if link.unanswered_start_s is not None:
+            last_s = max(last_s, link.unanswered_start_s)
+        return last_s + MAX_CALL_DELAY_S
+
     def record_replaced(self, instance_id: str) -> None:
         """Records that another instance is at an instance's address."""
         self._instance(instance_id).is_replaced = True
--- a/libs/workers/src/coltsfootseam/workers/link.py
+++ b/libs/workers/src/coltsfootseam/workers/link.py
@@ -52,6 +52,8 @@
             replied to, monotonic seconds, or ``None``.
         restarted_ms: Start of a later incarnation that has replied in place of
             this one, Unix milliseconds, ``None`` if none has.
+        unanswered_start_s: When a start that wasn't answered was last sent,
+            monotonic seconds, or ``None``.
         silent_s: Latest time at which the worker may have stopped replying,
             monotonic seconds, ``None`` while it replies.
     """
@@ -79,6 +81,7 @@
         "restarted_ms",
         "silent_s",
         "token",
+        "unanswered_start_s",
     )
 
     def __init__(
@@ -113,6 +116,7 @@
         self.last_request_s: float | None = None
         self.restarted_ms: int | None = None
         self.silent_s: float | None = None
+        self.unanswered_start_s: float | None = None
 
     @property
     def worker_id(self) -> str:
@@ -183,7 +187,12 @@
         """Orders the start of a run and returns the reply to the order."""
         self.lease.record_repeat()
         sent_s = self._timers.now_s()
+        earlier_s = self.unanswered_start_s
+        self.unanswered_start_s = sent_s
         reply = await self._calls.start(self.entry, order)
+        is_latest = self.unanswered_start_s == sent_s
+        if reply.outcome is not OrderOutcome.UNKNOWN and is_latest:
+            self.unanswered_start_s = earlier_s
         is_confirmed = (
             reply.clock_ms is not None
             and self.lease.shows_own_clock(reply.clock_ms, sent_s)
