Call a silent worker at short intervals while a start is under way to it

Cause: a call to a worker that is off fails after half a second, and the next one follows 0.15 s later, so its next life is called up to 0.65 s after it began.

Change: while a start that wasn't answered can still be carried out (12.5 s), a worker that doesn't answer gets a heartbeat without a lease each 0.2 s, one beside the other. The first answer counts.

--- a/daemons/manager/src/coltsfootseam/manager/orders/unlisted_lives.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders/unlisted_lives.py
@@ -13,17 +13,16 @@
 
 from coltsfootseam.manager.background import TaskCoroutine, start_once
 from coltsfootseam.manager.context import Context
-from coltsfootseam.manager.orders.worker_lives import (
-    MAX_CALL_DELAY_S,
-    WorkerLives,
-)
+from coltsfootseam.manager.orders.worker_lives import WorkerLives
 from coltsfootseam.workers import (
+    MAX_CALL_DELAY_S,
     HeartbeatReply,
     HeartbeatRequest,
     OrderOutcome,
     OrderReply,
     WorkerEntry,
     WorkerLink,
+    send_until_answered,
     worker_incarnation_id,
 )
 
@@ -105,7 +104,10 @@
         reply: HeartbeatReply | OrderReply | None = None
         while token is not None and timers.now_s() < until_s:
             request = HeartbeatRequest(token, 0, lease_end_ms=None, wait_ms=0)
-            reply = await self._context.ports.workers.heartbeat(entry, request)
+            answer = await send_until_answered(
+                self._context.ports.workers, timers, entry, request, until_s
+            )
+            reply = answer.reply
             if isinstance(reply, HeartbeatReply):
                 if reply.started_ms in (0, entry.started_ms):
                     break
--- a/daemons/manager/src/coltsfootseam/manager/orders/worker_lives.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders/worker_lives.py
@@ -21,6 +21,7 @@
 from coltsfootseam.manager.worker_sightings import WorkerSightings
 from coltsfootseam.store import TOKENS_PER_EPOCH, Journal
 from coltsfootseam.workers import (
+    MAX_CALL_DELAY_S,
     WorkerEntry,
     WorkerLink,
     instance_of,
@@ -28,10 +29,6 @@
     started_ms_of,
 )
 
-MAX_CALL_DELAY_S = 12.5
-"""How long after it was sent a call may still be carried out. The platform's
-workers carry out unanswered calls up to 12 s after these have arrived."""
-
 _MIN_DOWN_AFTER_S = 3.0
 """How long after the last call a machine must be listed as down for its runs to
 count as ended. A copy that arrives after its return is refused once this owner
--- a/libs/workers/src/coltsfootseam/workers/__init__.py
+++ b/libs/workers/src/coltsfootseam/workers/__init__.py
@@ -6,7 +6,7 @@
     WorkerLease,
     max_lease_duration_s,
 )
-from coltsfootseam.workers.link import WorkerLink
+from coltsfootseam.workers.link import MAX_CALL_DELAY_S, WorkerLink
 from coltsfootseam.workers.machines import (
     Holder,
     Machine,
@@ -30,8 +30,10 @@
     worker_incarnation_id,
 )
 from coltsfootseam.workers.port import WorkerCalls
+from coltsfootseam.workers.repeated_heartbeats import send_until_answered
 
 __all__ = [
+    "MAX_CALL_DELAY_S",
     "AdviceCalls",
     "AdviceDecision",
     "EndedRun",
@@ -56,6 +58,7 @@
     "WorkerLink",
     "instance_of",
     "max_lease_duration_s",
+    "send_until_answered",
     "started_ms_of",
     "worker_incarnation_id",
 ]
--- a/libs/workers/src/coltsfootseam/workers/link.py
+++ b/libs/workers/src/coltsfootseam/workers/link.py
@@ -17,9 +17,17 @@
     WorkerEntry,
 )
 from coltsfootseam.workers.port import WorkerCalls
+from coltsfootseam.workers.repeated_heartbeats import (
+    HeartbeatAnswer,
+    send_until_answered,
+)
 
 _MS_PER_S = 1000
 _RETRY_DELAY_S = 0.15
+MAX_CALL_DELAY_S = 12.5
+"""How long after it was sent a call may still be carried out. The platform's
+workers carry out unanswered calls up to 12 s after these have arrived."""
+
 _ACKNOWLEDGEMENT_WAIT_S = 0.3
 _WATCHED_WAIT_S = 0.2
 _REPLY_TIME_S = 0.05
@@ -163,9 +171,10 @@
             lease_end_ms=lease_end_ms,
             wait_ms=round(wait_s * _MS_PER_S),
         )
-        reply = await self._calls.heartbeat(self.entry, request)
+        answer = await self._send(request, sent_s)
+        reply = answer.reply
         if isinstance(reply, HeartbeatReply):
-            await self._apply_reply(reply, request, sent_s)
+            await self._apply_reply(reply, request, answer.sent_s)
             return
         self._record_silence(sent_s + wait_s + _REPLY_TIME_S)
         self.is_reachable = False
@@ -177,6 +186,24 @@
         else:
             await self._timers.sleep(_RETRY_DELAY_S)
 
+    async def _send(
+        self, request: HeartbeatRequest, sent_s: float
+    ) -> HeartbeatAnswer:
+        """Sends a heartbeat, repeatedly if a start may be carried out late.
+
+        The worker's next incarnation carries it out unless it was called.
+        """
+        started_s = self.unanswered_start_s
+        until_s = sent_s
+        if started_s is not None:
+            until_s = started_s + MAX_CALL_DELAY_S
+        if self.is_reachable or until_s <= sent_s:
+            reply = await self._calls.heartbeat(self.entry, request)
+            return HeartbeatAnswer(reply, sent_s)
+        return await send_until_answered(
+            self._calls, self._timers, self.entry, request, until_s
+        )
+
     def acknowledge(self, sequence: int) -> None:
         """Records that the ends up to ``sequence`` are stored."""
         self.acknowledged = max(self.acknowledged, sequence)
