Call lives that other owners or a life between them kept from being called

Cause: of the starts under way to a worker, a link knew only its own. A new owner's links, and those to the life after the next one, called at the usual interval; and a life that had answered wasn't called on until it was listed, so that one after it took copies unnoticed.

Change: a link inherits when a start that isn't answered was last sent to a former life, or by an owner before. A life that isn't listed is called on while a start may reach it.

--- a/daemons/manager/src/coltsfootseam/manager/orders/unlisted_lives.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders/unlisted_lives.py
@@ -19,7 +19,6 @@
     HeartbeatReply,
     HeartbeatRequest,
     OrderOutcome,
-    OrderReply,
     WorkerEntry,
     WorkerLink,
     send_until_answered,
@@ -62,7 +61,7 @@
         Args:
             former: The link to the worker, by which no more is sent.
         """
-        until_s = self._lives.last_start_due_s(former)
+        until_s = self._last_arrival_s(former.entry.instance_id)
         if until_s > self._context.timers.now_s():
             self._start(
                 former.entry,
@@ -91,17 +90,20 @@
     async def _call(
         self, entry: WorkerEntry, until_s: float, token: int | None = None
     ) -> None:
-        """Calls an incarnation, and those after it, until one answers.
+        """Calls an incarnation, and those after it, until one is listed.
+
+        One that has answered may start anew before it is listed, so it is
+        called on while a start may reach it.
 
         Args:
             entry: The first one that may be at the address.
-            until_s: When to give up, monotonic seconds.
+            until_s: When to give up without an answer, monotonic seconds.
             token: Its fencing token, ``None`` if it has none yet.
         """
         timers = self._context.timers
         if token is None:
             token = self._lives.take_token(entry)
-        reply: HeartbeatReply | OrderReply | None = None
+        answered_ms: int | None = None
         while token is not None and timers.now_s() < until_s:
             request = HeartbeatRequest(token, 0, lease_end_ms=None, wait_ms=0)
             answer = await send_until_answered(
@@ -109,26 +111,30 @@
             )
             reply = answer.reply
             if isinstance(reply, HeartbeatReply):
-                if reply.started_ms in (0, entry.started_ms):
-                    break
-                # A later incarnation has replied.
-                entry = _entry_of_successor(entry, reply.started_ms)
-                token = self._lives.take_token(entry)
-                continue
-            if reply.outcome in _FINAL_OUTCOMES:
-                break
+                if reply.started_ms not in (0, entry.started_ms):
+                    # A later incarnation has replied.
+                    entry = _entry_of_successor(entry, reply.started_ms)
+                    token = self._lives.take_token(entry)
+                    continue
+                if answered_ms != entry.started_ms:
+                    answered_ms = entry.started_ms
+                    self._report(entry, token, OrderOutcome.DONE)
+                until_s = self._last_arrival_s(entry.instance_id)
+            elif reply.outcome in _FINAL_OUTCOMES:
+                self._report(entry, token, reply.outcome)
+                return
             await timers.sleep(_RETRY_DELAY_S)
-        self._report(entry, token, reply)
+        if answered_ms != entry.started_ms:
+            self._report(entry, token, OrderOutcome.UNKNOWN)
+
+    def _last_arrival_s(self, instance_id: str) -> float:
+        """Returns until when a start may reach an instance."""
+        sent_s = self._lives.last_unanswered_s(instance_id)
+        return sent_s + MAX_CALL_DELAY_S
 
     def _report(
-        self,
-        entry: WorkerEntry,
-        token: int | None,
-        reply: HeartbeatReply | OrderReply | None,
+        self, entry: WorkerEntry, token: int | None, outcome: OrderOutcome
     ) -> None:
-        outcome = OrderOutcome.DONE
-        if not isinstance(reply, HeartbeatReply):
-            outcome = OrderOutcome.UNKNOWN if reply is None else reply.outcome
         self._context.log.write(
             "worker.called_unlisted",
             worker=entry.worker_id,
--- a/daemons/manager/src/coltsfootseam/manager/orders/worker_links.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders/worker_links.py
@@ -124,7 +124,7 @@
             self._state.leases,
             self._state.lives.inherited_lease_s(entry),
         )
-        return WorkerLink(
+        link = WorkerLink(
             entry,
             context.ports.workers,
             context.timers,
@@ -133,6 +133,10 @@
             context.times.hold_wait_s,
             self._handle_reply,
         )
+        link.unanswered_start_s = self._state.lives.last_unanswered_s(
+            entry.instance_id
+        )
+        return link
 
     def _handle_reply(
         self, link: WorkerLink, report: HeartbeatReply, sent_s: float
--- a/daemons/manager/src/coltsfootseam/manager/orders/worker_lives.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders/worker_lives.py
@@ -52,6 +52,8 @@
         count: How many incarnations this owner has had links to.
         granted_s: When a call with a lease end was last sent to an incarnation
             whose link is closed, monotonic seconds, or ``None``.
+        unanswered_start_s: When a start that wasn't answered was last sent by
+            a closed link, monotonic seconds, or ``None``.
         down_s: When the machine was last listed as down, monotonic seconds, or
             ``None``.
         missing_s: When it was last known to have no entry in the store,
@@ -63,6 +65,7 @@
     worker_id: str = ""
     count: int = 0
     granted_s: float | None = None
+    unanswered_start_s: float | None = None
     down_s: float | None = None
     missing_s: float | None = None
     is_replaced: bool = False
@@ -145,22 +148,26 @@
         if instance.granted_s is not None:
             granted_s = max(instance.granted_s, granted_s)
         instance.granted_s = granted_s
+        sent_s = link.unanswered_start_s
+        if instance.unanswered_start_s is not None and sent_s is not None:
+            sent_s = max(instance.unanswered_start_s, sent_s)
+        if sent_s is not None:
+            instance.unanswered_start_s = sent_s
 
-    def last_start_due_s(self, link: WorkerLink) -> float:
-        """Returns until when a start may reach the successor of a worker.
+    def last_unanswered_s(self, instance_id: str) -> float:
+        """Returns when a start that isn't answered may have been sent last.
 
-        An owner before this one may have sent starts that aren't answered.
+        The owners before this one may have sent some, which it doesn't know.
 
         Args:
-            link: The link, by which no more starts are sent.
+            instance_id: A worker, the links to which are closed.
 
         Returns:
-            Monotonic seconds, which may be in the past.
+            Monotonic seconds; minus infinity if there is none.
         """
         last_s = self._leases.earlier_stopped_s()
-        if link.unanswered_start_s is not None:
-            last_s = max(last_s, link.unanswered_start_s)
-        return last_s + MAX_CALL_DELAY_S
+        sent_s = self._instance(instance_id).unanswered_start_s
+        return last_s if sent_s is None else max(last_s, sent_s)
 
     def record_replaced(self, instance_id: str) -> None:
         """Records that another instance is at an instance's address."""
--- a/libs/workers/src/coltsfootseam/workers/link.py
+++ b/libs/workers/src/coltsfootseam/workers/link.py
@@ -60,8 +60,8 @@
             replied to, monotonic seconds, or ``None``.
         restarted_ms: Start of a later incarnation that has replied in place of
             this one, Unix milliseconds, ``None`` if none has.
-        unanswered_start_s: When a start that wasn't answered was last sent,
-            monotonic seconds, or ``None``.
+        unanswered_start_s: When a start that wasn't answered was last sent to
+            this incarnation or a former one, monotonic seconds, or ``None``.
         silent_s: Latest time at which the worker may have stopped replying,
             monotonic seconds, ``None`` while it replies.
     """
@@ -215,9 +215,10 @@
         self.lease.record_repeat()
         sent_s = self._timers.now_s()
         earlier_s = self.unanswered_start_s
-        self.unanswered_start_s = sent_s
+        latest_s = sent_s if earlier_s is None else max(earlier_s, sent_s)
+        self.unanswered_start_s = latest_s
         reply = await self._calls.start(self.entry, order)
-        is_latest = self.unanswered_start_s == sent_s
+        is_latest = self.unanswered_start_s == latest_s
         if reply.outcome is not OrderOutcome.UNKNOWN and is_latest:
             self.unanswered_start_s = earlier_s
         is_confirmed = (
