--- a/tests/cover/test_late_starts.py
+++ b/tests/cover/test_late_starts.py
@@ -287,3 +287,52 @@
         await fleet.wait_until(lambda: fleet.started(JOB) == TASKS, 8.0)
         await restart_before_copy(fleet, worker, sent_s + delay_s, before_s)
         await fleet.wait_for_state(JOB, JobState.COMPLETED, LIMIT_S)
+
+
+# Guards against work for a life that was called but isn't listed, as only its
+# entry tells what it can run, and against another token once it is listed.
+async def test_a_life_that_is_not_listed_is_called_and_gets_no_work() -> None:
+    async with running_fleet(
+        hosts=1, workers=1, duration_of=lambda task: 0.5
+    ) as fleet:
+        worker = fleet.workers.workers_by_instance["i-1"]
+        fleet.workers.kill("i-1")
+        fleet.restart_worker("i-1", fleet.wall_ms())
+        current = fleet.workers.workers_by_instance["i-1"]
+        fleet.put_entry(worker.entry)
+        await fleet.wait_until(lambda: current.token > worker.token, 1.5)
+        called_token = current.token
+        await fleet.accept(fleet.hosts[0], JOB, Step(cpu_millis=1000))
+        await fleet.timers.advance(4.0)
+        assert fleet.started(JOB) == 0
+        fleet.put_entry(current.entry)
+        await fleet.wait_for_state(JOB, JobState.COMPLETED, 5.0)
+        assert current.token == called_token
+
+
+# Guards against an entry that is read late: it is of a life that has ended,
+# while the one after it was called already.
+async def test_a_life_that_is_listed_after_its_end_does_no_harm() -> None:
+    async with running_fleet(
+        hosts=1, workers=1, duration_of=lambda task: 0.5
+    ) as fleet:
+        first = fleet.workers.workers_by_instance["i-1"]
+        fleet.workers.kill("i-1")
+        fleet.restart_worker("i-1", fleet.wall_ms())
+        second = fleet.workers.workers_by_instance["i-1"]
+        fleet.put_entry(first.entry)
+        await fleet.wait_until(lambda: second.token > first.token, 1.5)
+        fleet.workers.kill("i-1")
+        await fleet.timers.advance(0.1)
+        fleet.restart_worker("i-1", fleet.wall_ms())
+        third = fleet.workers.workers_by_instance["i-1"]
+        fleet.put_entry(first.entry)
+        await fleet.wait_until(lambda: third.token > second.token, 1.5)
+        fleet.put_entry(second.entry)
+        await fleet.timers.advance(1.0)
+        await fleet.accept(fleet.hosts[0], JOB, Step(cpu_millis=1000))
+        await fleet.timers.advance(1.0)
+        assert fleet.started(JOB) == 0
+        fleet.put_entry(third.entry)
+        await fleet.wait_for_state(JOB, JobState.COMPLETED, 5.0)
+        assert fleet.owner().lines("pool.tokens_used_up") == []
