--- a/daemons/manager/src/coltsfootseam/manager/orders/worker_links.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders/worker_links.py
@@ -5,6 +5,7 @@
 
 from coltsfootseam.manager.background import start_restarting
 from coltsfootseam.manager.membership.reachability_log import ReachabilityLog
+from coltsfootseam.manager.orders.unlisted_lives import UnlistedLives
 from coltsfootseam.manager.pools.pool_state import PoolState
 from coltsfootseam.manager.pools.run_reconciler import RunReconciler
 from coltsfootseam.workers import (
@@ -31,6 +32,7 @@
         "_reported_leases_by_id",
         "_state",
         "_tasks_by_id",
+        "_unlisted",
     )
 
     def __init__(
@@ -43,6 +45,7 @@
         self._reconciler = reconciler
         self._on_change = on_change
         self._reachability = ReachabilityLog(state.context)
+        self._unlisted = UnlistedLives(state.context, state.lives)
         self._latest_by_machine: dict[str, WorkerEntry] = {}
         # The latest event about the leases of each worker with lost runs.
         self._reported_leases_by_id: dict[str, str] = {}
@@ -67,6 +70,7 @@
         """Closes all links; the workers' leases run on."""
         for task in self._tasks_by_id.values():
             task.cancel()
+        self._unlisted.close()
         for link in self._state.links_by_id.values():
             link.close()
 
@@ -86,12 +90,13 @@
             )
             self._state.journal.is_lost = True
             return
+        self._unlisted.forget(entry.instance_id)
         link = self._make_link(entry, token)
         self._state.links_by_id[entry.worker_id] = link
         self._tasks_by_id[entry.worker_id] = start_restarting(
             self._state.context,
             f"link to {entry.worker_id}",
-            link.run,
+            lambda: self._follow(link),
             link.record_failure,
         )
         self._state.context.log.write(
@@ -106,6 +111,12 @@
             ),
         )
 
+    async def _follow(self, link: WorkerLink) -> None:
+        """Sends heartbeats to an incarnation until it has ended."""
+        await link.run()
+        if link.restarted_ms is not None:
+            self._unlisted.call(link)
+
     def _make_link(self, entry: WorkerEntry, token: int) -> WorkerLink:
         context = self._state.context
         lease = WorkerLease(
@@ -114,7 +125,7 @@
             self._state.leases,
             self._state.lives.inherited_lease_s(entry),
         )
-        return WorkerLink(
+        link = WorkerLink(
             entry,
             context.ports.workers,
             context.timers,
@@ -123,6 +134,10 @@
             context.times.hold_wait_s,
             self._handle_reply,
         )
+        link.unanswered_start_s = self._state.lives.last_unanswered_s(
+            entry.instance_id
+        )
+        return link
 
     def _handle_reply(
         self, link: WorkerLink, report: HeartbeatReply, sent_s: float
@@ -213,6 +228,11 @@
                 return candidate
         return None
 
+    def _has_successor(self, entry: WorkerEntry) -> bool:
+        """Returns whether a later incarnation of a worker is listed."""
+        latest = self._state.cluster.workers_by_instance.get(entry.instance_id)
+        return self._successor(entry, latest) is not None
+
     def _is_leaving(self, entry: WorkerEntry) -> bool:
         """Returns whether a worker's end was planned."""
         if entry.is_draining:
@@ -251,6 +271,8 @@
         self._state.context.log.write(
             "worker.dropped", worker=worker_id, why=reason
         )
+        if link.restarted_ms is None and not self._has_successor(link.entry):
+            self._unlisted.await_successor(link)
 
     def _end_unlinked_runs(self) -> None:
         """Ends the runs on workers to which there is no link."""
--- a/daemons/manager/src/coltsfootseam/manager/orders/worker_lives.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders/worker_lives.py
@@ -21,6 +21,7 @@
 from coltsfootseam.manager.worker_sightings import WorkerSightings
 from coltsfootseam.store import TOKENS_PER_EPOCH, Journal
 from coltsfootseam.workers import (
+    MAX_CALL_DELAY_S,
     WorkerEntry,
     WorkerLink,
     instance_of,
@@ -28,10 +29,6 @@
     started_ms_of,
 )
 
-_MAX_CALL_DELAY_S = 12.5
-"""How long after it was sent a call may still be carried out. The platform's
-workers carry out unanswered calls up to 12 s after these have arrived."""
-
 _MIN_DOWN_AFTER_S = 3.0
 """How long after the last call a machine must be listed as down for its runs to
 count as ended. A copy that arrives after its return is refused once this owner
@@ -56,6 +53,8 @@
         count: How many incarnations this owner has had links to.
         granted_s: When a call with a lease end was last sent to an incarnation
             whose link is closed, monotonic seconds, or ``None``.
+        unanswered_start_s: When a start that wasn't answered was last sent by
+            a closed link, monotonic seconds, or ``None``.
         down_s: When the machine was last listed as down, monotonic seconds, or
             ``None``.
         missing_s: When it was last known to have no entry in the store,
@@ -67,6 +66,7 @@
     worker_id: str = ""
     count: int = 0
     granted_s: float | None = None
+    unanswered_start_s: float | None = None
     down_s: float | None = None
     missing_s: float | None = None
     is_replaced: bool = False
@@ -150,6 +150,26 @@
         if instance.granted_s is not None:
             granted_s = max(instance.granted_s, granted_s)
         instance.granted_s = granted_s
+        sent_s = link.unanswered_start_s
+        if instance.unanswered_start_s is not None and sent_s is not None:
+            sent_s = max(instance.unanswered_start_s, sent_s)
+        if sent_s is not None:
+            instance.unanswered_start_s = sent_s
+
+    def last_unanswered_s(self, instance_id: str) -> float:
+        """Returns when a start that isn't answered may have been sent last.
+
+        The owners before this one may have sent some, which it doesn't know.
+
+        Args:
+            instance_id: A worker, the links to which are closed.
+
+        Returns:
+            Monotonic seconds; minus infinity if there is none.
+        """
+        last_s = self._leases.earlier_stopped_s()
+        sent_s = self._instance(instance_id).unanswered_start_s
+        return last_s if sent_s is None else max(last_s, sent_s)
 
     def record_replaced(self, instance_id: str) -> None:
         """Records that another instance is at an instance's address."""
@@ -205,7 +225,7 @@
         last_s = run.unanswered_s
         if run.sent_s is None:
             last_s = self._leases.earlier_stopped_s()
-        return last_s is None or last_s + _MAX_CALL_DELAY_S < listed_s
+        return last_s is None or last_s + MAX_CALL_DELAY_S < listed_s
 
     def may_hold_inherited(
         self, worker_id: str, pairs: Iterable[RunPair]
@@ -260,7 +280,7 @@
         if down_s is not None and down_s > granted_s + _MIN_DOWN_AFTER_S:
             return False
         missing_s = None if has_later else instance.missing_s
-        if missing_s is not None and missing_s > granted_s + _MAX_CALL_DELAY_S:
+        if missing_s is not None and missing_s > granted_s + MAX_CALL_DELAY_S:
             return False
         return self._now_s() < granted_s + self._longest_effect_s()
 
@@ -286,7 +306,7 @@
     def _longest_effect_s(self) -> float:
         """Returns how long after a call its lease may last."""
         longest_s = self._context.times.longest_lease_s
-        return _MAX_CALL_DELAY_S + max_lease_duration_s(longest_s)
+        return MAX_CALL_DELAY_S + max_lease_duration_s(longest_s)
 
     def _last_granted_s(self, instance: _Instance) -> float:
         """Returns when a lease may have been granted to an instance last."""
--- a/libs/workers/src/coltsfootseam/workers/link.py
+++ b/libs/workers/src/coltsfootseam/workers/link.py
@@ -17,9 +17,17 @@
     WorkerEntry,
 )
 from coltsfootseam.workers.port import WorkerCalls
+from coltsfootseam.workers.repeated_heartbeats import (
+    HeartbeatAnswer,
+    send_until_answered,
+)
 
 _MS_PER_S = 1000
 _RETRY_DELAY_S = 0.15
+MAX_CALL_DELAY_S = 12.5
+"""How long after it was sent a call may still be carried out. The platform's
+workers carry out unanswered calls up to 12 s after these have arrived."""
+
 _ACKNOWLEDGEMENT_WAIT_S = 0.3
 _WATCHED_WAIT_S = 0.2
 _REPLY_TIME_S = 0.05
@@ -50,6 +58,10 @@
             seconds, or ``None``.
         last_request_s: When the latest heartbeat was sent that the worker
             replied to, monotonic seconds, or ``None``.
+        restarted_ms: Start of a later incarnation that has replied in place of
+            this one, Unix milliseconds, ``None`` if none has.
+        unanswered_start_s: When a start that wasn't answered was last sent to
+            this incarnation or a former one, monotonic seconds, or ``None``.
         silent_s: Latest time at which the worker may have stopped replying,
             monotonic seconds, ``None`` while it replies.
     """
@@ -74,8 +86,10 @@
         "last_request_s",
         "lease",
         "listed",
+        "restarted_ms",
         "silent_s",
         "token",
+        "unanswered_start_s",
     )
 
     def __init__(
@@ -108,7 +122,9 @@
         self.is_watched = False
         self.last_reply_s: float | None = None
         self.last_request_s: float | None = None
+        self.restarted_ms: int | None = None
         self.silent_s: float | None = None
+        self.unanswered_start_s: float | None = None
 
     @property
     def worker_id(self) -> str:
@@ -156,9 +172,10 @@
             lease_end_ms=lease_end_ms,
             wait_ms=round(wait_s * _MS_PER_S),
         )
-        reply = await self._calls.heartbeat(self.entry, request)
+        answer = await self._send(request, sent_s)
+        reply = answer.reply
         if isinstance(reply, HeartbeatReply):
-            await self._apply_reply(reply, request, sent_s)
+            await self._apply_reply(reply, request, answer.sent_s)
             return
         self._record_silence(sent_s + wait_s + _REPLY_TIME_S)
         self.is_reachable = False
@@ -170,6 +187,24 @@
         else:
             await self._timers.sleep(_RETRY_DELAY_S)
 
+    async def _send(
+        self, request: HeartbeatRequest, sent_s: float
+    ) -> HeartbeatAnswer:
+        """Sends a heartbeat, repeatedly if a start may be carried out late.
+
+        The worker's next incarnation carries it out unless it was called.
+        """
+        started_s = self.unanswered_start_s
+        until_s = sent_s
+        if started_s is not None:
+            until_s = started_s + MAX_CALL_DELAY_S
+        if self.is_reachable or until_s <= sent_s:
+            reply = await self._calls.heartbeat(self.entry, request)
+            return HeartbeatAnswer(reply, sent_s)
+        return await send_until_answered(
+            self._calls, self._timers, self.entry, request, until_s
+        )
+
     def acknowledge(self, sequence: int) -> None:
         """Records that the ends up to ``sequence`` are stored."""
         self.acknowledged = max(self.acknowledged, sequence)
@@ -180,7 +215,13 @@
         """Orders the start of a run and returns the reply to the order."""
         self.lease.record_repeat()
         sent_s = self._timers.now_s()
+        earlier_s = self.unanswered_start_s
+        latest_s = sent_s if earlier_s is None else max(earlier_s, sent_s)
+        self.unanswered_start_s = latest_s
         reply = await self._calls.start(self.entry, order)
+        is_latest = self.unanswered_start_s == latest_s
+        if reply.outcome is not OrderOutcome.UNKNOWN and is_latest:
+            self.unanswered_start_s = earlier_s
         is_confirmed = (
             reply.clock_ms is not None
             and self.lease.shows_own_clock(reply.clock_ms, sent_s)
@@ -222,6 +263,7 @@
     ) -> None:
         if reply.started_ms and reply.started_ms != self.entry.started_ms:
             self.is_gone = True
+            self.restarted_ms = reply.started_ms
             return
         self.lease.read_clock(reply.clock_ms)
         self.lease.record_fencing()
