Pass on for how long workers without an entry can't have been called

A run whose start was not confirmed, on a worker that has no entry, is given up 12.5 s after the last call to that worker. An owner that takes the pool over counted this from its own claim, as it knows of no earlier call.

An owner that leaves as planned now says in its release record, which its successor reads before it grants any lease and replaces, for how long the workers of such runs can't have been called. The successor goes on from there. Nothing is passed on for a worker that had a later incarnation, and nothing by an owner that was lost.

--- a/daemons/manager/src/coltsfootseam/manager/leases/pool_leases.py
+++ b/daemons/manager/src/coltsfootseam/manager/leases/pool_leases.py
@@ -148,6 +148,17 @@
             stopped_s.append(min(limit_end_s, denied_s + _VOUCH_VALIDITY_S))
         return max(stopped_s)
 
+    def last_called_s(self, instance_id: str) -> float:
+        """Returns when earlier owners called a worker at the latest.
+
+        An owner that has stopped may have recorded that it had no link to the
+        worker, and for how long that and the owners before it go back.
+        """
+        uncalled_s = self._former.uncalled_s.get(instance_id)
+        if uncalled_s is None:
+            return self.earlier_stopped_s()
+        return self._journal.claimed_s - uncalled_s * (1 - _MAX_CLOCK_DRIFT)
+
     def addresses_to_ask(self) -> set[str]:
         """Returns the hosts whose contact with the store matters now."""
         addresses: set[str] = set()
@@ -229,12 +240,19 @@
         """Grants no more leases."""
         self._has_stopped = True
 
-    def release_record(self) -> KeyedRecord:
+    def release_record(
+        self, called_s_by_instance: dict[str, float]
+    ) -> KeyedRecord:
         """Returns the record that tells the next owner that this one stopped.
 
         The next owner then doesn't have to wait until the witnesses of this one
         can't vouch for it any more.
+
+        Args:
+            called_s_by_instance: When workers without a link were called last,
+                in monotonic seconds, see ``WorkerLives.last_calls``.
         """
+        now_s = self._now_s()
         limit_s = self.earlier_stopped_s() - self._now_s()
         earlier: frozenset[WitnessSet] = frozenset()
         if limit_s >= 0:
@@ -243,7 +261,15 @@
                 [UNKNOWN_WITNESSES]
             )
         witnesses = Witnesses(
-            NO_WITNESSES, earlier, max(0.0, limit_s), has_stopped=True
+            NO_WITNESSES,
+            earlier,
+            max(0.0, limit_s),
+            has_stopped=True,
+            uncalled_s={
+                instance_id: now_s - called_s
+                for instance_id, called_s in called_s_by_instance.items()
+                if called_s < now_s
+            },
         )
         return KeyedRecord(witness_key(self._pool), encode_witnesses(witnesses))
 
--- a/daemons/manager/src/coltsfootseam/manager/leases/witnesses.py
+++ b/daemons/manager/src/coltsfootseam/manager/leases/witnesses.py
@@ -34,12 +34,17 @@
         earlier_limit_s: How long those owners may do so at most, from when the
             record was appended.
         has_stopped: Whether the owner itself has stopped granting leases.
+        uncalled_s: Workers without a link on which runs may still begin, by
+            instance id: for how long no owner can have called each of them,
+            when the record was appended. Only in the record of an owner that
+            has stopped.
     """
 
     own: WitnessSet
     earlier: frozenset[WitnessSet] = frozenset()
     earlier_limit_s: float = MAX_VOUCHED_S
     has_stopped: bool = False
+    uncalled_s: dict[str, float] = {}
 
 
 class FormerOwners(msgspec.Struct, frozen=True):
@@ -50,10 +55,13 @@
             leases, with how long it may do so at most, in seconds from the
             claim.
         has_last_stopped: Whether the last one has recorded that it stopped.
+        uncalled_s: For how long, at the claim, no owner can have called these
+            workers, by instance id. Nothing is known of others.
     """
 
     limits_by_witnesses: dict[WitnessSet, float] = {}
     has_last_stopped: bool = False
+    uncalled_s: dict[str, float] = {}
 
 
 def vouchers_needed(witnesses: WitnessSet) -> int:
@@ -86,4 +94,6 @@
     limits = dict.fromkeys(stored.earlier, stored.earlier_limit_s)
     if stored.own:
         limits[stored.own] = MAX_VOUCHED_S
-    return FormerOwners(limits, stored.has_stopped)
+    if not stored.has_stopped:
+        return FormerOwners(limits)
+    return FormerOwners(limits, stored.has_stopped, stored.uncalled_s)
--- a/daemons/manager/src/coltsfootseam/manager/orders/worker_lives.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders/worker_lives.py
@@ -37,6 +37,10 @@
 count as ended. A copy that arrives after its return is refused once this owner
 has called the next incarnation."""
 
+_MAX_PASSED_ON = 500
+"""Of how many instances a new owner is told when they were called last. The
+record is far smaller than the largest one that the store takes."""
+
 _MS_PER_S = 1000
 
 _MAX_CLOCK_ERROR_S = 60.0
@@ -51,6 +55,7 @@
     """What an owner knows of the incarnations of one instance.
 
     Attributes:
+        instance_id: The instance.
         worker_id: The latest incarnation.
         count: How many incarnations this owner has had links to.
         granted_s: When a call with a lease end was last sent to an incarnation
@@ -63,6 +68,7 @@
             calls that were meant for this one.
     """
 
+    instance_id: str
     worker_id: str = ""
     count: int = 0
     granted_s: float | None = None
@@ -184,6 +190,24 @@
         """Returns the runs of former incarnations that this one may have."""
         return self._pending_by_instance.get(instance_id, [])
 
+    def last_calls(self) -> dict[str, float]:
+        """Returns when instances with pending runs can have been called last.
+
+        Without those of which a later incarnation was known, as the next owner
+        would take them for gone without waiting for the lease of that one.
+
+        Returns:
+            Monotonic seconds by instance id, of a limited number of instances.
+        """
+        called_s: dict[str, float] = {}
+        for instance_id, pairs in self._pending_by_instance.items():
+            instance = self._instance(instance_id)
+            former_ids = {run.worker_id for _, run in pairs}
+            has_later = instance.worker_id not in ("", *former_ids)
+            if not has_later and len(called_s) < _MAX_PASSED_ON:
+                called_s[instance_id] = self._last_granted_s(instance)
+        return called_s
+
     def pending_worker_ids(self) -> set[str]:
         """Returns the incarnations that may have runs of former ones."""
         return {
@@ -263,7 +287,9 @@
         return self._now_s() < granted_s + self._longest_effect_s()
 
     def _instance(self, instance_id: str) -> _Instance:
-        return self._instances_by_id.setdefault(instance_id, _Instance())
+        return self._instances_by_id.setdefault(
+            instance_id, _Instance(instance_id)
+        )
 
     def _is_old(self, worker_id: str) -> bool:
         """Returns whether calls to former incarnations have no effect left.
@@ -287,7 +313,7 @@
 
     def _last_granted_s(self, instance: _Instance) -> float:
         """Returns when a lease may have been granted to an instance last."""
-        granted_s = self._leases.earlier_stopped_s()
+        granted_s = self._leases.last_called_s(instance.instance_id)
         if instance.granted_s is not None:
             granted_s = max(granted_s, instance.granted_s)
         link = self._links.get(instance.worker_id)
--- a/daemons/manager/src/coltsfootseam/manager/pools/pool_owner.py
+++ b/daemons/manager/src/coltsfootseam/manager/pools/pool_owner.py
@@ -76,6 +76,7 @@
         "_contacts",
         "_context",
         "_journal",
+        "_lives",
         "_locator",
         "_pool",
         "_progress_by_id",
@@ -110,6 +111,7 @@
         self.state: PoolState | None = None
         self.inbox: Tail | None = None
         self._journal: Journal | None = None
+        self._lives: WorkerLives | None = None
         self.leases: PoolLeases | None = None
         self.evacuation: Evacuation | None = None
 
@@ -132,6 +134,7 @@
             loader.former_owners,
         )
         state = self._make_state(journal, self.leases)
+        self._lives = state.lives
         inbox = Tail(
             self._context.ports.store,
             self._context.timers,
@@ -172,7 +175,8 @@
         leases, journal = self.leases, self._journal
         if leases is None or journal is None or journal.is_lost:
             return
-        await journal.commit([leases.release_record()])
+        called_s = {} if self._lives is None else self._lives.last_calls()
+        await journal.commit([leases.release_record(called_s)])
 
     def _make_state(self, journal: Journal, leases: PoolLeases) -> PoolState:
         links_by_id: dict[str, WorkerLink] = {}
--- a/tests/common/lease_rights.py
+++ b/tests/common/lease_rights.py
@@ -134,7 +134,7 @@
         if not current.journal.is_lost:
             current.leases.stop()
             if current.host.reaches_store:
-                self.record = current.leases.release_record().value
+                self.record = current.leases.release_record({}).value
             current.journal.is_lost = True
         return self.claim(host)
 
