Take a new worker on a machine for the end of the former one, without a link

The machine of a worker may be back with a worker under another id. Only an owner that had a link to the former one took that as its end; its successor, which knows the former one from a stored run alone, waited for calls to it, 12.5 s from each claim.

Each host now remembers the machine of the workers that it has read of.

tests/cover/test_waits_over_owners.py: the case with a new owner failed before.

--- a/daemons/manager/src/coltsfootseam/manager/orders/worker_links.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders/worker_links.py
@@ -13,6 +13,7 @@
     WorkerLease,
     WorkerLink,
     instance_of,
+    started_ms_of,
 )
 
 _INCARNATION_ENDED = "its incarnation has ended"
@@ -264,11 +265,18 @@
         for worker_id in sorted(worker_ids - state.links_by_id.keys()):
             if instance_of(worker_id) not in state.cluster.workers_by_instance:
                 state.lives.record_missing(worker_id, read_s)
+            replacement = self._replacement(worker_id)
+            if replacement is not None:
+                state.lives.record_replaced(instance_of(worker_id))
             has_ended = (
                 worker_id in state.ended_worker_ids
+                or replacement is not None
                 or self._has_newer_incarnation(worker_id)
             )
-            if has_ended and worker_id in state.evacuating_worker_ids:
+            is_planned = worker_id in state.evacuating_worker_ids or (
+                replacement is not None and replacement.pool != state.pool
+            )
+            if has_ended and is_planned:
                 self._reconciler.end_evacuated_runs(
                     worker_id, _INCARNATION_ENDED
                 )
@@ -282,6 +290,15 @@
             for pair in runs.runs_of(worker_id)
         )
 
+    def _replacement(self, worker_id: str) -> WorkerEntry | None:
+        """Returns the later worker with another id on a worker's machine."""
+        machine_id = self._state.cluster.sightings.machine_of(worker_id)
+        latest = self._latest_by_machine.get(machine_id)
+        if latest is None or latest.instance_id == instance_of(worker_id):
+            return None
+        is_later = latest.started_ms > started_ms_of(worker_id)
+        return latest if is_later else None
+
     def _has_newer_incarnation(self, worker_id: str) -> bool:
         latest = self._state.cluster.workers_by_instance.get(
             instance_of(worker_id)
--- a/daemons/manager/src/coltsfootseam/manager/worker_sightings.py
+++ b/daemons/manager/src/coltsfootseam/manager/worker_sightings.py
@@ -1,4 +1,4 @@
-"""For how long this host has known the incarnations of workers.
+"""For how long this host has known the incarnations of workers, and where.
 
 The host counts from when it first read an incarnation's entry, on its own
 monotonic clock. So an incarnation is at least that old, whatever the times of
@@ -16,6 +16,7 @@
 
 class _Sighting(msgspec.Struct):
     worker_id: str
+    machine_id: str
     first_s: float
     last_s: float
 
@@ -38,7 +39,7 @@
             return
         self._drop_unread(now_s)
         self._sightings_by_instance[entry.instance_id] = _Sighting(
-            entry.worker_id, now_s, now_s
+            entry.worker_id, entry.machine_id, now_s, now_s
         )
 
     def known_s(self, worker_id: str) -> float:
@@ -52,6 +53,13 @@
             return 0.0
         return self._timers.now_s() - known.first_s
 
+    def machine_of(self, worker_id: str) -> str:
+        """Returns the machine of an incarnation, empty if it isn't known."""
+        known = self._sightings_by_instance.get(instance_of(worker_id))
+        if known is None or known.worker_id != worker_id:
+            return ""
+        return known.machine_id
+
     def _drop_unread(self, now_s: float) -> None:
         """Forgets incarnations whose entries have been gone for long."""
         oldest_s = now_s - _KEPT_UNREAD_S
--- a/tests/cover/test_waits_over_owners.py
+++ b/tests/cover/test_waits_over_owners.py
@@ -22,8 +22,8 @@
     former.start()
 
 
-async def lose_worker_of_unanswered_start(fleet: Fleet) -> None:
-    """Has a worker end for good whose start its owner heard no reply to."""
+async def lose_worker_of_unanswered_start(fleet: Fleet) -> str:
+    """Ends a worker whose reply to a start was lost; returns its id."""
     workers = fleet.workers.workers_by_instance
     for worker in workers.values():
         worker.faults.loses_start_replies = True
@@ -34,6 +34,7 @@
     fleet.store.put(WORKERS, instance_id, b"")
     for worker in workers.values():
         worker.faults.loses_start_replies = False
+    return instance_id
 
 
 # Guards against a wait that begins anew with each claim: a task that nobody had
@@ -92,3 +93,23 @@
         await fleet.timers.advance(1.0)
         assert fleet.started(JOB) >= 2, "the copy has not begun the task"
         await fleet.wait_for_state(JOB, JobState.COMPLETED, 150.0)
+
+
+# Guards against a wait for calls to a worker whose machine has a new one: only
+# an owner with a link to the former worker took the new one for a sign (LOST).
+@pytest.mark.parametrize("has_new_owner", [False, True])
+async def test_a_new_worker_on_the_machine_ends_the_wait_for_copies(
+    has_new_owner: bool,
+) -> None:
+    async with running_fleet(
+        hosts=4, workers=4, duration_of=lambda task: LONG_TASK_S
+    ) as fleet:
+        fleet.renames_restarted_workers = True
+        instance_id = await lose_worker_of_unanswered_start(fleet)
+        await fleet.timers.advance(1.0)
+        if has_new_owner:
+            await hand_over(fleet)
+        await fleet.timers.advance(3.0)
+        assert fleet.started(JOB) == 1
+        fleet.restart_worker(instance_id, fleet.wall_ms())
+        await fleet.wait_until(lambda: fleet.started(JOB) == 2, 3.0)
