Free the state of a left pool before a pool is loaded again

A host that lost a pool and owned it again held the tasks of both tenures.

A host now collects garbage before it claims a pool, if it has left one since. A pool that is claimed again within about 5 s of being left is not freed by then, as heartbeats in flight still use it.

--- a/daemons/manager/src/coltsfootseam/manager/membership/duty_manager.py
+++ b/daemons/manager/src/coltsfootseam/manager/membership/duty_manager.py
@@ -1,6 +1,7 @@
 """Starting and releasing the duties that are assigned to this host."""
 
 import asyncio
+import gc
 import zlib
 from typing import Protocol
 
@@ -39,6 +40,9 @@
 """Consecutive polls without an owner before taking back a handed-over duty."""
 _MS_PER_S = 1000
 
+_STATE_IN_USE_S = 5.0
+"""How long after a pool was left parts of its owner may still be in use."""
+
 _RECORD_TIMEOUT_S = 0.2
 """How long the record of a release may take. The host that asks for the duty
 waits for it."""
@@ -83,6 +87,7 @@
         "_directory",
         "_duties_by_name",
         "_handed_over_until_s_by_duty",
+        "_left_s",
         "_locator",
         "_membership",
         "_offer_rotation",
@@ -127,6 +132,7 @@
         self._takeovers_by_duty: dict[str, asyncio.Task[None]] = {}
         self._started_s_by_duty: dict[str, float] = {}
         self._recordings: set[asyncio.Task[None]] = set()
+        self._left_s: float | None = None
         self.owners_by_pool: dict[str, PoolOwner] = {}
         self.is_stopping = False
 
@@ -268,6 +274,7 @@
         if pool is None:
             owner = FleetOwner(self._context, self._cluster, self._locator)
         else:
+            self._free_left_pools()
             owner = PoolOwner(
                 pool,
                 self._context,
@@ -284,6 +291,19 @@
             self._run_duty(duty, owner)
         )
 
+    def _free_left_pools(self) -> None:
+        """Frees the states of pools that this host has left.
+
+        They are in reference cycles, and tasks are not counted as allocations
+        of tracked objects. So the collector may not run before a pool is loaded
+        again, and the process would hold all of its tasks twice.
+        """
+        if self._left_s is None:
+            return
+        if self._context.timers.now_s() - self._left_s > _STATE_IN_USE_S:
+            self._left_s = None
+        gc.collect()
+
     async def _run_duty(self, duty: str, owner: Duty) -> None:
         try:
             await owner.run()
@@ -331,6 +351,7 @@
         pool = pool_of_duty(duty)
         if pool is not None:
             self.owners_by_pool.pop(pool, None)
+            self._left_s = self._context.timers.now_s()
 
     def _release_all(self) -> None:
         for task in (
