Repeat no acknowledgement among copies of a heartbeat

Cause: a copy that is carried out late, by the next life, would have that one forget its first ends, as it counts them from 1 again. A link that never heard its worker gave no time of silence while it repeated its first heartbeat.

Change: repeated heartbeats acknowledge nothing; the silence counts from the first one.

--- a/daemons/manager/src/coltsfootseam/manager/orders/unlisted_lives.py
+++ b/daemons/manager/src/coltsfootseam/manager/orders/unlisted_lives.py
@@ -72,9 +72,17 @@
         self, entry: WorkerEntry, function: Callable[[], TaskCoroutine]
     ) -> None:
         self.forget(entry.instance_id)
-        self._tasks_by_instance[entry.instance_id] = start_once(
+        task = start_once(
             self._context, f"first call to {entry.worker_id}", function
         )
+        self._tasks_by_instance[entry.instance_id] = task
+        task.add_done_callback(
+            lambda done: self._discard(entry.instance_id, done)
+        )
+
+    def _discard(self, instance_id: str, done: asyncio.Task[None]) -> None:
+        if self._tasks_by_instance.get(instance_id) is done:
+            del self._tasks_by_instance[instance_id]
 
     def forget(self, instance_id: str) -> None:
         """Ends the calls to an instance, which has a link or has gone."""
--- a/libs/workers/src/coltsfootseam/workers/link.py
+++ b/libs/workers/src/coltsfootseam/workers/link.py
@@ -164,14 +164,16 @@
         lease_end_ms = self.lease.grant() if self.is_reachable else None
         # The worker's next incarnation counts its ends from 1 again, so it
         # must not be told to forget ends of this one without need.
-        is_news = self.acknowledged > self._forgotten
+        repeats_until_s = self._repeats_until_s()
+        is_repeated = repeats_until_s > sent_s
+        is_news = self.acknowledged > self._forgotten and not is_repeated
         request = HeartbeatRequest(
             token=self.token,
             acknowledged=self.acknowledged if is_news else 0,
             lease_end_ms=lease_end_ms,
             wait_ms=round(wait_s * _MS_PER_S),
         )
-        answer = await self._send(request, sent_s)
+        answer = await self._send(request, sent_s, repeats_until_s)
         reply = answer.reply
         if isinstance(reply, HeartbeatReply):
             await self._apply_reply(reply, request, answer.sent_s)
@@ -186,20 +188,25 @@
         else:
             await self._timers.sleep(_RETRY_DELAY_S)
 
-    async def _send(
-        self, request: HeartbeatRequest, sent_s: float
-    ) -> HeartbeatAnswer:
-        """Sends a heartbeat, repeatedly if a start may be carried out late.
+    def _repeats_until_s(self) -> float:
+        """Returns until when heartbeats without an answer are repeated.
 
-        The worker's next incarnation carries it out unless it was called.
+        While a start may be carried out late, the worker's next incarnation
+        carries it out unless it was called. It must not get a late copy of a
+        heartbeat that has it forget ends, as it counts its own from 1 again.
         """
-        started_s = self.unanswered_start_s
-        until_s = sent_s
-        if started_s is not None:
-            until_s = started_s + MAX_CALL_DELAY_S
-        if self.is_reachable or until_s <= sent_s:
+        if self.is_reachable or self.unanswered_start_s is None:
+            return float("-inf")
+        return self.unanswered_start_s + MAX_CALL_DELAY_S
+
+    async def _send(
+        self, request: HeartbeatRequest, sent_s: float, until_s: float
+    ) -> HeartbeatAnswer:
+        """Sends a heartbeat, and copies of it if there is time for them."""
+        if until_s <= sent_s:
             reply = await self._calls.heartbeat(self.entry, request)
             return HeartbeatAnswer(reply, sent_s)
+        self._record_silence(sent_s + _REPLY_TIME_S)
         return await send_until_answered(
             self._calls, self._timers, self.entry, request, until_s
         )
--- a/tests/cover/test_late_starts.py
+++ b/tests/cover/test_late_starts.py
@@ -336,3 +336,16 @@
         fleet.put_entry(third.entry)
         await fleet.wait_for_state(JOB, JobState.COMPLETED, 5.0)
         assert fleet.owner().lines("pool.tokens_used_up") == []
+
+
+# Guards against the same where the copy arrives as the next life begins, before
+# any call to it. Only a task that waits for each copy excludes that.
+async def test_a_copy_that_arrives_before_the_first_call_to_a_life() -> None:
+    async with running_fleet(
+        workers=5, duration_of=lambda task: LONG_TASK_S
+    ) as fleet:
+        sent_s = fleet.timers.now_s()
+        delay_s = 11.0
+        worker = await withdraw_with_late_copy(fleet, delay_s)
+        await restart_before_copy(fleet, worker, sent_s + delay_s, 0.02)
+        await fleet.wait_for_state(JOB, JobState.COMPLETED, LIMIT_S)
