Let workers of the zoned deployment start again, and play the ends of owners

Change: workers restart under their id with a new clock, without an entry for a while; owners end in series, in a play of its own and in the soak. A link drops what it held back for more than 12 s, as calls reach workers no later.

--- a/libs/standins/src/coltsfootseam/standins/proxy.py
+++ b/libs/standins/src/coltsfootseam/standins/proxy.py
@@ -56,7 +56,14 @@
 class ProxyStandIn:
     """Forwards bytes between callers and one target."""
 
-    def __init__(self, target: str) -> None:
+    def __init__(self, target: str, max_hold_s: float = float("inf")) -> None:
+        """Makes a proxy without faults.
+
+        Args:
+            target: ``HOST:PORT`` to connect to.
+            max_hold_s: A connection whose data waited for longer is silenced.
+        """
+        self._max_hold_s = max_hold_s
         host, _, port = target.partition(":")
         self._host = host
         self._port = int(port)
@@ -152,7 +159,10 @@
         while data := await reader.read(_READ_BYTES):
             if self.faults.delay_ms:
                 await asyncio.sleep(self.faults.delay_ms / _MS_PER_S)
+            read_s = asyncio.get_running_loop().time()
             await is_open.wait()
+            held_s = asyncio.get_running_loop().time() - read_s
+            connection.is_silenced |= held_s > self._max_hold_s
             # Data is dropped without closing the connection, as on a path
             # that loses all packets.
             if connection.is_silenced or self.faults.silence_all:
--- a/libs/testbed/src/coltsfootseam/testbed/links.py
+++ b/libs/testbed/src/coltsfootseam/testbed/links.py
@@ -14,6 +14,8 @@
 from coltsfootseam.testbed.networks import claim_network
 
 _BACKLOG = 1024
+_MAX_HOLD_S = 12.0
+"""A worker carries out calls that were under way for up to this time."""
 
 
 class Cut(msgspec.Struct, frozen=True, eq=False):
@@ -63,7 +65,7 @@
     async def connect(self, source: int, target: int, port: int) -> None:
         """Opens the link from a node to a port of another."""
         address = f"{self.ip(target)}:{port}"
-        proxy = ProxyStandIn(address)
+        proxy = ProxyStandIn(address, _MAX_HOLD_S)
         ip = linked_address(address, source).partition(":")[0]
         server = await asyncio.start_server(
             proxy.accept, ip, port, backlog=_BACKLOG
--- a/tests/common/platform_servers.py
+++ b/tests/common/platform_servers.py
@@ -4,8 +4,10 @@
 loopback, so that managers can run against them as real processes.
 """
 
+import asyncio
 import base64
 import struct
+import weakref
 from typing import Any
 
 import msgspec
@@ -15,6 +17,7 @@
 from coltsfootseam.jobs import RunEnd
 from coltsfootseam.results import Refusal
 from coltsfootseam.standins.memory_store import MemoryStore
+from coltsfootseam.standins.memory_worker import MemoryWorker
 from coltsfootseam.standins.memory_workers import MemoryWorkers
 from coltsfootseam.store import (
     Appended,
@@ -36,6 +39,7 @@
 )
 
 _RECORD_LENGTH = struct.Struct(">I")
+_POLL_S = 0.1
 _REASONS_BY_OUTCOME = {
     OrderOutcome.FENCED: "fence",
     OrderOutcome.OLD: "old",
@@ -165,21 +169,62 @@
 
 
 class WorkerServer:
-    """Serves one worker over HTTP."""
+    """Serves one worker over HTTP, also after its machine starts again.
+
+    A call under way while the machine loses power is not answered, and its
+    caller isn't told. The next incarnation resets older connections.
+    """
 
     def __init__(self, workers: MemoryWorkers, entry: WorkerEntry) -> None:
         self._workers = workers
         self._worker = workers.add(entry)
         self._calls = workers.calls("all")
+        self._incarnations_by_connection: weakref.WeakKeyDictionary[
+            asyncio.Transport, MemoryWorker
+        ] = weakref.WeakKeyDictionary()
+
+    def lose_power(self) -> None:
+        """Ends the worker's incarnation."""
+        self._workers.kill(self._worker.entry.instance_id)
+
+    def restore_power(self, entry: WorkerEntry) -> MemoryWorker:
+        """Starts the next incarnation, whose clock starts anew."""
+        self._worker = self._workers.add(entry)
+        return self._worker
 
     def application(self) -> web.Application:
         """Returns the web application."""
-        app = web.Application()
+        app = web.Application(middlewares=[self._call_incarnation])
         app.router.add_post("/api/run-start", self._start)
         app.router.add_post("/api/run-stop", self._stop)
         app.router.add_post("/api/hold", self._hold)
         return app
 
+    @web.middleware
+    async def _call_incarnation(
+        self, request: web.Request, handler: Any
+    ) -> web.Response:
+        """Answers a call unless the worker's incarnation ends meanwhile."""
+        connection = request.transport
+        assert connection is not None
+        called = self._incarnations_by_connection.setdefault(
+            connection, self._worker
+        )
+        if not called.is_dead:
+            response: web.Response = await handler(request)
+            if not called.is_dead:
+                return response
+        elif called is not self._worker:
+            connection.abort()
+        return await self._leave_unanswered(request)
+
+    async def _leave_unanswered(self, request: web.Request) -> web.Response:
+        """Waits until the caller closes the connection."""
+        while True:
+            await asyncio.sleep(_POLL_S)
+            if request.transport is None or request.transport.is_closing():
+                return web.Response(status=503)
+
     async def _start(self, request: web.Request) -> web.Response:
         body = await request.json()
         order = StartOrder(
@@ -189,7 +234,10 @@
             body["deadline_ms"],
             body["fencing_token"],
         )
-        return self._reply(self._workers.apply_start(self._worker, order))
+        reply = self._reply(self._workers.apply_start(self._worker, order))
+        if self._worker.faults.loses_start_replies:
+            return await self._leave_unanswered(request)
+        return reply
 
     async def _stop(self, request: web.Request) -> web.Response:
         body = await request.json()
@@ -208,6 +256,8 @@
         )
         report = await self._calls.heartbeat(self._worker.entry, order)
         if not isinstance(report, HeartbeatReply):
+            if report.outcome is OrderOutcome.UNKNOWN:
+                return await self._leave_unanswered(request)
             return self._reply(report.outcome)
         return web.json_response(
             {
--- a/tests/common/soak.py
+++ b/tests/common/soak.py
@@ -15,7 +15,12 @@
 from coltsfootseam.adapter.tasks import task_name
 from coltsfootseam.testbed.waiting import wait_until
 from coltsfootseam.workers import StartOrder
-from tests.common.zone_faults import PlannedFault, applying, plan_faults
+from tests.common.zone_faults import (
+    PlannedFault,
+    applying,
+    plan_faults,
+    plan_series,
+)
 from tests.common.zoned_deployment import (
     LONG_RUNNING_S,
     ZonedDeployment,
@@ -110,13 +115,22 @@
         measuring = asyncio.ensure_future(self._measure_stalls())
         try:
             await asyncio.gather(*(self._apply(item) for item in faults))
-            self._healed_s = time.monotonic()
+            healed_s = time.monotonic()
             await asyncio.gather(*callers)
-            await self._check_ready()
-            await self._check_ends()
+            await self.check(healed_s)
         finally:
             for task in (*callers, measuring):
                 task.cancel()
+
+    async def check(self, healed_s: float) -> None:
+        """Checks all jobs.
+
+        Args:
+            healed_s: When the last fault ended, monotonic seconds.
+        """
+        self._healed_s = healed_s
+        await self._check_ready()
+        await self._check_ends()
         for item in self._deployment.workers.violations:
             self.findings.append(
                 f"TWICE: {task_name(item.task)}: {item.rule}: {item.detail}"
@@ -140,17 +154,23 @@
 
     async def _play_job(self, job: PlannedJob) -> None:
         await self._sleep_until(job.at_s)
+        if not await self.submit(job):
+            return
+        if job.cancel_s is not None:
+            await asyncio.sleep(job.cancel_s)
+            await self._cancel(job)
+
+    async def submit(self, job: PlannedJob) -> bool:
+        """Sends a job now; returns whether it was accepted."""
         self._deployment.durations_s_by_job[job.job_id] = job.task_s
         step = {"count": job.tasks, "cpu": 500, "mem_mb": 64}
         if job.is_lasting():
             step["long_running"] = True
         body = {"spec": "x", "steps": [step]}
         if not await self._send("POST", job, body, {200}):
-            return
+            return False
         self.accepted.append(job)
-        if job.cancel_s is not None:
-            await asyncio.sleep(job.cancel_s)
-            await self._cancel(job)
+        return True
 
     async def _cancel(self, job: PlannedJob) -> None:
         self._cancel_sent.add(job.job_id)
@@ -257,6 +277,8 @@
     async with running_zones(folder) as deployment:
         faults = plan_faults(rng, length_s)
         jobs = plan_jobs(rng, length_s, max_task_s, len(deployment.hosts))
+        # Drawn apart, so that a seed keeps the faults and jobs above.
+        faults += plan_series(random.Random(f"series {seed}"), length_s)
         soak = Soak(deployment)
         await soak.run(faults, jobs)
         starts = len(deployment.workers.starts)
--- a/tests/common/zone_faults.py
+++ b/tests/common/zone_faults.py
@@ -5,7 +5,8 @@
 import functools
 import random
 import signal
-from collections.abc import AsyncIterator, Callable
+import time
+from collections.abc import AsyncIterator, Callable, Collection, Iterable
 
 import msgspec
 
@@ -13,6 +14,8 @@
 from tests.common.zoned_deployment import ZONES, ZonedDeployment, ZonedHost
 
 _STOP_GRACE_S = 6.0
+_OWNER_LIMIT_S = 10.0
+_POLL_S = 0.02
 
 
 class PlannedFault(msgspec.Struct, frozen=True):
@@ -31,17 +34,19 @@
     for_s: float
 
 
+_Handler = Callable[
+    [ZonedDeployment, int], contextlib.AbstractAsyncContextManager[None]
+]
+
 Fault = Callable[[ZonedDeployment, int], AsyncIterator[None]]
 """Applies a fault until it is resumed."""
 
 CutOf = Callable[[ZonedDeployment, int], Cut]
 
-_handlers_by_kind: dict[
-    str,
-    Callable[
-        [ZonedDeployment, int], contextlib.AbstractAsyncContextManager[None]
-    ],
-] = {}
+_handlers_by_kind: dict[str, _Handler] = {}
+
+_series_handlers_by_kind: dict[str, _Handler] = {}
+"""Faults that are drawn in series only."""
 
 
 def fault(apply: Fault) -> Fault:
@@ -50,6 +55,13 @@
     return apply
 
 
+def series_fault(apply: Fault) -> Fault:
+    """Registers the decorated fault for series, under its name."""
+    handler = contextlib.asynccontextmanager(apply)
+    _series_handlers_by_kind[apply.__name__] = handler
+    return apply
+
+
 def cut_fault(cut_of: CutOf) -> CutOf:
     """Registers a fault that is a cut, under the function's name."""
 
@@ -151,17 +163,121 @@
     host = _host(deployment, number)
     async with host.lock:
         try:
-            if number // 8 % 2:
-                with contextlib.suppress(TimeoutError):
-                    async with asyncio.timeout(_STOP_GRACE_S):
-                        await host.terminate(signal.SIGTERM)
-            await host.terminate(signal.SIGKILL)
+            await _terminate(host, bool(number // 8 % 2))
             yield
         finally:
             await host.terminate(signal.SIGKILL)
             await host.start()
 
 
+@series_fault
+async def end_owners(
+    deployment: ZonedDeployment, number: int
+) -> AsyncIterator[None]:
+    """Ends the pool's owner, then its successor, then often the next one."""
+    ended: list[ZonedHost] = []
+    async with contextlib.AsyncExitStack() as stack:
+        for _ in range(2 + number % 2):
+            owner = await find_owner(deployment, ended)
+            if owner is not None:
+                is_planned = bool(number // 8 % 2)
+                await stack.enter_async_context(ending(owner, is_planned))
+                ended.append(owner)
+        yield
+
+
+@series_fault
+async def restart_worker(
+    deployment: ZonedDeployment, number: int
+) -> AsyncIterator[None]:
+    """A worker loses power and is back, without an entry for a while."""
+    nodes = sorted(deployment.workers_by_node)
+    async with _restarted(deployment, nodes[number % len(nodes)]):
+        yield
+
+
+@series_fault
+async def restart_zone(
+    deployment: ZonedDeployment, number: int
+) -> AsyncIterator[None]:
+    """The workers of a zone lose power and are back, without entries."""
+    zone = ZONES[number % len(ZONES)]
+    async with contextlib.AsyncExitStack() as stack:
+        await asyncio.gather(
+            *(
+                stack.enter_async_context(_restarted(deployment, node))
+                for node in deployment.worker_nodes(zone)
+            )
+        )
+        yield
+
+
+@series_fault
+async def cut_off_workers(
+    deployment: ZonedDeployment, number: int
+) -> AsyncIterator[None]:
+    """The workers of a zone are out of reach of all hosts."""
+    nodes = deployment.worker_nodes(ZONES[number % len(ZONES)])
+    with _cutting(deployment, cut_from_hosts(deployment, nodes), number):
+        yield
+
+
+def cut_from_hosts(deployment: ZonedDeployment, nodes: Iterable[int]) -> Cut:
+    """Returns a cut between nodes and all hosts."""
+    return both_ways(nodes, {host.node for host in deployment.hosts})
+
+
+async def find_owner(
+    deployment: ZonedDeployment, ended: Collection[ZonedHost] = ()
+) -> ZonedHost | None:
+    """Waits for a host, not one of some, that says that it owns the pool."""
+    until_s = time.monotonic() + _OWNER_LIMIT_S
+    while time.monotonic() < until_s:
+        for host in deployment.hosts:
+            if host not in ended and await deployment.is_owner(host):
+                return host
+        await asyncio.sleep(_POLL_S)
+    return None
+
+
+@contextlib.asynccontextmanager
+async def ending(host: ZonedHost, is_planned: bool) -> AsyncIterator[None]:
+    """Has a host end, also after the context opens, and starts it again.
+
+    Args:
+        host: The host.
+        is_planned: Whether it is asked to stop; otherwise it is killed.
+    """
+    async with host.lock:
+        host.send(signal.SIGTERM if is_planned else signal.SIGKILL)
+        try:
+            yield
+        finally:
+            await _terminate(host, is_planned)
+            await host.start()
+
+
+async def _terminate(host: ZonedHost, is_planned: bool) -> None:
+    if is_planned:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_STOP_GRACE_S):
+                await host.terminate(signal.SIGTERM)
+    await host.terminate(signal.SIGKILL)
+
+
+@contextlib.asynccontextmanager
+async def _restarted(
+    deployment: ZonedDeployment, node: int
+) -> AsyncIterator[None]:
+    worker = deployment.workers_by_node[node]
+    async with worker.lock:
+        await worker.restart_unlisted()
+        try:
+            yield
+        finally:
+            worker.report_again()
+
+
 def _cutting(
     deployment: ZonedDeployment, cut: Cut, number: int
 ) -> contextlib.AbstractContextManager[None]:
@@ -192,9 +308,29 @@
     return faults
 
 
+def plan_series(rng: random.Random, length_s: float) -> list[PlannedFault]:
+    """Draws series of restarted workers, owners that end, and cuts."""
+    faults: list[PlannedFault] = []
+    at_s = rng.uniform(1.0, length_s / 2)
+    while at_s < length_s - 1.0:
+        number = rng.randrange(96)
+        restart = rng.choice(("restart_worker", "restart_zone", "restart_zone"))
+        unlisted_s = rng.choice((0.1, 0.5, 2.0, 6.0))
+        ended_s = at_s + rng.uniform(0.1, 1.0)
+        cut_s = ended_s + rng.uniform(0.0, 3.0)
+        faults += [
+            PlannedFault(restart, number, at_s, unlisted_s),
+            PlannedFault("end_owners", number, ended_s, rng.uniform(0.5, 6.0)),
+            PlannedFault("cut_off_workers", number, cut_s, 11.0),
+        ]
+        at_s += rng.uniform(12.0, 18.0)
+    return faults
+
+
 def applying(
     planned: PlannedFault, deployment: ZonedDeployment
 ) -> contextlib.AbstractAsyncContextManager[None]:
     """Applies a fault while the context is open."""
-    handler = _handlers_by_kind[planned.kind]
+    handlers_by_kind = {**_handlers_by_kind, **_series_handlers_by_kind}
+    handler = handlers_by_kind[planned.kind]
     return handler(deployment, planned.number)
--- a/tests/common/zoned_deployment.py
+++ b/tests/common/zoned_deployment.py
@@ -11,7 +11,6 @@
 from coltsfootseam.jobs import TaskId
 from coltsfootseam.standins.memory_workers import MemoryWorkers
 from coltsfootseam.standins.serving import serving
-from coltsfootseam.store import Partition
 from coltsfootseam.testbed.links import Links, opening_links
 from coltsfootseam.testbed.waiting import wait_until
 from coltsfootseam.timers import LoopTimers
@@ -20,11 +19,10 @@
 from tests.common.manager_processes import ManagerProcess
 from tests.common.platform_servers import (
     StoreServer,
-    WorkerServer,
     configuration,
-    report_of,
     worker_entry,
 )
+from tests.common.zoned_workers import ZonedWorker
 
 ZONES = ("a", "b", "c")
 NODES_PER_ZONE = 2
@@ -40,8 +38,6 @@
 _PEER_PORT = 9000
 _CALL_TIMEOUT_S = 3.0
 _SHUTDOWN_S = 0.1
-_REPORT_S = 1.0
-_EXPIRY_S = 3 * _REPORT_S
 _READY_LIMIT_S = 60.0
 
 
@@ -71,40 +67,60 @@
 
     Attributes:
         links: Links from each host to the other nodes.
+        zones: The zones.
         store: The store.
         workers: The workers, which record violations.
         hosts: The hosts.
-        entries_by_node: Entries of the workers.
+        workers_by_node: Workers that can lose power, by their node.
         durations_s_by_job: Durations of the tasks of each job.
     """
 
-    def __init__(self, links: Links, folder: pathlib.Path) -> None:
+    def __init__(
+        self,
+        links: Links,
+        folder: pathlib.Path,
+        zones: tuple[str, ...] = ZONES,
+        hosts_per_zone: int = NODES_PER_ZONE,
+    ) -> None:
         self.links = links
+        self.zones = zones
         self.store = StoreServer()
         self.workers = MemoryWorkers(LoopTimers(), self._duration_s)
         self.durations_s_by_job: dict[str, float] = {}
-        zones = [zone for zone in ZONES for _ in range(NODES_PER_ZONE)]
         self.hosts = [
             ZonedHost(node, zone, links, folder)
-            for node, zone in enumerate(zones, 1)
+            for node, zone in enumerate(_repeat(zones, hosts_per_zone), 1)
         ]
-        self.entries_by_node = {
-            node: worker_entry(
-                f"i-{node}", f"{links.ip(node)}:{_WORKER_PORT}", zone
-            )
-            for node, zone in enumerate(zones, _FIRST_WORKER)
+        worker_zones = _repeat(zones, NODES_PER_ZONE)
+        self.workers_by_node = {
+            node: self._make_worker(node, zone)
+            for node, zone in enumerate(worker_zones, _FIRST_WORKER)
         }
         self._sessions_by_host: dict[str, aiohttp.ClientSession] = {}
 
+    def _make_worker(self, node: int, zone: str) -> ZonedWorker:
+        address = f"{self.links.ip(node)}:{_WORKER_PORT}"
+        entry = worker_entry(f"i-{node}", address, zone)
+        return ZonedWorker(
+            entry,
+            self.workers,
+            self.store,
+            lambda: self.links.is_open(node, _STORE),
+        )
+
     def nodes(self, zone: str) -> set[int]:
         """Returns the hosts and workers of a zone."""
         hosts = {host.node for host in self.hosts if host.zone == zone}
-        entries = self.entries_by_node.items()
-        return hosts | {node for node, entry in entries if entry.zone == zone}
+        return hosts | self.worker_nodes(zone)
+
+    def worker_nodes(self, zone: str) -> set[int]:
+        """Returns the workers of a zone."""
+        workers = self.workers_by_node.items()
+        return {node for node, worker in workers if worker.entry.zone == zone}
 
     def other_nodes(self, zone: str) -> set[int]:
         """Returns the store, and the hosts and workers of other zones."""
-        others = [self.nodes(other) for other in ZONES if other != zone]
+        others = [self.nodes(other) for other in self.zones if other != zone]
         return {_STORE}.union(*others)
 
     @property
@@ -175,12 +191,11 @@
                 _SHUTDOWN_S,
             )
         )
-        for node, entry in self.entries_by_node.items():
-            server = WorkerServer(self.workers, entry)
+        for worker in self.workers_by_node.values():
             await stack.enter_async_context(
-                serving(server.application(), entry.address, _SHUTDOWN_S)
+                serving(worker.application(), worker.entry.address, _SHUTDOWN_S)
             )
-            report = asyncio.ensure_future(self._report(node, entry))
+            report = asyncio.ensure_future(worker.report_forever())
             stack.callback(report.cancel)
         for host in self.hosts:
             await self._connect(host)
@@ -192,46 +207,33 @@
 
     async def _connect(self, host: ZonedHost) -> None:
         await self.links.connect(host.node, _STORE, _STORE_PORT)
-        for node in self.entries_by_node:
+        for node in self.workers_by_node:
             await self.links.connect(host.node, node, _WORKER_PORT)
         for peer in self.hosts:
             if peer is not host:
                 await self.links.connect(host.node, peer.node, _PEER_PORT)
 
-    async def _report(self, node: int, entry: WorkerEntry) -> None:
-        """Keeps a worker's entry in the store while the worker reaches it.
-
-        The store drops the entry of a silent worker, but not while it is down.
-        """
-        silence_s = _EXPIRY_S
-        is_listed = False
-        while True:
-            if not self.store.is_down:
-                is_silent = not self.links.is_open(node, _STORE)
-                silence_s = silence_s + _REPORT_S if is_silent else 0.0
-                if is_listed and silence_s >= _EXPIRY_S:
-                    partition = Partition("servers")
-                    self.store.store.put(partition, entry.instance_id, b"")
-                    is_listed = False
-                elif not is_listed and not is_silent:
-                    report = report_of(entry)
-                    self.store.put("servers", entry.instance_id, report)
-                    is_listed = True
-            await asyncio.sleep(_REPORT_S)
+
+def _repeat(zones: tuple[str, ...], times: int) -> list[str]:
+    return [zone for zone in zones for _ in range(times)]
 
 
 @contextlib.asynccontextmanager
 async def running_zones(
     folder: pathlib.Path,
+    zones: tuple[str, ...] = ZONES,
+    hosts_per_zone: int = NODES_PER_ZONE,
 ) -> AsyncIterator[ZonedDeployment]:
     """Runs a deployment whose hosts are all ready while the context is open.
 
     Args:
         folder: Receives the settings and logs of the hosts.
+        zones: The zones, each with two workers.
+        hosts_per_zone: Number of hosts in each zone.
     """
     async with contextlib.AsyncExitStack() as stack:
         links = await stack.enter_async_context(opening_links(_FIRST_NETWORK))
-        deployment = ZonedDeployment(links, folder)
+        deployment = ZonedDeployment(links, folder, zones, hosts_per_zone)
         await deployment.run(stack)
         await deployment.wait_until_ready()
         yield deployment
