--- a/tests/common/owner_plays.py
+++ b/tests/common/owner_plays.py
@@ -107,7 +107,7 @@
                 self._list_workers(planned)
                 await find_owner(self._deployment, ended)
                 if planned.orders_again:
-                    await self._submit(_LATER_JOBS)
+                    await self._submit(_LATER_JOBS, ended)
             await asyncio.sleep(planned.cut_after_s)
             cut = cut_from_hosts(self._deployment, planned.nodes)
             stack.enter_context(
@@ -127,7 +127,7 @@
         for life in lives:
             life.faults.loses_start_replies = planned.loses_replies
         await asyncio.sleep(planned.jobs_after_s)
-        await self._submit(_JOBS)
+        await self._submit(_JOBS, [])
         await asyncio.sleep(planned.end_after_s)
 
     async def _end_owner(
@@ -150,14 +150,25 @@
             life.faults.loses_start_replies = False
             worker.report_again()
 
-    async def _submit(self, count: int) -> None:
+    async def _submit(self, count: int, ended: list[ZonedHost]) -> None:
+        hosts = [
+            number
+            for number, host in enumerate(self._deployment.hosts)
+            if host not in ended
+        ]
         jobs = []
         for _ in range(count):
             self._count += 1
-            host = self._random.randrange(len(self._deployment.hosts))
-            job_id = f"{self._count:016x}"
             jobs.append(
-                PlannedJob(job_id, host, 0.0, _TASKS, self._task_s, None)
+                PlannedJob(
+                    f"{self._count:016x}",
+                    self._random.choice(hosts),
+                    0.0,
+                    _TASKS,
+                    self._task_s,
+                    cancel_s=None,
+                    per_worker_limit=1,
+                )
             )
         await asyncio.gather(*(self.soak.submit(job) for job in jobs))
 
--- a/tests/common/soak.py
+++ b/tests/common/soak.py
@@ -49,6 +49,8 @@
         tasks: Number of its tasks.
         task_s: Duration of a task.
         cancel_s: Time from the reply to its cancel, ``None`` for no cancel.
+        per_worker_limit: How many of its tasks one worker may run, 0 for no
+            limit.
     """
 
     job_id: str
@@ -57,6 +59,7 @@
     tasks: int
     task_s: float
     cancel_s: float | None
+    per_worker_limit: int = 0
 
     def is_lasting(self) -> bool:
         """Returns whether its tasks run until it is cancelled."""
@@ -163,7 +166,12 @@
     async def submit(self, job: PlannedJob) -> bool:
         """Sends a job now; returns whether it was accepted."""
         self._deployment.durations_s_by_job[job.job_id] = job.task_s
-        step = {"count": job.tasks, "cpu": 500, "mem_mb": 64}
+        step = {
+            "count": job.tasks,
+            "cpu": 500,
+            "mem_mb": 64,
+            "anti_affinity": job.per_worker_limit,
+        }
         if job.is_lasting():
             step["long_running"] = True
         body = {"spec": "x", "steps": [step]}
