--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PACKAGES := $(sort $(wildcard libs/*) $(wildcard daemons/*) platform)
 SOURCES := libs daemons platform deploy tests bench
 
-.PHONY: setup demo test faults lint format bench-control bench-requests bench-placement bench-quarantine bench-coincidence bench-quotas bench-teams bench-scheduling fuzz soak proofs proto
+.PHONY: setup demo test faults lint format bench-control bench-requests bench-placement bench-quarantine bench-coincidence bench-quotas bench-teams bench-scheduling fuzz soak owner-plays proofs proto
 
 setup: .venv/.installed
 
@@ -62,6 +62,9 @@
 soak: setup
 	$(BIN)/python -m bench.soak $(SEED) $(COUNT)
 
+owner-plays: setup
+	$(BIN)/python -m bench.owner_plays $(SEED) $(COUNT)
+
 proofs: setup
 	$(BIN)/python -m bench.prove
 
--- a/libs/testbed/src/coltsfootseam/testbed/links.py
+++ b/libs/testbed/src/coltsfootseam/testbed/links.py
@@ -14,7 +14,7 @@
 from coltsfootseam.testbed.networks import claim_network
 
 _BACKLOG = 1024
-_MAX_HOLD_S = 12.0
+MAX_HOLD_S = 12.0
 """A worker carries out calls that were under way for up to this time."""
 
 
@@ -50,10 +50,17 @@
 class Links:
     """The links of a network."""
 
-    __slots__ = ("_cuts", "_network", "_proxies_by_pair", "_servers")
+    __slots__ = (
+        "_cuts",
+        "_max_hold_s",
+        "_network",
+        "_proxies_by_pair",
+        "_servers",
+    )
 
-    def __init__(self, network: str) -> None:
+    def __init__(self, network: str, max_hold_s: float) -> None:
         self._network = network
+        self._max_hold_s = max_hold_s
         self._cuts: list[Cut] = []
         self._proxies_by_pair: dict[tuple[int, int], ProxyStandIn] = {}
         self._servers: list[asyncio.Server] = []
@@ -65,7 +72,7 @@
     async def connect(self, source: int, target: int, port: int) -> None:
         """Opens the link from a node to a port of another."""
         address = f"{self.ip(target)}:{port}"
-        proxy = ProxyStandIn(address, _MAX_HOLD_S)
+        proxy = ProxyStandIn(address, self._max_hold_s)
         ip = linked_address(address, source).partition(":")[0]
         server = await asyncio.start_server(
             proxy.accept, ip, port, backlog=_BACKLOG
@@ -116,10 +123,17 @@
 
 
 @contextlib.asynccontextmanager
-async def opening_links(first_network: int) -> AsyncIterator[Links]:
-    """Yields the links of a network that no other launcher uses."""
+async def opening_links(
+    first_network: int, max_hold_s: float = MAX_HOLD_S
+) -> AsyncIterator[Links]:
+    """Yields the links of a network that no other launcher uses.
+
+    Args:
+        first_network: Number of the network to try first.
+        max_hold_s: A connection whose data a cut held for longer is silenced.
+    """
     claim = claim_network(first_network)
-    links = Links(claim.network)
+    links = Links(claim.network, max_hold_s)
     try:
         yield links
     finally:
--- a/tests/nocover/test_links.py
+++ b/tests/nocover/test_links.py
@@ -7,6 +7,7 @@
 import pytest
 
 from coltsfootseam.testbed.links import (
+    MAX_HOLD_S,
     Links,
     linked_address,
     one_way,
@@ -34,7 +35,13 @@
 
 
 @pytest.fixture
-async def connected() -> AsyncIterator[Connected]:
+def max_hold_s() -> float:
+    """Returns how long the links hold data back."""
+    return MAX_HOLD_S
+
+
+@pytest.fixture
+async def connected(max_hold_s: float) -> AsyncIterator[Connected]:
     received: asyncio.Queue[bytes] = asyncio.Queue()
 
     async def receive(
@@ -45,7 +52,7 @@
         received.put_nowait(b"")
         writer.close()
 
-    async with opening_links(FIRST_NETWORK) as links:
+    async with opening_links(FIRST_NETWORK, max_hold_s) as links:
         address = f"{links.ip(TARGET)}:{PORT}"
         await links.connect(SOURCE, TARGET, PORT)
         async with await asyncio.start_server(receive, links.ip(TARGET), PORT):
@@ -94,3 +101,17 @@
     connected.writer.write(b"lost too")
     await asyncio.sleep(QUIET_S)
     assert connected.received.empty()
+
+
+# A call that reached a worker later than the platform's calls can would break
+# guarantees that no manager can give.
+@pytest.mark.parametrize("max_hold_s", [QUIET_S / 2])
+async def test_data_that_was_held_back_for_too_long_is_lost(
+    connected: Connected,
+) -> None:
+    with connected.links.cutting(one_way([SOURCE], [TARGET])):
+        connected.writer.write(b"too late")
+        await asyncio.sleep(QUIET_S)
+    connected.writer.write(b"lost too")
+    await asyncio.sleep(QUIET_S)
+    assert connected.received.empty()
