--- a/tests/common/zone_faults.py
+++ b/tests/common/zone_faults.py
@@ -15,6 +15,9 @@
 
 _STOP_GRACE_S = 6.0
 _OWNER_LIMIT_S = 10.0
+_OWNING_S = (0.1, 0.4, 1.0)
+"""How long a host owns the pool before it ends as one of a series. Each may
+have only begun to list what runs, or have confirmed all of it."""
 _POLL_S = 0.02
 
 
@@ -181,6 +184,7 @@
             owner = await find_owner(deployment, ended)
             if owner is not None:
                 is_planned = bool(number // 8 % 2)
+                await asyncio.sleep(_OWNING_S[number // 16 % len(_OWNING_S)])
                 await stack.enter_async_context(ending(owner, is_planned))
                 ended.append(owner)
         yield
