--- a/bench/prove.py
+++ b/bench/prove.py
@@ -250,6 +250,26 @@
         "tests/cover/test_restarted_workers.py::"
         "test_a_start_that_reaches_the_next_life_is_not_repeated_elsewhere",
     ),
+    Proof(
+        "token-for-each-life",
+        "tests/cover/test_restarted_workers.py::"
+        "test_a_start_that_reaches_the_next_life_is_not_repeated_elsewhere",
+    ),
+    Proof(
+        "copies-arrived-before-confirmed",
+        "tests/cover/test_late_starts.py::"
+        "test_a_copy_that_arrives_in_the_next_life_runs_beside_no_other",
+    ),
+    Proof(
+        "inherited-leases-of-young-lives",
+        "tests/cover/test_leases_over_owners.py::"
+        "test_a_later_owner_waits_for_a_lease_of_the_life_before",
+    ),
+    Proof(
+        "inherited-leases-of-links",
+        "tests/cover/test_restarted_workers.py::"
+        "test_a_restarted_worker_that_is_cut_off_keeps_its_runs",
+    ),
     Proof(
         "queues-admitted",
         "tests/cover/test_inbox_appender.py::"
--- a/libs/testbed/src/coltsfootseam/testbed/manager_switches.py
+++ b/libs/testbed/src/coltsfootseam/testbed/manager_switches.py
@@ -45,7 +45,7 @@
 )
 from coltsfootseam.teams.quota import QuotaLedger, ledger
 from coltsfootseam.testbed.switchboard import replace, switch
-from coltsfootseam.workers import WorkerLease, WorkerLink
+from coltsfootseam.workers import WorkerEntry, WorkerLease, WorkerLink
 
 
 @switch("unique-epochs")
@@ -312,3 +312,37 @@
 
     replace(ledger, "SUCCESSOR_SILENT_S", 0.0)
     replace(QuotaLedger, "_may_change", may_change)
+
+
+@switch("token-for-each-life")
+def _give_all_lives_the_token_of_the_claim() -> None:
+    take_token = WorkerLives.take_token
+
+    def take(lives: WorkerLives, entry: WorkerEntry) -> int | None:
+        token = take_token(lives, entry)
+        return None if token is None else lives._journal.epoch
+
+    replace(WorkerLives, "take_token", take)
+
+
+@switch("copies-arrived-before-confirmed")
+def _confirm_runs_while_copies_are_under_way() -> None:
+    replace(
+        WorkerLives, "have_copies_arrived", lambda lives, run, listed_s: True
+    )
+
+
+@switch("inherited-leases-of-young-lives")
+def _count_granted_leases_only_after_a_takeover() -> None:
+    replace(
+        WorkerLives, "may_hold_inherited", lambda lives, worker_id, pairs: False
+    )
+
+
+@switch("inherited-leases-of-links")
+def _count_granted_leases_only_on_next_lives() -> None:
+    def inherited_lease_s(lives: WorkerLives, entry: WorkerEntry) -> float:
+        del entry
+        return lives._context.times.lease_s
+
+    replace(WorkerLives, "inherited_lease_s", inherited_lease_s)
--- /dev/null
+++ b/tests/cover/test_walks_of_owners.py
@@ -0,0 +1,35 @@
+"""Seeded walks over owners of a pool, lives of its workers and calls."""
+
+import pytest
+
+from tests.common.owner_walk_plans import (
+    EVENTS_BY_NAME,
+    draw_plan,
+)
+from tests.common.owner_walks import (
+    HANDLERS_BY_EVENT,
+    run_walk,
+)
+
+SEEDS = range(20)
+
+
+# Guards against tasks that run twice, starts beyond the capacity of a worker and
+# jobs that never end, as owners, lives of workers and calls fail together (issue
+# 65).
+@pytest.mark.parametrize("seed", SEEDS)
+def test_no_rule_is_broken_on_a_walk_of_owners(seed: int) -> None:
+    assert list(map(str, run_walk(seed))) == []
+
+
+# Guards against events that plans can have and walks pass over.
+def test_each_event_of_plans_has_a_handler() -> None:
+    assert set(HANDLERS_BY_EVENT) == set(EVENTS_BY_NAME.values())
+
+
+# Guards against walks that test less than they seem to: each event is drawn.
+def test_plans_draw_each_event() -> None:
+    drawn = {
+        type(item) for seed in range(200) for item in draw_plan(seed).events
+    }
+    assert drawn == set(EVENTS_BY_NAME.values())
