List a third owner that takes a life without an entry for absent

The shortcut by a missing entry ends a run after 12.5 s, though a late start may run on for 10 s more. Without the shortcut tasks of workers that are gone wait as long; which of the two holds needs a record of lives, so it stays red.

--- a/tests/cover/test_later_lives.py
+++ b/tests/cover/test_later_lives.py
@@ -1,7 +1,6 @@
 """Later lives of workers of which an owner knows too little."""
 
 import asyncio
-import functools
 
 import pytest
 
@@ -31,6 +30,32 @@
     await owner.kill()
 
 
+def begin_behind_a_cut(fleet: Fleet, instance_id: str, late_s: float) -> None:
+    """Has a worker lose power and be back without ever having an entry.
+
+    Args:
+        fleet: The deployment.
+        instance_id: The worker. The entry of its former life lapses.
+        late_s: How long after they were sent its next life carries starts out.
+    """
+    former = fleet.workers.workers_by_instance[instance_id]
+    former.faults.resets_connections = False
+    fleet.workers.kill(instance_id)
+
+    def come_back() -> None:
+        fleet.restart_worker(instance_id, fleet.wall_ms())
+        fleet.put_entry(former.entry)
+        faults = fleet.workers.workers_by_instance[instance_id].faults
+        faults.late_start_share = 1.0
+        faults.delay_s = late_s
+
+    def lapse() -> None:
+        fleet.store.put(WORKERS, instance_id, b"")
+
+    fleet.timers.schedule(DOWN_S, come_back)
+    fleet.timers.schedule(LISTED_S, lapse)
+
+
 # Guards against work done twice: a heartbeat that named the ends of a life as
 # stored was repeated to the next one, which forgot an end that nobody had read.
 @pytest.mark.parametrize("phase_s", [0.2, 0.4, 0.6, 0.8, 1.0])
@@ -97,22 +122,8 @@
         await fleet.timers.advance(40.0)
         instance_ids = [f"i-{number}" for number in range(1, 6)]
         workers = fleet.workers.workers_by_instance
-
-        def come_back(instance_id: str) -> None:
-            entry = workers[instance_id].entry
-            fleet.restart_worker(instance_id, fleet.wall_ms())
-            fleet.put_entry(entry)
-            workers[instance_id].faults.late_start_share = 1.0
-            workers[instance_id].faults.delay_s = late_s
-
-        def lapse(instance_id: str) -> None:
-            fleet.store.put(WORKERS, instance_id, b"")
-
         for key in instance_ids:
-            workers[key].faults.resets_connections = False
-            fleet.workers.kill(key)
-            fleet.timers.schedule(DOWN_S, functools.partial(come_back, key))
-            fleet.timers.schedule(LISTED_S, functools.partial(lapse, key))
+            begin_behind_a_cut(fleet, key, late_s)
         await fleet.timers.advance(2 * DOWN_S)
         await fleet.accept(fleet.hosts[0], JOB, SPREAD)
         owner = fleet.owner()
@@ -122,3 +133,30 @@
         for number in (11, 12, 13):
             fleet.add_worker(number)
         await fleet.wait_for_state(JOB, JobState.COMPLETED, LIMIT_S)
+
+
+# Guards against a third owner that takes a life for absent which began behind a
+# cut and never had an entry: it carries out a start that was under way to it.
+@pytest.mark.parametrize("second_end_s", [5.0, 7.0])
+async def test_a_third_owner_waits_for_a_life_that_it_reads_nothing_of(
+    second_end_s: float,
+) -> None:
+    async with running_fleet(
+        hosts=4, workers=8, duration_of=lambda task: LONG_TASK_S
+    ) as fleet:
+        await fleet.timers.advance(40.0)
+        workers = fleet.workers.workers_by_instance
+        instance_ids = [f"i-{number}" for number in range(1, 6)]
+        for key in instance_ids:
+            begin_behind_a_cut(fleet, key, late_s=11.9)
+        await fleet.timers.advance(2 * DOWN_S)
+        await fleet.accept(fleet.hosts[0], JOB, SPREAD)
+        await fleet.timers.advance(0.1)
+        for key in instance_ids:
+            workers[key].faults.is_unresponsive = True
+        await leave(fleet, fleet.owner())
+        for number in (11, 12, 13):
+            fleet.add_worker(number)
+        await fleet.timers.advance(second_end_s)
+        await leave(fleet, fleet.owner())
+        await fleet.wait_for_state(JOB, JobState.COMPLETED, LIMIT_S)
