--- a/bench/prove.py
+++ b/bench/prove.py
@@ -252,8 +252,8 @@
     ),
     Proof(
         "token-for-each-life",
-        "tests/cover/test_restarted_workers.py::"
-        "test_a_start_that_reaches_the_next_life_is_not_repeated_elsewhere",
+        "tests/cover/test_late_starts_refused.py::"
+        "test_the_next_life_refuses_a_copy_once_its_owner_has_called_it",
     ),
     Proof(
         "copies-arrived-before-confirmed",
--- a/tests/cover/test_walks_of_owners.py
+++ b/tests/cover/test_walks_of_owners.py
@@ -6,11 +6,19 @@
 from tests.common.owner_walks import HANDLERS_BY_EVENT, run_walk
 
 SEEDS = range(20)
+"""Seed 4 was broken on 0.7.5: a new owner counted a granted lease for a run on
+a life whose lease came from a call to the former one. Seed 16 was broken on
+0.7.5 and 0.7.6, with such a run taken over from the owner before."""
+
+KEPT_SEEDS = (83, 116)
+"""Seed 83 is broken if runs are confirmed while copies of their starts are
+under way. Seed 116 was broken in 0.7.7: a copy of a run that had ended, as its
+worker didn't list it, reached a later life that the owner hadn't called."""
 
 
 # Guards against tasks that run twice, starts beyond the capacity of workers and
 # jobs that never end, as owners, lives and calls fail together (issue 65).
-@pytest.mark.parametrize("seed", SEEDS)
+@pytest.mark.parametrize("seed", [*SEEDS, *KEPT_SEEDS])
 def test_no_rule_is_broken_on_a_walk_of_owners(seed: int) -> None:
     assert list(map(str, run_walk(seed))) == []
 
