--- a/tests/cover/test_late_starts_refused.py
+++ b/tests/cover/test_late_starts_refused.py
@@ -10,6 +10,7 @@
     start_with_late_copy,
 )
 
+WARM_UP_S = 20.0
 COPY_S = 10.0
 CRASH_S = 4.0
 
@@ -22,6 +23,8 @@
     async with running_fleet(
         workers=4, duration_of=lambda task: LONG_TASK_S
     ) as fleet:
+        # The clocks of the former lives are ahead, so no lease is over.
+        await fleet.timers.advance(WARM_UP_S)
         sent_s = fleet.timers.now_s()
         worker = await start_with_late_copy(fleet, COPY_S)
         await fleet.timers.advance(sent_s + CRASH_S - fleet.timers.now_s())
