--- a/daemons/manager/src/coltsfootseam/manager/pools/pool_owner.py
+++ b/daemons/manager/src/coltsfootseam/manager/pools/pool_owner.py
@@ -134,7 +134,6 @@
             loader.former_owners,
         )
         state = self._make_state(journal, self.leases)
-        self._lives = state.lives
         inbox = Tail(
             self._context.ports.store,
             self._context.timers,
@@ -180,6 +179,14 @@
 
     def _make_state(self, journal: Journal, leases: PoolLeases) -> PoolState:
         links_by_id: dict[str, WorkerLink] = {}
+        lives = WorkerLives(
+            self._context,
+            journal,
+            leases,
+            links_by_id,
+            self._cluster.sightings,
+        )
+        self._lives = lives
         return PoolState(
             pool=self._pool,
             context=self._context,
@@ -187,13 +194,7 @@
             journal=journal,
             job_table=JobTable(self._cluster.max_attempts_of),
             leases=leases,
-            lives=WorkerLives(
-                self._context,
-                journal,
-                leases,
-                links_by_id,
-                self._cluster.sightings,
-            ),
+            lives=lives,
             health=WorkerHealth(),
             links_by_id=links_by_id,
         )
