Use Fleet.run for hand-overs, and read the clock once for a release record

Three new test files waited for a coroutine by hand as Fleet.run does, and the release record read the clock twice. No change of behaviour; no assertion changed.

--- a/daemons/manager/src/coltsfootseam/manager/leases/pool_leases.py
+++ b/daemons/manager/src/coltsfootseam/manager/leases/pool_leases.py
@@ -253,7 +253,7 @@
                 in monotonic seconds, see ``WorkerLives.last_calls``.
         """
         now_s = self._now_s()
-        limit_s = self.earlier_stopped_s() - self._now_s()
+        limit_s = self.earlier_stopped_s() - now_s
         earlier: frozenset[WitnessSet] = frozenset()
         if limit_s >= 0:
             # Earlier owners may go on even without any witness.
--- a/tests/cover/test_later_lives.py
+++ b/tests/cover/test_later_lives.py
@@ -1,7 +1,5 @@
 """Later lives of workers of which an owner knows too little."""
 
-import asyncio
-
 import pytest
 
 from coltsfootseam.jobs import JobState, Step
@@ -25,8 +23,7 @@
 async def leave(fleet: Fleet, owner: Host) -> None:
     """Has the pool's owner leave in peace."""
     assert owner.manager is not None
-    leaving = asyncio.ensure_future(owner.manager.leave())
-    await fleet.wait_until(leaving.done)
+    await fleet.run(owner.manager.leave())
     await owner.kill()
 
 
--- a/tests/cover/test_leases_over_owners.py
+++ b/tests/cover/test_leases_over_owners.py
@@ -1,7 +1,5 @@
 """Leases of earlier incarnations while a pool changes its owner repeatedly."""
 
-import asyncio
-
 import pytest
 
 from coltsfootseam.jobs import JobState
@@ -25,8 +23,7 @@
     owner = fleet.owner()
     if is_planned:
         assert owner.manager is not None
-        leaving = asyncio.ensure_future(owner.manager.leave())
-        await fleet.wait_until(leaving.done)
+        await fleet.run(owner.manager.leave())
     await owner.kill()
     return owner
 
--- a/tests/cover/test_waits_over_owners.py
+++ b/tests/cover/test_waits_over_owners.py
@@ -1,7 +1,5 @@
 """Waits for calls of former owners, where the owner changes during the wait."""
 
-import asyncio
-
 import pytest
 
 from coltsfootseam.jobs import JobState, Step
@@ -16,8 +14,7 @@
     """Has the pool's owner leave as planned; its host starts again."""
     former = fleet.owner()
     assert former.manager is not None
-    leaving = asyncio.ensure_future(former.manager.leave())
-    await fleet.wait_until(leaving.done)
+    await fleet.run(former.manager.leave())
     await former.kill()
     former.start()
 
